--- /dev/null
+++ b/cornelstand/src/main.rs
@@ -0,0 +1,3 @@
+//! Parses the command line and starts the daemon.
+
+fn main() {}
--- /dev/null
+++ b/cornelstand/src/name.rs
@@ -0,0 +1,135 @@
+//! Names and numbers that identify things: accounts, services, endpoints, requests, epochs.
+//!
+//! Every identity has its own type, so that two of them cannot be mixed up. Textual names share
+//! their storage: a clone is a reference count, not a copy of the text.
+
+use std::sync::Arc;
+
+use derive_more::{AsRef, Display, From, Into};
+use serde::{Deserialize, Serialize};
+
+/// Longest accepted name, in bytes.
+pub const NAME_BYTES: usize = 63;
+
+/// Tells whether `text` is 1 to [`NAME_BYTES`] lowercase letters, digits, dots, hyphens or
+/// underscores.
+#[must_use]
+pub fn is_name(text: &str) -> bool {
+    !text.is_empty()
+        && text.len() <= NAME_BYTES
+        && text
+            .bytes()
+            .all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b"-._".contains(&b))
+}
+
+macro_rules! text_names {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        #[derive(
+            AsRef, Clone, Debug, Deserialize, Display, Eq, From, Hash, Ord, PartialEq, PartialOrd,
+            Serialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// The name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(text.into())
+            }
+        }
+
+        impl std::borrow::Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+    )*};
+}
+
+text_names! {
+    /// A client account.
+    AccountName;
+    /// A service: a group of endpoints that answer the same calls.
+    ServiceName;
+    /// A back end of a service.
+    EndpointName;
+    /// A data centre.
+    CentreName;
+    /// One of the fleet's own instances.
+    InstanceName;
+}
+
+macro_rules! numbers {
+    ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, Deserialize, Display, Eq, From, Hash, Into, Ord,
+            PartialEq, PartialOrd, Serialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+    )*};
+}
+
+numbers! {
+    /// Number of a configuration. A higher one replaces a lower one.
+    Revision(u64);
+    /// Fencing number of a cell's ownership. Messages with a lower one are refused.
+    Epoch(u64);
+    /// Start of an instance's process, in microseconds since the Unix epoch.
+    Incarnation(u64);
+    /// Start of an endpoint's process, as the endpoint itself names it.
+    BootId(u64);
+    /// Hash of account, route and body, by which a repeated request is recognised.
+    Fingerprint(u64);
+}
+
+/// Identity of one caller's request, unique over the fleet.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Deserialize,
+    Display,
+    Eq,
+    From,
+    Hash,
+    Into,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+)]
+#[display("{_0:032x}")]
+#[serde(transparent)]
+pub struct RequestId(pub u128);
+
+/// One try of a request: the identity of a grant and of its outcome.
+#[derive(
+    Clone, Copy, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[display("{request}/{number}")]
+pub struct AttemptId {
+    /// The request.
+    pub request: RequestId,
+    /// Counts the tries of the request from 0.
+    pub number: u32,
+}
+
+/// A disjoint group of one service's endpoints with one dispatcher.
+#[derive(Clone, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[display("{service}/{index}")]
+pub struct CellId {
+    /// The service.
+    pub service: ServiceName,
+    /// Counts the cells of the service from 0.
+    pub index: u16,
+}
--- /dev/null
+++ b/measure/src/main.rs
@@ -0,0 +1,3 @@
+//! Scenarios, baselines, load and plots.
+
+fn main() {}
