--- a/cornelstand/src/dispatch.rs
+++ b/cornelstand/src/dispatch.rs
@@ -12,7 +12,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::Class;
-use crate::name::{AccountName, AttemptId, BootId, CellId, EndpointName, Epoch, InstanceName};
+use crate::name::{
+    AccountName, AttemptId, BootId, CellId, EndpointName, Epoch, InstanceName, ServiceName,
+};
 
 /// A request that asks for an endpoint.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -200,6 +202,13 @@
     pub answers: u32,
 }
 
+/// Reply to an offer.
+pub type Reply = Result<Grant, Refusal>;
+
+type OfferCall = dyn Fn(Offer) -> BoxFuture<'static, Reply> + Send + Sync;
+type ReportCall = dyn Fn(Report) + Send + Sync;
+type PickCall = dyn Fn(&ServiceName) -> Option<CellId> + Send + Sync;
+
 /// The entry's way to the dispatchers of all cells, wherever they are.
 ///
 /// Offers follow a cell through changes of owner until they are granted, refused or cancelled by
@@ -207,9 +216,9 @@
 #[derive(Clone)]
 pub struct Dispatch {
     /// Offers a request and waits for the reply.
-    pub offer: Arc<dyn Fn(Offer) -> BoxFuture<'static, Result<Grant, Refusal>> + Send + Sync>,
+    pub offer: Arc<OfferCall>,
     /// Tells the dispatcher how a granted attempt goes. Outcomes are repeated until received.
-    pub report: Arc<dyn Fn(Report) + Send + Sync>,
+    pub report: Arc<ReportCall>,
     /// Picks the cell of a service for a new request; `None` if the service has no cell.
-    pub pick: Arc<dyn Fn(&ServiceName) -> Option<CellId> + Send + Sync>,
+    pub pick: Arc<PickCall>,
 }
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -27,7 +27,7 @@
 pub use config::{Account, Centre, Class, Config, Endpoint, Kind, Repeat, Route, Service};
 pub use dispatch::{
     Census, Counter, Dispatch, Ending, EndpointState, Grant, Handover, Offer, Phase, Refusal,
-    Report, Running,
+    Reply, Report, Running,
 };
 pub use moment::{Clock, Moment, micros};
 pub use name::{
