Decide which request runs next and where, and add the actor around it

Cause: nothing ordered the requests of the accounts or knew what an endpoint bears. Change: queues per account with weighted service counters (fair), a model of each endpoint's permitted concurrency (endpoint), the cell that joins both as a pure state machine, and the dispatcher actor with its timer and load polls. Properties, recovery and the exchange between cells are not tested yet.

--- /dev/null
+++ b/cornelstand/src/cell_status.rs
@@ -0,0 +1,97 @@
+//! What a cell shows to operators.
+
+use serde::{Deserialize, Serialize};
+
+use crate::cell::Part;
+use crate::endpoint::State;
+use crate::fair::AccountView;
+use crate::name::{AccountName, BootId, CellId, EndpointName, Epoch, InstanceName};
+
+/// Queues, counters and endpoints of one cell.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CellStatus {
+    /// The cell.
+    pub cell: CellId,
+    /// Epoch of the owner.
+    pub epoch: Epoch,
+    /// Part of each limit in use.
+    pub part: Part,
+    /// Entries that have still to report after a takeover.
+    pub unreported: Vec<InstanceName>,
+    /// Counts since the owner started.
+    pub counts: Counts,
+    /// Offers that wait.
+    pub waiting: usize,
+    /// Attempts granted and not ended.
+    pub running: usize,
+    /// Accounts seen by this owner.
+    pub accounts: Vec<AccountStatus>,
+    /// Endpoints of the cell.
+    pub endpoints: Vec<EndpointStatus>,
+}
+
+/// Counts of one owner: `offered` is the sum of `granted`, `refused`, `cancelled` and the offers
+/// that wait; `granted` and `adopted` together are the sum of `ended` and the attempts that run.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Counts {
+    /// Offers taken in, without repeated ones.
+    pub offered: u64,
+    /// Offers granted.
+    pub granted: u64,
+    /// Offers refused.
+    pub refused: u64,
+    /// Offers taken back.
+    pub cancelled: u64,
+    /// Attempts of earlier owners taken in.
+    pub adopted: u64,
+    /// Attempts ended.
+    pub ended: u64,
+}
+
+/// One account at a cell.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AccountStatus {
+    /// The account.
+    pub account: AccountName,
+    /// Its share.
+    pub share: u32,
+    /// Its counter: charged cost over share, in units of 1/65,536.
+    pub service: u64,
+    /// Average cost of its calls, in the unit of the service's kind.
+    pub average: u64,
+    /// Interactive offers that wait.
+    pub interactive: usize,
+    /// Batch offers that wait.
+    pub batch: usize,
+    /// Attempts granted and not ended.
+    pub running: u32,
+}
+
+impl From<AccountView<'_>> for AccountStatus {
+    fn from(view: AccountView<'_>) -> Self {
+        Self {
+            account: view.name.clone(),
+            share: view.share,
+            service: view.service,
+            average: view.average,
+            interactive: view.interactive,
+            batch: view.batch,
+            running: view.running,
+        }
+    }
+}
+
+/// One endpoint of a cell.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EndpointStatus {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// Its state.
+    pub state: State,
+    /// Requests at once that the owner permits.
+    pub limit: u32,
+    /// Attempts granted and not ended.
+    pub running: u32,
+    /// Boot identity that an answer has shown.
+    pub boot: Option<BootId>,
+}
--- /dev/null
+++ b/cornelstand/src/dispatcher.rs
@@ -0,0 +1,312 @@
+//! The actor that owns one cell.
+//!
+//! It gives each message to the [`Cell`] with the time, carries grants and refusals to those who
+//! wait for them, sets the cell's timer and polls its endpoints for load. After a handover it
+//! refuses everything and names the next owner.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::stream;
+use tokio::sync::{oneshot, watch};
+use tokio::time::{MissedTickBehavior, interval, sleep_until};
+use xtra::WeakAddress;
+use xtra::prelude::*;
+
+use crate::cell::{Cell, CellInput, CellOutput, Part};
+use crate::cell_status::CellStatus;
+use crate::config::Config;
+use crate::dispatch::{Census, Handover, Offer, Refusal, Reply, Report};
+use crate::endpoint::Load;
+use crate::moment::{Clock, Moment};
+use crate::name::{AttemptId, EndpointName, InstanceName};
+use crate::timeline::{Timeline, Topic};
+
+/// Messages that may wait for the actor.
+const MAILBOX: usize = 1024;
+
+/// Time between load reports of an endpoint, and the deadline of each.
+const POLL: Duration = Duration::from_secs(1);
+
+/// Load reports asked for at once.
+const POLLS: usize = 16;
+
+/// Offers a request. The reply comes through the receiver, which fails if the actor stops.
+#[derive(Debug)]
+pub struct Ask(pub Offer);
+
+/// Takes an offer back whose grant the entry does not use.
+#[derive(Debug)]
+pub struct Withdraw(pub AttemptId);
+
+/// Tells how granted attempts go. Answers whether the reports were taken in.
+#[derive(Debug)]
+pub struct Tell(pub Vec<Report>);
+
+/// Puts a revision of the configuration in force.
+#[derive(Debug)]
+pub struct Configure(pub Arc<Config>);
+
+/// Extends or reduces the ownership of the cell.
+#[derive(Debug)]
+pub struct SetLease {
+    /// Nothing is granted from then on.
+    pub until: Moment,
+    /// Part of each endpoint's limit that may be used.
+    pub part: Part,
+}
+
+/// Names all endpoints that the platform is about to stop.
+#[derive(Debug)]
+pub struct SetLeaving(pub BTreeSet<EndpointName>);
+
+/// Tells that the cell was taken over without a handover, and who has still to report.
+#[derive(Debug)]
+pub struct Recover(pub BTreeSet<InstanceName>);
+
+/// Takes in what an entry runs.
+#[derive(Debug)]
+pub struct Learn(pub Census);
+
+/// Tells that an entry is gone for good.
+#[derive(Debug)]
+pub struct EntryGone(pub InstanceName);
+
+/// Asks for the status, `None` after a handover.
+#[derive(Debug)]
+pub struct Inspect;
+
+/// Ends the ownership, `None` if it has ended. Offers that wait are refused with the next owner.
+#[derive(Debug)]
+pub struct HandOver {
+    /// The next owner, if it is known.
+    pub next: Option<InstanceName>,
+}
+
+/// The timer of the cell is due.
+struct Tick;
+
+/// An endpoint reported its load.
+struct Loaded {
+    endpoint: EndpointName,
+    load: Load,
+}
+
+/// Asks for the endpoints to poll.
+struct Polled;
+
+/// Owner of one cell.
+#[derive(Debug)]
+pub struct Dispatcher {
+    cell: Option<Cell>,
+    clock: Clock,
+    timeline: Timeline,
+    replies: HashMap<AttemptId, oneshot::Sender<Reply>>,
+    next: Option<InstanceName>,
+    timer: watch::Sender<Option<Moment>>,
+    out: Vec<CellOutput>,
+}
+
+impl Dispatcher {
+    /// Starts an actor for `cell`, with its timer and its polls, on the current runtime.
+    ///
+    /// They end when the last address is dropped.
+    ///
+    /// # Panics
+    ///
+    /// If the HTTP client cannot be set up, which takes no input.
+    #[must_use]
+    pub fn spawn(cell: Cell, clock: Clock, timeline: Timeline) -> Address<Self> {
+        let (timer, due) = watch::channel(None);
+        let dispatcher = Self {
+            cell: Some(cell),
+            clock,
+            timeline,
+            replies: HashMap::new(),
+            next: None,
+            timer,
+            out: Vec::new(),
+        };
+        let address = xtra::spawn_tokio(dispatcher, Mailbox::bounded(MAILBOX));
+        tokio::spawn(keep_time(address.downgrade(), clock, due));
+        tokio::spawn(poll(address.downgrade()));
+        address
+    }
+
+    fn handle(&mut self, input: CellInput) {
+        let Some(cell) = &mut self.cell else { return };
+        cell.handle(self.clock.now(), input, &mut self.out);
+        let due = cell.timer();
+        self.carry_out();
+        self.timer.send_if_modified(|t| {
+            let changed = *t != due;
+            *t = due;
+            changed
+        });
+    }
+
+    fn carry_out(&mut self) {
+        for output in std::mem::take(&mut self.out) {
+            match output {
+                CellOutput::Grant(grant) => self.reply(grant.attempt, Ok(grant)),
+                CellOutput::Refuse { attempt, refusal } => self.reply(attempt, Err(refusal)),
+                CellOutput::Changed { endpoint, state } => {
+                    let state = state.to_string();
+                    self.timeline
+                        .record(Topic::Endpoint, &state, endpoint.as_str(), None);
+                }
+            }
+        }
+    }
+
+    /// Gives the reply to whoever waits for it. Who does not wait any more has withdrawn.
+    fn reply(&mut self, attempt: AttemptId, reply: Reply) {
+        if let Some(sender) = self.replies.remove(&attempt) {
+            drop(sender.send(reply));
+        }
+    }
+}
+
+impl Actor for Dispatcher {
+    type Stop = ();
+
+    async fn stopped(self) {}
+}
+
+impl Handler<Ask> for Dispatcher {
+    type Return = oneshot::Receiver<Reply>;
+
+    async fn handle(&mut self, Ask(offer): Ask, _: &mut Context<Self>) -> Self::Return {
+        let (sender, receiver) = oneshot::channel();
+        if self.cell.is_some() {
+            self.replies.insert(offer.attempt, sender);
+            self.handle(CellInput::Offer(offer));
+        } else {
+            drop(sender.send(Err(Refusal::NotOwner(self.next.clone()))));
+        }
+        receiver
+    }
+}
+
+impl Handler<Tell> for Dispatcher {
+    type Return = bool;
+
+    async fn handle(&mut self, Tell(reports): Tell, _: &mut Context<Self>) -> bool {
+        for report in reports {
+            self.handle(CellInput::Report(report));
+        }
+        self.cell.is_some()
+    }
+}
+
+impl Handler<Inspect> for Dispatcher {
+    type Return = Option<CellStatus>;
+
+    async fn handle(&mut self, _: Inspect, _: &mut Context<Self>) -> Self::Return {
+        self.cell.as_ref().map(Cell::status)
+    }
+}
+
+impl Handler<HandOver> for Dispatcher {
+    type Return = Option<Handover>;
+
+    async fn handle(&mut self, message: HandOver, _: &mut Context<Self>) -> Self::Return {
+        let cell = self.cell.take()?;
+        self.next = message.next;
+        for (_, sender) in self.replies.drain() {
+            drop(sender.send(Err(Refusal::NotOwner(self.next.clone()))));
+        }
+        self.timer.send_replace(None);
+        Some(cell.hand_over())
+    }
+}
+
+impl Handler<Polled> for Dispatcher {
+    type Return = Vec<(EndpointName, SocketAddr)>;
+
+    async fn handle(&mut self, _: Polled, _: &mut Context<Self>) -> Self::Return {
+        let cell = self.cell.iter();
+        let polled = cell.flat_map(|c| c.polled().map(|(name, at)| (name.clone(), at)));
+        polled.collect()
+    }
+}
+
+macro_rules! inputs {
+    ($($message:pat => $type:ty, $input:expr;)*) => {$(
+        impl Handler<$type> for Dispatcher {
+            type Return = ();
+
+            async fn handle(&mut self, $message: $type, _: &mut Context<Self>) {
+                self.handle($input);
+            }
+        }
+    )*};
+}
+
+inputs! {
+    Withdraw(attempt) => Withdraw, CellInput::Withdraw(attempt);
+    Configure(config) => Configure, CellInput::Configure(config);
+    SetLease { until, part } => SetLease, CellInput::Lease { until, part };
+    SetLeaving(names) => SetLeaving, CellInput::Leaving(names);
+    Recover(entries) => Recover, CellInput::Recover { entries };
+    Learn(census) => Learn, CellInput::Census(census);
+    EntryGone(entry) => EntryGone, CellInput::EntryGone(entry);
+    Loaded { endpoint, load } => Loaded, CellInput::Load { endpoint, load };
+    _ => Tick, CellInput::Tick;
+}
+
+/// Sends a tick whenever the cell's timer is due.
+async fn keep_time(
+    dispatcher: WeakAddress<Dispatcher>,
+    clock: Clock,
+    mut due: watch::Receiver<Option<Moment>>,
+) {
+    loop {
+        let at = *due.borrow_and_update();
+        let ended = tokio::select! {
+            changed = due.changed() => changed.is_err(),
+            () = expire(clock, at) => dispatcher.send(Tick).await.is_err(),
+        };
+        if ended {
+            return;
+        }
+    }
+}
+
+async fn expire(clock: Clock, at: Option<Moment>) {
+    match at {
+        Some(at) => sleep_until(clock.instant(at)).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Asks the endpoints for their load until the actor stops. One that does not answer is left out.
+async fn poll(dispatcher: WeakAddress<Dispatcher>) {
+    let http = reqwest::Client::builder().no_proxy().timeout(POLL).build();
+    let http = http.expect("an HTTP client without TLS needs no system resources");
+    let mut ticks = interval(POLL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let Ok(polled) = dispatcher.send(Polled).await else {
+            return;
+        };
+        let (http, dispatcher) = (&http, &dispatcher);
+        let asked = stream::iter(polled).map(|(endpoint, address)| async move {
+            if let Some(load) = ask_load(http, address).await {
+                // The next message to a stopped actor ends the loop.
+                drop(dispatcher.send(Loaded { endpoint, load }).await);
+            }
+        });
+        asked.buffer_unordered(POLLS).collect::<()>().await;
+    }
+}
+
+async fn ask_load(http: &reqwest::Client, address: SocketAddr) -> Option<Load> {
+    let request = http.get(format!("http://{address}/load"));
+    let answer = request.send().await.ok()?.error_for_status().ok()?;
+    answer.json().await.ok()
+}
--- /dev/null
+++ b/cornelstand/src/fair.rs
@@ -0,0 +1,388 @@
+//! Queues per client account and the weighted service counters that order them.
+//!
+//! Each account has a counter of the service it got, as cost over share. The next request is of
+//! the backlogged account with the lowest counter; inside an account interactive requests go
+//! before batch ones, each in order of arrival. The cost of a request is known at its end only:
+//! an estimate is charged on the grant and corrected by progress reports and the outcome. An
+//! account that turns backlogged starts no lower than the lowest counter of the backlogged, so
+//! that no credit is saved up. `docs/design/fairness.md` states the bound on the service gap.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use crate::config::Class;
+use crate::moment::{Moment, micros};
+use crate::name::{AccountName, AttemptId, EndpointName, InstanceName};
+
+/// Fixed-point units of a counter for one unit of cost at share 1.
+const UNITS: u64 = 1 << 16;
+
+/// Largest cost that is charged for one request.
+const COST_LIMIT: u64 = 1 << 32;
+
+/// Weight of the latest outcome in the average cost of an account is one over this.
+const AVERAGE_WEIGHT: u64 = 8;
+
+/// Estimates of one account that batch work may be passed over for while interactive work waits.
+const PATIENCE: u64 = 4;
+
+/// Index of an account in the queue.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub(crate) struct AccountId(u32);
+
+/// Place of a backlogged account in the order of service.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Rank {
+    service: u64,
+    /// Number of the account's latest grant, which settles ties for the one served longest ago.
+    turn: u64,
+    id: AccountId,
+}
+
+#[derive(Debug)]
+struct Account {
+    name: AccountName,
+    share: u32,
+    service: u64,
+    turn: u64,
+    average: u64,
+    running: u32,
+    /// Average time between grants.
+    pace: Duration,
+    granted: Moment,
+    interactive: BTreeSet<Place>,
+    batch: BTreeSet<Place>,
+}
+
+/// Place of a request in its account's queue: arrival in microseconds, then the attempt.
+type Place = (i64, AttemptId);
+
+/// A request that waits for a grant.
+#[derive(Clone, Debug)]
+pub(crate) struct Waiting {
+    pub(crate) account: AccountId,
+    pub(crate) class: Class,
+    /// When the request came to the fleet, which may lie before the process started.
+    pub(crate) arrival: i64,
+    pub(crate) deadline: Moment,
+    pub(crate) hint: Option<u64>,
+    pub(crate) entry: InstanceName,
+    pub(crate) avoid: Vec<EndpointName>,
+}
+
+/// Numbers of one account for the status.
+#[derive(Debug)]
+pub(crate) struct AccountView<'a> {
+    pub(crate) name: &'a AccountName,
+    pub(crate) share: u32,
+    pub(crate) service: u64,
+    pub(crate) average: u64,
+    pub(crate) interactive: usize,
+    pub(crate) batch: usize,
+    pub(crate) running: u32,
+}
+
+/// The queues of one cell.
+#[derive(Debug)]
+pub(crate) struct FairQueue {
+    ids: HashMap<AccountName, AccountId>,
+    accounts: Vec<Account>,
+    backlogged: BTreeSet<Rank>,
+    /// The backlogged accounts with interactive requests.
+    urgent: BTreeSet<Rank>,
+    waiting: HashMap<AttemptId, Waiting>,
+    deadlines: BTreeSet<(Moment, AttemptId)>,
+    /// Counter that a newly backlogged account starts from when no other is backlogged.
+    floor: u64,
+    turns: u64,
+    estimate: u64,
+}
+
+impl FairQueue {
+    pub(crate) fn new(estimate: u64) -> Self {
+        Self {
+            ids: HashMap::new(),
+            accounts: Vec::new(),
+            backlogged: BTreeSet::new(),
+            urgent: BTreeSet::new(),
+            waiting: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            floor: 0,
+            turns: 0,
+            estimate: estimate.clamp(1, COST_LIMIT),
+        }
+    }
+
+    /// The account of that name, created idle if it is new.
+    pub(crate) fn account(&mut self, name: &AccountName, share: u32) -> AccountId {
+        if let Some(&id) = self.ids.get(name) {
+            return id;
+        }
+        let id = AccountId(u32::try_from(self.accounts.len()).unwrap_or(u32::MAX));
+        self.ids.insert(name.clone(), id);
+        self.accounts.push(Account {
+            name: name.clone(),
+            share: share.max(1),
+            service: 0,
+            turn: 0,
+            average: self.estimate,
+            running: 0,
+            pace: Duration::ZERO,
+            granted: Moment::default(),
+            interactive: BTreeSet::new(),
+            batch: BTreeSet::new(),
+        });
+        id
+    }
+
+    pub(crate) fn set_share(&mut self, id: AccountId, share: u32) {
+        self.unrank(id);
+        self.at_mut(id).share = share.max(1);
+        self.rank(id);
+    }
+
+    /// Sets the counter and the average of an account, as an earlier owner left them.
+    pub(crate) fn restore(&mut self, id: AccountId, service: u64, average: u64) {
+        self.unrank(id);
+        let account = self.at_mut(id);
+        account.service = service;
+        account.average = average.clamp(1, COST_LIMIT);
+        self.rank(id);
+    }
+
+    pub(crate) fn set_floor(&mut self, floor: u64) {
+        self.floor = floor;
+    }
+
+    pub(crate) fn name(&self, id: AccountId) -> &AccountName {
+        &self.at(id).name
+    }
+
+    pub(crate) fn waiting_of(&self, id: AccountId) -> usize {
+        let account = self.at(id);
+        account.interactive.len() + account.batch.len()
+    }
+
+    pub(crate) fn contains(&self, attempt: AttemptId) -> bool {
+        self.waiting.contains_key(&attempt)
+    }
+
+    pub(crate) fn get(&self, attempt: AttemptId) -> Option<&Waiting> {
+        self.waiting.get(&attempt)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    pub(crate) fn attempts(&self) -> impl Iterator<Item = AttemptId> + '_ {
+        self.waiting.keys().copied()
+    }
+
+    /// Earliest deadline of a waiting request.
+    pub(crate) fn deadline(&self) -> Option<Moment> {
+        self.deadlines.first().map(|(at, _)| *at)
+    }
+
+    /// Adds a request that is not in the queue.
+    pub(crate) fn push(&mut self, attempt: AttemptId, waiting: Waiting) {
+        let id = waiting.account;
+        self.unrank(id);
+        if self.waiting_of(id) == 0 {
+            let least = self.least();
+            let account = self.at_mut(id);
+            account.service = account.service.max(least);
+        }
+        let place = (waiting.arrival, attempt);
+        self.line(id, waiting.class).insert(place);
+        self.deadlines.insert((waiting.deadline, attempt));
+        self.waiting.insert(attempt, waiting);
+        self.rank(id);
+    }
+
+    /// Takes a request out without serving it.
+    pub(crate) fn remove(&mut self, attempt: AttemptId) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&attempt)?;
+        let id = waiting.account;
+        self.deadlines.remove(&(waiting.deadline, attempt));
+        self.unrank(id);
+        self.line(id, waiting.class)
+            .remove(&(waiting.arrival, attempt));
+        self.rank(id);
+        if self.backlogged.is_empty() {
+            self.floor = self.floor.max(self.at(id).service);
+        }
+        Some(waiting)
+    }
+
+    /// The request to serve next.
+    ///
+    /// With `hold_batch`, interactive requests pass batch work of accounts that lag behind by no
+    /// more than [`PATIENCE`] of their average calls.
+    pub(crate) fn next(&self, hold_batch: bool) -> Option<AttemptId> {
+        let first = self.backlogged.first()?;
+        let account = self.at(first.id);
+        if let Some((_, attempt)) = account.interactive.first() {
+            return Some(*attempt);
+        }
+        let urgent = self.urgent.first().filter(|_| hold_batch);
+        let slack = units(PATIENCE * account.average, account.share);
+        let account = urgent
+            .filter(|u| u.service <= first.service.saturating_add(slack))
+            .map_or(account, |u| self.at(u.id));
+        let mut line = account.interactive.iter().chain(&account.batch);
+        line.next().map(|(_, attempt)| *attempt)
+    }
+
+    /// Takes a request out and charges its estimate, which is returned.
+    pub(crate) fn serve(&mut self, now: Moment, attempt: AttemptId) -> Option<(Waiting, u64)> {
+        let id = self.waiting.get(&attempt)?.account;
+        self.turns += 1;
+        let turn = self.turns;
+        let waiting = self.remove(attempt)?;
+        self.unrank(id);
+        let account = self.at_mut(id);
+        account.turn = turn;
+        let gap = now.since(account.granted);
+        account.pace = if account.granted == Moment::default() {
+            gap
+        } else {
+            (account.pace * 7 + gap) / 8
+        };
+        account.granted = now;
+        let charge = waiting.hint.unwrap_or(0).max(account.average);
+        let charge = charge.min(COST_LIMIT);
+        self.rank(id);
+        self.start(id, charge);
+        Some((waiting, charge))
+    }
+
+    /// Counts a request as running and charges `cost`.
+    pub(crate) fn start(&mut self, id: AccountId, cost: u64) {
+        self.at_mut(id).running += 1;
+        self.correct(id, 0, cost);
+    }
+
+    /// Counts a request as running whose cost is charged already.
+    pub(crate) fn count(&mut self, id: AccountId) {
+        self.at_mut(id).running += 1;
+    }
+
+    /// Replaces a charge of `from` by `to`.
+    pub(crate) fn correct(&mut self, id: AccountId, from: u64, to: u64) {
+        self.unrank(id);
+        let account = self.at_mut(id);
+        let paid = units(from, account.share);
+        let due = units(to, account.share);
+        account.service = account.service.saturating_add(due).saturating_sub(paid);
+        self.rank(id);
+    }
+
+    /// Counts a request as ended, with `charged` replaced by its real cost.
+    pub(crate) fn finish(&mut self, id: AccountId, charged: u64, cost: u64) {
+        let account = self.at_mut(id);
+        account.running = account.running.saturating_sub(1);
+        self.correct(id, charged, cost);
+    }
+
+    /// Takes the cost of a whole answer into the account's average.
+    pub(crate) fn learn(&mut self, id: AccountId, cost: u64) {
+        let account = self.at_mut(id);
+        let sum = account.average * (AVERAGE_WEIGHT - 1) + cost.min(COST_LIMIT);
+        account.average = (sum / AVERAGE_WEIGHT).max(1);
+    }
+
+    /// Requests whose deadline is at or before `now`.
+    pub(crate) fn expired(&self, now: Moment) -> Vec<AttemptId> {
+        self.deadlines
+            .iter()
+            .take_while(|(at, _)| *at <= now)
+            .map(|(_, attempt)| *attempt)
+            .collect()
+    }
+
+    /// Time in which a quarter of the account's queue is served at its latest pace.
+    pub(crate) fn drain(&self, id: AccountId) -> Duration {
+        let quarter = u32::try_from(self.waiting_of(id).div_ceil(4)).unwrap_or(u32::MAX);
+        self.at(id).pace.saturating_mul(quarter)
+    }
+
+    pub(crate) fn views(&self) -> impl Iterator<Item = AccountView<'_>> {
+        self.accounts.iter().map(|a| AccountView {
+            name: &a.name,
+            share: a.share,
+            service: a.service,
+            average: a.average,
+            interactive: a.interactive.len(),
+            batch: a.batch.len(),
+            running: a.running,
+        })
+    }
+
+    pub(crate) fn ids(&self) -> impl Iterator<Item = AccountId> + use<> {
+        (0..u32::try_from(self.accounts.len()).unwrap_or(u32::MAX)).map(AccountId)
+    }
+
+    /// Lowest counter of the backlogged accounts.
+    pub(crate) fn least(&self) -> u64 {
+        self.backlogged.first().map_or(self.floor, |r| r.service)
+    }
+
+    fn at(&self, id: AccountId) -> &Account {
+        &self.accounts[id.0 as usize]
+    }
+
+    fn at_mut(&mut self, id: AccountId) -> &mut Account {
+        &mut self.accounts[id.0 as usize]
+    }
+
+    fn line(&mut self, id: AccountId, class: Class) -> &mut BTreeSet<Place> {
+        let account = self.at_mut(id);
+        match class {
+            Class::Interactive => &mut account.interactive,
+            Class::Batch => &mut account.batch,
+        }
+    }
+
+    fn place(&self, id: AccountId) -> Rank {
+        let account = self.at(id);
+        Rank {
+            service: account.service,
+            turn: account.turn,
+            id,
+        }
+    }
+
+    /// Takes the account out of the order before one of its numbers changes.
+    fn unrank(&mut self, id: AccountId) {
+        let rank = self.place(id);
+        self.backlogged.remove(&rank);
+        self.urgent.remove(&rank);
+    }
+
+    /// Puts the account back into the order if it is backlogged.
+    fn rank(&mut self, id: AccountId) {
+        let rank = self.place(id);
+        if self.waiting_of(id) > 0 {
+            self.backlogged.insert(rank);
+        }
+        if !self.at(id).interactive.is_empty() {
+            self.urgent.insert(rank);
+        }
+    }
+}
+
+/// Arrival of a request that has waited for `waited` by `now`.
+pub(crate) fn arrival(now: Moment, waited: Duration) -> i64 {
+    let now = i64::try_from(now.0).unwrap_or(i64::MAX);
+    now.saturating_sub(i64::try_from(micros(waited)).unwrap_or(i64::MAX))
+}
+
+/// Counter units of `cost` at `share`.
+pub(crate) fn units(cost: u64, share: u32) -> u64 {
+    cost.saturating_mul(UNITS) / u64::from(share.max(1))
+}
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -17,18 +17,31 @@
 //! # Ok::<(), serde_json::Error>(())
 //! ```
 
+mod cell;
+mod cell_status;
 mod config;
 mod dispatch;
+mod dispatcher;
+mod endpoint;
+mod fair;
 mod moment;
 mod name;
 mod store;
 mod timeline;
+mod tombs;
 
+pub use cell::{Cell, CellInput, CellOutput, Part};
+pub use cell_status::{AccountStatus, CellStatus, Counts, EndpointStatus};
 pub use config::{Account, Centre, Class, Config, Endpoint, Kind, Repeat, Route, Service};
 pub use dispatch::{
     Census, Counter, Dispatch, Ending, EndpointState, Grant, Handover, Offer, Phase, Refusal,
     Reply, Report, Running,
 };
+pub use dispatcher::{
+    Ask, Configure, Dispatcher, EntryGone, HandOver, Inspect, Learn, Recover, SetLease, SetLeaving,
+    Tell, Withdraw,
+};
+pub use endpoint::{Load, State};
 pub use moment::{Clock, Moment, micros};
 pub use name::{
     AccountName, AttemptId, BootId, CellId, CentreName, EndpointName, Epoch, Fingerprint,
--- /dev/null
+++ b/cornelstand/tests/decide/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the dispatch decisions and of the actor around them.
+
+mod basics;
+mod make;
