Claim requests that may not be repeated in sharded store objects

A request that may not be repeated must run at most once across instances. A claim is made in an object that is replaced only under its version before the request is sent; a lost answer is settled by reading back the token of the begin. Claims of one shard share a write, at most one per 50 ms. Ages are counted on one process's monotonic clock, so skewed wall clocks end no claim early.

--- /dev/null
+++ b/cornelstand/src/claim_shard.rs
@@ -0,0 +1,448 @@
+//! Writer of one claim shard: many claims and settlements in one conditional write.
+//!
+//! Operations queue while a call to the store is under way and all go into the next write, which
+//! starts no earlier than a fixed gap after the last one. So the rate of writes is bounded by the
+//! number of shards, whatever the rate of requests. The writer keeps the last value and version it
+//! has seen and reads only when a write conflicts or its answer is lost.
+//!
+//! Every operation is idempotent by its token and is answered only from a value that the store
+//! is known to hold. An operation whose write had no clear end stays queued and is applied again
+//! to what is read back. A `begin` that is given up leaves a release behind, so that a late write
+//! does not leave a claim without a holder.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use derive_more::IsVariant;
+
+use crate::claim::{Claim, ClaimId, ClaimState, Recorded, Shard, Token, Wish};
+use crate::moment::Moment;
+use crate::name::Fingerprint;
+use crate::store::{Condition, VALUE_BYTES, Version};
+
+/// Size of a shard above which it takes no new claims, in bytes. The rest is for settlements.
+const CLAIM_BYTES: usize = VALUE_BYTES / 4 * 3;
+
+/// Times that are kept of what was seen, for each expiry span.
+const SAMPLES: u32 = 8;
+
+/// Limits of the claim protocol.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ClaimLimits {
+    /// Number of shards. All instances have to agree on it.
+    pub shards: u16,
+    /// Least time between the starts of two writes of one shard.
+    pub gap: Duration,
+    /// Time after which a `begin` without an answer from the store is refused.
+    pub patience: Duration,
+    /// Time for which a settlement is tried.
+    pub settle: Duration,
+    /// Time from `begin` within which the request has to be sent.
+    pub window: Duration,
+    /// Time after which an open claim counts as unknown instead of running.
+    pub run: Duration,
+    /// Least time for which a settled claim is kept.
+    pub keep: Duration,
+    /// Least time for which a claim that was never settled is kept.
+    pub orphan: Duration,
+    /// Most operations that wait at one shard, and most in one write.
+    pub queue: usize,
+}
+
+impl Default for ClaimLimits {
+    fn default() -> Self {
+        Self {
+            shards: 16,
+            gap: Duration::from_millis(50),
+            patience: Duration::from_secs(5),
+            settle: Duration::from_mins(10),
+            window: Duration::from_secs(30),
+            run: Duration::from_mins(15),
+            keep: Duration::from_hours(1),
+            orphan: Duration::from_hours(24),
+            queue: 1024,
+        }
+    }
+}
+
+/// Identity of an operation within its writer.
+pub(crate) type OpId = u64;
+
+/// What is asked of a shard.
+#[derive(Clone, Debug, Eq, IsVariant, PartialEq)]
+pub(crate) enum Op {
+    Begin(Wish),
+    Settle(Token, ClaimState),
+    Release(Token),
+}
+
+/// Answer to an operation.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Answer {
+    Fresh,
+    Answered(Recorded),
+    Running,
+    Unknown,
+    Mismatch,
+    /// Settled or released.
+    Done,
+    /// The claim to settle does not exist.
+    Lost,
+    /// The shard has no room.
+    Full,
+    /// Too many operations wait.
+    Busy,
+    /// The store gave no clear answer in time.
+    Unavailable,
+}
+
+/// End of a read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum ReadEnd {
+    Absent,
+    Found(Version, Shard),
+    Failed,
+}
+
+/// End of a conditional write.
+#[derive(Clone, Copy, Debug, Eq, IsVariant, PartialEq)]
+pub enum WriteEnd {
+    /// The store holds the value under this version.
+    Written(Version),
+    /// The condition does not hold. Nothing was written.
+    Conflict,
+    /// Nothing was written.
+    NotWritten,
+    /// The write may take effect, also later.
+    Unknown,
+}
+
+/// Input of the writer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Event {
+    Asked(OpId, ClaimId, Op),
+    Read(ReadEnd),
+    Written(WriteEnd),
+    Tick,
+}
+
+/// Output of the writer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Effect {
+    Read,
+    Write(Condition, String),
+    Reply(OpId, Answer),
+    Wake(Moment),
+}
+
+#[derive(Debug)]
+struct Pending {
+    op: OpId,
+    claim: ClaimId,
+    what: Op,
+    until: Moment,
+    /// The store was read since the operation came.
+    confirmed: bool,
+    /// A write that may still take effect contains the operation.
+    exposed: bool,
+    answer: Option<Answer>,
+}
+
+#[derive(Debug)]
+enum Step {
+    Idle,
+    Reading,
+    Writing(Shard),
+}
+
+#[derive(Debug)]
+struct Cached {
+    condition: Condition,
+    shard: Shard,
+}
+
+/// The writer of one shard.
+#[derive(Debug)]
+pub(crate) struct Writer {
+    limits: ClaimLimits,
+    cached: Option<Cached>,
+    queue: VecDeque<Pending>,
+    step: Step,
+    ready: Moment,
+    ages: Ages,
+}
+
+impl Writer {
+    pub(crate) fn new(limits: ClaimLimits) -> Self {
+        Self {
+            limits,
+            cached: None,
+            queue: VecDeque::new(),
+            step: Step::Idle,
+            ready: Moment::default(),
+            ages: Ages::default(),
+        }
+    }
+
+    /// Takes one event and returns what is to be done.
+    pub(crate) fn on(&mut self, now: Moment, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match event {
+            Event::Asked(op, claim, what) => self.asked(now, op, claim, what, &mut effects),
+            Event::Read(end) => self.read(now, end),
+            Event::Written(end) => self.written(now, end, &mut effects),
+            Event::Tick => {}
+        }
+        self.give_up(now, &mut effects);
+        self.advance(now, &mut effects);
+        self.wake(&mut effects);
+        effects
+    }
+
+    fn asked(&mut self, now: Moment, op: OpId, claim: ClaimId, what: Op, out: &mut Vec<Effect>) {
+        let begin = what.is_begin();
+        if begin && self.queue.len() >= self.limits.queue {
+            out.push(Effect::Reply(op, Answer::Busy));
+            return;
+        }
+        let patience = if begin {
+            self.limits.patience
+        } else {
+            self.limits.settle
+        };
+        self.queue.push_back(Pending {
+            op,
+            claim,
+            what,
+            until: now.after(patience),
+            confirmed: false,
+            exposed: false,
+            answer: None,
+        });
+    }
+
+    fn read(&mut self, now: Moment, end: ReadEnd) {
+        self.step = Step::Idle;
+        let (condition, shard) = match end {
+            ReadEnd::Absent => (Condition::Absent, Shard::default()),
+            ReadEnd::Found(version, shard) => (Condition::Match(version), shard),
+            ReadEnd::Failed => {
+                self.pause(now);
+                return;
+            }
+        };
+        self.ages.see(now, shard.next, &self.limits);
+        self.cached = Some(Cached { condition, shard });
+    }
+
+    fn written(&mut self, now: Moment, end: WriteEnd, out: &mut Vec<Effect>) {
+        let Step::Writing(shard) = std::mem::replace(&mut self.step, Step::Idle) else {
+            return;
+        };
+        match end {
+            WriteEnd::Written(version) => {
+                self.ages.see(now, shard.next, &self.limits);
+                let condition = Condition::Match(version);
+                self.cached = Some(Cached { condition, shard });
+                self.reply(out);
+            }
+            WriteEnd::Conflict => self.cached = None,
+            WriteEnd::NotWritten => self.pause(now),
+            WriteEnd::Unknown => {
+                for pending in self.queue.iter_mut().filter(|p| p.answer.is_some()) {
+                    pending.exposed = true;
+                }
+                self.cached = None;
+                self.pause(now);
+            }
+        }
+        for pending in &mut self.queue {
+            pending.answer = None;
+        }
+    }
+
+    /// Delays the next call after a failed one.
+    fn pause(&mut self, now: Moment) {
+        self.ready = self.ready.max(now.after(self.limits.gap));
+    }
+
+    /// Sends the answers that the present value bears out.
+    fn reply(&mut self, out: &mut Vec<Effect>) {
+        self.queue.retain_mut(|pending| {
+            let Some(answer) = pending.answer.take() else {
+                return true;
+            };
+            out.push(Effect::Reply(pending.op, answer));
+            false
+        });
+    }
+
+    /// Refuses what has waited too long.
+    fn give_up(&mut self, now: Moment, out: &mut Vec<Effect>) {
+        let writing = matches!(self.step, Step::Writing(_));
+        let settle = self.limits.settle;
+        self.queue.retain_mut(|pending| {
+            if now < pending.until {
+                return true;
+            }
+            out.push(Effect::Reply(pending.op, Answer::Unavailable));
+            let exposed = pending.exposed || writing && pending.answer.is_some();
+            let Op::Begin(wish) = pending.what else {
+                return false;
+            };
+            pending.what = Op::Release(wish.token);
+            pending.until = now.after(settle);
+            pending.answer = None;
+            exposed
+        });
+    }
+
+    /// Starts the next call if one is needed and none is under way.
+    fn advance(&mut self, now: Moment, out: &mut Vec<Effect>) {
+        if !matches!(self.step, Step::Idle) || self.queue.is_empty() || now < self.ready {
+            return;
+        }
+        let Some(cached) = &self.cached else {
+            self.start_read(out);
+            return;
+        };
+        let condition = cached.condition;
+        let mut shard = cached.shard.clone();
+        let settled = self.ages.before(now, self.limits.keep);
+        let open = self.ages.before(now, self.limits.orphan);
+        shard.expire(settled, open);
+        let dated = self.ages.before(now, self.limits.run);
+        if !self.apply(&mut shard, dated, false) {
+            self.start_read(out);
+            return;
+        }
+        if self.is_unchanged(&shard) {
+            self.reply(out);
+            return;
+        }
+        let value = self.encode(&mut shard, dated);
+        self.step = Step::Writing(shard);
+        self.ready = now.after(self.limits.gap);
+        out.push(Effect::Write(condition, value));
+    }
+
+    fn start_read(&mut self, out: &mut Vec<Effect>) {
+        for pending in &mut self.queue {
+            pending.confirmed = true;
+            pending.answer = None;
+        }
+        self.step = Step::Reading;
+        out.push(Effect::Read);
+    }
+
+    fn is_unchanged(&self, shard: &Shard) -> bool {
+        self.cached
+            .as_ref()
+            .is_some_and(|c| c.shard.next == shard.next)
+    }
+
+    /// Applies the queued operations. Tells whether the cached value was fresh enough for that.
+    fn apply(&mut self, shard: &mut Shard, dated: u64, full: bool) -> bool {
+        for pending in self.queue.iter_mut().take(self.limits.queue) {
+            let answer = match &pending.what {
+                Op::Begin(_) if full && !shard.claims.contains_key(&pending.claim) => Answer::Full,
+                Op::Begin(wish) => {
+                    let held = shard.claim(pending.claim, *wish);
+                    let foreign = held.token != wish.token;
+                    if foreign && held.state.is_open() && !pending.confirmed {
+                        return false;
+                    }
+                    verdict(held, wish.token, wish.fingerprint, dated)
+                }
+                Op::Settle(token, state) if shard.settle(pending.claim, *token, state) => {
+                    Answer::Done
+                }
+                Op::Settle(..) => Answer::Lost,
+                Op::Release(token) => {
+                    shard.release(pending.claim, *token);
+                    Answer::Done
+                }
+            };
+            pending.answer = Some(answer);
+        }
+        true
+    }
+
+    /// The value of `shard`, without its new claims if it has grown too large for them.
+    fn encode(&mut self, shard: &mut Shard, dated: u64) -> String {
+        let value = shard.encode();
+        if value.len() <= CLAIM_BYTES {
+            return value;
+        }
+        let Some(cached) = &self.cached else {
+            return value;
+        };
+        *shard = cached.shard.clone();
+        self.apply(shard, dated, true);
+        shard.encode()
+    }
+
+    fn wake(&self, out: &mut Vec<Effect>) {
+        let deadline = self.queue.iter().map(|p| p.until).min();
+        let Some(deadline) = deadline else { return };
+        let idle = matches!(self.step, Step::Idle);
+        let next = if idle {
+            self.ready.min(deadline)
+        } else {
+            deadline
+        };
+        out.push(Effect::Wake(next));
+    }
+}
+
+fn verdict(held: &Claim, token: Token, fingerprint: Fingerprint, dated: u64) -> Answer {
+    if held.token == token {
+        return Answer::Fresh;
+    }
+    if held.fingerprint != fingerprint {
+        return Answer::Mismatch;
+    }
+    match &held.state {
+        ClaimState::Open if held.change >= dated => Answer::Running,
+        ClaimState::Open | ClaimState::Unknown => Answer::Unknown,
+        ClaimState::Recorded(recorded) => Answer::Answered(recorded.clone()),
+    }
+}
+
+/// When which changes of the shard were seen first, on this process's monotonic clock.
+#[derive(Debug, Default)]
+struct Ages {
+    samples: VecDeque<(Moment, u64)>,
+}
+
+impl Ages {
+    /// Notes that all changes below `next` exist at `now`.
+    fn see(&mut self, now: Moment, next: u64, limits: &ClaimLimits) {
+        let spans = [limits.run, limits.keep, limits.orphan];
+        let step = spans.into_iter().min().unwrap_or_default() / SAMPLES;
+        let due = self
+            .samples
+            .back()
+            .is_none_or(|(at, _)| now.since(*at) >= step);
+        if due {
+            self.samples.push_back((now, next));
+        }
+        let longest = spans.into_iter().max().unwrap_or_default();
+        while self
+            .samples
+            .get(1)
+            .is_some_and(|(at, _)| now.since(*at) >= longest)
+        {
+            self.samples.pop_front();
+        }
+    }
+
+    /// The change before which all are known to be at least `span` old.
+    fn before(&self, now: Moment, span: Duration) -> u64 {
+        self.samples
+            .iter()
+            .take_while(|(at, _)| now.since(*at) >= span)
+            .last()
+            .map_or(0, |(_, next)| *next)
+    }
+}
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -17,6 +17,9 @@
 //! # Ok::<(), serde_json::Error>(())
 //! ```
 
+mod claim;
+mod claim_shard;
+mod claims;
 mod config;
 mod dispatch;
 mod moment;
@@ -24,6 +27,12 @@
 mod store;
 mod timeline;
 
+pub use claim::{
+    BODY_BYTES, Claim, ClaimId, ClaimState, HexError, MEDIA_BYTES, Recorded, Shard, ShardError,
+    Token,
+};
+pub use claim_shard::{ClaimLimits, WriteEnd};
+pub use claims::{Begun, ClaimBook, ClaimError, ClaimObjects, Ticket};
 pub use config::{Account, Centre, Class, Config, Endpoint, Kind, Repeat, Route, Service};
 pub use dispatch::{
     Census, Counter, Dispatch, Ending, EndpointState, Grant, Handover, Offer, Phase, Refusal,
--- /dev/null
+++ b/cornelstand/tests/claims.rs
@@ -0,0 +1,150 @@
+//! Claims of requests that may not be repeated, over a store that fails.
+
+mod fakes;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use cornelstand::{
+    AccountName, Begun, ClaimBook, ClaimError, ClaimLimits, Clock, Fingerprint, Recorded,
+    RequestId, Ticket,
+};
+use fakes::{FakeStore, StoreFault};
+use rstest::rstest;
+
+const PRINT: Fingerprint = Fingerprint(7);
+
+fn book(store: &FakeStore) -> ClaimBook {
+    ClaimBook::start(&store.objects(), Clock::start(), ClaimLimits::default())
+}
+
+async fn begin(book: &ClaimBook, key: &str) -> Result<Begun, ClaimError> {
+    let account = AccountName::from("tailors");
+    book.begin(&account, key, PRINT, RequestId(1)).await
+}
+
+async fn fresh(book: &ClaimBook, key: &str) -> Ticket {
+    match begin(book, key).await {
+        Ok(Begun::Fresh(ticket)) => ticket,
+        other => panic!("not fresh: {other:?}"),
+    }
+}
+
+fn answer() -> Recorded {
+    Recorded::new(
+        201,
+        "application/json",
+        &Bytes::from_static(b"{\"ticket\":4}"),
+    )
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_recorded_answer_is_found_through_another_instance() {
+    let store = FakeStore::default();
+    let (one, two) = (book(&store), book(&store));
+    let ticket = fresh(&one, "k").await;
+    assert!(begin(&two, "k").await.unwrap().is_running());
+    one.record(ticket, answer()).await.unwrap();
+    let Begun::Answered(found) = begin(&two, "k").await.unwrap() else {
+        panic!("the answer was not found");
+    };
+    assert_eq!(found, answer());
+}
+
+#[tokio::test(start_paused = true)]
+async fn another_fingerprint_or_account_does_not_find_the_claim() {
+    let store = FakeStore::default();
+    let book = book(&store);
+    let _ticket = fresh(&book, "k").await;
+    let account = AccountName::from("tailors");
+    let other = book
+        .begin(&account, "k", Fingerprint(8), RequestId(2))
+        .await;
+    assert!(other.unwrap().is_mismatch());
+    let account = AccountName::from("kiosks");
+    let other = book.begin(&account, "k", PRINT, RequestId(3)).await;
+    assert!(other.unwrap().is_fresh());
+}
+
+#[rstest]
+#[case::answer_lost(StoreFault::AnswerLost)]
+#[case::call_lost(StoreFault::CallLost)]
+#[case::late(StoreFault::Late(Duration::from_millis(230)))]
+#[case::down(StoreFault::Down)]
+#[case::slow(StoreFault::Slow(Duration::from_secs(1)))]
+#[tokio::test(start_paused = true)]
+async fn one_failed_write_is_settled(#[case] fault: StoreFault) {
+    let store = FakeStore::default();
+    let (one, two) = (book(&store), book(&store));
+    store.script([None, Some(fault)]);
+    let ticket = fresh(&one, "k").await;
+    assert!(begin(&two, "k").await.unwrap().is_running());
+    one.settle_unknown(ticket).await.unwrap();
+    assert!(begin(&two, "k").await.unwrap().is_unknown());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_store_that_is_down_refuses_and_leaves_no_claim() {
+    let store = FakeStore::default();
+    let book = book(&store);
+    store.set(Some(StoreFault::Late(Duration::from_secs(4))));
+    assert_eq!(
+        begin(&book, "k").await.unwrap_err(),
+        ClaimError::Unavailable
+    );
+    store.set(None);
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    drop(fresh(&book, "k").await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_cancelled_begin_leaves_no_claim() {
+    let store = FakeStore::default();
+    let book = book(&store);
+    let cancelled = tokio::time::timeout(Duration::from_millis(5), begin(&book, "k")).await;
+    assert!(cancelled.is_err());
+    drop(fresh(&book, "k").await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_dropped_ticket_is_unknown() {
+    let store = FakeStore::default();
+    let book = book(&store);
+    drop(fresh(&book, "k").await);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(begin(&book, "k").await.unwrap().is_unknown());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_released_claim_may_be_taken_again() {
+    let store = FakeStore::default();
+    let (one, two) = (book(&store), book(&store));
+    one.release(fresh(&one, "k").await).await.unwrap();
+    drop(fresh(&two, "k").await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_ticket_is_not_sendable_after_its_window() {
+    let store = FakeStore::default();
+    let book = book(&store);
+    let ticket = fresh(&book, "k").await;
+    assert!(book.is_sendable(&ticket));
+    tokio::time::sleep(ClaimLimits::default().window).await;
+    assert!(!book.is_sendable(&ticket));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_claim_and_its_record_are_two_calls() {
+    let store = FakeStore::default();
+    let limits = ClaimLimits {
+        shards: 1,
+        ..ClaimLimits::default()
+    };
+    let book = ClaimBook::start(&store.objects(), Clock::start(), limits);
+    drop(fresh(&book, "k").await);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let (reads, writes) = store.calls();
+    let ticket = fresh(&book, "l").await;
+    book.record(ticket, answer()).await.unwrap();
+    assert_eq!(store.calls(), (reads, writes + 2));
+}
