--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -19,6 +19,9 @@
 
 mod cell;
 mod cell_status;
+mod claim;
+mod claim_shard;
+mod claims;
 mod config;
 mod dispatch;
 mod dispatcher;
@@ -32,6 +35,12 @@
 
 pub use cell::{Cell, CellInput, CellOutput, Part};
 pub use cell_status::{AccountStatus, CellStatus, Counts, EndpointStatus};
+pub use claim::{
+    BODY_BYTES, Claim, ClaimId, ClaimState, HexError, MEDIA_BYTES, Recorded, Shard, ShardError,
+    Token,
+};
+pub use claim_shard::{ClaimLimits, WriteEnd};
+pub use claims::{Begun, ClaimBook, ClaimError, ClaimObjects, Ticket};
 pub use config::{Account, Centre, Class, Config, Endpoint, Kind, Repeat, Route, Service};
 pub use dispatch::{
     Census, Counter, Dispatch, Ending, EndpointState, Grant, Handover, Offer, Phase, Refusal,
