Read, check, apply and plan release notes

Operators need one form for every change, refused with reason and place when it does not fit. A note is JSON with comments against a base revision; apply is pure and lists everything that does not fit; plan derives the note from a declared state. A name given twice in a map is refused, since a plain map would keep the last one silently.

--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -21,8 +21,11 @@
 mod dispatch;
 mod moment;
 mod name;
+mod note;
+mod rules;
 mod store;
 mod timeline;
+mod unique;
 
 pub use config::{Account, Centre, Class, Config, Endpoint, Kind, Repeat, Route, Service};
 pub use dispatch::{
@@ -34,5 +37,6 @@
     AccountName, AttemptId, BootId, CellId, CentreName, EndpointName, Epoch, Fingerprint,
     Incarnation, InstanceName, NAME_BYTES, RequestId, Revision, ServiceName, is_name,
 };
+pub use note::{Action, Digest, Items, Names, Note, NoteError, Problem, Reason, Row, plan};
 pub use store::{Condition, Listing, Object, ObjectKind, Store, StoreError, VALUE_BYTES, Version};
 pub use timeline::{Event, Stamp, Timeline, Topic, merge};
