--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -29,9 +29,12 @@
 mod fair;
 mod moment;
 mod name;
+mod note;
+mod rules;
 mod store;
 mod timeline;
 mod tombs;
+mod unique;
 
 pub use cell::{Cell, CellInput, CellOutput, Part};
 pub use cell_status::{AccountStatus, CellStatus, Counts, EndpointStatus};
@@ -56,5 +59,6 @@
     AccountName, AttemptId, BootId, CellId, CentreName, EndpointName, Epoch, Fingerprint,
     Incarnation, InstanceName, NAME_BYTES, RequestId, Revision, ServiceName, is_name,
 };
+pub use note::{Action, Digest, Items, Names, Note, NoteError, Problem, Reason, Row, plan};
 pub use store::{Condition, Listing, Object, ObjectKind, Store, StoreError, VALUE_BYTES, Version};
 pub use timeline::{Event, Stamp, Timeline, Topic, merge};
