--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -17,22 +17,48 @@
 //! # Ok::<(), serde_json::Error>(())
 //! ```
 
+mod cell;
+mod cell_status;
+mod claim;
+mod claim_shard;
+mod claims;
 mod config;
 mod dispatch;
+mod dispatcher;
+mod endpoint;
+mod fair;
 mod moment;
 mod name;
+mod note;
+mod rules;
 mod store;
 mod timeline;
+mod tombs;
+mod unique;
 
+pub use cell::{Cell, CellInput, CellOutput, Part};
+pub use cell_status::{AccountStatus, CellStatus, Counts, EndpointStatus};
+pub use claim::{
+    BODY_BYTES, Claim, ClaimId, ClaimState, HexError, MEDIA_BYTES, Recorded, Shard, ShardError,
+    Token,
+};
+pub use claim_shard::{ClaimLimits, WriteEnd};
+pub use claims::{Begun, ClaimBook, ClaimError, ClaimObjects, Ticket};
 pub use config::{Account, Centre, Class, Config, Endpoint, Kind, Repeat, Route, Service};
 pub use dispatch::{
     Census, Counter, Dispatch, Ending, EndpointState, Grant, Handover, Offer, Phase, Refusal,
     Reply, Report, Running,
 };
+pub use dispatcher::{
+    Ask, Configure, Dispatcher, EntryGone, HandOver, Inspect, Learn, Recover, SetLease, SetLeaving,
+    Tell, Withdraw,
+};
+pub use endpoint::{Load, State};
 pub use moment::{Clock, Moment, micros};
 pub use name::{
     AccountName, AttemptId, BootId, CellId, CentreName, EndpointName, Epoch, Fingerprint,
     Incarnation, InstanceName, NAME_BYTES, RequestId, Revision, ServiceName, is_name,
 };
+pub use note::{Action, Digest, Items, Names, Note, NoteError, Problem, Reason, Row, plan};
 pub use store::{Condition, Listing, Object, ObjectKind, Store, StoreError, VALUE_BYTES, Version};
 pub use timeline::{Event, Stamp, Timeline, Topic, merge};
