Send workloads to a fleet and check every answer

The demo, the load command and the measurements need callers whose arrivals do not slow down with the answers, and who notice an answer that is short, cut or another call's. Arrivals follow from the seed alone; waits count from the arrival and go into HDR histograms; refusals are counted by their outcome, and those said to be not run are listed so that the endpoints' counts can be held against them.

11 tests pass, among them one for each way an answer can be wrong.

--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -27,6 +27,10 @@
 mod dispatcher;
 mod endpoint;
 mod fair;
+mod load;
+mod load_call;
+mod load_plan;
+mod load_result;
 mod moment;
 mod name;
 mod note;
@@ -54,6 +58,12 @@
     Tell, Withdraw,
 };
 pub use endpoint::{Load, State};
+pub use load::run_load;
+pub use load_call::Check;
+pub use load_plan::{AccountLoad, Arrival, CallKind, Source, Through, Workload};
+pub use load_result::{
+    AccountResult, BUCKET, LoadResult, Outcomes, Quantiles, Refused, SourceResult,
+};
 pub use moment::{Clock, Moment, micros};
 pub use name::{
     AccountName, AttemptId, BootId, CellId, CentreName, EndpointName, Epoch, Fingerprint,
--- /dev/null
+++ b/cornelstand/tests/load.rs
@@ -0,0 +1,204 @@
+//! What a workload reports of answers that are whole, cut, refused or another call's.
+
+use cornelstand::{
+    AccountLoad, Arrival, CallKind, Check, LoadResult, Outcomes, Source, Through, Workload,
+    run_load,
+};
+use rstest::rstest;
+use stand_ins::{
+    Bearing, Engine, EngineSettings, Overload, Pace, PlainFaults, PlainService, PlainSettings,
+    call_digest, digest, text,
+};
+use warp::Filter;
+
+const CHECK: Check = Check {
+    chat: |prompt, tokens| text(digest(prompt), tokens),
+    plain: |method, path, body| call_digest(method, &format!("/orders{path}"), body),
+};
+
+fn workload(call: CallKind, arrival: Arrival) -> Workload {
+    let (service, path) = match call {
+        CallKind::Chat { .. } => ("v1", "/chat/completions"),
+        CallKind::Plain { .. } => ("orders", "/gels"),
+    };
+    let source = Source {
+        label: "all".to_owned(),
+        service: service.into(),
+        path: path.to_owned(),
+        call,
+        arrival,
+        after: 0,
+        deadline: None,
+    };
+    Workload {
+        seed: 7,
+        length: 300,
+        settle: 30_000,
+        accounts: vec![AccountLoad {
+            account: "tailor".into(),
+            key: "k".to_owned(),
+            share: 1,
+            through: Through::All,
+            sources: vec![source],
+        }],
+    }
+}
+
+fn chat(arrival: Arrival) -> Workload {
+    let call = CallKind::Chat {
+        tokens: 10,
+        prompt: 40,
+        hint: true,
+    };
+    workload(call, arrival)
+}
+
+fn engine(slots: u32, overload: Overload) -> Engine {
+    Engine::start(EngineSettings {
+        bearing: Bearing {
+            cold: slots,
+            warm: slots,
+            ramp: 0,
+        },
+        pace: Pace {
+            base: 500,
+            slope: 0,
+            prefill: 0,
+        },
+        overload,
+        ..EngineSettings::default()
+    })
+    .expect("a free port")
+}
+
+fn plain() -> PlainService {
+    PlainService::start(PlainSettings {
+        call: 0,
+        is_warm: true,
+        ..PlainSettings::default()
+    })
+    .expect("a free port")
+}
+
+fn outcomes(result: &LoadResult) -> Outcomes {
+    result.counts()
+}
+
+#[tokio::test]
+async fn whole_answers_are_counted_with_their_service() {
+    let engine = engine(1_000, Overload::Refuse);
+    let result = run_load(
+        &chat(Arrival::Rate(100.0)),
+        &[engine.address()],
+        Some(CHECK),
+    )
+    .await;
+    let counts = outcomes(&result);
+    assert!(counts.arrived > 0);
+    assert_eq!(counts.answered, counts.arrived);
+    assert_eq!(engine.counts().answers, counts.arrived);
+    assert_eq!(result.accounts[0].service(), engine.counts().tokens);
+    assert_eq!(result.accounts[0].sources[0].wait.count, counts.arrived);
+}
+
+#[tokio::test]
+async fn arrivals_follow_from_the_seed_alone() {
+    let engine = engine(1_000, Overload::Refuse);
+    let mut arrived = Vec::new();
+    for _ in 0..2 {
+        let result = run_load(&chat(Arrival::Rate(200.0)), &[engine.address()], None).await;
+        arrived.push((outcomes(&result).arrived, result.accounts[0].service()));
+    }
+    assert_eq!(arrived[0], arrived[1]);
+}
+
+#[tokio::test]
+async fn a_backlogged_account_keeps_its_number_of_calls_open() {
+    let engine = engine(1_000, Overload::Refuse);
+    let result = run_load(&chat(Arrival::Backlog(3)), &[engine.address()], Some(CHECK)).await;
+    assert_eq!(engine.counts().most, 3);
+    assert_eq!(outcomes(&result).answered, outcomes(&result).arrived);
+}
+
+#[rstest]
+#[case::another_content(Check { chat: |_, _| String::new(), ..CHECK })]
+#[case::a_token_more(Check { chat: |prompt, tokens| text(digest(prompt), tokens + 1), ..CHECK })]
+#[tokio::test]
+async fn an_answer_that_is_not_the_calls_own_is_wrong(#[case] check: Check) {
+    let engine = engine(1_000, Overload::Refuse);
+    let result = run_load(&chat(Arrival::Backlog(1)), &[engine.address()], Some(check)).await;
+    let counts = outcomes(&result);
+    assert!(counts.wrong > 0);
+    assert_eq!((counts.wrong, counts.answered), (counts.arrived, 0));
+}
+
+#[tokio::test]
+async fn a_cut_stream_is_not_an_answer() {
+    let engine = engine(1, Overload::Fall);
+    let result = run_load(&chat(Arrival::Backlog(2)), &[engine.address()], Some(CHECK)).await;
+    let counts = outcomes(&result);
+    assert!(counts.cut > 0);
+    assert_eq!(counts.wrong, 0);
+    assert_eq!(counts.answered + counts.cut, counts.arrived);
+}
+
+#[tokio::test]
+async fn a_refusal_that_is_no_problem_document_is_foreign() {
+    let engine = engine(0, Overload::Refuse);
+    let result = run_load(&chat(Arrival::Backlog(1)), &[engine.address()], Some(CHECK)).await;
+    let counts = outcomes(&result);
+    assert!(counts.foreign > 0);
+    assert_eq!(counts.foreign, counts.arrived);
+}
+
+#[tokio::test]
+async fn calls_that_run_once_carry_a_key_each() {
+    let service = plain();
+    service.set_faults(PlainFaults {
+        lost: 1,
+        ..PlainFaults::default()
+    });
+    let call = CallKind::Plain {
+        cost: 20,
+        once: true,
+    };
+    let load = workload(call, Arrival::Backlog(2));
+    let result = run_load(&load, &[service.address()], Some(CHECK)).await;
+    let counts = outcomes(&result);
+    assert_eq!(counts.cut, 1);
+    assert_eq!(counts.answered + 1, counts.arrived);
+    let runs = service.runs();
+    assert_eq!(runs.repeated(), 0);
+    assert_eq!(u64::try_from(runs.keys.len()).ok(), Some(counts.arrived));
+}
+
+#[rstest]
+#[case::not_run("not-run")]
+#[case::unknown("unknown")]
+#[case::failed("failed")]
+#[tokio::test]
+async fn refusals_are_counted_by_outcome(#[case] outcome: &'static str) {
+    let refusal = warp::any().map(move || {
+        http::Response::builder()
+            .status(503)
+            .header("x-request-id", "r1")
+            .body(format!(r#"{{ "outcome": "{outcome}" }}"#))
+    });
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(warp::serve(refusal).incoming(listener).run());
+    let result = run_load(&chat(Arrival::Backlog(1)), &[address], Some(CHECK)).await;
+    let counts = outcomes(&result);
+    assert!(counts.arrived > 0);
+    assert_eq!(counts.refused(), counts.arrived);
+    let counted = [
+        ("not-run", counts.not_run),
+        ("unknown", counts.unknown),
+        ("failed", counts.failed),
+    ];
+    let kinds: Vec<&str> = counted.iter().filter(|c| c.1 > 0).map(|c| c.0).collect();
+    assert_eq!(kinds, [outcome]);
+    let is_listed = result.not_run.iter().any(|r| r.request == "r1");
+    assert_eq!(is_listed, outcome == "not-run");
+}
