--- a/cornelstand/src/load.rs
+++ b/cornelstand/src/load.rs
@@ -26,19 +26,18 @@
 /// Longest wait for a connection.
 const CONNECT: Duration = Duration::from_secs(5);
 
-/// Sends `workload` to the instances at `targets`.
+/// Sends `workload` to its instances.
 ///
 /// With `check`, answers are compared with what the endpoints must have answered.
 ///
 /// # Panics
 ///
-/// If `targets` is empty.
-pub async fn run_load(
-    workload: &Workload,
-    targets: &[SocketAddr],
-    check: Option<Check>,
-) -> LoadResult {
-    assert!(!targets.is_empty(), "a workload needs an instance to call");
+/// If the workload names no instance.
+pub async fn run_load(workload: &Workload, check: Option<Check>) -> LoadResult {
+    assert!(
+        !workload.instances.is_empty(),
+        "a workload needs an instance to call"
+    );
     let start = Instant::now();
     let records: Vec<Vec<Arc<Mutex<Record>>>> = workload.accounts.iter().map(records_of).collect();
     let mut sources = JoinSet::new();
@@ -51,7 +50,7 @@
                 http: client(),
                 account: account.clone(),
                 source: source.clone(),
-                targets: targets.to_vec(),
+                targets: workload.instances.clone(),
                 check,
                 record: record.clone(),
                 sent: AtomicU64::default(),
--- a/cornelstand/src/load_plan.rs
+++ b/cornelstand/src/load_plan.rs
@@ -1,5 +1,6 @@
 //! What a workload consists of: accounts and, for each, sources of calls.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use derive_more::IsVariant;
@@ -18,6 +19,8 @@
     /// Milliseconds that answers may take after the last arrival.
     #[serde(default = "default_settle")]
     pub settle: u64,
+    /// Callers' addresses of the instances.
+    pub instances: Vec<SocketAddr>,
     /// The accounts.
     pub accounts: Vec<AccountLoad>,
 }
--- a/cornelstand/tests/load.rs
+++ b/cornelstand/tests/load.rs
@@ -1,5 +1,7 @@
 //! What a workload reports of answers that are whole, cut, refused or another call's.
 
+use std::net::SocketAddr;
+
 use cornelstand::{
     AccountLoad, Arrival, CallKind, Check, LoadResult, Outcomes, Source, Through, Workload,
     run_load,
@@ -16,7 +18,7 @@
     plain: |method, path, body| call_digest(method, &format!("/orders{path}"), body),
 };
 
-fn workload(call: CallKind, arrival: Arrival) -> Workload {
+fn workload(call: CallKind, arrival: Arrival, instance: SocketAddr) -> Workload {
     let (service, path) = match call {
         CallKind::Chat { .. } => ("v1", "/chat/completions"),
         CallKind::Plain { .. } => ("orders", "/gels"),
@@ -34,6 +36,7 @@
         seed: 7,
         length: 300,
         settle: 30_000,
+        instances: vec![instance],
         accounts: vec![AccountLoad {
             account: "tailor".into(),
             key: "k".to_owned(),
@@ -44,13 +47,13 @@
     }
 }
 
-fn chat(arrival: Arrival) -> Workload {
+fn chat(arrival: Arrival, instance: SocketAddr) -> Workload {
     let call = CallKind::Chat {
         tokens: 10,
         prompt: 40,
         hint: true,
     };
-    workload(call, arrival)
+    workload(call, arrival, instance)
 }
 
 fn engine(slots: u32, overload: Overload) -> Engine {
@@ -87,12 +90,7 @@
 #[tokio::test]
 async fn whole_answers_are_counted_with_their_service() {
     let engine = engine(1_000, Overload::Refuse);
-    let result = run_load(
-        &chat(Arrival::Rate(100.0)),
-        &[engine.address()],
-        Some(CHECK),
-    )
-    .await;
+    let result = run_load(&chat(Arrival::Rate(100.0), engine.address()), Some(CHECK)).await;
     let counts = outcomes(&result);
     assert!(counts.arrived > 0);
     assert_eq!(counts.answered, counts.arrived);
@@ -106,7 +104,7 @@
     let engine = engine(1_000, Overload::Refuse);
     let mut arrived = Vec::new();
     for _ in 0..2 {
-        let result = run_load(&chat(Arrival::Rate(200.0)), &[engine.address()], None).await;
+        let result = run_load(&chat(Arrival::Rate(200.0), engine.address()), None).await;
         arrived.push((outcomes(&result).arrived, result.accounts[0].service()));
     }
     assert_eq!(arrived[0], arrived[1]);
@@ -115,7 +113,7 @@
 #[tokio::test]
 async fn a_backlogged_account_keeps_its_number_of_calls_open() {
     let engine = engine(1_000, Overload::Refuse);
-    let result = run_load(&chat(Arrival::Backlog(3)), &[engine.address()], Some(CHECK)).await;
+    let result = run_load(&chat(Arrival::Backlog(3), engine.address()), Some(CHECK)).await;
     assert_eq!(engine.counts().most, 3);
     assert_eq!(outcomes(&result).answered, outcomes(&result).arrived);
 }
@@ -126,7 +124,7 @@
 #[tokio::test]
 async fn an_answer_that_is_not_the_calls_own_is_wrong(#[case] check: Check) {
     let engine = engine(1_000, Overload::Refuse);
-    let result = run_load(&chat(Arrival::Backlog(1)), &[engine.address()], Some(check)).await;
+    let result = run_load(&chat(Arrival::Backlog(1), engine.address()), Some(check)).await;
     let counts = outcomes(&result);
     assert!(counts.wrong > 0);
     assert_eq!((counts.wrong, counts.answered), (counts.arrived, 0));
@@ -135,7 +133,7 @@
 #[tokio::test]
 async fn a_cut_stream_is_not_an_answer() {
     let engine = engine(1, Overload::Fall);
-    let result = run_load(&chat(Arrival::Backlog(2)), &[engine.address()], Some(CHECK)).await;
+    let result = run_load(&chat(Arrival::Backlog(2), engine.address()), Some(CHECK)).await;
     let counts = outcomes(&result);
     assert!(counts.cut > 0);
     assert_eq!(counts.wrong, 0);
@@ -145,7 +143,7 @@
 #[tokio::test]
 async fn a_refusal_that_is_no_problem_document_is_foreign() {
     let engine = engine(0, Overload::Refuse);
-    let result = run_load(&chat(Arrival::Backlog(1)), &[engine.address()], Some(CHECK)).await;
+    let result = run_load(&chat(Arrival::Backlog(1), engine.address()), Some(CHECK)).await;
     let counts = outcomes(&result);
     assert!(counts.foreign > 0);
     assert_eq!(counts.foreign, counts.arrived);
@@ -162,8 +160,8 @@
         cost: 20,
         once: true,
     };
-    let load = workload(call, Arrival::Backlog(2));
-    let result = run_load(&load, &[service.address()], Some(CHECK)).await;
+    let load = workload(call, Arrival::Backlog(2), service.address());
+    let result = run_load(&load, Some(CHECK)).await;
     let counts = outcomes(&result);
     assert_eq!(counts.cut, 1);
     assert_eq!(counts.answered + 1, counts.arrived);
@@ -188,7 +186,7 @@
     let listener = listener.expect("a free port");
     let address = listener.local_addr().expect("an address");
     tokio::spawn(warp::serve(refusal).incoming(listener).run());
-    let result = run_load(&chat(Arrival::Backlog(1)), &[address], Some(CHECK)).await;
+    let result = run_load(&chat(Arrival::Backlog(1), address), Some(CHECK)).await;
     let counts = outcomes(&result);
     assert!(counts.arrived > 0);
     assert_eq!(counts.refused(), counts.arrived);
--- a/stand-ins/src/engine_http.rs
+++ b/stand-ins/src/engine_http.rs
@@ -25,7 +25,7 @@
     pub(crate) async fn answer(self: &Arc<Self>, boot: u64, call: Call) -> Response {
         self.lines.pass(call.peer).await;
         match (&call.method, call.segments().as_slice()) {
-            (&Method::POST, ["v1", "chat", "completions"]) => self.chat(boot, &call).await,
+            (&Method::POST, [.., "v1", "chat", "completions"]) => self.chat(boot, &call).await,
             (&Method::GET, ["load"]) => self.load(),
             (&Method::POST, ["orders"]) => self.order(&call),
             (&Method::POST, ["streams", id @ .., "cancel"]) => self.cancel(&identity(id)),
--- a/stand-ins/src/plain.rs
+++ b/stand-ins/src/plain.rs
@@ -231,6 +231,13 @@
         self.inner.lock().runs.clone()
     }
 
+    /// Runs of an attempt identity.
+    #[must_use]
+    pub fn runs_of(&self, request: &str) -> u64 {
+        let core = self.inner.lock();
+        core.runs.requests.get(request).copied().unwrap_or_default()
+    }
+
     /// Stops it for good, cutting what runs.
     pub fn stop(&self) {
         self.inner.host.stop();
