Add the entry from a caller's connection to the endpoint's

Nothing served callers yet. An entry authenticates, classifies, reads the body, asks a dispatcher, sends, checks the end of the answer and reports the outcome. The attempt's typed states give the proof that a refusal "not run" needs only while nothing was written. Connections are served by the HTTP library under warp, because warp::serve sets no deadline for headers and no limit on connections and its acceptor is sealed.

Before: no entry.

--- /dev/null
+++ b/cornelstand/src/body.rs
@@ -0,0 +1,210 @@
+//! Bodies of callers' requests.
+//!
+//! A body that fits the replay buffer is read whole before an endpoint is asked for, so that a
+//! slow caller holds no endpoint's slot and the request can be sent again. A larger one is
+//! streamed and can be sent once.
+
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures::Stream;
+use futures::stream::BoxStream;
+use http::HeaderMap;
+use http::header::CONTENT_LENGTH;
+use snafu::{OptionExt, Snafu, ensure};
+use warp::hyper::body::{Body, Incoming};
+
+/// Error in the body of a caller's request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub(crate) enum BodyError {
+    /// The body is larger than allowed.
+    #[snafu(display("the body has more than {most} bytes"))]
+    TooLarge {
+        /// Most bytes allowed.
+        most: u64,
+    },
+    /// The connection broke, or the body is shorter than stated.
+    #[snafu(display("the body broke off"))]
+    Broken,
+    /// The next bytes did not come in time.
+    #[snafu(display("the body did not come in time"))]
+    Slow,
+}
+
+/// Limits of a body.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BodyLimits {
+    /// Longest wait for the next bytes.
+    pub(crate) idle: Duration,
+    /// Longest wait for the part that is read ahead.
+    pub(crate) ahead: Duration,
+    /// Most bytes that are read ahead.
+    pub(crate) replay: usize,
+    /// Most bytes in all.
+    pub(crate) most: u64,
+}
+
+type Rest = BoxStream<'static, Result<Bytes, BodyError>>;
+
+/// A request's body.
+#[derive(Debug)]
+pub(crate) enum CallBody {
+    /// It is here and can be sent any number of times.
+    Whole(Bytes),
+    /// It is larger than the replay buffer.
+    Stream(StreamBody),
+}
+
+/// A body that is passed on as it comes.
+pub(crate) struct StreamBody {
+    ahead: Bytes,
+    rest: Arc<Mutex<Option<Rest>>>,
+    fault: Arc<OnceLock<BodyError>>,
+}
+
+impl std::fmt::Debug for StreamBody {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("StreamBody").finish_non_exhaustive()
+    }
+}
+
+impl CallBody {
+    /// Reads a body, or its beginning if it is larger than the replay buffer.
+    pub(crate) async fn read(
+        headers: &HeaderMap,
+        incoming: Incoming,
+        limits: BodyLimits,
+    ) -> Result<Self, BodyError> {
+        let most = limits.most;
+        let stated = stated_length(headers);
+        ensure!(stated.unwrap_or(0) <= most, TooLargeSnafu { most });
+        let mut rest: Rest = Box::pin(frames(incoming, limits));
+        let ahead = read_ahead(&mut rest, limits.replay);
+        let (ahead, ended) = tokio::time::timeout(limits.ahead, ahead)
+            .await
+            .ok()
+            .context(SlowSnafu)??;
+        if ended {
+            return Ok(Self::Whole(ahead));
+        }
+        Ok(Self::Stream(StreamBody {
+            ahead,
+            rest: Arc::new(Mutex::new(Some(rest))),
+            fault: Arc::default(),
+        }))
+    }
+
+    /// The beginning of the body, or all of it.
+    pub(crate) fn ahead(&self) -> &[u8] {
+        match self {
+            Self::Whole(bytes) => bytes,
+            Self::Stream(s) => &s.ahead,
+        }
+    }
+
+    /// Tells whether the body can still be sent.
+    pub(crate) fn is_sendable(&self) -> bool {
+        match self {
+            Self::Whole(_) => true,
+            Self::Stream(s) => lock(&s.rest).is_some(),
+        }
+    }
+
+    /// Tells whether the body is larger than the replay buffer.
+    pub(crate) fn is_stream(&self) -> bool {
+        matches!(self, Self::Stream(_))
+    }
+
+    /// What went wrong with the caller's part of the body while it was passed on.
+    pub(crate) fn fault(&self) -> Option<BodyError> {
+        match self {
+            Self::Whole(_) => None,
+            Self::Stream(s) => s.fault.get().copied(),
+        }
+    }
+
+    /// The body for an endpoint. The caller's stream is taken when the first byte is asked for,
+    /// which is not before there is a connection.
+    pub(crate) fn upload(&self) -> reqwest::Body {
+        match self {
+            Self::Whole(bytes) => bytes.clone().into(),
+            Self::Stream(s) => reqwest::Body::wrap_stream(s.upload()),
+        }
+    }
+}
+
+impl StreamBody {
+    fn upload(&self) -> impl Stream<Item = Result<Bytes, BodyError>> + Send + 'static {
+        let source = self.rest.clone();
+        let fault = self.fault.clone();
+        let ahead = Some(self.ahead.clone());
+        let state = (ahead, None::<Rest>, source, fault);
+        futures::stream::unfold(state, |(ahead, rest, source, fault)| async move {
+            let mut rest = rest.or_else(|| lock(&source).take())?;
+            if let Some(ahead) = ahead {
+                return Some((Ok(ahead), (None, Some(rest), source, fault)));
+            }
+            let next = futures::StreamExt::next(&mut rest).await?;
+            if let Err(e) = &next {
+                let _ = fault.set(*e);
+            }
+            Some((next, (None, Some(rest), source, fault)))
+        })
+    }
+}
+
+/// Length of a body as its sender states it.
+pub(crate) fn stated_length(headers: &HeaderMap) -> Option<u64> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+fn lock(rest: &Mutex<Option<Rest>>) -> std::sync::MutexGuard<'_, Option<Rest>> {
+    rest.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Reads until the end or until `most` bytes are there, and tells whether the end was reached.
+async fn read_ahead(rest: &mut Rest, most: usize) -> Result<(Bytes, bool), BodyError> {
+    let mut ahead = BytesMut::new();
+    while ahead.len() <= most {
+        match futures::StreamExt::next(rest).await.transpose()? {
+            Some(bytes) => ahead.extend_from_slice(&bytes),
+            None => return Ok((ahead.freeze(), true)),
+        }
+    }
+    Ok((ahead.freeze(), false))
+}
+
+fn frames(
+    incoming: Incoming,
+    limits: BodyLimits,
+) -> impl Stream<Item = Result<Bytes, BodyError>> + Send + 'static {
+    futures::stream::try_unfold((incoming, 0), move |(mut incoming, read)| async move {
+        let Some(bytes) = next_data(&mut incoming, limits.idle).await? else {
+            return Ok(None);
+        };
+        let read = read + bytes.len() as u64;
+        let most = limits.most;
+        ensure!(read <= most, TooLargeSnafu { most });
+        Ok(Some((bytes, (incoming, read))))
+    })
+}
+
+async fn next_data(incoming: &mut Incoming, idle: Duration) -> Result<Option<Bytes>, BodyError> {
+    loop {
+        let frame = std::future::poll_fn(|cx| Pin::new(&mut *incoming).poll_frame(cx));
+        let frame = tokio::time::timeout(idle, frame)
+            .await
+            .ok()
+            .context(SlowSnafu)?;
+        let Some(frame) = frame else {
+            return Ok(None);
+        };
+        let frame = frame.ok().context(BrokenSnafu)?;
+        if let Ok(bytes) = frame.into_data() {
+            return Ok(Some(bytes));
+        }
+    }
+}
--- /dev/null
+++ b/cornelstand/src/entry_metrics.rs
@@ -0,0 +1,79 @@
+//! Counters of an entry.
+
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+
+/// Counters of an entry, registered once.
+#[derive(Clone, Debug)]
+pub struct EntryMetrics {
+    /// Requests by what the caller got: `answered`, `cut`, `gone` or a refusal's outcome.
+    pub(crate) requests: IntCounterVec,
+    /// Refusals by kind of problem.
+    pub(crate) refusals: IntCounterVec,
+    /// Attempts by how they ended.
+    pub(crate) attempts: IntCounterVec,
+    /// Further attempts by reason: `withdrawn`, `unconnected`, `lost` or `overloaded`.
+    pub(crate) retries: IntCounterVec,
+    /// Retries of lost attempts that the budgets did not allow.
+    pub(crate) unbudgeted: IntCounter,
+    /// Streams resumed, by result: `resumed` or `refused`.
+    pub(crate) resumes: IntCounterVec,
+    /// Answers that named another attempt.
+    pub(crate) foreign: IntCounter,
+    /// Pools of connections replaced.
+    pub(crate) pools: IntCounter,
+    /// Requests accepted and not ended.
+    pub(crate) open: IntGauge,
+    /// Requests that wait for an endpoint.
+    pub(crate) waiting: IntGauge,
+    /// Callers' connections.
+    pub(crate) connections: IntGauge,
+}
+
+impl EntryMetrics {
+    /// Registers the counters.
+    ///
+    /// # Errors
+    ///
+    /// If `registry` has counters of the same names already.
+    pub fn new(registry: &Registry) -> prometheus::Result<Self> {
+        let vec = |name: &str, help: &str, label: &str| {
+            let counter = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(counter.clone()))?;
+            prometheus::Result::Ok(counter)
+        };
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            prometheus::Result::Ok(counter)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            prometheus::Result::Ok(gauge)
+        };
+        Ok(Self {
+            requests: vec("entry_requests_total", "Requests by result", "result")?,
+            refusals: vec(
+                "entry_refusals_total",
+                "Refusals by kind of problem",
+                "kind",
+            )?,
+            attempts: vec("entry_attempts_total", "Attempts by ending", "ending")?,
+            retries: vec(
+                "entry_retries_total",
+                "Further attempts by reason",
+                "reason",
+            )?,
+            unbudgeted: counter("entry_retries_refused_total", "Retries beyond the budgets")?,
+            resumes: vec("entry_resumes_total", "Resumed streams by result", "result")?,
+            foreign: counter("entry_foreign_answers_total", "Answers of other attempts")?,
+            pools: counter(
+                "entry_pools_replaced_total",
+                "Pools of connections replaced",
+            )?,
+            open: gauge("entry_requests_open", "Requests accepted and not ended")?,
+            waiting: gauge("entry_requests_waiting", "Requests waiting for an endpoint")?,
+            connections: gauge("entry_connections", "Connections of callers")?,
+        })
+    }
+}
--- /dev/null
+++ b/cornelstand/src/flight.rs
@@ -0,0 +1,139 @@
+//! One granted attempt as its entry accounts for it.
+//!
+//! A [`Flight`] stands in the entry's ledger from the grant to the end, reports cost above the
+//! charge while it runs, and reports its ending once, also when its task is stopped.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::call::Call;
+use crate::config::Kind;
+use crate::dispatch::{Ending, Grant, Phase, Report, Running};
+use crate::entry::Core;
+use crate::moment::Moment;
+use crate::name::{AccountName, BootId};
+
+/// Least cost between two reports of progress, in the unit of the service's kind.
+const PROGRESS: u64 = 64;
+
+/// A granted attempt that has not ended.
+pub(crate) struct Flight {
+    core: Arc<Core>,
+    account: AccountName,
+    kind: Kind,
+    grant: Grant,
+    start: Moment,
+    reported: u64,
+    cost: u64,
+    boot: Option<BootId>,
+    first: Option<Duration>,
+    ended: bool,
+}
+
+impl Flight {
+    /// Enters `grant` into the ledger.
+    pub(crate) fn begin(call: &Call, grant: Grant) -> Self {
+        let core = call.core.clone();
+        let running = Running {
+            attempt: grant.attempt,
+            endpoint: grant.endpoint.clone(),
+            account: call.account.clone(),
+            class: call.class,
+            cost: 0,
+        };
+        core.ledger.begin(grant.cell.clone(), running);
+        Self {
+            start: core.clock.now(),
+            core,
+            account: call.account.clone(),
+            kind: call.kind,
+            reported: grant.charged,
+            grant,
+            cost: 0,
+            boot: None,
+            first: None,
+            ended: false,
+        }
+    }
+
+    /// The grant.
+    pub(crate) fn grant(&self) -> &Grant {
+        &self.grant
+    }
+
+    /// Notes when sending began.
+    pub(crate) fn sent(&mut self, now: Moment) {
+        self.start = now;
+    }
+
+    /// Milliseconds that the attempt has held its slot, at least one.
+    pub(crate) fn slot_millis(&self, now: Moment) -> u64 {
+        let millis = now.since(self.start).as_millis();
+        u64::try_from(millis).unwrap_or(u64::MAX).max(1)
+    }
+
+    /// Notes the head of the answer.
+    pub(crate) fn head(&mut self, boot: Option<BootId>) {
+        self.boot = boot;
+    }
+
+    /// Notes the first byte of the answer.
+    pub(crate) fn first_byte(&mut self, now: Moment) {
+        let after = now.since(self.start);
+        self.first.get_or_insert(after);
+    }
+
+    /// Corrects the cost, and reports it once it is far enough above the last report.
+    pub(crate) fn progress(&mut self, cost: u64) {
+        self.cost = self.cost.max(cost);
+        self.core.ledger.progress(self.grant.attempt, self.cost);
+        if self.cost >= self.reported + PROGRESS.max(self.reported / 4) {
+            self.reported = self.cost;
+            self.report(Phase::Running);
+        }
+    }
+
+    /// Reports the ending.
+    pub(crate) fn end(mut self, ending: Ending) {
+        self.finish(ending);
+    }
+
+    /// Reports that nobody waits any more, and tells a model engine so.
+    pub(crate) fn cancel(self, address: SocketAddr) {
+        if self.kind == Kind::Model {
+            self.core.cancel(address, self.grant.attempt);
+        }
+        self.end(Ending::Cancelled);
+    }
+
+    fn finish(&mut self, ending: Ending) {
+        self.ended = true;
+        let label = ending.to_string();
+        self.core.metrics.attempts.with_label_values(&[label]).inc();
+        self.report(Phase::Ended(ending));
+        self.core.ledger.end(self.grant.attempt);
+    }
+
+    fn report(&self, phase: Phase) {
+        (self.core.dispatch.report)(Report {
+            attempt: self.grant.attempt,
+            cell: self.grant.cell.clone(),
+            epoch: self.grant.epoch,
+            endpoint: self.grant.endpoint.clone(),
+            account: self.account.clone(),
+            cost: self.cost,
+            boot: self.boot,
+            first: self.first,
+            phase,
+        });
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.finish(Ending::Cancelled);
+        }
+    }
+}
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -17,22 +17,54 @@
 //! # Ok::<(), serde_json::Error>(())
 //! ```
 
+mod attempt;
+mod auth;
+mod body;
+mod call;
+mod caller;
 mod config;
 mod dispatch;
+mod entry;
+mod entry_metrics;
+mod flight;
+mod headers;
+mod ledger;
+mod listener;
 mod moment;
 mod name;
+mod path;
+mod problem;
+mod relay;
+mod retry;
+mod sse;
 mod store;
 mod timeline;
+mod upstream;
 
+pub use attempt::{
+    Answering, ConnectError, Loss, Lost, NotRun, Outcome, Ready, Resend, Sending, Sent, Unsent,
+    Verdict,
+};
+pub use auth::{KeyIndex, key_hash};
 pub use config::{Account, Centre, Class, Config, Endpoint, Kind, Repeat, Route, Service};
 pub use dispatch::{
     Census, Counter, Dispatch, Ending, EndpointState, Grant, Handover, Offer, Phase, Refusal,
     Reply, Report, Running,
 };
+pub use entry::{Entry, EntryLimits, EntryParts};
+pub use entry_metrics::EntryMetrics;
+pub use headers::{
+    ACCOUNT_KEY_BYTES, HeaderError, IDEMPOTENCY_KEY_BYTES, MAX_DEADLINE, MAX_HINT, Wishes,
+    bearer_key,
+};
 pub use moment::{Clock, Moment, micros};
 pub use name::{
     AccountName, AttemptId, BootId, CellId, CentreName, EndpointName, Epoch, Fingerprint,
     Incarnation, InstanceName, NAME_BYTES, RequestId, Revision, ServiceName, is_name,
 };
+pub use path::{CallPath, PathError, split_path};
+pub use problem::{PROBLEM_TYPE, Problem, ProblemKind};
+pub use retry::{RetryBudgets, RetryPermit};
+pub use sse::{EVENT_BYTES, Scanner, SseError};
 pub use store::{Condition, Listing, Object, ObjectKind, Store, StoreError, VALUE_BYTES, Version};
 pub use timeline::{Event, Stamp, Timeline, Topic, merge};
--- /dev/null
+++ b/cornelstand/src/listener.rs
@@ -0,0 +1,204 @@
+//! HTTP server for callers' connections.
+//!
+//! `warp::serve` sets no deadline for request headers and no limit on connections, and its
+//! acceptor cannot be replaced. Connections are therefore served by the HTTP library that warp is
+//! built on and re-exports, which closes a connection that does not send the whole header in time:
+//! a half-open one that sends nothing, and an unused one between two requests. A closed connection
+//! leaves room for the next one.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use std::time::{Duration, Instant};
+
+use prometheus::IntGauge;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio_util::task::TaskTracker;
+use warp::hyper::body::Incoming;
+use warp::hyper::rt::{Read, ReadBufCursor, Sleep, Timer, Write};
+use warp::hyper::server::conn::http1;
+use warp::hyper::service::service_fn;
+use warp::reply::Response;
+
+/// Pause after an error of accepting that is not the connection's own.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// Bytes read from a connection at once.
+const READ_BYTES: usize = 16 * 1024;
+/// Most headers of a request.
+const MAX_HEADERS: usize = 100;
+
+/// Limits of callers' connections.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConnectionLimits {
+    /// Longest time until a request's header is complete.
+    pub(crate) header: Duration,
+    /// Most bytes of a request's header.
+    pub(crate) bytes: usize,
+    /// Most connections.
+    pub(crate) count: usize,
+}
+
+/// Serves requests with `handle` until `shutdown`, then ends the open exchanges.
+pub(crate) async fn serve<H, F>(
+    listener: TcpListener,
+    limits: ConnectionLimits,
+    open: IntGauge,
+    handle: H,
+    shutdown: impl Future<Output = ()>,
+) where
+    H: Fn(http::Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let room = Arc::new(Semaphore::new(limits.count));
+    let (stop, stopped) = watch::channel(false);
+    let tasks = TaskTracker::new();
+    let mut shutdown = std::pin::pin!(shutdown);
+    loop {
+        let next = async {
+            let permit = room.clone().acquire_owned().await;
+            (accept(&listener).await, permit)
+        };
+        let (stream, permit) = tokio::select! {
+            next = next => next,
+            () = &mut shutdown => break,
+        };
+        let connection = connection(stream, limits, handle.clone(), stopped.clone());
+        let open = open.clone();
+        tasks.spawn(async move {
+            open.inc();
+            connection.await;
+            open.dec();
+            drop(permit);
+        });
+    }
+    drop(listener);
+    stop.send_replace(true);
+    tasks.close();
+    tasks.wait().await;
+}
+
+async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn connection<H, F>(
+    stream: TcpStream,
+    limits: ConnectionLimits,
+    handle: H,
+    mut stopped: watch::Receiver<bool>,
+) where
+    H: Fn(http::Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let answer = handle(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut connection = std::pin::pin!(
+        http1::Builder::new()
+            .timer(TokioTimer)
+            .header_read_timeout(limits.header)
+            .max_headers(MAX_HEADERS)
+            .max_header_size(limits.bytes)
+            .serve_connection(Io(stream), service)
+    );
+    let stopping = stopped.wait_for(|&stop| stop);
+    tokio::select! {
+        _ = &mut connection => return,
+        _ = stopping => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
+
+/// Tokio's TCP stream as the HTTP library reads and writes it.
+#[derive(Debug)]
+struct Io(TcpStream);
+
+impl Read for Io {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut cursor: ReadBufCursor<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let mut bytes = [0; READ_BYTES];
+        let most = cursor.remaining().min(READ_BYTES);
+        let mut buffer = ReadBuf::new(&mut bytes[..most]);
+        ready!(Pin::new(&mut self.0).poll_read(cx, &mut buffer))?;
+        cursor.put_slice(buffer.filled());
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Write for Io {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[std::io::IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write_vectored(cx, parts)
+    }
+}
+
+/// Tokio's timers for the HTTP library.
+#[derive(Clone, Copy, Debug)]
+struct TokioTimer;
+
+impl Timer for TokioTimer {
+    fn sleep(&self, duration: Duration) -> Pin<Box<dyn Sleep>> {
+        let inner = Box::pin(tokio::time::sleep(duration));
+        Box::pin(Delay { inner })
+    }
+
+    fn sleep_until(&self, deadline: Instant) -> Pin<Box<dyn Sleep>> {
+        let inner = Box::pin(tokio::time::sleep_until(deadline.into()));
+        Box::pin(Delay { inner })
+    }
+
+    fn now(&self) -> Instant {
+        tokio::time::Instant::now().into()
+    }
+}
+
+struct Delay {
+    inner: Pin<Box<tokio::time::Sleep>>,
+}
+
+impl Future for Delay {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        self.inner.as_mut().poll(cx)
+    }
+}
+
+impl Sleep for Delay {}
--- /dev/null
+++ b/cornelstand/src/path.rs
@@ -0,0 +1,95 @@
+//! Paths of callers' requests.
+//!
+//! The rule of a call goes by its path, and the endpoint gets the path as the caller wrote it. So
+//! that both mean the same call, the rule is looked up for the decoded path, and a path that an
+//! endpoint may take for another one is refused.
+
+use snafu::{Snafu, ensure};
+
+/// Error in the path of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
+pub enum PathError {
+    /// The path has a segment `.` or `..`.
+    #[snafu(display("the path has a dot segment"))]
+    DotSegment,
+    /// The path has a character that ends a segment in some implementations only.
+    #[snafu(display("the path has a backslash, an encoded slash or a control character"))]
+    Ambiguous,
+    /// A percent sign is not followed by two hexadecimal digits.
+    #[snafu(display("the path has an incomplete percent encoding"))]
+    Encoding,
+}
+
+/// Parts of a request's path.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CallPath<'a> {
+    /// Name of the service.
+    pub service: &'a str,
+    /// The rest as the caller wrote it, beginning with a slash.
+    pub raw: &'a str,
+    /// The rest for the lookup of rules: decoded and without repeated slashes.
+    pub plain: String,
+}
+
+/// Splits `path`, which begins with a slash.
+///
+/// # Errors
+///
+/// [`PathError`] if an endpoint may take the path for another one.
+pub fn split_path(path: &str) -> Result<CallPath<'_>, PathError> {
+    let rest = path.strip_prefix('/').unwrap_or(path);
+    let slash = rest.find('/').unwrap_or(rest.len());
+    let (service, raw) = rest.split_at(slash);
+    let raw = if raw.is_empty() { "/" } else { raw };
+    let plain = plain(raw)?;
+    Ok(CallPath {
+        service,
+        raw,
+        plain,
+    })
+}
+
+fn plain(raw: &str) -> Result<String, PathError> {
+    let decoded = decoded(raw.as_bytes())?;
+    let mut plain = String::with_capacity(decoded.len());
+    let mut segments = decoded.split('/').peekable();
+    while let Some(segment) = segments.next() {
+        ensure!(segment != "." && segment != "..", DotSegmentSnafu);
+        let last = segments.peek().is_none();
+        plain.push_str(segment);
+        if !last && !plain.ends_with('/') {
+            plain.push('/');
+        }
+    }
+    Ok(plain)
+}
+
+fn decoded(raw: &[u8]) -> Result<String, PathError> {
+    let mut bytes = Vec::with_capacity(raw.len());
+    let mut at = 0;
+    while at < raw.len() {
+        let (byte, next) = match raw[at] {
+            b'%' => (encoded(raw, at)?, at + 3),
+            byte => (byte, at + 1),
+        };
+        let slash = byte == b'/' && raw[at] == b'%';
+        let odd = slash || byte == b'\\' || byte.is_ascii_control();
+        ensure!(!odd, AmbiguousSnafu);
+        bytes.push(byte);
+        at = next;
+    }
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
+fn encoded(raw: &[u8], at: usize) -> Result<u8, PathError> {
+    let digit = |place: usize| {
+        let byte = raw.get(place).copied().unwrap_or_default();
+        char::from(byte)
+            .to_digit(16)
+            .and_then(|d| u8::try_from(d).ok())
+    };
+    match (digit(at + 1), digit(at + 2)) {
+        (Some(high), Some(low)) => Ok(high << 4 | low),
+        _ => EncodingSnafu.fail(),
+    }
+}
--- /dev/null
+++ b/cornelstand/src/relay.rs
@@ -0,0 +1,191 @@
+//! Answers of endpoints, piece by piece, with their ends checked.
+//!
+//! A [`Source`] gives pieces that can go to the caller and ends only when the answer is whole:
+//! server-sent events after their last event, other answers after their stated length or last
+//! chunk. A stream that is cut is resumed on a new connection after the last whole event.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream::BoxStream;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http::{HeaderMap, Method, StatusCode};
+use reqwest::Response;
+
+use crate::attempt::Loss;
+use crate::entry::Core;
+use crate::name::AttemptId;
+use crate::sse::{self, Scanner};
+use crate::upstream::is_foreign;
+
+/// Most resumptions of a stream without a new event between them.
+const RESUMES: u32 = 3;
+/// Most bytes of a whole answer that are kept to find its usage.
+const USAGE_BYTES: usize = 256 * 1024;
+/// Longest wait for the end of a stream after its last event.
+const TAIL: Duration = Duration::from_secs(1);
+
+type Bytestream = BoxStream<'static, reqwest::Result<Bytes>>;
+
+/// Where an answer comes from.
+#[derive(Clone)]
+pub(crate) struct Origin {
+    pub(crate) core: Arc<Core>,
+    pub(crate) address: std::net::SocketAddr,
+    pub(crate) attempt: AttemptId,
+}
+
+/// Form of an answer's body.
+enum Form {
+    Events { scanner: Scanner, resumes: u32 },
+    Whole { seen: Vec<u8>, watched: bool },
+}
+
+/// Body of an answer.
+pub(crate) struct Source {
+    origin: Origin,
+    stream: Bytestream,
+    form: Form,
+}
+
+/// Tells whether an answer is a stream of server-sent events.
+pub(crate) fn is_events(headers: &HeaderMap) -> bool {
+    headers
+        .get(CONTENT_TYPE)
+        .and_then(|v| v.to_str().ok())
+        .is_some_and(|v| v.trim_start().starts_with("text/event-stream"))
+}
+
+/// Tells whether the end of an answer can be told from a cut.
+pub(crate) fn has_end(method: &Method, status: StatusCode, headers: &HeaderMap) -> bool {
+    let bodyless = method == Method::HEAD
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED;
+    bodyless || headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
+impl Source {
+    /// The body of `answer`; `model` tells whether it may hold a usage figure.
+    pub(crate) fn new(origin: Origin, answer: Response, model: bool) -> Self {
+        let form = if model && is_events(answer.headers()) {
+            Form::Events {
+                scanner: Scanner::default(),
+                resumes: 0,
+            }
+        } else {
+            Form::Whole {
+                seen: Vec::new(),
+                watched: model,
+            }
+        };
+        Self {
+            origin,
+            stream: answer.bytes_stream().boxed(),
+            form,
+        }
+    }
+
+    /// The next piece for the caller, `None` after the end of a whole answer.
+    pub(crate) async fn next(&mut self, wait: Duration) -> Result<Option<Bytes>, Loss> {
+        match &mut self.form {
+            Form::Whole { seen, watched } => {
+                let piece = pull(&mut self.stream, wait).await?;
+                if let (true, Some(bytes)) = (*watched, &piece) {
+                    watch(seen, watched, bytes);
+                }
+                Ok(piece)
+            }
+            Form::Events { .. } => self.next_events(wait).await,
+        }
+    }
+
+    /// Cost in tokens so far, as far as the answer tells.
+    pub(crate) fn tokens(&self) -> Option<u64> {
+        match &self.form {
+            Form::Events { scanner, .. } => Some(scanner.tokens().unwrap_or(scanner.chunks())),
+            Form::Whole { seen, watched } => watched.then(|| sse::usage(seen)).flatten(),
+        }
+    }
+
+    async fn next_events(&mut self, wait: Duration) -> Result<Option<Bytes>, Loss> {
+        loop {
+            let Form::Events { scanner, resumes } = &mut self.form else {
+                return Ok(None);
+            };
+            if scanner.is_done() {
+                drain(&mut self.stream).await;
+                return Ok(None);
+            }
+            let loss = match pull(&mut self.stream, wait).await {
+                Ok(Some(bytes)) => {
+                    let Ok(events) = scanner.push(&bytes) else {
+                        return Err(Loss::Broken);
+                    };
+                    if !events.is_empty() {
+                        *resumes = 0;
+                        return Ok(Some(events));
+                    }
+                    continue;
+                }
+                Ok(None) => Loss::Broken,
+                Err(loss) => loss,
+            };
+            if *resumes == RESUMES {
+                return Err(loss);
+            }
+            *resumes += 1;
+            scanner.rewind();
+            let chunks = scanner.chunks();
+            self.stream = self.origin.resume(chunks, wait).await.ok_or(loss)?;
+        }
+    }
+}
+
+impl Origin {
+    async fn resume(&self, chunks: u64, wait: Duration) -> Option<Bytestream> {
+        self.core.replace_pool(self.address);
+        let request = self
+            .core
+            .upstreams
+            .resume(self.address, self.attempt, chunks);
+        let answer = tokio::time::timeout(wait, request).await;
+        let answer = answer.ok().and_then(Result::ok).filter(|a| {
+            a.status() == StatusCode::OK
+                && is_events(a.headers())
+                && !is_foreign(a.headers(), self.attempt)
+        });
+        let result = if answer.is_some() {
+            "resumed"
+        } else {
+            "refused"
+        };
+        self.core.metrics.resumes.with_label_values(&[result]).inc();
+        Some(answer?.bytes_stream().boxed())
+    }
+}
+
+async fn pull(stream: &mut Bytestream, wait: Duration) -> Result<Option<Bytes>, Loss> {
+    match tokio::time::timeout(wait, stream.next()).await {
+        Ok(Some(Ok(bytes))) => Ok(Some(bytes)),
+        Ok(Some(Err(_))) => Err(Loss::Broken),
+        Ok(None) => Ok(None),
+        Err(_) => Err(Loss::Silent),
+    }
+}
+
+/// Reads the end of a stream, so that its connection can be used again.
+async fn drain(stream: &mut Bytestream) {
+    let end = async { while let Some(Ok(_)) = stream.next().await {} };
+    let _ = tokio::time::timeout(TAIL, end).await;
+}
+
+fn watch(seen: &mut Vec<u8>, watched: &mut bool, bytes: &[u8]) {
+    if seen.len() + bytes.len() > USAGE_BYTES {
+        *watched = false;
+        *seen = Vec::new();
+        return;
+    }
+    seen.extend_from_slice(bytes);
+}
--- /dev/null
+++ b/cornelstand/src/sse.rs
@@ -0,0 +1,146 @@
+//! Scanner of server-sent events.
+//!
+//! It takes a stream's bytes in pieces of any size and gives them back cut at the ends of events,
+//! so that a caller gets whole events only and a cut stream can be resumed after the last of
+//! them. Memory is bounded by the size of one event.
+
+use bytes::{Bytes, BytesMut};
+use serde::Deserialize;
+use snafu::{Snafu, ensure};
+
+/// Most bytes of one event.
+pub const EVENT_BYTES: usize = 256 * 1024;
+
+/// Error in a stream of events.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
+pub enum SseError {
+    /// An event is larger than [`EVENT_BYTES`].
+    #[snafu(display("an event has more than {EVENT_BYTES} bytes"))]
+    EventTooLarge,
+    /// Something follows the end of the stream.
+    #[snafu(display("bytes after the end of the stream"))]
+    AfterEnd,
+}
+
+/// Scanner of one stream.
+#[derive(Debug, Default)]
+pub struct Scanner {
+    held: BytesMut,
+    searched: usize,
+    chunks: u64,
+    tokens: Option<u64>,
+    done: bool,
+}
+
+#[derive(Deserialize)]
+struct Chunk {
+    usage: Option<Usage>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    #[serde(default)]
+    prompt_tokens: u64,
+    #[serde(default)]
+    completion_tokens: u64,
+}
+
+impl Scanner {
+    /// Takes the next bytes and returns the events that are whole now, as they came.
+    ///
+    /// # Errors
+    ///
+    /// [`SseError`] if the stream breaks the protocol. The scanner is of no use afterwards.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, SseError> {
+        ensure!(!self.done || is_blank(bytes), AfterEndSnafu);
+        self.held.extend_from_slice(bytes);
+        let mut end = 0;
+        while let Some(next) = event_end(&self.held, end.max(self.searched), end) {
+            let event = self.held[end..next].to_vec();
+            self.event(&event);
+            end = next;
+            self.searched = next;
+        }
+        let whole = self.held.split_to(end).freeze();
+        self.searched = self.held.len().saturating_sub(BLANK_LINE_BYTES);
+        ensure!(self.held.len() <= EVENT_BYTES, EventTooLargeSnafu);
+        let clean = !self.done || is_blank(&self.held);
+        ensure!(clean, AfterEndSnafu);
+        Ok(whole)
+    }
+
+    /// Forgets an event that is not whole, before the stream is resumed.
+    pub fn rewind(&mut self) {
+        self.held.clear();
+        self.searched = 0;
+    }
+
+    /// Events with data so far, without the one that ends the stream.
+    #[must_use]
+    pub fn chunks(&self) -> u64 {
+        self.chunks
+    }
+
+    /// Tokens of prompt and completion, if the stream has told them.
+    #[must_use]
+    pub fn tokens(&self) -> Option<u64> {
+        self.tokens
+    }
+
+    /// Tells whether the stream has ended properly.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.done
+    }
+
+    fn event(&mut self, event: &[u8]) {
+        let Some(data) = data(event) else {
+            return;
+        };
+        if data == b"[DONE]" {
+            self.done = true;
+            return;
+        }
+        self.chunks += 1;
+        if let Some(tokens) = usage(data) {
+            self.tokens = Some(tokens);
+        }
+    }
+}
+
+/// Tokens of prompt and completion that a chunk or whole answer tells.
+pub(crate) fn usage(json: &[u8]) -> Option<u64> {
+    if !json.windows(NEEDLE.len()).any(|w| w == NEEDLE) {
+        return None;
+    }
+    let usage = serde_json::from_slice::<Chunk>(json).ok()?.usage?;
+    Some(usage.prompt_tokens.saturating_add(usage.completion_tokens))
+}
+
+const NEEDLE: &[u8] = b"\"usage\"";
+/// Longest ending of an event: a line's end and a blank line.
+const BLANK_LINE_BYTES: usize = 4;
+
+/// Place after the first event's end at or after `from`, for an event that starts at `start`.
+fn event_end(held: &[u8], from: usize, start: usize) -> Option<usize> {
+    let from = from.max(start);
+    (from..held.len()).find_map(|at| {
+        let rest = &held[at..];
+        [&b"\n\n"[..], b"\n\r\n", b"\r\r"]
+            .iter()
+            .find(|end| rest.starts_with(end))
+            .map(|end| at + end.len())
+    })
+}
+
+/// The first data line of an event.
+fn data(event: &[u8]) -> Option<&[u8]> {
+    event
+        .split(|b| matches!(b, b'\n' | b'\r'))
+        .find_map(|line| line.strip_prefix(b"data:"))
+        .map(<[u8]>::trim_ascii)
+}
+
+fn is_blank(bytes: &[u8]) -> bool {
+    bytes.iter().all(u8::is_ascii_whitespace)
+}
