--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -87,7 +87,7 @@
     AccountName, AttemptId, BootId, CellId, CentreName, EndpointName, Epoch, Fingerprint,
     Incarnation, InstanceName, NAME_BYTES, RequestId, Revision, ServiceName, is_name,
 };
-pub use note::{Action, Digest, Items, Names, Note, NoteError, Problem, Reason, Row, plan};
+pub use note::{Action, Digest, Items, Names, Note, NoteError, NoteProblem, Reason, Row, plan};
 pub use path::{CallPath, PathError, split_path};
 pub use problem::{PROBLEM_TYPE, Problem, ProblemKind};
 pub use retry::{RetryBudgets, RetryPermit};
--- a/cornelstand/src/note.rs
+++ b/cornelstand/src/note.rs
@@ -134,14 +134,14 @@
     #[snafu(display("{}", listed(problems)))]
     Inconsistent {
         /// All that does not fit, by place.
-        problems: Vec<Problem>,
+        problems: Vec<NoteProblem>,
     },
 }
 
 /// One reason why a note does not fit.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 #[display("{place}: {reason}")]
-pub struct Problem {
+pub struct NoteProblem {
     /// Path into the note or the resulting configuration, such as `added.endpoints.e1.cold`.
     pub place: String,
     /// What is wrong there.
@@ -195,7 +195,7 @@
     NoTitle,
 }
 
-fn listed(problems: &[Problem]) -> String {
+fn listed(problems: &[NoteProblem]) -> String {
     let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
     lines.join("\n")
 }
@@ -239,7 +239,7 @@
         );
         let mut problems = Vec::new();
         if self.title.trim().is_empty() {
-            problems.push(Problem::at("title", Reason::NoTitle));
+            problems.push(NoteProblem::at("title", Reason::NoTitle));
         }
         let mut next = config.clone();
         let (added, changed, withdrawn) = (&self.added, &self.changed, &self.withdrawn);
@@ -362,7 +362,7 @@
     }
 }
 
-impl Problem {
+impl NoteProblem {
     pub(crate) fn at(place: impl fmt::Display, reason: Reason) -> Self {
         Self {
             place: place.to_string(),
@@ -373,7 +373,7 @@
 
 /// Edits one kind's map and notes what does not fit.
 struct Edit<'a> {
-    problems: &'a mut Vec<Problem>,
+    problems: &'a mut Vec<NoteProblem>,
     kind: &'static str,
 }
 
@@ -404,7 +404,7 @@
     fn must(&mut self, holds: bool, part: &str, name: &impl fmt::Display, reason: Reason) {
         if !holds {
             let place = format!("{part}.{}.{name}", self.kind);
-            self.problems.push(Problem { place, reason });
+            self.problems.push(NoteProblem { place, reason });
         }
     }
 }
--- a/cornelstand/src/rules.rs
+++ b/cornelstand/src/rules.rs
@@ -8,13 +8,13 @@
 
 use crate::config::{Account, Config, Endpoint, Service};
 use crate::name::{EndpointName, is_name};
-use crate::note::{Items, Note, Problem, Reason};
+use crate::note::{Items, Note, NoteProblem, Reason};
 
 /// Hexadecimal digits of a key's SHA-256 hash.
 const KEY_DIGITS: usize = 64;
 
 /// Adds everything that breaks a rule in `next`, the result of `note`, to `problems`.
-pub(crate) fn check(next: &Config, note: &Note, problems: &mut Vec<Problem>) {
+pub(crate) fn check(next: &Config, note: &Note, problems: &mut Vec<NoteProblem>) {
     let mut rules = Rules { problems };
     rules.items("added", &note.added);
     rules.items("changed", &note.changed);
@@ -24,13 +24,13 @@
 }
 
 struct Rules<'a> {
-    problems: &'a mut Vec<Problem>,
+    problems: &'a mut Vec<NoteProblem>,
 }
 
 impl Rules<'_> {
     fn must(&mut self, holds: bool, place: impl Display, reason: Reason) {
         if !holds {
-            self.problems.push(Problem::at(place, reason));
+            self.problems.push(NoteProblem::at(place, reason));
         }
     }
 
