Store the configuration in shards and keep a cell's lease

Cause: an accepted note has to be in force everywhere, and two instances that think they own a cell must not exceed an endpoint's limit. Change: the configuration is a head object and content-addressed shards, with one conditional update per note, settled by the note's digest. The lease machine divides each limit into two halves with one named holder each; the heir lends its half to the owner, so that serving needs no store.

--- /dev/null
+++ b/cornelstand/src/keeper.rs
@@ -0,0 +1,681 @@
+//! State machine of one instance for the lease of one cell.
+//!
+//! Every instance runs one for each cell. Most of them are idle: only the owner writes, and only
+//! holders of a half and the best candidate for a cell without an owner read. The machine has one
+//! store call under way at most, and treats a write whose answer was lost as both done and not
+//! done until a higher version of the object is known.
+
+use std::collections::BTreeMap;
+
+use crate::lease::{
+    Borrow, BorrowReply, Holder, Lease, LeaseEffect, LeaseInput, LeaseTiming, LeaseView, Part,
+    Tenure,
+};
+use crate::moment::Moment;
+use crate::name::{CellId, Epoch, InstanceName};
+use crate::store::{Condition, Version};
+
+/// End of the use of an own half.
+const FOREVER: Moment = Moment(u64::MAX);
+
+/// Distance of the epochs of two owners; the one between is the heir's.
+const EPOCH_STEP: u64 = 2;
+
+/// The lease machine.
+#[derive(Clone, Debug)]
+pub struct Keeper {
+    me: Holder,
+    cell: CellId,
+    timing: LeaseTiming,
+    view: LeaseView,
+    object: Option<(Version, Lease)>,
+    is_absent: bool,
+    unchanged: Option<Moment>,
+    call: Option<Call>,
+    doubts: Vec<Lease>,
+    due: Moment,
+    until: Moment,
+    claim: Option<(Epoch, InstanceName)>,
+    acting: Option<Epoch>,
+    told: Option<Tenure>,
+    lent: Option<Loan>,
+    loans: BTreeMap<Holder, Moment>,
+    freed: BTreeMap<Holder, Version>,
+    offered: Option<(InstanceName, Version)>,
+    gone: BTreeMap<Holder, Moment>,
+    asked: Option<Moment>,
+    is_blind: bool,
+    is_stale: bool,
+    drain: Drain,
+    target: Option<Holder>,
+    yielded: Option<Epoch>,
+}
+
+#[derive(Clone, Debug)]
+struct Call {
+    sent: Moment,
+    write: Option<Lease>,
+}
+
+#[derive(Clone, Debug)]
+struct Loan {
+    to: Holder,
+    until: Moment,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Drain {
+    No,
+    Wanted,
+    Moving,
+    Moved,
+}
+
+impl Keeper {
+    /// The machine of `me` for `cell`, knowing nothing.
+    #[must_use]
+    pub fn new(me: Holder, cell: CellId, timing: LeaseTiming) -> Self {
+        Self {
+            me,
+            cell,
+            timing,
+            view: LeaseView::default(),
+            object: None,
+            is_absent: false,
+            unchanged: None,
+            call: None,
+            doubts: Vec::new(),
+            due: Moment::default(),
+            until: Moment::default(),
+            claim: None,
+            acting: None,
+            told: None,
+            lent: None,
+            loans: BTreeMap::new(),
+            freed: BTreeMap::new(),
+            offered: None,
+            gone: BTreeMap::new(),
+            asked: None,
+            is_blind: false,
+            is_stale: false,
+            drain: Drain::No,
+            target: None,
+            yielded: None,
+        }
+    }
+
+    /// The cell.
+    #[must_use]
+    pub fn cell(&self) -> &CellId {
+        &self.cell
+    }
+
+    /// What this instance may do now, `None` if it does not act as owner.
+    #[must_use]
+    pub fn tenure(&self) -> Option<Tenure> {
+        self.told
+    }
+
+    /// The lease as last read or written.
+    #[must_use]
+    pub fn lease(&self) -> Option<&Lease> {
+        self.object.as_ref().map(|(_, lease)| lease)
+    }
+
+    /// Highest epoch known and who acts with it.
+    #[must_use]
+    pub fn claim(&self) -> Option<(Epoch, &InstanceName)> {
+        self.claim.as_ref().map(|(epoch, owner)| (*epoch, owner))
+    }
+
+    /// Takes in `input` and adds what is to be done to `out`.
+    pub fn handle(&mut self, now: Moment, input: LeaseInput, out: &mut Vec<LeaseEffect>) {
+        match input {
+            LeaseInput::Tick => {}
+            LeaseInput::Stored(version) => self.stored(now, version),
+            LeaseInput::Conflict => self.conflicted(now),
+            LeaseInput::Unreachable => self.unreachable(now),
+            LeaseInput::Unknown => self.unknown(now),
+            LeaseInput::Read(object) => self.read(now, object),
+            LeaseInput::View(view) => self.see(now, view),
+            LeaseInput::Claim { epoch, owner } => self.hear(now, epoch, &owner),
+            LeaseInput::Reply { from, sent, reply } => self.replied(now, from, sent, reply),
+            LeaseInput::Drain => self.start_drain(),
+            LeaseInput::HandedOver => self.handed_over(now),
+            LeaseInput::TakeOver { epoch } => self.take_over(now, epoch),
+        }
+        self.act(now);
+        self.tell(now, out);
+        self.hand_over(out);
+        self.ask(now, out);
+        self.call_store(now, out);
+        // A write that gives a half away ends its use before the write is sent.
+        self.tell(now, out);
+    }
+
+    /// Answers an acting owner that asks for this instance's half.
+    pub fn lend(
+        &mut self,
+        now: Moment,
+        borrow: &Borrow,
+        out: &mut Vec<LeaseEffect>,
+    ) -> BorrowReply {
+        if borrow.epoch < self.highest() {
+            return self.refusal();
+        }
+        self.hear(now, borrow.epoch, &borrow.from.name);
+        if self.acting.is_some() || !self.may_lend(now, &borrow.from) {
+            self.tell(now, out);
+            return self.refusal();
+        }
+        self.lent = Some(Loan {
+            to: borrow.from.clone(),
+            until: now.after(borrow.span + self.timing.margin),
+        });
+        let free = self.gives_up(borrow);
+        if free {
+            self.offered = Some((borrow.from.name.clone(), borrow.version));
+        }
+        self.tell(now, out);
+        BorrowReply::Lent {
+            free: free.then_some(borrow.version),
+        }
+    }
+
+    fn refusal(&self) -> BorrowReply {
+        let (epoch, owner) = self
+            .claim
+            .clone()
+            .unwrap_or((Epoch(0), self.me.name.clone()));
+        BorrowReply::Refused { epoch, owner }
+    }
+
+    /// Whether no other instance has, or may come to have, the use of this one's halves.
+    fn may_lend(&self, now: Moment, to: &Holder) -> bool {
+        let is_lent = self
+            .lent
+            .as_ref()
+            .is_some_and(|l| l.to != *to && now < l.until);
+        let is_offered = self
+            .offered
+            .as_ref()
+            .is_some_and(|(name, _)| *name != to.name);
+        !is_lent && !is_offered
+    }
+
+    /// Whether the halves may go to the asker for good: it owns the cell in the store, and this
+    /// instance has no use for them.
+    fn gives_up(&self, borrow: &Borrow) -> bool {
+        let is_owner = borrow.epoch.0.is_multiple_of(EPOCH_STEP);
+        let Some((version, lease)) = &self.object else {
+            return false;
+        };
+        let is_former = lease.kept == self.me;
+        let is_unfit = self.drain != Drain::No || !self.view.ranked.contains(&self.me);
+        is_owner && borrow.version >= *version && (is_former || is_unfit)
+    }
+
+    fn highest(&self) -> Epoch {
+        self.claim.as_ref().map_or(Epoch(0), |(epoch, _)| *epoch)
+    }
+
+    fn see(&mut self, now: Moment, view: LeaseView) {
+        self.view = view;
+        for holder in &self.view.gone {
+            self.gone.entry(holder.clone()).or_insert(now);
+        }
+        if self.acting.is_some() && !self.view.ranked.is_empty() && !self.is_ranked() {
+            self.start_drain();
+        } else if self.drain == Drain::Moved && self.is_ranked() && self.acting.is_none() {
+            self.drain = Drain::No;
+        }
+    }
+
+    fn is_ranked(&self) -> bool {
+        self.view.ranked.contains(&self.me)
+    }
+
+    fn hear(&mut self, now: Moment, epoch: Epoch, owner: &InstanceName) {
+        if epoch <= self.highest() {
+            return;
+        }
+        let is_mine = *owner == self.me.name;
+        self.claim = Some((epoch, owner.clone()));
+        let Some(mine) = self.acting else { return };
+        if is_mine || epoch <= mine {
+            return;
+        }
+        // An owner whose lease is valid answers its heir's claim with a higher epoch.
+        let is_heir = epoch.0 == mine.0 + 1 && now < self.until;
+        if is_heir {
+            self.due = now;
+        } else {
+            self.acting = None;
+        }
+    }
+
+    fn replied(&mut self, now: Moment, from: Holder, sent: Moment, reply: BorrowReply) {
+        match reply {
+            BorrowReply::Lent { free } => {
+                let until = sent.after(self.timing.loan);
+                let known = self.loans.entry(from.clone()).or_default();
+                *known = until.max(*known);
+                let Some(version) = free else { return };
+                if self.freed.insert(from, version) != Some(version) {
+                    self.due = now;
+                }
+            }
+            BorrowReply::Refused { epoch, owner } => self.hear(now, epoch, &owner),
+        }
+    }
+
+    fn start_drain(&mut self) {
+        if self.drain == Drain::No {
+            self.drain = Drain::Wanted;
+        }
+    }
+
+    fn handed_over(&mut self, now: Moment) {
+        if self.drain == Drain::Moving {
+            self.drain = Drain::Moved;
+            self.acting = None;
+            self.due = now;
+        }
+    }
+
+    fn take_over(&mut self, now: Moment, epoch: Epoch) {
+        if epoch < self.highest() {
+            return;
+        }
+        self.yielded = Some(epoch);
+        self.lent = None;
+        self.is_stale = true;
+        self.due = now;
+    }
+
+    fn stored(&mut self, now: Moment, version: Version) {
+        let Some(Call {
+            sent,
+            write: Some(lease),
+        }) = self.call.take()
+        else {
+            return;
+        };
+        if lease.owner == self.me {
+            self.until = sent.after(self.timing.length);
+        }
+        self.is_blind = false;
+        self.asked = None;
+        self.learn(now, version, lease);
+    }
+
+    fn read(&mut self, now: Moment, object: Option<(Version, Lease)>) {
+        self.call = None;
+        self.is_blind = false;
+        self.is_stale = false;
+        self.is_absent = object.is_none();
+        let Some((version, lease)) = object else {
+            return;
+        };
+        let known = self.version();
+        if version < known {
+            return;
+        }
+        if version == known {
+            self.unchanged = self.unchanged.or(Some(now));
+            return;
+        }
+        self.learn(now, version, lease);
+        self.unchanged = Some(now);
+    }
+
+    /// Takes in a version of the object that is higher than the one known.
+    fn learn(&mut self, now: Moment, version: Version, lease: Lease) {
+        self.is_absent = false;
+        self.unchanged = None;
+        self.doubts.clear();
+        self.hear(now, lease.epoch, &lease.owner.name);
+        if self.offered.as_ref().is_some_and(|(_, v)| version > *v) {
+            self.offered = None;
+        }
+        if lease.owner != self.me || self.highest() != lease.epoch {
+            self.due = self.due.max(now.after(self.timing.renew));
+        } else if self.acting.is_some() && self.acting != Some(lease.epoch) {
+            self.acting = Some(lease.epoch);
+        }
+        self.object = Some((version, lease));
+    }
+
+    fn conflicted(&mut self, now: Moment) {
+        self.call = None;
+        self.is_blind = false;
+        self.is_stale = true;
+        self.due = now;
+    }
+
+    fn unreachable(&mut self, now: Moment) {
+        self.call = None;
+        self.blind(now);
+    }
+
+    fn unknown(&mut self, now: Moment) {
+        if let Some(Call {
+            write: Some(lease), ..
+        }) = self.call.take()
+        {
+            self.doubts.push(lease);
+        }
+        self.blind(now);
+    }
+
+    /// A gap in the view of the store starts the wait for the lease's end anew.
+    fn blind(&mut self, now: Moment) {
+        self.is_blind = true;
+        self.unchanged = None;
+        self.due = now.after(self.timing.borrow);
+    }
+
+    fn version(&self) -> Version {
+        self.object
+            .as_ref()
+            .map_or_else(Version::default, |(v, _)| *v)
+    }
+
+    fn is_lost(&self, holder: &Holder) -> bool {
+        self.view.lost.contains(holder) || self.gone.contains_key(holder)
+    }
+
+    /// Starts to act where this instance is entitled to.
+    fn act(&mut self, now: Moment) {
+        let Some((_, lease)) = &self.object else {
+            return;
+        };
+        if self.acting.is_some() || self.offered.is_some() || self.drain == Drain::Moved {
+            return;
+        }
+        let highest = self.highest();
+        if lease.owner == self.me {
+            if highest <= lease.epoch {
+                self.acting = Some(lease.epoch);
+                self.asked = None;
+            }
+            return;
+        }
+        let epoch = Epoch(lease.epoch.0 + 1);
+        let is_heir = lease.spare == self.me && highest <= epoch;
+        let is_yielded = self.yielded == Some(lease.epoch) && self.is_blind;
+        let is_alone = self.is_lost(&lease.owner) || is_yielded;
+        if is_heir && is_alone && !self.is_lent(now) && self.drain == Drain::No {
+            self.acting = Some(epoch);
+            self.asked = None;
+            self.claim = Some((epoch, self.me.name.clone()));
+        }
+    }
+
+    fn is_lent(&self, now: Moment) -> bool {
+        self.lent.as_ref().is_some_and(|l| now < l.until)
+    }
+
+    /// Tells the tenure if it has changed.
+    fn tell(&mut self, now: Moment, out: &mut Vec<LeaseEffect>) {
+        let tenure = self.acting.and_then(|epoch| self.halves(now, epoch));
+        match (&self.told, &tenure) {
+            (None, Some(t)) => out.push(LeaseEffect::Gained(*t)),
+            (Some(old), Some(t)) if old != t => out.push(LeaseEffect::Renewed(*t)),
+            (Some(_), None) => out.push(LeaseEffect::Lost),
+            _ => {}
+        }
+        self.told = tenure;
+    }
+
+    /// What the halves that may be used now amount to.
+    fn halves(&self, now: Moment, epoch: Epoch) -> Option<Tenure> {
+        let (_, lease) = self.object.as_ref()?;
+        let kept = self.use_of(now, &lease.kept, |l| &l.kept);
+        let spare = self.use_of(now, &lease.spare, |l| &l.spare);
+        let part = Part::from_halves(kept.is_some(), spare.is_some())?;
+        let ends = [kept, spare].into_iter().flatten();
+        let until = ends.min().unwrap_or_default();
+        let is_own = |end: Option<Moment>| end == Some(FOREVER);
+        Some(Tenure {
+            epoch,
+            part,
+            until,
+            after: Part::from_halves(is_own(kept), is_own(spare)),
+        })
+    }
+
+    /// Until when this instance may use the half of `holder`, `None` if not at all.
+    fn use_of(
+        &self,
+        now: Moment,
+        holder: &Holder,
+        half: impl Fn(&Lease) -> &Holder,
+    ) -> Option<Moment> {
+        if *holder != self.me {
+            let until = self.loans.get(holder)?;
+            return (now < *until).then_some(*until);
+        }
+        let pending = self.call.iter().filter_map(|c| c.write.as_ref());
+        let is_sure = self
+            .doubts
+            .iter()
+            .chain(pending)
+            .all(|l| *half(l) == self.me);
+        let is_free = self.offered.is_none() && !self.is_lent(now);
+        (is_sure && is_free).then_some(FOREVER)
+    }
+
+    /// Chooses the next owner of a cell that this instance has to leave.
+    fn hand_over(&mut self, out: &mut Vec<LeaseEffect>) {
+        if self.drain != Drain::Wanted {
+            return;
+        }
+        let Some((_, lease)) = self.object.as_ref().filter(|_| self.acting.is_some()) else {
+            self.drain = Drain::Moved;
+            return;
+        };
+        let others = || self.view.ranked.iter().filter(|h| **h != self.me);
+        let heir = others().find(|h| **h == lease.spare);
+        let Some(to) = heir.or_else(|| others().next()).cloned() else {
+            return;
+        };
+        self.drain = Drain::Moving;
+        self.target = Some(to.clone());
+        out.push(LeaseEffect::HandOver { to });
+    }
+
+    /// Asks the holders of the other halves for a loan.
+    fn ask(&mut self, now: Moment, out: &mut Vec<LeaseEffect>) {
+        let Some((version, lease)) = &self.object else {
+            return;
+        };
+        let Some(epoch) = self.acting else { return };
+        let is_due = self
+            .asked
+            .is_none_or(|a| now >= a.after(self.timing.borrow));
+        if !is_due {
+            return;
+        }
+        self.asked = Some(now);
+        let spare = Some(&lease.spare).filter(|s| **s != lease.kept);
+        for to in std::iter::once(&lease.kept).chain(spare) {
+            if *to == self.me || self.gone.contains_key(to) {
+                continue;
+            }
+            let borrow = Borrow {
+                cell: self.cell.clone(),
+                from: self.me.clone(),
+                epoch,
+                version: *version,
+                span: self.timing.loan,
+            };
+            out.push(LeaseEffect::Borrow {
+                to: to.clone(),
+                borrow,
+                sent: now,
+            });
+        }
+    }
+
+    /// Makes the next call to the store, if one is due.
+    fn call_store(&mut self, now: Moment, out: &mut Vec<LeaseEffect>) {
+        if self.call.is_some() || now < self.due {
+            return;
+        }
+        let write = if self.is_stale {
+            None
+        } else {
+            self.next_write(now)
+        };
+        if write.is_none() && !self.is_watching(now) {
+            return;
+        }
+        self.due = now.after(self.timing.renew);
+        self.call = Some(Call {
+            sent: now,
+            write: write.clone(),
+        });
+        out.push(match write {
+            Some(lease) => LeaseEffect::Write {
+                condition: self.condition(),
+                lease: Box::new(lease),
+            },
+            None => LeaseEffect::Read,
+        });
+    }
+
+    fn condition(&self) -> Condition {
+        let version = self.object.as_ref().map(|(version, _)| *version);
+        version.map_or(Condition::Absent, Condition::Match)
+    }
+
+    /// The lease to write now, if any.
+    fn next_write(&self, now: Moment) -> Option<Lease> {
+        let Some((_, lease)) = &self.object else {
+            return self.may_create().then(|| self.first());
+        };
+        let is_owner = lease.owner == self.me;
+        if is_owner && self.drain == Drain::Moved {
+            return self.target.as_ref().map(|to| self.passed_on(lease, to));
+        }
+        if is_owner && self.acting.is_some() {
+            return Some(self.renewed(now, lease));
+        }
+        if !is_owner && self.may_take(now, lease) {
+            let mut taken = lease.clone();
+            taken.owner = self.me.clone();
+            taken.epoch = self.next_epoch(lease);
+            return Some(self.renewed(now, &taken));
+        }
+        None
+    }
+
+    fn may_create(&self) -> bool {
+        let is_first = self.view.ranked.first() == Some(&self.me);
+        self.is_absent && is_first && self.drain == Drain::No
+    }
+
+    fn first(&self) -> Lease {
+        Lease {
+            cell: self.cell.clone(),
+            epoch: Epoch((self.highest().0 / EPOCH_STEP + 1) * EPOCH_STEP),
+            owner: self.me.clone(),
+            kept: self.me.clone(),
+            spare: self.me.clone(),
+            renewals: 0,
+        }
+    }
+
+    fn next_epoch(&self, lease: &Lease) -> Epoch {
+        let highest = self.highest().max(lease.epoch);
+        Epoch((highest.0 / EPOCH_STEP + 1) * EPOCH_STEP)
+    }
+
+    /// Whether this instance may take the lease from a lost owner.
+    fn may_take(&self, now: Moment, lease: &Lease) -> bool {
+        if !self.is_ranked() || self.drain != Drain::No {
+            return false;
+        }
+        let wait = self.timing.length + self.timing.margin;
+        let is_silent = self.unchanged.is_some_and(|since| now >= since.after(wait));
+        let is_over = is_silent || self.gone.contains_key(&lease.owner);
+        if self.acting.is_some() {
+            return is_over;
+        }
+        let is_heir = lease.spare == self.me;
+        let is_next = is_heir || (self.is_lost(&lease.spare) && self.is_first(lease));
+        is_over && is_next && self.is_lost(&lease.owner)
+    }
+
+    /// Whether this instance is the best candidate besides the holders.
+    fn is_first(&self, lease: &Lease) -> bool {
+        let others = self.view.ranked.iter();
+        let mut others = others.filter(|h| **h != lease.owner && **h != lease.spare);
+        others.next() == Some(&self.me)
+    }
+
+    /// The lease of this instance as owner, with the halves that it may name itself or an heir
+    /// for.
+    fn renewed(&self, now: Moment, lease: &Lease) -> Lease {
+        let mut next = lease.clone();
+        next.renewals += 1;
+        if self.highest() > next.epoch {
+            next.epoch = self.next_epoch(&next);
+        }
+        if self.is_free(now, &lease.kept) {
+            next.kept = self.me.clone();
+        }
+        if self.is_free(now, &lease.spare) {
+            next.spare = self.me.clone();
+        }
+        if next.kept == self.me && next.spare == self.me {
+            next.spare = self.heir();
+        }
+        next
+    }
+
+    /// Whether the half of `holder` may go to this instance.
+    fn is_free(&self, now: Moment, holder: &Holder) -> bool {
+        let is_freed = self.freed.get(holder) == Some(&self.version());
+        let wait = self.timing.loan + self.timing.margin;
+        let is_gone = self
+            .gone
+            .get(holder)
+            .is_some_and(|since| now >= since.after(wait));
+        is_freed || is_gone
+    }
+
+    fn heir(&self) -> Holder {
+        let mut others = self.view.ranked.iter().filter(|h| **h != self.me);
+        others.next().unwrap_or(&self.me).clone()
+    }
+
+    fn passed_on(&self, lease: &Lease, to: &Holder) -> Lease {
+        let mut next = lease.clone();
+        next.owner = to.clone();
+        next.epoch = self.next_epoch(lease);
+        next.renewals += 1;
+        for half in [&mut next.kept, &mut next.spare] {
+            if *half == self.me {
+                *half = to.clone();
+            }
+        }
+        next
+    }
+
+    /// Whether the lease object has to be read now.
+    fn is_watching(&self, now: Moment) -> bool {
+        if self.is_stale || self.offered.is_some() || !self.doubts.is_empty() {
+            return true;
+        }
+        let Some((_, lease)) = &self.object else {
+            let is_first = self.view.ranked.first() == Some(&self.me);
+            return is_first && self.drain == Drain::No;
+        };
+        if lease.is_holder(&self.me) || lease.owner == self.me {
+            return self.acting != Some(lease.epoch) && !self.is_lent(now);
+        }
+        self.is_lost(&lease.owner) && self.is_first(lease)
+    }
+}
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -19,10 +19,14 @@
 
 mod config;
 mod dispatch;
+mod keeper;
+mod lease;
 mod moment;
 mod name;
 mod note;
+mod publish;
 mod rules;
+mod shard;
 mod store;
 mod timeline;
 mod unique;
@@ -32,11 +36,18 @@
     Census, Counter, Dispatch, Ending, EndpointState, Grant, Handover, Offer, Phase, Refusal,
     Reply, Report, Running,
 };
+pub use keeper::Keeper;
+pub use lease::{
+    Borrow, BorrowReply, Holder, Lease, LeaseEffect, LeaseInput, LeaseTiming, LeaseView, Part,
+    Tenure,
+};
 pub use moment::{Clock, Moment, micros};
 pub use name::{
     AccountName, AttemptId, BootId, CellId, CentreName, EndpointName, Epoch, Fingerprint,
     Incarnation, InstanceName, NAME_BYTES, RequestId, Revision, ServiceName, is_name,
 };
 pub use note::{Action, Digest, Items, Names, Note, NoteError, Problem, Reason, Row, plan};
+pub use publish::{Acceptance, HEAD_NAME, Known, PublishError, accept, collect, fetch};
+pub use shard::{Accepted, Head, ShardRef};
 pub use store::{Condition, Listing, Object, ObjectKind, Store, StoreError, VALUE_BYTES, Version};
 pub use timeline::{Event, Stamp, Timeline, Topic, merge};
