Add the membership by gossip

Cause: instances have to agree on who is live, who acts for a cell and which revision is known, with traffic that does not grow with the fleet. Change: a pure machine exchanges bounded messages with two random peers a second; news first, a walk over the table for repair; suspicion, refutation, leaving; the platform's list gives seeds and, after its lag, the proof that a process has ended.

--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -19,8 +19,10 @@
 
 mod config;
 mod dispatch;
+mod gossip;
 mod keeper;
 mod lease;
+mod member;
 mod moment;
 mod name;
 mod note;
@@ -36,11 +38,16 @@
     Census, Counter, Dispatch, Ending, EndpointState, Grant, Handover, Offer, Phase, Refusal,
     Reply, Report, Running,
 };
+pub use gossip::{
+    CellClaim, Extension, ExtensionTopic, GOSSIP_CELLS, GOSSIP_EXTRA, GOSSIP_MEMBERS, Gossip,
+    Member, MemberState, Seed,
+};
 pub use keeper::Keeper;
 pub use lease::{
     Borrow, BorrowReply, Holder, Lease, LeaseEffect, LeaseInput, LeaseTiming, LeaseView, Part,
     Tenure,
 };
+pub use member::{MemberInput, MemberOutput, MemberTiming, Members};
 pub use moment::{Clock, Moment, micros};
 pub use name::{
     AccountName, AttemptId, BootId, CellId, CentreName, EndpointName, Epoch, Fingerprint,
--- /dev/null
+++ b/cornelstand/src/member.rs
@@ -0,0 +1,603 @@
+//! Membership of the fleet by gossip.
+//!
+//! Each second an instance exchanges bounded messages with a few random peers. News goes first,
+//! each piece a number of times that grows with the logarithm of the fleet; the rest of a message
+//! walks over everything known, which repairs what got lost. A peer that does not answer turns
+//! suspect and, unless it refutes that in time, dead. The platform's instance list lags, so it only
+//! gives addresses to try and, once an instance is missing from it for long, the proof that
+//! its process has ended.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::seq::{IndexedRandom as _, IteratorRandom as _};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::config::Config;
+use crate::gossip::{
+    CellClaim, Extension, GOSSIP_CELLS, GOSSIP_EXTRA, GOSSIP_MEMBERS, Gossip, Member, MemberState,
+    Seed,
+};
+use crate::lease::{Holder, Lease, LeaseView};
+use crate::moment::{Moment, micros};
+use crate::name::{CellId, Epoch, Incarnation, InstanceName, Revision};
+use crate::timeline::Stamp;
+
+/// Peers that an instance starts an exchange with in each period.
+const FANOUT: usize = 2;
+
+/// Entries of the walk over everything known in one message.
+const WALK: usize = 3;
+
+/// Times that a piece of news is told, per binary digit of the number of members.
+const TELLINGS: u32 = 2;
+
+/// Chance, one in so many periods, to try an address where no live member is known.
+const SEED_CHANCE: u32 = 5;
+
+/// Durations of the membership.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct MemberTiming {
+    /// Time between two rounds of exchanges.
+    pub period: Duration,
+    /// Time for which a suspect may refute.
+    pub suspicion: Duration,
+    /// Longest lag of the platform's instance list.
+    pub lag: Duration,
+    /// Time after which a dead member is forgotten.
+    pub memory: Duration,
+}
+
+impl Default for MemberTiming {
+    fn default() -> Self {
+        Self {
+            period: Duration::from_secs(1),
+            suspicion: Duration::from_secs(4),
+            lag: Duration::from_secs(10),
+            memory: Duration::from_mins(10),
+        }
+    }
+}
+
+/// Input of the membership.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum MemberInput {
+    /// Time passed. Expected once in a period.
+    Tick {
+        /// Stamp for the messages.
+        stamp: Stamp,
+    },
+    /// A peer started an exchange; answered by [`MemberOutput::Reply`].
+    Received {
+        /// The peer's message.
+        gossip: Box<Gossip>,
+        /// Stamp for the reply.
+        stamp: Stamp,
+    },
+    /// A peer replied in an exchange.
+    Answered(Box<Gossip>),
+    /// A peer did not reply.
+    Silent(SocketAddr),
+    /// The platform's instance list, or the addresses in the settings.
+    Seeds {
+        /// The instances.
+        seeds: Vec<Seed>,
+        /// Whether the list is the platform's, so that a missing instance has ended.
+        is_complete: bool,
+    },
+    /// This instance acts as owner of a cell.
+    Claim {
+        /// The cell.
+        cell: CellId,
+        /// Its epoch.
+        epoch: Epoch,
+        /// Expected wait of a new request, in milliseconds.
+        delay: u32,
+    },
+    /// This instance has a revision in force.
+    InForce(Revision),
+    /// A revision is known to be accepted.
+    Known(Revision),
+    /// Items of another module for the next messages, replacing earlier ones.
+    Extend(Vec<Extension>),
+    /// This instance is about to stop.
+    Leave,
+    /// This instance has stopped all work and ends after the next exchanges.
+    Left,
+}
+
+/// Output of the membership.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum MemberOutput {
+    /// Send a message and return the reply or silence.
+    Exchange {
+        /// The peer.
+        address: SocketAddr,
+        /// The message.
+        gossip: Box<Gossip>,
+    },
+    /// Reply to the exchange that a peer started.
+    Reply(Box<Gossip>),
+    /// A member has changed its state or process.
+    Changed(Member),
+    /// A cell has another owner, epoch or delay.
+    Cell(CellClaim),
+    /// A peer knows of a higher revision than this instance did.
+    Revision {
+        /// The revision.
+        revision: Revision,
+        /// The peer.
+        peer: InstanceName,
+    },
+    /// Items of other modules from a peer.
+    Extra {
+        /// The peer.
+        from: InstanceName,
+        /// The items.
+        items: Vec<Extension>,
+    },
+    /// Another process has this instance's name and a later start.
+    Displaced(Incarnation),
+}
+
+/// The members of the fleet as one instance knows them.
+#[derive(Clone, Debug)]
+pub struct Members {
+    me: Member,
+    timing: MemberTiming,
+    rng: ChaCha8Rng,
+    table: BTreeMap<InstanceName, Known>,
+    cells: BTreeMap<CellId, Told<CellClaim>>,
+    known: Revision,
+    seeds: Vec<Seed>,
+    listed: Listed,
+    extra: Vec<Extension>,
+    walk: Option<InstanceName>,
+    cell_walk: Option<CellId>,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    member: Member,
+    since: Moment,
+    tellings: u32,
+}
+
+/// When the platform's list was read, and when it last had each name.
+#[derive(Clone, Debug, Default)]
+struct Listed {
+    first: Option<Moment>,
+    last: Moment,
+    names: BTreeMap<InstanceName, Moment>,
+}
+
+impl Listed {
+    fn take_in(&mut self, now: Moment, seeds: &[Seed]) {
+        self.first = self.first.or(Some(now));
+        self.last = now;
+        let names = seeds.iter().filter_map(|s| s.name.clone());
+        self.names.extend(names.map(|name| (name, now)));
+    }
+
+    /// For how long the lists that were read have been without `name`.
+    fn absence(&self, name: &InstanceName) -> Option<Duration> {
+        let first = self.first?;
+        let since = self.names.get(name).copied().unwrap_or(first);
+        Some(self.last.since(since))
+    }
+
+    fn forget(&mut self, before: Moment) {
+        if self.first.is_some_and(|first| first < before) {
+            self.names.retain(|_, last| *last >= before);
+            self.first = Some(before);
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Told<T> {
+    item: T,
+    tellings: u32,
+}
+
+impl Members {
+    /// A membership with `me` alone. `seed` feeds the choice of peers.
+    #[must_use]
+    pub fn new(me: Member, timing: MemberTiming, seed: u64) -> Self {
+        Self {
+            me,
+            timing,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            table: BTreeMap::new(),
+            cells: BTreeMap::new(),
+            known: Revision::default(),
+            seeds: Vec::new(),
+            listed: Listed::default(),
+            extra: Vec::new(),
+            walk: None,
+            cell_walk: None,
+        }
+    }
+
+    /// Takes in `input` and adds what follows to `out`.
+    pub fn handle(&mut self, now: Moment, input: MemberInput, out: &mut Vec<MemberOutput>) {
+        match input {
+            MemberInput::Tick { stamp } => self.tick(now, stamp, out),
+            MemberInput::Received { gossip, stamp } => {
+                self.take_in(now, *gossip, out);
+                out.push(MemberOutput::Reply(Box::new(self.message(stamp))));
+            }
+            MemberInput::Answered(gossip) => self.take_in(now, *gossip, out),
+            MemberInput::Silent(address) => self.suspect(now, address, out),
+            MemberInput::Seeds { seeds, is_complete } => self.list(now, seeds, is_complete),
+            MemberInput::Claim { cell, epoch, delay } => self.claim(cell, epoch, delay, out),
+            MemberInput::InForce(revision) => {
+                self.me.revision = revision;
+                self.me.count += 1;
+                self.known = self.known.max(revision);
+            }
+            MemberInput::Known(revision) => self.known = self.known.max(revision),
+            MemberInput::Extend(items) => self.extra = bounded(items),
+            MemberInput::Leave => self.say(MemberState::Leaving),
+            MemberInput::Left => self.say(MemberState::Left),
+        }
+    }
+
+    /// This instance.
+    #[must_use]
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// All members by name, this instance first.
+    pub fn all(&self) -> impl Iterator<Item = &Member> {
+        std::iter::once(&self.me).chain(self.table.values().map(|k| &k.member))
+    }
+
+    /// Members that answer, this instance included unless it leaves.
+    pub fn live(&self) -> impl Iterator<Item = &Member> {
+        self.all()
+            .filter(|m| matches!(m.state, MemberState::Live | MemberState::Suspect))
+    }
+
+    /// The member `name`.
+    #[must_use]
+    pub fn get(&self, name: &InstanceName) -> Option<&Member> {
+        if *name == self.me.name {
+            return Some(&self.me);
+        }
+        self.table.get(name).map(|k| &k.member)
+    }
+
+    /// Who acts as owner of `cell`.
+    #[must_use]
+    pub fn owner(&self, cell: &CellId) -> Option<&CellClaim> {
+        self.cells.get(cell).map(|t| &t.item)
+    }
+
+    /// Highest accepted revision known.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.known
+    }
+
+    /// Members that do not have `revision` or a later one in force, of those that should.
+    pub fn behind(&self, revision: Revision) -> impl Iterator<Item = &Member> {
+        let is_running = |m: &&Member| !matches!(m.state, MemberState::Dead | MemberState::Left);
+        self.all()
+            .filter(is_running)
+            .filter(move |m| m.revision < revision)
+    }
+
+    /// The first `count` live members in the order of a rendezvous hash for `key`.
+    #[must_use]
+    pub fn ranked(&self, key: &str, count: usize) -> Vec<&Member> {
+        let mut ranked: Vec<(u64, &Member)> =
+            self.live().map(|m| (weight(key, &m.name), m)).collect();
+        ranked.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        ranked.into_iter().take(count).map(|(_, m)| m).collect()
+    }
+
+    /// What the lease machine of `cell` has to know.
+    #[must_use]
+    pub fn lease_view(&self, cell: &CellId, config: &Config, lease: Option<&Lease>) -> LeaseView {
+        let key = cell.to_string();
+        let ranked = self.ranked(&key, usize::MAX).into_iter();
+        let ranked = ranked.filter(|m| !config.centres.get(&m.centre).is_some_and(|c| c.out));
+        let holders: BTreeSet<&Holder> = lease
+            .into_iter()
+            .flat_map(|l| [&l.owner, &l.kept, &l.spare])
+            .collect();
+        let is_lost = |h: &&&Holder| !self.is_running(h);
+        let is_gone = |h: &&&Holder| self.is_gone(&h.name, h.incarnation);
+        LeaseView {
+            ranked: ranked.map(Member::holder).collect(),
+            lost: holders.iter().filter(is_lost).copied().cloned().collect(),
+            gone: holders.iter().filter(is_gone).copied().cloned().collect(),
+        }
+    }
+
+    fn is_running(&self, holder: &Holder) -> bool {
+        self.get(&holder.name).is_some_and(|m| {
+            m.incarnation == holder.incarnation
+                && !matches!(m.state, MemberState::Dead | MemberState::Left)
+        })
+    }
+
+    /// Tells whether the process has certainly ended: a later one has its name, it said so
+    /// itself, or the platform has not listed it for longer than its list may lag.
+    #[must_use]
+    pub fn is_gone(&self, name: &InstanceName, incarnation: Incarnation) -> bool {
+        let known = self.get(name);
+        let is_replaced = known.is_some_and(|m| m.incarnation > incarnation);
+        let has_left = known.is_some_and(|m| m.incarnation == incarnation && m.state.is_left());
+        let absence = self.listed.absence(name).unwrap_or_default();
+        let is_live = known.is_some_and(|m| m.incarnation == incarnation && m.state.is_live());
+        is_replaced || has_left || (absence >= self.timing.lag && !is_live)
+    }
+
+    fn say(&mut self, state: MemberState) {
+        self.me.state = self.me.state.max(state);
+        self.me.count += 1;
+    }
+
+    fn tick(&mut self, now: Moment, stamp: Stamp, out: &mut Vec<MemberOutput>) {
+        self.expire(now, out);
+        for address in self.peers() {
+            out.push(MemberOutput::Exchange {
+                address,
+                gossip: Box::new(self.message(stamp)),
+            });
+        }
+    }
+
+    /// Addresses for this round: random members, and at times one where none is known.
+    fn peers(&mut self) -> Vec<SocketAddr> {
+        let running = self.table.values().filter(|k| {
+            let state = k.member.state;
+            !matches!(state, MemberState::Dead | MemberState::Left)
+        });
+        let running: Vec<SocketAddr> = running.map(|k| k.member.address).collect();
+        let mut peers: Vec<SocketAddr> = running.sample(&mut self.rng, FANOUT).copied().collect();
+        let is_own = |a: &SocketAddr| *a == self.me.address;
+        let dead = self.table.values().filter(|k| k.member.state.is_dead());
+        let dead = dead.map(|k| k.member.address);
+        let seeds = self.seeds.iter().map(|s| s.address);
+        let strange = seeds
+            .chain(dead)
+            .filter(|a| !is_own(a) && !running.contains(a))
+            .choose(&mut self.rng);
+        let is_due = running.is_empty() || self.rng.random_ratio(1, SEED_CHANCE);
+        peers.extend(strange.filter(|_| is_due));
+        peers
+    }
+
+    /// Turns suspects that did not refute into dead members and forgets old dead ones.
+    fn expire(&mut self, now: Moment, out: &mut Vec<MemberOutput>) {
+        let (suspicion, memory) = (self.timing.suspicion, self.timing.memory);
+        let tellings = self.tellings();
+        for known in self.table.values_mut() {
+            if known.member.state.is_suspect() && now >= known.since.after(suspicion) {
+                known.member.state = MemberState::Dead;
+                known.since = now;
+                known.tellings = tellings;
+                out.push(MemberOutput::Changed(known.member.clone()));
+            }
+        }
+        if let Some(before) = now.0.checked_sub(micros(memory)) {
+            self.listed.forget(Moment(before));
+        }
+        self.table.retain(|_, known| {
+            let is_over = matches!(known.member.state, MemberState::Dead | MemberState::Left);
+            !is_over || now < known.since.after(memory)
+        });
+    }
+
+    fn tellings(&self) -> u32 {
+        TELLINGS * (usize::BITS - self.table.len().leading_zeros()).max(2)
+    }
+
+    fn suspect(&mut self, now: Moment, address: SocketAddr, out: &mut Vec<MemberOutput>) {
+        let tellings = self.tellings();
+        let known = self
+            .table
+            .values_mut()
+            .find(|k| k.member.address == address);
+        let Some(known) = known else { return };
+        if matches!(known.member.state, MemberState::Live | MemberState::Leaving) {
+            known.member.state = MemberState::Suspect;
+            known.since = now;
+            known.tellings = tellings;
+            out.push(MemberOutput::Changed(known.member.clone()));
+        }
+    }
+
+    fn take_in(&mut self, now: Moment, gossip: Gossip, out: &mut Vec<MemberOutput>) {
+        let peer = gossip.from.name.clone();
+        self.answer(&gossip.from);
+        self.merge(now, gossip.from, out);
+        for member in gossip.members.into_iter().take(GOSSIP_MEMBERS) {
+            self.merge(now, member, out);
+        }
+        for claim in gossip.cells.into_iter().take(GOSSIP_CELLS) {
+            self.merge_claim(claim, out);
+        }
+        if gossip.known > self.known {
+            self.known = gossip.known;
+            let revision = gossip.known;
+            let peer = peer.clone();
+            out.push(MemberOutput::Revision { revision, peer });
+        }
+        if !gossip.extra.is_empty() {
+            let items = bounded(gossip.extra);
+            out.push(MemberOutput::Extra { from: peer, items });
+        }
+    }
+
+    /// Lets a peer that is taken for lost learn of it with the next message, so that it refutes.
+    fn answer(&mut self, peer: &Member) {
+        let tellings = self.tellings();
+        let known = self.table.get_mut(&peer.name);
+        let is_lost = |m: &Member| m.state.is_suspect() || m.state.is_dead();
+        if let Some(known) = known.filter(|k| is_lost(&k.member)) {
+            known.tellings = tellings;
+        }
+    }
+
+    fn merge(&mut self, now: Moment, member: Member, out: &mut Vec<MemberOutput>) {
+        if member.name == self.me.name {
+            self.refute(&member, out);
+            return;
+        }
+        let tellings = self.tellings();
+        let old = self.table.get(&member.name).map(|k| &k.member);
+        if old.is_some_and(|o| !member.is_newer(o)) {
+            return;
+        }
+        let is_change = old.is_none_or(|o| {
+            (o.state, o.incarnation) != (member.state, member.incarnation)
+                || o.address != member.address
+        });
+        if is_change {
+            out.push(MemberOutput::Changed(member.clone()));
+        }
+        let old = self.table.get(&member.name).map(|k| (k.since, k.tellings));
+        let (since, tellings) = old.filter(|_| !is_change).unwrap_or((now, tellings));
+        let name = member.name.clone();
+        let known = Known {
+            member,
+            since,
+            tellings,
+        };
+        self.table.insert(name, known);
+    }
+
+    /// Answers what others say about this instance.
+    fn refute(&mut self, told: &Member, out: &mut Vec<MemberOutput>) {
+        if told.incarnation > self.me.incarnation {
+            out.push(MemberOutput::Displaced(told.incarnation));
+        } else if told.is_newer(&self.me) {
+            self.me.count = told.count + 1;
+        }
+    }
+
+    fn merge_claim(&mut self, claim: CellClaim, out: &mut Vec<MemberOutput>) {
+        let order = |c: &CellClaim| (c.epoch, c.owner.clone(), c.count);
+        let old = self.cells.get(&claim.cell);
+        if old.is_some_and(|o| order(&o.item) >= order(&claim)) {
+            return;
+        }
+        let tellings = self.tellings();
+        out.push(MemberOutput::Cell(claim.clone()));
+        let cell = claim.cell.clone();
+        self.cells.insert(
+            cell,
+            Told {
+                item: claim,
+                tellings,
+            },
+        );
+    }
+
+    fn claim(&mut self, cell: CellId, epoch: Epoch, delay: u32, out: &mut Vec<MemberOutput>) {
+        let old = self.cells.get(&cell).map(|t| &t.item);
+        let old = old.filter(|c| c.epoch == epoch && c.owner == self.me.name);
+        let count = old.map_or(0, |c| c.count + 1);
+        let claim = CellClaim {
+            cell,
+            epoch,
+            count,
+            owner: self.me.name.clone(),
+            delay,
+        };
+        self.merge_claim(claim, out);
+    }
+
+    fn list(&mut self, now: Moment, seeds: Vec<Seed>, is_complete: bool) {
+        if is_complete {
+            self.listed.take_in(now, &seeds);
+        }
+        if !seeds.is_empty() {
+            self.seeds = seeds;
+        }
+    }
+
+    fn message(&mut self, stamp: Stamp) -> Gossip {
+        Gossip {
+            from: self.me.clone(),
+            stamp,
+            known: self.known,
+            members: self.news(),
+            cells: self.cell_news(),
+            extra: self.extra.clone(),
+        }
+    }
+
+    /// News of members, and the next few of the walk over all of them.
+    fn news(&mut self) -> Vec<Member> {
+        let mut news: Vec<&mut Known> =
+            self.table.values_mut().filter(|k| k.tellings > 0).collect();
+        news.sort_by_key(|k| std::cmp::Reverse(k.tellings));
+        let mut members = Vec::new();
+        for known in news.into_iter().take(GOSSIP_MEMBERS - WALK) {
+            known.tellings -= 1;
+            members.push(known.member.clone());
+        }
+        let after = self.walk.take();
+        let later = self.table.iter();
+        let later = later.filter(|(name, _)| after.as_ref().is_none_or(|a| *name > a));
+        for (name, known) in later.take(WALK) {
+            self.walk = Some(name.clone());
+            members.push(known.member.clone());
+        }
+        members
+    }
+
+    fn cell_news(&mut self) -> Vec<CellClaim> {
+        let mut news: Vec<&mut Told<CellClaim>> =
+            self.cells.values_mut().filter(|t| t.tellings > 0).collect();
+        news.sort_by_key(|t| std::cmp::Reverse(t.tellings));
+        let mut claims = Vec::new();
+        for told in news.into_iter().take(GOSSIP_CELLS - WALK) {
+            told.tellings -= 1;
+            claims.push(told.item.clone());
+        }
+        let after = self.cell_walk.take();
+        let later = self.cells.iter();
+        let later = later.filter(|(cell, _)| after.as_ref().is_none_or(|a| *cell > a));
+        for (cell, told) in later.take(WALK) {
+            self.cell_walk = Some(cell.clone());
+            claims.push(told.item.clone());
+        }
+        claims
+    }
+}
+
+impl Member {
+    /// The member's process as holder of a lease.
+    #[must_use]
+    pub fn holder(&self) -> Holder {
+        Holder {
+            name: self.name.clone(),
+            incarnation: self.incarnation,
+            address: self.address,
+        }
+    }
+}
+
+fn weight(key: &str, name: &InstanceName) -> u64 {
+    xxh3_64(format!("{key}\n{name}").as_bytes())
+}
+
+fn bounded(items: Vec<Extension>) -> Vec<Extension> {
+    let mut room = GOSSIP_EXTRA;
+    let fits = |e: &Extension| {
+        let is_fit = e.body.len() <= room;
+        room -= if is_fit { e.body.len() } else { 0 };
+        is_fit
+    };
+    items.into_iter().filter(fits).collect()
+}
