--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -35,17 +35,23 @@
 mod entry_metrics;
 mod fair;
 mod flight;
+mod gossip;
 mod headers;
+mod keeper;
+mod lease;
 mod ledger;
 mod listener;
+mod member;
 mod moment;
 mod name;
 mod note;
 mod path;
 mod problem;
+mod publish;
 mod relay;
 mod retry;
 mod rules;
+mod shard;
 mod sse;
 mod store;
 mod timeline;
@@ -78,19 +84,33 @@
 pub use endpoint::{Load, State};
 pub use entry::{Entry, EntryLimits, EntryParts};
 pub use entry_metrics::EntryMetrics;
+pub use gossip::{
+    CellClaim, Extension, ExtensionTopic, GOSSIP_CELLS, GOSSIP_EXTRA, GOSSIP_MEMBERS, Gossip,
+    Member, MemberState, Seed,
+};
 pub use headers::{
     ACCOUNT_KEY_BYTES, HeaderError, IDEMPOTENCY_KEY_BYTES, MAX_DEADLINE, MAX_HINT, Wishes,
     bearer_key,
 };
+pub use keeper::Keeper;
+pub use lease::{
+    Borrow, BorrowReply, Holder, Lease, LeaseEffect, LeaseInput, LeaseTiming, LeaseView, Part,
+    Tenure,
+};
+pub use member::{MemberInput, MemberOutput, MemberTiming, Members};
 pub use moment::{Clock, Moment, micros};
 pub use name::{
     AccountName, AttemptId, BootId, CellId, CentreName, EndpointName, Epoch, Fingerprint,
     Incarnation, InstanceName, NAME_BYTES, RequestId, Revision, ServiceName, is_name,
 };
-pub use note::{Action, Digest, Items, Names, Note, NoteError, NoteProblem, Reason, Row, plan};
+pub use note::{
+    Action, Digest, Items, Names, Note, NoteError, NoteProblem, Problem, Reason, Row, plan,
+};
 pub use path::{CallPath, PathError, split_path};
 pub use problem::{PROBLEM_TYPE, Problem, ProblemKind};
+pub use publish::{Acceptance, HEAD_NAME, Known, PublishError, accept, collect, fetch};
 pub use retry::{RetryBudgets, RetryPermit};
+pub use shard::{Accepted, Head, ShardRef};
 pub use sse::{EVENT_BYTES, Scanner, SseError};
 pub use store::{Condition, Listing, Object, ObjectKind, Store, StoreError, VALUE_BYTES, Version};
 pub use timeline::{Event, Stamp, Timeline, Topic, merge};
