Give cells the whole tenure of the lease

Cause: the lease machine and the cell each defined the parts of a limit, and the cell did not know which part remains after a loan has ended, so a paused owner could not fall back by itself. Change: CellInput::Lease carries a Tenure; the part is taken from it at each grant.

--- a/cornelstand/src/cell.rs
+++ b/cornelstand/src/cell.rs
@@ -15,6 +15,7 @@
 };
 use crate::endpoint::{EndpointModel, LOAD_LAG, Load, Sight, State};
 use crate::fair::{AccountId, FairQueue, Waiting, arrival};
+use crate::lease::{Part, Tenure};
 use crate::moment::Moment;
 use crate::name::{AttemptId, CellId, EndpointName, Epoch, InstanceName};
 use crate::tombs::Tombs;
@@ -31,32 +32,6 @@
 /// Longest time after which a refused caller is asked to come back.
 const RETRY_LAST: Duration = Duration::from_mins(1);
 
-/// Part of each endpoint's limit that the owner of a cell may use.
-#[derive(
-    Clone, Copy, Debug, serde::Deserialize, Eq, derive_more::IsVariant, PartialEq, serde::Serialize,
-)]
-#[serde(rename_all = "kebab-case")]
-pub enum Part {
-    /// All of it: the lease is held and can be renewed.
-    Full,
-    /// Half, rounded up: the lease cannot be renewed.
-    Kept,
-    /// Half, rounded down: owner for as long as nobody can take the lease.
-    Provisional,
-}
-
-impl Part {
-    /// This part of `limit`.
-    #[must_use]
-    pub fn of(self, limit: u32) -> u32 {
-        match self {
-            Self::Full => limit,
-            Self::Kept => limit.div_ceil(2),
-            Self::Provisional => limit / 2,
-        }
-    }
-}
-
 /// Event for a cell.
 #[derive(Clone, Debug)]
 pub enum CellInput {
@@ -77,13 +52,8 @@
     Leaving(BTreeSet<EndpointName>),
     /// A revision of the configuration is in force.
     Configure(Arc<Config>),
-    /// The cell is owned until a moment.
-    Lease {
-        /// Nothing is granted from then on.
-        until: Moment,
-        /// Part of each limit that may be used.
-        part: Part,
-    },
+    /// What the owner may do has changed.
+    Lease(Tenure),
     /// An entry lists what it runs.
     Census(Census),
     /// The cell was taken over without a handover.
@@ -136,8 +106,7 @@
     id: CellId,
     epoch: Epoch,
     config: Arc<Config>,
-    until: Moment,
-    part: Part,
+    tenure: Tenure,
     queue: FairQueue,
     endpoints: BTreeMap<EndpointName, EndpointModel>,
     active: HashMap<AttemptId, Active>,
@@ -162,8 +131,12 @@
             id,
             epoch,
             config,
-            until: Moment::default(),
-            part: Part::Full,
+            tenure: Tenure {
+                epoch,
+                part: Part::Full,
+                until: Moment::default(),
+                after: None,
+            },
             queue,
             endpoints: BTreeMap::new(),
             active: HashMap::new(),
@@ -236,10 +209,7 @@
             CellInput::Load { endpoint, load } => self.load(now, &endpoint, load),
             CellInput::Leaving(names) => self.leaving(&names),
             CellInput::Configure(config) => self.configure(config, out),
-            CellInput::Lease { until, part } => {
-                self.until = until;
-                self.part = part;
-            }
+            CellInput::Lease(tenure) => self.tenure = tenure,
             CellInput::Census(census) => self.census(census),
             CellInput::Recover { entries } => self.recover(now, entries),
             CellInput::EntryGone(entry) => self.entry_gone(now, &entry, out),
@@ -259,7 +229,7 @@
             .endpoints
             .values()
             .filter_map(EndpointModel::doubt_ends);
-        let due = probes.chain(doubts).chain([deadline, self.until]);
+        let due = probes.chain(doubts).chain([deadline, self.tenure.until]);
         due.filter(|at| *at > self.latest).min()
     }
 
@@ -284,17 +254,18 @@
     /// Queues, counters and endpoints.
     #[must_use]
     pub fn status(&self) -> CellStatus {
+        let part = self.tenure.part_at(self.latest);
         let endpoints = self.endpoints.iter().map(|(name, model)| EndpointStatus {
             endpoint: name.clone(),
             state: model.state(),
-            limit: self.part.of(model.bears()),
+            limit: part.map_or(0, |p| p.of(model.bears())),
             running: model.running(),
             boot: model.boot(),
         });
         CellStatus {
             cell: self.id.clone(),
             epoch: self.epoch,
-            part: self.part,
+            part,
             unreported: self.unreported.iter().cloned().collect(),
             counts: self.counts,
             waiting: self.queue.len(),
@@ -314,7 +285,7 @@
             return;
         }
         self.counts.offered += 1;
-        let refusal = if now >= self.until {
+        let refusal = if self.tenure.part_at(now).is_none() {
             Some(Refusal::NotOwner(None))
         } else if self.tombs.contains(attempt) {
             Some(Refusal::Cancelled)
@@ -608,7 +579,7 @@
             self.queue.remove(attempt);
             self.refuse(attempt, Refusal::Deadline, out);
         }
-        let refusal = if now >= self.until {
+        let refusal = if self.tenure.part_at(now).is_none() {
             Refusal::NotOwner(None)
         } else if self.endpoints.values().any(EndpointModel::is_in) {
             return;
@@ -623,17 +594,16 @@
     }
 
     fn grant(&mut self, now: Moment, out: &mut Vec<CellOutput>) {
-        if now >= self.until || self.queue.is_empty() {
+        let Some(part) = self.tenure.part_at(now) else {
+            return;
+        };
+        if self.queue.is_empty() {
             return;
         }
-        let slots: u32 = self
-            .endpoints
-            .values()
-            .map(|m| self.part.of(m.bears()))
-            .sum();
+        let slots: u32 = self.endpoints.values().map(|m| part.of(m.bears())).sum();
         let batch_limit = (slots * BATCH_QUARTERS).div_ceil(4);
         while let Some(attempt) = self.queue.next(self.batch >= batch_limit) {
-            let Some(endpoint) = self.pick(now, attempt) else {
+            let Some(endpoint) = self.pick(now, part, attempt) else {
                 return;
             };
             let Some(grant) = self.start(now, attempt, endpoint) else {
@@ -645,10 +615,10 @@
 
     /// The endpoint with the largest free part of its limit; one to avoid only if no other is
     /// free.
-    fn pick(&self, now: Moment, attempt: AttemptId) -> Option<EndpointName> {
+    fn pick(&self, now: Moment, part: Part, attempt: AttemptId) -> Option<EndpointName> {
         let avoid = self.queue.get(attempt).map_or(&[][..], |w| &w.avoid);
         let free = self.endpoints.iter().filter_map(|(name, model)| {
-            let room = model.room(now, |limit| self.part.of(limit));
+            let room = model.room(now, |limit| part.of(limit));
             let score = u64::from(room) * 1000 / u64::from(model.bears().max(1));
             (room > 0).then(|| (!avoid.contains(name), score, name))
         });
--- a/cornelstand/src/cell_status.rs
+++ b/cornelstand/src/cell_status.rs
@@ -2,9 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::cell::Part;
 use crate::endpoint::State;
 use crate::fair::AccountView;
+use crate::lease::Part;
 use crate::name::{AccountName, BootId, CellId, EndpointName, Epoch, InstanceName};
 
 /// Queues, counters and endpoints of one cell.
@@ -14,8 +14,8 @@
     pub cell: CellId,
     /// Epoch of the owner.
     pub epoch: Epoch,
-    /// Part of each limit in use.
-    pub part: Part,
+    /// Part of each limit in use, `None` once the lease has lapsed.
+    pub part: Option<Part>,
     /// Entries that have still to report after a takeover.
     pub unreported: Vec<InstanceName>,
     /// Counts since the owner started.
--- a/cornelstand/src/dispatcher.rs
+++ b/cornelstand/src/dispatcher.rs
@@ -16,11 +16,12 @@
 use xtra::WeakAddress;
 use xtra::prelude::*;
 
-use crate::cell::{Cell, CellInput, CellOutput, Part};
+use crate::cell::{Cell, CellInput, CellOutput};
 use crate::cell_status::CellStatus;
 use crate::config::Config;
 use crate::dispatch::{Census, Handover, Offer, Refusal, Reply, Report};
 use crate::endpoint::Load;
+use crate::lease::Tenure;
 use crate::moment::{Clock, Moment};
 use crate::name::{AttemptId, EndpointName, InstanceName};
 use crate::timeline::{Timeline, Topic};
@@ -52,12 +53,7 @@
 
 /// Extends or reduces the ownership of the cell.
 #[derive(Debug)]
-pub struct SetLease {
-    /// Nothing is granted from then on.
-    pub until: Moment,
-    /// Part of each endpoint's limit that may be used.
-    pub part: Part,
-}
+pub struct SetLease(pub Tenure);
 
 /// Names all endpoints that the platform is about to stop.
 #[derive(Debug)]
@@ -249,7 +245,7 @@
 inputs! {
     Withdraw(attempt) => Withdraw, CellInput::Withdraw(attempt);
     Configure(config) => Configure, CellInput::Configure(config);
-    SetLease { until, part } => SetLease, CellInput::Lease { until, part };
+    SetLease(tenure) => SetLease, CellInput::Lease(tenure);
     SetLeaving(names) => SetLeaving, CellInput::Leaving(names);
     Recover(entries) => Recover, CellInput::Recover { entries };
     Learn(census) => Learn, CellInput::Census(census);
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -64,7 +64,7 @@
     Verdict,
 };
 pub use auth::{KeyIndex, key_hash};
-pub use cell::{Cell, CellInput, CellOutput, Part};
+pub use cell::{Cell, CellInput, CellOutput};
 pub use cell_status::{AccountStatus, CellStatus, Counts, EndpointStatus};
 pub use claim::{
     BODY_BYTES, Claim, ClaimId, ClaimState, HexError, MEDIA_BYTES, Recorded, Shard, ShardError,
@@ -103,9 +103,7 @@
     AccountName, AttemptId, BootId, CellId, CentreName, EndpointName, Epoch, Fingerprint,
     Incarnation, InstanceName, NAME_BYTES, RequestId, Revision, ServiceName, is_name,
 };
-pub use note::{
-    Action, Digest, Items, Names, Note, NoteError, NoteProblem, Problem, Reason, Row, plan,
-};
+pub use note::{Action, Digest, Items, Names, Note, NoteError, NoteProblem, Reason, Row, plan};
 pub use path::{CallPath, PathError, split_path};
 pub use problem::{PROBLEM_TYPE, Problem, ProblemKind};
 pub use publish::{Acceptance, HEAD_NAME, Known, PublishError, accept, collect, fetch};
--- a/cornelstand/tests/decide/basics.rs
+++ b/cornelstand/tests/decide/basics.rs
@@ -3,7 +3,9 @@
 use cornelstand::{CellInput, CellOutput, Ending, Moment, Offer, Part, Refusal};
 use std::time::Duration;
 
-use crate::make::{at, attempt, batch, cell, config, ended, flat, grants, lease, offer, send};
+use crate::make::{
+    at, attempt, batch, cell, config, ended, flat, grants, lease, lease_until, offer, send,
+};
 
 #[test]
 fn free_slots_are_granted_at_once_and_later_ones_on_an_end() {
@@ -26,8 +28,7 @@
 fn a_lapsed_lease_grants_nothing_and_refuses_what_waits() {
     let mut cell = cell(&config(&[1], &[flat(1)]));
     let until = at(100);
-    let part = Part::Full;
-    send(&mut cell, at(0), CellInput::Lease { until, part });
+    send(&mut cell, at(0), lease_until(until, Part::Full));
     send(&mut cell, at(1), CellInput::Offer(offer(0, "a0")));
     send(&mut cell, at(1), CellInput::Offer(offer(1, "a0")));
     assert_eq!(cell.timer(), Some(until));
--- a/cornelstand/tests/decide/make.rs
+++ b/cornelstand/tests/decide/make.rs
@@ -6,7 +6,7 @@
 
 use cornelstand::{
     Account, AttemptId, BootId, Cell, CellId, CellInput, CellOutput, Centre, Class, Config, Ending,
-    Endpoint, Epoch, Grant, Kind, Moment, Offer, Part, Phase, Report, RequestId, Service,
+    Endpoint, Epoch, Grant, Kind, Moment, Offer, Part, Phase, Report, RequestId, Service, Tenure,
 };
 
 /// Endpoint sizes: requests at once when cold and warm, and the answers between.
@@ -77,8 +77,16 @@
 }
 
 pub(crate) fn lease(part: Part) -> CellInput {
-    let until = Moment(u64::MAX);
-    CellInput::Lease { until, part }
+    lease_until(Moment(u64::MAX), part)
+}
+
+pub(crate) fn lease_until(until: Moment, part: Part) -> CellInput {
+    CellInput::Lease(Tenure {
+        epoch: Epoch(2),
+        part,
+        until,
+        after: None,
+    })
 }
 
 /// The moment `ms` milliseconds after the start.
