--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -17,30 +17,62 @@
 //! # Ok::<(), serde_json::Error>(())
 //! ```
 
+mod attempt;
+mod auth;
+mod body;
+mod call;
+mod caller;
 mod cell;
 mod cell_status;
 mod claim;
 mod claim_shard;
 mod claims;
 mod config;
+#[cfg(feature = "demo")]
+mod deployment;
 mod dispatch;
 mod dispatcher;
 mod endpoint;
+mod entry;
+mod entry_metrics;
 mod fair;
+mod flight;
+mod gossip;
+mod headers;
+mod keeper;
+mod lease;
+mod ledger;
+mod listener;
 mod load;
 mod load_call;
 mod load_plan;
 mod load_result;
+mod member;
 mod moment;
 mod name;
 mod note;
+#[cfg(feature = "demo")]
+mod outside;
+mod path;
+mod problem;
+mod publish;
+mod relay;
+mod retry;
 mod rules;
+mod shard;
+mod sse;
 mod store;
 mod timeline;
 mod tombs;
 mod unique;
+mod upstream;
 
-pub use cell::{Cell, CellInput, CellOutput, Part};
+pub use attempt::{
+    Answering, ConnectError, Loss, Lost, NotRun, Outcome, Ready, Resend, Sending, Sent, Unsent,
+    Verdict,
+};
+pub use auth::{KeyIndex, key_hash};
+pub use cell::{Cell, CellInput, CellOutput};
 pub use cell_status::{AccountStatus, CellStatus, Counts, EndpointStatus};
 pub use claim::{
     BODY_BYTES, Claim, ClaimId, ClaimState, HexError, MEDIA_BYTES, Recorded, Shard, ShardError,
@@ -49,6 +81,10 @@
 pub use claim_shard::{ClaimLimits, WriteEnd};
 pub use claims::{Begun, ClaimBook, ClaimError, ClaimObjects, Ticket};
 pub use config::{Account, Centre, Class, Config, Endpoint, Kind, Repeat, Route, Service};
+#[cfg(feature = "demo")]
+pub use deployment::{
+    AccountSize, BATCH_CHAT, CHAT, Deployment, LOOKUP, ORDER, PLAIN_CALL, ServiceSize,
+};
 pub use dispatch::{
     Census, Counter, Dispatch, Ending, EndpointState, Grant, Handover, Offer, Phase, Refusal,
     Reply, Report, Running,
@@ -58,17 +94,41 @@
     Tell, Withdraw,
 };
 pub use endpoint::{Load, State};
+pub use entry::{Entry, EntryLimits, EntryParts};
+pub use entry_metrics::EntryMetrics;
+pub use gossip::{
+    CellClaim, Extension, ExtensionTopic, GOSSIP_CELLS, GOSSIP_EXTRA, GOSSIP_MEMBERS, Gossip,
+    Member, MemberState, Seed,
+};
+pub use headers::{
+    ACCOUNT_KEY_BYTES, HeaderError, IDEMPOTENCY_KEY_BYTES, MAX_DEADLINE, MAX_HINT, Wishes,
+    bearer_key,
+};
+pub use keeper::Keeper;
+pub use lease::{
+    Borrow, BorrowReply, Holder, Lease, LeaseEffect, LeaseInput, LeaseTiming, LeaseView, Part,
+    Tenure,
+};
 pub use load::run_load;
 pub use load_call::Check;
 pub use load_plan::{AccountLoad, Arrival, CallKind, Source, Through, Workload};
 pub use load_result::{
     AccountResult, BUCKET, LoadResult, Outcomes, Quantiles, Refused, SourceResult,
 };
+pub use member::{MemberInput, MemberOutput, MemberTiming, Members};
 pub use moment::{Clock, Moment, micros};
 pub use name::{
     AccountName, AttemptId, BootId, CellId, CentreName, EndpointName, Epoch, Fingerprint,
     Incarnation, InstanceName, NAME_BYTES, RequestId, Revision, ServiceName, is_name,
 };
-pub use note::{Action, Digest, Items, Names, Note, NoteError, Problem, Reason, Row, plan};
+pub use note::{Action, Digest, Items, Names, Note, NoteError, NoteProblem, Reason, Row, plan};
+#[cfg(feature = "demo")]
+pub use outside::{Fake, Outside, Reading, Replica, SAMPLE, Sample, Sampler};
+pub use path::{CallPath, PathError, split_path};
+pub use problem::{PROBLEM_TYPE, Problem, ProblemKind};
+pub use publish::{Acceptance, HEAD_NAME, Known, PublishError, accept, collect, fetch};
+pub use retry::{RetryBudgets, RetryPermit};
+pub use shard::{Accepted, Head, ShardRef};
+pub use sse::{EVENT_BYTES, Scanner, SseError};
 pub use store::{Condition, Listing, Object, ObjectKind, Store, StoreError, VALUE_BYTES, Version};
 pub use timeline::{Event, Stamp, Timeline, Topic, merge};
