--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -36,6 +36,8 @@
 mod entry;
 mod entry_metrics;
 mod fair;
+#[cfg(feature = "demo")]
+mod figures;
 mod flight;
 mod gossip;
 mod headers;
@@ -96,6 +98,8 @@
 pub use endpoint::{Load, State};
 pub use entry::{Entry, EntryLimits, EntryParts};
 pub use entry_metrics::EntryMetrics;
+#[cfg(feature = "demo")]
+pub use figures::{Span, WINDOW, fairness_gap, gained, service_per_share, utilisation, whole};
 pub use gossip::{
     CellClaim, Extension, ExtensionTopic, GOSSIP_CELLS, GOSSIP_EXTRA, GOSSIP_MEMBERS, Gossip,
     Member, MemberState, Seed,
