Add baselines and the fairness scenario

Figures of the fleet mean little without those of simpler ways in the same run. Two baselines decide in each router alone: least loaded in order of arrival, and fair queues over a fixed part of each endpoint. The histograms of the workload recorded nothing above 2 us, because a histogram without bounds does not grow on saturating records; a lower bound on an answer's time now tests it.

--- a/cornelstand/src/load.rs
+++ b/cornelstand/src/load.rs
@@ -45,7 +45,7 @@
         for (index, (source, record)) in account.sources.iter().zip(records).enumerate() {
             let shared = Arc::new(Shared {
                 start,
-                end: start + workload.span(),
+                end: start + end_of(workload, source),
                 last: start + workload.span() + Duration::from_millis(workload.settle),
                 http: client(),
                 account: account.clone(),
@@ -76,6 +76,12 @@
     (account + 1) << 32 | (source + 1) << 16
 }
 
+/// When a source ends, after the start of the workload.
+fn end_of(workload: &Workload, source: &Source) -> Duration {
+    let until = source.until.map(Duration::from_millis);
+    until.unwrap_or(Duration::MAX).min(workload.span())
+}
+
 fn client() -> Client {
     Client::builder()
         .no_proxy()
--- a/cornelstand/src/load_plan.rs
+++ b/cornelstand/src/load_plan.rs
@@ -74,6 +74,9 @@
     /// Milliseconds after the start of the workload at which the source starts.
     #[serde(default)]
     pub after: u64,
+    /// Milliseconds after the start at which it ends, if before the end of the workload.
+    #[serde(default)]
+    pub until: Option<u64>,
     /// Milliseconds until each call's deadline, if it states one.
     #[serde(default)]
     pub deadline: Option<u64>,
--- a/cornelstand/src/load_result.rs
+++ b/cornelstand/src/load_result.rs
@@ -13,6 +13,8 @@
 pub const BUCKET: Duration = Duration::from_millis(250);
 /// Significant digits of a histogram.
 const DIGITS: u8 = 3;
+/// Longest time that a histogram tells apart, in microseconds.
+const LONGEST: u64 = 3_600_000_000;
 
 /// Result of a workload.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -174,7 +176,8 @@
 
 impl Record {
     pub(crate) fn new(label: &str) -> Self {
-        let histogram = || Histogram::new(DIGITS).expect("the digits are in range");
+        let histogram =
+            || Histogram::new_with_bounds(1, LONGEST, DIGITS).expect("the bounds are in range");
         Self {
             label: label.to_owned(),
             counts: Outcomes::default(),
--- a/cornelstand/src/outside.rs
+++ b/cornelstand/src/outside.rs
@@ -84,15 +84,20 @@
 }
 
 impl Outside {
-    /// Starts all stand-ins of `deployment`.
+    /// Starts all stand-ins of `deployment`. Endpoints are warm if `is_warm`.
     ///
     /// # Errors
     ///
     /// If one cannot listen or start its thread.
-    pub fn start(deployment: &Deployment) -> Result<Self, StartError> {
+    pub fn start(
+        deployment: &Deployment,
+        is_warm: bool,
+        overload: Overload,
+    ) -> Result<Self, StartError> {
         let endpoints = deployment.services.iter().flat_map(|service| {
             let replicas = deployment.replicas(service);
-            replicas.map(|(name, centre)| Replica::start(service, name, centre))
+            replicas
+                .map(move |(name, centre)| Replica::start(service, name, centre, is_warm, overload))
         });
         Ok(Self {
             objects: ObjectApi::start(ObjectSettings::default())?,
@@ -126,18 +131,22 @@
         size: &ServiceSize,
         name: EndpointName,
         centre: CentreName,
+        is_warm: bool,
+        overload: Overload,
     ) -> Result<Self, StartError> {
         let fake = match size.kind {
             Kind::Model => Fake::Engine(Engine::start(EngineSettings {
                 bearing: size.bearing,
                 pace: size.pace,
-                overload: Overload::Fall,
+                overload,
+                is_warm,
                 ..EngineSettings::default()
             })?),
             Kind::Plain => Fake::Plain(PlainService::start(PlainSettings {
                 bearing: size.bearing,
                 call: PLAIN_CALL,
-                overload: Overload::Fall,
+                overload,
+                is_warm,
                 ..PlainSettings::default()
             })?),
         };
--- a/cornelstand/tests/load.rs
+++ b/cornelstand/tests/load.rs
@@ -30,6 +30,7 @@
         call,
         arrival,
         after: 0,
+        until: None,
         deadline: None,
     };
     Workload {
@@ -96,7 +97,10 @@
     assert_eq!(counts.answered, counts.arrived);
     assert_eq!(engine.counts().answers, counts.arrived);
     assert_eq!(result.accounts[0].service(), engine.counts().tokens);
-    assert_eq!(result.accounts[0].sources[0].wait.count, counts.arrived);
+    let source = &result.accounts[0].sources[0];
+    assert_eq!(source.wait.count, counts.arrived);
+    // An answer has at least five tokens at half a millisecond each.
+    assert!(source.whole.p50 >= 2_500, "{:?}", source.whole);
 }
 
 #[tokio::test]
@@ -200,3 +204,18 @@
     let is_listed = result.not_run.iter().any(|r| r.request == "r1");
     assert_eq!(is_listed, outcome == "not-run");
 }
+
+#[tokio::test]
+async fn a_source_keeps_to_its_part_of_the_workload() {
+    let engine = engine(1_000, Overload::Refuse);
+    let mut load = chat(Arrival::Rate(400.0), engine.address());
+    let source = &mut load.accounts[0].sources[0];
+    source.until = Some(100);
+    let mut second = source.clone();
+    (second.after, second.until) = (200, None);
+    load.accounts[0].sources.push(second);
+    let result = run_load(&load, Some(CHECK)).await;
+    let sources = &result.accounts[0].sources;
+    assert!(sources.iter().all(|s| s.counts.arrived > 0));
+    assert_eq!(outcomes(&result).answered, outcomes(&result).arrived);
+}
--- /dev/null
+++ b/measure/src/fairness.rs
@@ -0,0 +1,215 @@
+//! Fairness, starvation and utilisation with all accounts backlogged, each through one instance.
+
+use std::time::Duration;
+
+use cornelstand::{
+    AccountName, Arrival, Deployment, LoadResult, Span, Through, Workload, fairness_gap, gained,
+    utilisation, whole,
+};
+
+use crate::plot;
+use crate::report::{Report, Target, Variant};
+use crate::stage::{Error, Run, Stage, account, backlog, chat, fair_rate, workload};
+
+/// Time until all endpoints are warm, not counted.
+const WARM_UP: Duration = Duration::from_secs(12);
+/// Calls of the flooding account, in multiples of its share.
+const FLOOD: f64 = 100.0;
+/// Calls of the account that is not backlogged, in multiples of its share.
+const QUIET: f64 = 0.5;
+
+/// Accounts with a part of their own in the workload.
+struct Cast {
+    quiet: AccountName,
+    flooding: AccountName,
+    backlogged: Vec<AccountName>,
+}
+
+impl Cast {
+    fn new(deployment: &Deployment) -> Self {
+        let mut names: Vec<AccountName> =
+            deployment.accounts.iter().map(|a| a.name.clone()).collect();
+        let quiet = names.pop().expect("a deployment has several accounts");
+        let flooding = names.pop().expect("a deployment has several accounts");
+        Self {
+            quiet,
+            flooding,
+            backlogged: names,
+        }
+    }
+}
+
+/// Measures the fleet and both baselines.
+pub(crate) async fn measure(
+    deployment: &Deployment,
+    report: &mut Report,
+    plots: Option<&std::path::Path>,
+) -> Result<(), Error> {
+    for variant in [Variant::LeastLoaded, Variant::FairSplit] {
+        let stage = Stage::start(deployment, variant).await?;
+        let cast = Cast::new(deployment);
+        let load = load_of(&stage, &cast, report.seed, report.seconds);
+        let run = stage.run(&load).await;
+        judge(&stage, &cast, variant, &run, report);
+        report.results.push((variant, run.result));
+        stage.stop().await;
+    }
+    if let Some(dir) = plots {
+        for (variant, result) in &report.results {
+            plot::service(dir, report, *variant, result)?;
+        }
+    }
+    Ok(())
+}
+
+fn load_of(stage: &Stage, cast: &Cast, seed: u64, seconds: u64) -> Workload {
+    let deployment = &stage.deployment;
+    let half = seconds * 500 + 6_000;
+    let mut load = workload(stage, seed, seconds);
+    for (place, size) in deployment.accounts.iter().enumerate() {
+        let through = Through::One(place);
+        let rate = fair_rate(deployment, size);
+        let sources = if size.name == cast.quiet {
+            let mut before = chat(deployment, "before", Arrival::Rate(rate * QUIET));
+            before.after = millis(WARM_UP);
+            before.until = Some(half);
+            let mut during = chat(deployment, "during", Arrival::Rate(rate * QUIET));
+            during.after = half;
+            vec![before, during]
+        } else if size.name == cast.flooding {
+            let mut flood = chat(deployment, "flood", Arrival::Rate(rate * FLOOD));
+            flood.after = half;
+            vec![flood]
+        } else {
+            vec![chat(deployment, "backlog", backlog(deployment, size))]
+        };
+        load.accounts.push(account(size, through, sources));
+    }
+    load
+}
+
+fn judge(stage: &Stage, cast: &Cast, variant: Variant, run: &Run, report: &mut Report) {
+    let seconds = report.seconds;
+    let half = Duration::from_millis(seconds * 500 + 6_000);
+    let steady = Span {
+        from: WARM_UP,
+        to: Duration::from_secs(seconds),
+    };
+    let flooded = Span {
+        from: half + Duration::from_secs(2),
+        to: steady.to,
+    };
+    let gap = fairness_gap(&run.result, &cast.backlogged, steady);
+    let most = Some(Target::AtMost(1.05));
+    report.add(variant, "fairness gap, worst 10 s", gap, "", most);
+    let mut with_flood = cast.backlogged.clone();
+    with_flood.push(cast.flooding.clone());
+    let gap = fairness_gap(&run.result, &with_flood, flooded);
+    report.add(
+        variant,
+        "fairness gap with the flooding account, worst 10 s",
+        gap,
+        "",
+        most,
+    );
+    judge_waits(cast, variant, &run.result, report);
+    judge_use(stage, variant, run, steady, report);
+    let counts = run.result.counts();
+    let none = Some(Target::AtMost(0.0));
+    let above = whole(stage.above());
+    report.add(
+        variant,
+        "requests above what an endpoint bore",
+        Some(above),
+        "",
+        none,
+    );
+    report.add(variant, "answers cut", Some(whole(counts.cut)), "", none);
+    report.add(
+        variant,
+        "answers wrong or short",
+        Some(whole(counts.wrong)),
+        "",
+        none,
+    );
+    report.add(
+        variant,
+        "answers whole",
+        Some(whole(counts.answered)),
+        "",
+        None,
+    );
+    report.add(
+        variant,
+        "refused as not run",
+        Some(whole(counts.not_run)),
+        "",
+        None,
+    );
+    let other = counts.unknown + counts.failed + counts.foreign + counts.unsent;
+    report.add(variant, "other ends", Some(whole(other)), "", None);
+}
+
+fn judge_waits(cast: &Cast, variant: Variant, result: &LoadResult, report: &mut Report) {
+    let quiet = result.accounts.iter().find(|a| a.account == cast.quiet);
+    let wait = |label: &str| {
+        let source = quiet?.source(label)?;
+        (source.wait.count > 0).then(|| whole(source.wait.p95) / 1_000.0)
+    };
+    let (before, during) = (wait("before"), wait("during"));
+    report.add(
+        variant,
+        "quiet account's wait p95 before the flood",
+        before,
+        "ms",
+        None,
+    );
+    report.add(
+        variant,
+        "quiet account's wait p95 in the flood",
+        during,
+        "ms",
+        None,
+    );
+    let ratio = before.zip(during).map(|(before, during)| during / before);
+    let most = Some(Target::AtMost(1.3));
+    report.add(
+        variant,
+        "quiet account's wait p95, in the flood over before",
+        ratio,
+        "",
+        most,
+    );
+}
+
+/// Adds utilisation in a span in which work always waits.
+fn judge_use(stage: &Stage, variant: Variant, run: &Run, span: Span, report: &mut Report) {
+    let least = Some(Target::AtLeast(0.97));
+    let used = utilisation(&run.samples, span, |place| stage.is_model(place));
+    report.add(
+        variant,
+        "slots used while work waits",
+        used,
+        "of borne",
+        least,
+    );
+    let tokens = gained(
+        &run.samples,
+        span,
+        |place| stage.is_model(place),
+        |r| r.service,
+    );
+    let warm = stage.capacity(stage.deployment.models().replicas) * span.length().as_secs_f64();
+    let rate = Some(whole(tokens) / warm);
+    report.add(
+        variant,
+        "tokens made while work waits",
+        rate,
+        "of warm capacity",
+        least,
+    );
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
