Add settings, the handshake and links between instances, and the time line's output

Cause: instances need checked settings, a proof of the fleet key, links that do not hang, and an order of events that people can open. Change: settings in JSON with comments, unknown keys refused, errors with line and column or the field; HMAC handshake over two nonces; tarpc links over postcard with heartbeats, byte counts and a read deadline; trace-event JSON and a self-contained page. A request identity is text in JSON because readers lose digits of 128-bit numbers. Result: 15 cases of settings pass; links are not wired in yet, so nothing else is measured.

--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -17,22 +17,35 @@
 //! # Ok::<(), serde_json::Error>(())
 //! ```
 
+mod codec;
 mod config;
 mod dispatch;
+mod handshake;
+mod link;
+mod meter;
 mod moment;
 mod name;
+mod settings;
 mod store;
 mod timeline;
+mod trace;
 
 pub use config::{Account, Centre, Class, Config, Endpoint, Kind, Repeat, Route, Service};
 pub use dispatch::{
     Census, Counter, Dispatch, Ending, EndpointState, Grant, Handover, Offer, Phase, Refusal,
     Reply, Report, Running,
 };
+pub use handshake::{HELLO_BYTES, HELLO_TIME, HandshakeError, PROTOCOL};
+pub use meter::Traffic;
 pub use moment::{Clock, Moment, micros};
 pub use name::{
     AccountName, AttemptId, BootId, CellId, CentreName, EndpointName, Epoch, Fingerprint,
     Incarnation, InstanceName, NAME_BYTES, RequestId, Revision, ServiceName, is_name,
 };
+pub use settings::{
+    FLEET_KEY_CHARS, Keys, Limits, Listen, Log, LogFormat, Place, Platform, SETTINGS_BYTES, Seed,
+    Settings, SettingsError, Times, is_hash,
+};
 pub use store::{Condition, Listing, Object, ObjectKind, Store, StoreError, VALUE_BYTES, Version};
 pub use timeline::{Event, Stamp, Timeline, Topic, merge};
+pub use trace::{trace_json, trace_page};
--- /dev/null
+++ b/cornelstand/src/link.rs
@@ -0,0 +1,347 @@
+//! Links between instances: calls over TCP with a proof of the fleet key and heartbeats.
+//!
+//! A link connects when it is first used and closes when it has been idle. While it is open the
+//! connecting side sends heartbeats; a silent connection is dropped on both sides, so that calls
+//! on it fail at once and the next call opens a new one.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use derive_more::Display;
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
+use tarpc::client::RpcError;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, sleep, timeout};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::codec::Postcard;
+use crate::config::Config;
+use crate::dispatch::{Census, Handover, Offer, Reply, Report};
+use crate::handshake::{self, HandshakeError};
+use crate::meter::{Metered, Traffic};
+use crate::name::{CellId, Epoch, InstanceName, Revision};
+use crate::timeline::{Event, Stamp};
+
+/// Heartbeats sent in the time after which a link counts as silent.
+const HEARTBEATS: u32 = 3;
+/// Time without calls after which a link is closed.
+const IDLE: Duration = Duration::from_secs(10);
+/// Time added to a call's deadline for the way there and back.
+const MARGIN: Duration = Duration::from_secs(1);
+
+/// Error of a call to another instance.
+#[derive(Debug, Snafu)]
+pub(crate) enum LinkError {
+    /// No connection; the call was not sent.
+    #[snafu(display("no connection to {address}"))]
+    Connect {
+        address: SocketAddr,
+        source: std::io::Error,
+    },
+    /// The other side did not prove the fleet key; the call was not sent.
+    #[snafu(display("handshake with {address} failed"))]
+    Handshake {
+        address: SocketAddr,
+        source: HandshakeError,
+    },
+    /// The link broke or the deadline passed; the call may have been received.
+    #[snafu(display("call to {address} failed"))]
+    Call {
+        address: SocketAddr,
+        source: RpcError,
+    },
+}
+
+/// What the receiver of a report did with it.
+#[derive(Clone, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
+pub(crate) enum Receipt {
+    /// The report was taken.
+    Taken,
+    /// The receiver does not own the cell.
+    #[display("not the owner")]
+    NotOwner,
+}
+
+/// Calls that one instance answers to another.
+#[tarpc::service]
+pub(crate) trait Fleet {
+    /// Heartbeat.
+    async fn ping(stamp: Stamp) -> Stamp;
+    /// Asks the owner of a cell for an endpoint.
+    async fn offer(offer: Offer) -> Reply;
+    /// Tells the owner of a cell how granted attempts go.
+    async fn tell(reports: Vec<Report>) -> Vec<Receipt>;
+    /// Asks an entry for all it runs of a cell, on behalf of the owner with `epoch`.
+    async fn census(cell: CellId, epoch: Epoch) -> Census;
+    /// Gives a cell's state to its next owner.
+    async fn hand_over(handover: Handover) -> bool;
+    /// Asks for a configuration newer than `known`.
+    async fn config(known: Revision) -> Option<Config>;
+    /// Asks for the events of the time line.
+    async fn events() -> Vec<Event>;
+}
+
+type Call<In, Out> = Arc<dyn Fn(In) -> BoxFuture<'static, Out> + Send + Sync>;
+
+/// What an instance does with the calls it receives.
+#[derive(Clone)]
+pub(crate) struct Handlers {
+    pub(crate) ping: Arc<dyn Fn(Stamp) -> Stamp + Send + Sync>,
+    pub(crate) offer: Call<Offer, Reply>,
+    pub(crate) tell: Call<Vec<Report>, Vec<Receipt>>,
+    pub(crate) census: Call<(CellId, Epoch), Census>,
+    pub(crate) hand_over: Call<Handover, bool>,
+    pub(crate) config: Call<Revision, Option<Config>>,
+    pub(crate) events: Arc<dyn Fn() -> Vec<Event> + Send + Sync>,
+}
+
+impl Fleet for Handlers {
+    async fn ping(self, _: Context, stamp: Stamp) -> Stamp {
+        (self.ping)(stamp)
+    }
+
+    async fn offer(self, _: Context, offer: Offer) -> Reply {
+        (self.offer)(offer).await
+    }
+
+    async fn tell(self, _: Context, reports: Vec<Report>) -> Vec<Receipt> {
+        (self.tell)(reports).await
+    }
+
+    async fn census(self, _: Context, cell: CellId, epoch: Epoch) -> Census {
+        (self.census)((cell, epoch)).await
+    }
+
+    async fn hand_over(self, _: Context, handover: Handover) -> bool {
+        (self.hand_over)(handover).await
+    }
+
+    async fn config(self, _: Context, known: Revision) -> Option<Config> {
+        (self.config)(known).await
+    }
+
+    async fn events(self, _: Context) -> Vec<Event> {
+        (self.events)()
+    }
+}
+
+/// What all links of one process share.
+#[derive(Clone, Debug)]
+pub(crate) struct LinkSettings {
+    /// Own name.
+    pub(crate) own: InstanceName,
+    /// Fleet key.
+    pub(crate) key: Arc<str>,
+    /// Silence after which a link is replaced.
+    pub(crate) silence: Duration,
+    /// Most bytes of one message.
+    pub(crate) frame: usize,
+    /// Counts of bytes.
+    pub(crate) traffic: Traffic,
+}
+
+impl LinkSettings {
+    fn framed(&self, stream: TcpStream) -> Framed<Metered<TcpStream>, LengthDelimitedCodec> {
+        let codec = LengthDelimitedCodec::builder()
+            .max_frame_length(self.frame)
+            .new_codec();
+        let stream = Metered::new(stream, self.traffic.clone(), self.silence);
+        Framed::new(stream, codec)
+    }
+}
+
+/// Accepts links on `listener` until the future is dropped.
+pub(crate) async fn serve(listener: TcpListener, settings: LinkSettings, handlers: Handlers) {
+    let mut links = tokio::task::JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(_) = links.join_next() => continue,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                links.spawn(answer(stream, settings.clone(), handlers.clone()));
+            }
+            // Out of descriptors; the next accept would fail at once.
+            Err(_) => sleep(Duration::from_millis(50)).await,
+        }
+    }
+}
+
+async fn answer(mut stream: TcpStream, settings: LinkSettings, handlers: Handlers) {
+    stream.set_nodelay(true).ok();
+    if let Err(error) = handshake::accept(&mut stream, &settings.key, &settings.own).await {
+        tracing::warn!(%error, "link refused");
+        return;
+    }
+    let framed = settings.framed(stream);
+    let transport = tarpc::serde_transport::new(framed, Postcard::default());
+    BaseChannel::with_defaults(transport)
+        .execute(handlers.serve())
+        .for_each_concurrent(None, |call| call)
+        .await;
+}
+
+/// Links to other instances, opened when used. Clones share the links.
+#[derive(Clone, Debug)]
+pub(crate) struct Links {
+    settings: LinkSettings,
+    open: Arc<Mutex<HashMap<SocketAddr, Arc<Link>>>>,
+}
+
+impl Links {
+    pub(crate) fn new(settings: LinkSettings) -> Self {
+        Self {
+            settings,
+            open: Arc::default(),
+        }
+    }
+
+    /// Calls the instance at `address` and waits up to `wait` for its answer.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] tells whether the call was sent.
+    pub(crate) async fn call<F, Fut, T>(
+        &self,
+        address: SocketAddr,
+        wait: Duration,
+        call: F,
+    ) -> Result<T, LinkError>
+    where
+        F: FnOnce(FleetClient, Context) -> Fut,
+        Fut: Future<Output = Result<T, RpcError>>,
+    {
+        let link = self.link(address);
+        let client = link.client(&self.settings).await?;
+        let _busy = Busy::new(&link.calls);
+        let mut context = Context::current();
+        context.deadline = std::time::Instant::now() + wait + MARGIN;
+        call(client, context).await.context(CallSnafu { address })
+    }
+
+    /// Number of open connections.
+    pub(crate) fn count(&self) -> usize {
+        self.links().values().filter(|l| l.is_open()).count()
+    }
+
+    fn link(&self, address: SocketAddr) -> Arc<Link> {
+        let mut links = self.links();
+        let link = links.entry(address).or_insert_with(|| {
+            Arc::new(Link {
+                address,
+                calls: AtomicUsize::new(0),
+                connection: tokio::sync::Mutex::default(),
+            })
+        });
+        Arc::clone(link)
+    }
+
+    fn links(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Arc<Link>>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[derive(Debug)]
+struct Link {
+    address: SocketAddr,
+    calls: AtomicUsize,
+    connection: tokio::sync::Mutex<Option<Connection>>,
+}
+
+#[derive(Debug)]
+struct Connection {
+    client: FleetClient,
+    dispatch: AbortHandle,
+}
+
+impl Link {
+    fn is_open(&self) -> bool {
+        self.connection
+            .try_lock()
+            .is_ok_and(|c| c.as_ref().is_some_and(|c| !c.dispatch.is_finished()))
+    }
+
+    async fn client(self: &Arc<Self>, settings: &LinkSettings) -> Result<FleetClient, LinkError> {
+        let mut connection = self.connection.lock().await;
+        if let Some(open) = connection.as_ref().filter(|c| !c.dispatch.is_finished()) {
+            return Ok(open.client.clone());
+        }
+        let opened = self.open(settings).await?;
+        let client = opened.client.clone();
+        tokio::spawn(beat(
+            Arc::clone(self),
+            client.clone(),
+            opened.dispatch.clone(),
+            settings.silence,
+        ));
+        *connection = Some(opened);
+        Ok(client)
+    }
+
+    async fn open(&self, settings: &LinkSettings) -> Result<Connection, LinkError> {
+        let address = self.address;
+        let connecting = timeout(settings.silence, TcpStream::connect(address));
+        let mut stream = connecting
+            .await
+            .unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
+            .context(ConnectSnafu { address })?;
+        stream.set_nodelay(true).ok();
+        handshake::connect(&mut stream, &settings.key, &settings.own)
+            .await
+            .context(HandshakeSnafu { address })?;
+        let framed = settings.framed(stream);
+        let transport = tarpc::serde_transport::new(framed, Postcard::default());
+        let new = FleetClient::new(tarpc::client::Config::default(), transport);
+        let dispatch = tokio::spawn(new.dispatch).abort_handle();
+        Ok(Connection {
+            client: new.client,
+            dispatch,
+        })
+    }
+}
+
+/// Sends heartbeats until the connection is silent, broken or idle, then ends it.
+async fn beat(link: Arc<Link>, client: FleetClient, dispatch: AbortHandle, silence: Duration) {
+    let mut busy = Instant::now();
+    while !dispatch.is_finished() {
+        sleep(silence / HEARTBEATS).await;
+        if link.calls.load(Ordering::Relaxed) > 0 {
+            busy = Instant::now();
+        }
+        if busy.elapsed() > IDLE {
+            break;
+        }
+        let beat = client.ping(Context::current(), Stamp::default());
+        if !matches!(timeout(silence, beat).await, Ok(Ok(_))) {
+            break;
+        }
+    }
+    dispatch.abort();
+}
+
+/// Counts a call while it lasts.
+struct Busy<'a>(&'a AtomicUsize);
+
+impl<'a> Busy<'a> {
+    fn new(calls: &'a AtomicUsize) -> Self {
+        calls.fetch_add(1, Ordering::Relaxed);
+        Self(calls)
+    }
+}
+
+impl Drop for Busy<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/cornelstand/src/name.rs
+++ b/cornelstand/src/name.rs
@@ -3,10 +3,12 @@
 //! Every identity has its own type, so that two of them cannot be mixed up. Textual names share
 //! their storage: a clone is a reference count, not a copy of the text.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 
 use derive_more::{AsRef, Display, From, Into};
-use serde::{Deserialize, Serialize};
+use serde::de::Error;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 /// Longest accepted name, in bytes.
 pub const NAME_BYTES: usize = 63;
@@ -93,25 +95,34 @@
 }
 
 /// Identity of one caller's request, unique over the fleet.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Deserialize,
-    Display,
-    Eq,
-    From,
-    Hash,
-    Into,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Serialize,
-)]
+///
+/// In text formats it is 32 hexadecimal digits, since many readers of JSON lose digits of large
+/// numbers.
+#[derive(Clone, Copy, Debug, Display, Eq, From, Hash, Into, Ord, PartialEq, PartialOrd)]
 #[display("{_0:032x}")]
-#[serde(transparent)]
 pub struct RequestId(pub u128);
 
+impl Serialize for RequestId {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            return serializer.collect_str(self);
+        }
+        self.0.serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for RequestId {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if deserializer.is_human_readable() {
+            let digits = Cow::<str>::deserialize(deserializer)?;
+            return u128::from_str_radix(&digits, 16)
+                .map(Self)
+                .map_err(D::Error::custom);
+        }
+        u128::deserialize(deserializer).map(Self)
+    }
+}
+
 /// One try of a request: the identity of a grant and of its outcome.
 #[derive(
     Clone, Copy, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
--- /dev/null
+++ b/cornelstand/src/settings.rs
@@ -0,0 +1,375 @@
+//! Settings of one process: where it is and whom it talks to.
+//!
+//! Settings are JSON with comments. They say nothing about accounts, shares, services, endpoints
+//! or data centres of endpoints: those come from release notes. Unknown keys are refused, and
+//! every value is checked before anything starts.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use derive_more::{Debug, Display};
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+use crate::name::{CentreName, InstanceName, is_name};
+
+/// Largest settings file, in bytes.
+pub const SETTINGS_BYTES: usize = 64 << 10;
+/// Shortest fleet key, in characters.
+pub const FLEET_KEY_CHARS: usize = 16;
+
+/// Place in a text, counted from 1.
+#[derive(Clone, Copy, Debug, Display, Deserialize, Eq, PartialEq, Serialize)]
+#[display("line {line}, column {column}")]
+pub struct Place {
+    /// Line.
+    pub line: usize,
+    /// Column, in characters.
+    pub column: usize,
+}
+
+/// Error in a settings file.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The text is not JSON with comments, or has an unknown or missing key or a wrong type.
+    #[snafu(display("{}{message}", at(*place)))]
+    Syntax {
+        /// Where, if known.
+        place: Option<Place>,
+        /// What is wrong.
+        message: String,
+    },
+    /// A value is outside what is allowed.
+    #[snafu(display("{field}: {message}"))]
+    Value {
+        /// Path of the field.
+        field: &'static str,
+        /// What is wrong.
+        message: String,
+    },
+    /// The file is larger than [`SETTINGS_BYTES`].
+    #[snafu(display("the file has {bytes} bytes, more than {SETTINGS_BYTES}"))]
+    TooLarge {
+        /// Size of the file.
+        bytes: usize,
+    },
+}
+
+fn at(place: Option<Place>) -> String {
+    place.map_or_else(String::new, |p| format!("{p}: "))
+}
+
+/// Settings of one process.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the instance, unique in the fleet.
+    pub instance: InstanceName,
+    /// Data centre of the instance.
+    pub centre: CentreName,
+    /// Addresses that the process listens on.
+    pub listen: Listen,
+    /// Addresses of the platform's services.
+    pub platform: Platform,
+    /// Keys of the fleet and its operators.
+    pub keys: Keys,
+    /// Fleet addresses of other instances, used until the instance list answers.
+    #[serde(default)]
+    pub seeds: Vec<Seed>,
+    /// Times.
+    #[serde(default)]
+    pub times: Times,
+    /// Bounds on memory and connections.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Logs.
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// Addresses that the process listens on.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// HTTP for callers.
+    pub callers: SocketAddr,
+    /// HTTP for operators, metrics and probes.
+    pub operators: SocketAddr,
+    /// Links between instances.
+    pub fleet: SocketAddr,
+}
+
+/// Addresses of the platform's services.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Platform {
+    /// Object API.
+    pub objects: SocketAddr,
+    /// Instance list.
+    pub instances: SocketAddr,
+}
+
+/// Keys of the fleet and its operators.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Keys {
+    /// Secret that instances prove to each other.
+    #[debug("(secret)")]
+    pub fleet: String,
+    /// SHA-256 hash of the operators' key, in hexadecimal.
+    pub operator: String,
+}
+
+/// Another instance.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Seed {
+    /// Name of the instance.
+    pub instance: InstanceName,
+    /// Its fleet address.
+    pub address: SocketAddr,
+}
+
+/// Times, each in milliseconds.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Times {
+    /// Answer of the object API.
+    pub store: u64,
+    /// Silence after which a link is replaced.
+    pub link: u64,
+    /// Length of a cell's lease.
+    pub lease: u64,
+    /// Deadline of a request that names none.
+    pub request: u64,
+    /// First byte of an endpoint's answer.
+    pub first_byte: u64,
+    /// Pause inside an endpoint's answer or a caller's body.
+    pub idle: u64,
+    /// Longest planned stop.
+    pub drain: u64,
+}
+
+impl Default for Times {
+    fn default() -> Self {
+        Self {
+            store: 2_000,
+            link: 3_000,
+            lease: 5_000,
+            request: 120_000,
+            first_byte: 30_000,
+            idle: 20_000,
+            drain: 600_000,
+        }
+    }
+}
+
+/// Bounds on memory and connections.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Limits {
+    /// Connections of callers at once.
+    pub callers: usize,
+    /// Bytes of a request body that are kept for another attempt.
+    pub body_bytes: usize,
+    /// Events kept for the time line.
+    pub events: usize,
+    /// Bytes of one message between instances.
+    pub frame_bytes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            callers: 4_096,
+            body_bytes: 1 << 20,
+            events: 4_096,
+            frame_bytes: 4 << 20,
+        }
+    }
+}
+
+/// Logs.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Log {
+    /// Form of a line.
+    pub format: LogFormat,
+    /// Filter in the form of the `tracing` environment filter.
+    pub level: String,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            format: LogFormat::Text,
+            level: "info".to_owned(),
+        }
+    }
+}
+
+/// Form of a log line.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogFormat {
+    /// For people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+impl Settings {
+    /// Parses and checks settings.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] with the place or the field of the first error.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        if text.len() > SETTINGS_BYTES {
+            return TooLargeSnafu { bytes: text.len() }.fail();
+        }
+        let settings: Self = parse_json(text)?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        name("instance", self.instance.as_str())?;
+        name("centre", self.centre.as_str())?;
+        for seed in &self.seeds {
+            name("seeds.instance", seed.instance.as_str())?;
+        }
+        reachable("platform.objects", self.platform.objects)?;
+        reachable("platform.instances", self.platform.instances)?;
+        ensure(
+            "keys.fleet",
+            self.keys.fleet.chars().count() >= FLEET_KEY_CHARS,
+            "shorter than 16 characters",
+        )?;
+        ensure(
+            "keys.operator",
+            is_hash(&self.keys.operator),
+            "not a SHA-256 hash in 64 hexadecimal digits",
+        )?;
+        self.check_listen()?;
+        self.times.check()?;
+        self.limits.check()
+    }
+
+    fn check_listen(&self) -> Result<(), SettingsError> {
+        let Listen {
+            callers,
+            operators,
+            fleet,
+        } = self.listen;
+        let clash = |a: SocketAddr, b: SocketAddr| a.port() != 0 && a == b;
+        ensure(
+            "listen",
+            !clash(callers, operators) && !clash(callers, fleet) && !clash(operators, fleet),
+            "two addresses are the same",
+        )?;
+        // Other instances are told this address, so it has to name one machine.
+        ensure(
+            "listen.fleet",
+            !fleet.ip().is_unspecified(),
+            "needs the instance's own IP number",
+        )
+    }
+}
+
+impl Times {
+    fn check(&self) -> Result<(), SettingsError> {
+        let range = [
+            ("times.store", self.store, 10, 60_000),
+            ("times.link", self.link, 100, 60_000),
+            ("times.lease", self.lease, 500, 600_000),
+            ("times.request", self.request, 100, 86_400_000),
+            ("times.first-byte", self.first_byte, 100, 3_600_000),
+            ("times.idle", self.idle, 100, 3_600_000),
+            ("times.drain", self.drain, 100, 86_400_000),
+        ];
+        for (field, value, least, most) in range {
+            let message = "outside the allowed range of milliseconds";
+            ensure(field, (least..=most).contains(&value), message)?;
+        }
+        ensure(
+            "times.store",
+            self.store.saturating_mul(2) <= self.lease,
+            "more than half of times.lease, so that a renewal could not be tried twice",
+        )
+    }
+
+    /// Time as a duration.
+    #[must_use]
+    pub fn duration(millis: u64) -> Duration {
+        Duration::from_millis(millis)
+    }
+}
+
+impl Limits {
+    fn check(&self) -> Result<(), SettingsError> {
+        let range = [
+            ("limits.callers", self.callers, 1, 1 << 20),
+            ("limits.body-bytes", self.body_bytes, 0, 64 << 20),
+            ("limits.events", self.events, 1, 1 << 20),
+            ("limits.frame-bytes", self.frame_bytes, 64 << 10, 64 << 20),
+        ];
+        for (field, value, least, most) in range {
+            ensure(
+                field,
+                (least..=most).contains(&value),
+                "outside the allowed range",
+            )?;
+        }
+        Ok(())
+    }
+}
+
+/// Parses JSON with comments into `T`.
+pub(crate) fn parse_json<T>(text: &str) -> Result<T, SettingsError>
+where
+    T: serde::de::DeserializeOwned,
+{
+    json5::from_str(text).map_err(|error| SettingsError::Syntax {
+        place: error.position().map(|p| Place {
+            line: p.line + 1,
+            column: p.column + 1,
+        }),
+        message: without_place(&error.to_string()),
+    })
+}
+
+/// Cuts the parser's own place off its message.
+fn without_place(message: &str) -> String {
+    message
+        .split_once(" at line")
+        .map_or(message, |(head, _)| head)
+        .to_owned()
+}
+
+fn ensure(field: &'static str, holds: bool, message: &str) -> Result<(), SettingsError> {
+    if holds {
+        return Ok(());
+    }
+    ValueSnafu { field, message }.fail()
+}
+
+fn name(field: &'static str, text: &str) -> Result<(), SettingsError> {
+    let message = "not 1 to 63 lowercase letters, digits, dots, hyphens or underscores";
+    ensure(field, is_name(text), message)
+}
+
+fn reachable(field: &'static str, address: SocketAddr) -> Result<(), SettingsError> {
+    let is_any = address.ip() == IpAddr::V4(Ipv4Addr::UNSPECIFIED) || address.ip().is_unspecified();
+    ensure(
+        field,
+        !is_any && address.port() != 0,
+        "not an address that can be reached",
+    )
+}
+
+/// Tells whether `text` is a SHA-256 hash in hexadecimal.
+#[must_use]
+pub fn is_hash(text: &str) -> bool {
+    text.len() == 64 && text.bytes().all(|b| b.is_ascii_hexdigit())
+}
--- /dev/null
+++ b/cornelstand/tests/settings.rs
@@ -0,0 +1,49 @@
+//! Settings: examples are accepted, mistakes are named with their place.
+
+use cornelstand::Settings;
+use rstest::rstest;
+
+const GOOD: &str = r#"{
+  // One instance.
+  instance: "north-1",
+  centre: "dock-a",
+  listen: { callers: "127.0.0.1:8080", operators: "127.0.0.1:8081", fleet: "127.0.0.1:8082" },
+  platform: { objects: "127.0.0.1:7000", instances: "127.0.0.1:7001" },
+  keys: { fleet: "a fleet key of some length",
+          operator: "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08" },
+}"#;
+
+#[test]
+fn accepts_comments_and_fills_in_defaults() {
+    let settings = Settings::parse(GOOD).expect("valid settings");
+    assert_eq!(settings.times.lease, 5_000);
+}
+
+#[rstest]
+#[case::unknown_key(GOOD.replace("centre:", "center:"))]
+#[case::missing_comma(GOOD.replace("\"north-1\",", "\"north-1\""))]
+#[case::host_name(GOOD.replace("127.0.0.1:7000", "store.example:7000"))]
+#[case::wrong_type(GOOD.replace("\"dock-a\"", "7"))]
+#[case::bad_name(GOOD.replace("north-1", "North 1"))]
+#[case::short_key(GOOD.replace("a fleet key of some length", "short"))]
+#[case::key_in_clear(GOOD.replace("9f86d081", "password"))]
+#[case::same_address(GOOD.replace("8081", "8080"))]
+#[case::any_address(GOOD.replace("127.0.0.1:8082", "0.0.0.0:8082"))]
+#[case::store_too_slow(GOOD.replace("instance:", "times: { store: 4000 }, instance:"))]
+#[case::no_link_time(GOOD.replace("instance:", "times: { link: 0 }, instance:"))]
+#[case::empty(String::new())]
+fn names_the_first_mistake(#[case] text: String) {
+    let name = std::thread::current().name().unwrap_or_default().to_owned();
+    let case = name.rsplit("::").next().unwrap_or_default().to_owned();
+    let error = Settings::parse(&text).expect_err("invalid settings");
+    insta::assert_snapshot!(case, error.to_string());
+}
+
+#[rstest]
+#[case("examples/tessel-north-coast.json5")]
+#[case("examples/ndege-ke-nairobi.json5")]
+fn accepts_the_examples(#[case] file: &str) {
+    let path = format!("{}/../{file}", env!("CARGO_MANIFEST_DIR"));
+    let text = std::fs::read_to_string(path).expect("the example exists");
+    Settings::parse(&text).expect("the example is valid");
+}
