--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -18,6 +18,7 @@
 //! ```
 
 mod codec;
+mod command;
 mod config;
 mod dispatch;
 mod handshake;
@@ -30,6 +31,7 @@
 mod timeline;
 mod trace;
 
+pub use command::{KEY_FILE_VARIABLE, command};
 pub use config::{Account, Centre, Class, Config, Endpoint, Kind, Repeat, Route, Service};
 pub use dispatch::{
     Census, Counter, Dispatch, Ending, EndpointState, Grant, Handover, Offer, Phase, Refusal,
