--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -26,6 +26,7 @@
 mod meter;
 mod moment;
 mod name;
+mod route;
 mod settings;
 mod store;
 mod timeline;
--- a/cornelstand/src/link.rs
+++ b/cornelstand/src/link.rs
@@ -29,7 +29,7 @@
 use crate::dispatch::{Census, Handover, Offer, Reply, Report};
 use crate::handshake::{self, HandshakeError};
 use crate::meter::{Metered, Traffic};
-use crate::name::{CellId, Epoch, InstanceName, Revision};
+use crate::name::{AttemptId, CellId, Epoch, InstanceName, Revision};
 use crate::timeline::{Event, Stamp};
 
 /// Heartbeats sent in the time after which a link counts as silent.
@@ -79,6 +79,8 @@
     async fn ping(stamp: Stamp) -> Stamp;
     /// Asks the owner of a cell for an endpoint.
     async fn offer(offer: Offer) -> Reply;
+    /// Takes back an offer, also if it has been granted but not used.
+    async fn withdraw(cell: CellId, attempt: AttemptId);
     /// Tells the owner of a cell how granted attempts go.
     async fn tell(reports: Vec<Report>) -> Vec<Receipt>;
     /// Asks an entry for all it runs of a cell, on behalf of the owner with `epoch`.
@@ -98,6 +100,7 @@
 pub(crate) struct Handlers {
     pub(crate) ping: Arc<dyn Fn(Stamp) -> Stamp + Send + Sync>,
     pub(crate) offer: Call<Offer, Reply>,
+    pub(crate) withdraw: Call<(CellId, AttemptId), ()>,
     pub(crate) tell: Call<Vec<Report>, Vec<Receipt>>,
     pub(crate) census: Call<(CellId, Epoch), Census>,
     pub(crate) hand_over: Call<Handover, bool>,
@@ -114,6 +117,10 @@
         (self.offer)(offer).await
     }
 
+    async fn withdraw(self, _: Context, cell: CellId, attempt: AttemptId) {
+        (self.withdraw)((cell, attempt)).await;
+    }
+
     async fn tell(self, _: Context, reports: Vec<Report>) -> Vec<Receipt> {
         (self.tell)(reports).await
     }
