--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -17,27 +17,52 @@
 //! # Ok::<(), serde_json::Error>(())
 //! ```
 
+mod cell;
+mod cell_status;
+mod claim;
+mod claim_shard;
+mod claims;
 mod codec;
 mod command;
 mod config;
 mod dispatch;
+mod dispatcher;
+mod endpoint;
+mod fair;
 mod handshake;
 mod link;
 mod meter;
 mod moment;
 mod name;
+mod note;
 mod route;
+mod rules;
 mod settings;
 mod store;
 mod timeline;
+mod tombs;
 mod trace;
+mod unique;
 
+pub use cell::{Cell, CellInput, CellOutput, Part};
+pub use cell_status::{AccountStatus, CellStatus, Counts, EndpointStatus};
+pub use claim::{
+    BODY_BYTES, Claim, ClaimId, ClaimState, HexError, MEDIA_BYTES, Recorded, Shard, ShardError,
+    Token,
+};
+pub use claim_shard::{ClaimLimits, WriteEnd};
+pub use claims::{Begun, ClaimBook, ClaimError, ClaimObjects, Ticket};
 pub use command::{KEY_FILE_VARIABLE, command};
 pub use config::{Account, Centre, Class, Config, Endpoint, Kind, Repeat, Route, Service};
 pub use dispatch::{
     Census, Counter, Dispatch, Ending, EndpointState, Grant, Handover, Offer, Phase, Refusal,
     Reply, Report, Running,
 };
+pub use dispatcher::{
+    Ask, Configure, Dispatcher, EntryGone, HandOver, Inspect, Learn, Recover, SetLease, SetLeaving,
+    Tell, Withdraw,
+};
+pub use endpoint::{Load, State};
 pub use handshake::{HELLO_BYTES, HELLO_TIME, HandshakeError, PROTOCOL};
 pub use meter::Traffic;
 pub use moment::{Clock, Moment, micros};
@@ -45,6 +70,7 @@
     AccountName, AttemptId, BootId, CellId, CentreName, EndpointName, Epoch, Fingerprint,
     Incarnation, InstanceName, NAME_BYTES, RequestId, Revision, ServiceName, is_name,
 };
+pub use note::{Action, Digest, Items, Names, Note, NoteError, Problem, Reason, Row, plan};
 pub use settings::{
     FLEET_KEY_CHARS, Keys, Limits, Listen, Log, LogFormat, Place, Platform, SETTINGS_BYTES, Seed,
     Settings, SettingsError, Times, is_hash,
