--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -17,6 +17,11 @@
 //! # Ok::<(), serde_json::Error>(())
 //! ```
 
+mod attempt;
+mod auth;
+mod body;
+mod call;
+mod caller;
 mod cell;
 mod cell_status;
 mod claim;
@@ -28,22 +33,39 @@
 mod dispatch;
 mod dispatcher;
 mod endpoint;
+mod entry;
+mod entry_metrics;
 mod fair;
+mod flight;
 mod handshake;
+mod headers;
+mod ledger;
 mod link;
+mod listener;
 mod meter;
 mod moment;
 mod name;
 mod note;
+mod path;
+mod problem;
+mod relay;
+mod retry;
 mod route;
 mod rules;
 mod settings;
+mod sse;
 mod store;
 mod timeline;
 mod tombs;
 mod trace;
 mod unique;
+mod upstream;
 
+pub use attempt::{
+    Answering, ConnectError, Loss, Lost, NotRun, Outcome, Ready, Resend, Sending, Sent, Unsent,
+    Verdict,
+};
+pub use auth::{KeyIndex, key_hash};
 pub use cell::{Cell, CellInput, CellOutput, Part};
 pub use cell_status::{AccountStatus, CellStatus, Counts, EndpointStatus};
 pub use claim::{
@@ -63,18 +85,30 @@
     Tell, Withdraw,
 };
 pub use endpoint::{Load, State};
+pub use entry::{Entry, EntryLimits, EntryParts};
+pub use entry_metrics::EntryMetrics;
 pub use handshake::{HELLO_BYTES, HELLO_TIME, HandshakeError, PROTOCOL};
+pub use headers::{
+    ACCOUNT_KEY_BYTES, HeaderError, IDEMPOTENCY_KEY_BYTES, MAX_DEADLINE, MAX_HINT, Wishes,
+    bearer_key,
+};
 pub use meter::Traffic;
 pub use moment::{Clock, Moment, micros};
 pub use name::{
     AccountName, AttemptId, BootId, CellId, CentreName, EndpointName, Epoch, Fingerprint,
     Incarnation, InstanceName, NAME_BYTES, RequestId, Revision, ServiceName, is_name,
 };
-pub use note::{Action, Digest, Items, Names, Note, NoteError, Problem, Reason, Row, plan};
+pub use note::{
+    Action, Digest, Items, Names, Note, NoteError, NoteProblem, Problem, Reason, Row, plan,
+};
+pub use path::{CallPath, PathError, split_path};
+pub use problem::{PROBLEM_TYPE, Problem, ProblemKind};
+pub use retry::{RetryBudgets, RetryPermit};
 pub use settings::{
     FLEET_KEY_CHARS, Keys, Limits, Listen, Log, LogFormat, Place, Platform, SETTINGS_BYTES, Seed,
     Settings, SettingsError, Times, is_hash,
 };
+pub use sse::{EVENT_BYTES, Scanner, SseError};
 pub use store::{Condition, Listing, Object, ObjectKind, Store, StoreError, VALUE_BYTES, Version};
 pub use timeline::{Event, Stamp, Timeline, Topic, merge};
 pub use trace::{trace_json, trace_page};
