--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -37,22 +37,28 @@
 mod entry_metrics;
 mod fair;
 mod flight;
+mod gossip;
 mod handshake;
 mod headers;
+mod keeper;
+mod lease;
 mod ledger;
 mod link;
 mod listener;
+mod member;
 mod meter;
 mod moment;
 mod name;
 mod note;
 mod path;
 mod problem;
+mod publish;
 mod relay;
 mod retry;
 mod route;
 mod rules;
 mod settings;
+mod shard;
 mod sse;
 mod store;
 mod timeline;
@@ -87,11 +93,21 @@
 pub use endpoint::{Load, State};
 pub use entry::{Entry, EntryLimits, EntryParts};
 pub use entry_metrics::EntryMetrics;
+pub use gossip::{
+    CellClaim, Extension, ExtensionTopic, GOSSIP_CELLS, GOSSIP_EXTRA, GOSSIP_MEMBERS, Gossip,
+    Member, MemberState, Seed,
+};
 pub use handshake::{HELLO_BYTES, HELLO_TIME, HandshakeError, PROTOCOL};
 pub use headers::{
     ACCOUNT_KEY_BYTES, HeaderError, IDEMPOTENCY_KEY_BYTES, MAX_DEADLINE, MAX_HINT, Wishes,
     bearer_key,
 };
+pub use keeper::Keeper;
+pub use lease::{
+    Borrow, BorrowReply, Holder, Lease, LeaseEffect, LeaseInput, LeaseTiming, LeaseView, Part,
+    Tenure,
+};
+pub use member::{MemberInput, MemberOutput, MemberTiming, Members};
 pub use meter::Traffic;
 pub use moment::{Clock, Moment, micros};
 pub use name::{
@@ -103,11 +119,13 @@
 };
 pub use path::{CallPath, PathError, split_path};
 pub use problem::{PROBLEM_TYPE, Problem, ProblemKind};
+pub use publish::{Acceptance, HEAD_NAME, Known, PublishError, accept, collect, fetch};
 pub use retry::{RetryBudgets, RetryPermit};
 pub use settings::{
     FLEET_KEY_CHARS, Keys, Limits, Listen, Log, LogFormat, Place, Platform, SETTINGS_BYTES, Seed,
     Settings, SettingsError, Times, is_hash,
 };
+pub use shard::{Accepted, Head, ShardRef};
 pub use sse::{EVENT_BYTES, Scanner, SseError};
 pub use store::{Condition, Listing, Object, ObjectKind, Store, StoreError, VALUE_BYTES, Version};
 pub use timeline::{Event, Stamp, Timeline, Topic, merge};
