Serve operators over HTTP and name the entry's limits in the settings

Cause: operators need probes, status and notes; the entry has limits of its own. Change: typed queries with the operators' key checked in constant time against its hash; settings take the entry's limits in one section in place of three doubled times; links carry gossip, loans and status.

--- a/cornelstand/src/entry.rs
+++ b/cornelstand/src/entry.rs
@@ -44,7 +44,7 @@
 
 /// Limits of an entry.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(default, deny_unknown_fields)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct EntryLimits {
     /// Milliseconds until a request's header is complete, also on an unused connection.
     pub header_ms: u64,
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -40,6 +40,7 @@
 mod gossip;
 mod handshake;
 mod headers;
+mod holdings;
 mod keeper;
 mod lease;
 mod ledger;
@@ -50,6 +51,7 @@
 mod moment;
 mod name;
 mod note;
+mod operator;
 mod path;
 mod problem;
 mod publish;
@@ -60,6 +62,7 @@
 mod settings;
 mod shard;
 mod sse;
+mod status;
 mod store;
 mod timeline;
 mod tombs;
@@ -72,7 +75,7 @@
     Verdict,
 };
 pub use auth::{KeyIndex, key_hash};
-pub use cell::{Cell, CellInput, CellOutput, Part};
+pub use cell::{Cell, CellInput, CellOutput};
 pub use cell_status::{AccountStatus, CellStatus, Counts, EndpointStatus};
 pub use claim::{
     BODY_BYTES, Claim, ClaimId, ClaimState, HexError, MEDIA_BYTES, Recorded, Shard, ShardError,
@@ -114,19 +117,18 @@
     AccountName, AttemptId, BootId, CellId, CentreName, EndpointName, Epoch, Fingerprint,
     Incarnation, InstanceName, NAME_BYTES, RequestId, Revision, ServiceName, is_name,
 };
-pub use note::{
-    Action, Digest, Items, Names, Note, NoteError, NoteProblem, Problem, Reason, Row, plan,
-};
+pub use note::{Action, Digest, Items, Names, Note, NoteError, NoteProblem, Reason, Row, plan};
 pub use path::{CallPath, PathError, split_path};
 pub use problem::{PROBLEM_TYPE, Problem, ProblemKind};
 pub use publish::{Acceptance, HEAD_NAME, Known, PublishError, accept, collect, fetch};
 pub use retry::{RetryBudgets, RetryPermit};
 pub use settings::{
-    FLEET_KEY_CHARS, Keys, Limits, Listen, Log, LogFormat, Place, Platform, SETTINGS_BYTES, Seed,
+    FLEET_KEY_CHARS, Keys, Limits, Listen, Log, LogFormat, Peer, Place, Platform, SETTINGS_BYTES,
     Settings, SettingsError, Times, is_hash,
 };
 pub use shard::{Accepted, Head, ShardRef};
 pub use sse::{EVENT_BYTES, Scanner, SseError};
+pub use status::{InstanceStatus, MemberStatus, OwnerStatus, Readiness, TrafficStatus};
 pub use store::{Condition, Listing, Object, ObjectKind, Store, StoreError, VALUE_BYTES, Version};
 pub use timeline::{Event, Stamp, Timeline, Topic, merge};
 pub use trace::{trace_json, trace_page};
--- a/cornelstand/src/link.rs
+++ b/cornelstand/src/link.rs
@@ -27,9 +27,12 @@
 use crate::codec::Postcard;
 use crate::config::Config;
 use crate::dispatch::{Census, Handover, Offer, Reply, Report};
+use crate::gossip::Gossip;
 use crate::handshake::{self, HandshakeError};
+use crate::lease::{Borrow, BorrowReply};
 use crate::meter::{Metered, Traffic};
 use crate::name::{AttemptId, CellId, Epoch, InstanceName, Revision};
+use crate::status::InstanceStatus;
 use crate::timeline::{Event, Stamp};
 
 /// Heartbeats sent in the time after which a link counts as silent.
@@ -87,10 +90,16 @@
     async fn census(cell: CellId, epoch: Epoch) -> Census;
     /// Gives a cell's state to its next owner.
     async fn hand_over(handover: Handover) -> bool;
+    /// Exchanges news of the membership.
+    async fn gossip(gossip: Gossip) -> Option<Gossip>;
+    /// Asks for the use of a half of a cell's limits.
+    async fn borrow(borrow: Borrow) -> BorrowReply;
     /// Asks for a configuration newer than `known`.
     async fn config(known: Revision) -> Option<Config>;
     /// Asks for the events of the time line.
     async fn events() -> Vec<Event>;
+    /// Asks for the state of the instance.
+    async fn status() -> InstanceStatus;
 }
 
 type Call<In, Out> = Arc<dyn Fn(In) -> BoxFuture<'static, Out> + Send + Sync>;
@@ -104,8 +113,11 @@
     pub(crate) tell: Call<Vec<Report>, Vec<Receipt>>,
     pub(crate) census: Call<(CellId, Epoch), Census>,
     pub(crate) hand_over: Call<Handover, bool>,
+    pub(crate) gossip: Call<Gossip, Option<Gossip>>,
+    pub(crate) borrow: Call<Borrow, BorrowReply>,
     pub(crate) config: Call<Revision, Option<Config>>,
     pub(crate) events: Arc<dyn Fn() -> Vec<Event> + Send + Sync>,
+    pub(crate) status: Call<(), InstanceStatus>,
 }
 
 impl Fleet for Handlers {
@@ -133,6 +145,14 @@
         (self.hand_over)(handover).await
     }
 
+    async fn gossip(self, _: Context, gossip: Gossip) -> Option<Gossip> {
+        (self.gossip)(gossip).await
+    }
+
+    async fn borrow(self, _: Context, borrow: Borrow) -> BorrowReply {
+        (self.borrow)(borrow).await
+    }
+
     async fn config(self, _: Context, known: Revision) -> Option<Config> {
         (self.config)(known).await
     }
@@ -140,6 +160,10 @@
     async fn events(self, _: Context) -> Vec<Event> {
         (self.events)()
     }
+
+    async fn status(self, _: Context) -> InstanceStatus {
+        (self.status)(()).await
+    }
 }
 
 /// What all links of one process share.
--- /dev/null
+++ b/cornelstand/src/operator.rs
@@ -0,0 +1,192 @@
+//! HTTP for operators: probes, metrics, status, time line and notes.
+//!
+//! Probes and metrics need no key. Everything else needs the operators' key, of which the
+//! instance knows only the hash.
+
+use std::future::Future;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use derive_more::Display;
+use futures::future::BoxFuture;
+use http::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+use subtle::ConstantTimeEq;
+use tokio::net::TcpListener;
+use warp::Filter;
+use warp::reply::Response;
+
+use crate::headers::bearer_key;
+
+/// Most bytes of a note or a declared state.
+pub const NOTE_BYTES: u64 = 8 << 20;
+
+/// What an operator asks for.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub(crate) enum Query {
+    /// Whether the process runs.
+    #[display("livez")]
+    Live,
+    /// Whether the instance takes requests.
+    #[display("readyz")]
+    Ready,
+    /// Metrics in the text format of prometheus.
+    #[display("metrics")]
+    Metrics,
+    /// Status of this instance.
+    #[display("status")]
+    Status,
+    /// Status of all live instances.
+    #[display("fleet")]
+    Fleet,
+    /// Events of all live instances.
+    #[display("timeline")]
+    Timeline,
+    /// Configuration in force.
+    #[display("config")]
+    Config,
+    /// Which instance has which revision in force.
+    #[display("revisions")]
+    Revisions,
+    /// Apply the note in the body.
+    #[display("apply")]
+    Apply(Bytes),
+    /// Turn the declared state in the body into a note.
+    #[display("plan")]
+    Plan(Bytes),
+}
+
+impl Query {
+    fn needs_key(&self) -> bool {
+        !matches!(self, Self::Live | Self::Ready | Self::Metrics)
+    }
+
+    fn read(method: &Method, path: &str, body: Bytes) -> Option<Self> {
+        Some(match (method.as_str(), path) {
+            ("GET", "/livez") => Self::Live,
+            ("GET", "/readyz") => Self::Ready,
+            ("GET", "/metrics") => Self::Metrics,
+            ("GET", "/status") => Self::Status,
+            ("GET", "/fleet") => Self::Fleet,
+            ("GET", "/timeline") => Self::Timeline,
+            ("GET", "/config") => Self::Config,
+            ("GET", "/revisions") => Self::Revisions,
+            ("POST", "/notes") => Self::Apply(body),
+            ("POST", "/plan") => Self::Plan(body),
+            _ => return None,
+        })
+    }
+}
+
+/// Answer to an operator.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) media: &'static str,
+    pub(crate) body: Vec<u8>,
+}
+
+/// Error as operators get it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OperatorError {
+    /// What went wrong, with the place in a note if there is one.
+    pub error: String,
+}
+
+impl Answer {
+    pub(crate) fn text(status: StatusCode, text: impl Into<String>) -> Self {
+        Self {
+            status,
+            media: "text/plain; charset=utf-8",
+            body: text.into().into_bytes(),
+        }
+    }
+
+    pub(crate) fn json<T: Serialize>(value: &T) -> Self {
+        match serde_json::to_vec(value) {
+            Ok(body) => Self {
+                status: StatusCode::OK,
+                media: "application/json",
+                body,
+            },
+            Err(error) => Self::error(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+        }
+    }
+
+    pub(crate) fn error(status: StatusCode, error: impl Into<String>) -> Self {
+        let error = OperatorError {
+            error: error.into(),
+        };
+        Self {
+            status,
+            ..Self::json(&error)
+        }
+    }
+
+    fn response(self) -> Response {
+        let mut response = Response::new(self.body.into());
+        *response.status_mut() = self.status;
+        let media = http::HeaderValue::from_static(self.media);
+        response
+            .headers_mut()
+            .insert(http::header::CONTENT_TYPE, media);
+        response
+    }
+}
+
+/// Answers one query.
+pub(crate) type Answerer = Arc<dyn Fn(Query) -> BoxFuture<'static, Answer> + Send + Sync>;
+
+/// Serves operators at `listener` until `shutdown`. `hash` is that of the operators' key.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    hash: String,
+    answerer: Answerer,
+    shutdown: impl Future<Output = ()> + Send + 'static,
+) {
+    let hash: Arc<str> = hash.to_ascii_lowercase().into();
+    let route = warp::method()
+        .and(warp::path::full())
+        .and(warp::header::headers_cloned())
+        .and(
+            warp::body::content_length_limit(NOTE_BYTES)
+                .or(no_body())
+                .unify(),
+        )
+        .and(warp::body::bytes())
+        .then(
+            move |method: Method, path: warp::path::FullPath, headers: http::HeaderMap, body| {
+                let (hash, answerer) = (hash.clone(), answerer.clone());
+                async move {
+                    let Some(query) = Query::read(&method, path.as_str(), body) else {
+                        return Answer::error(StatusCode::NOT_FOUND, "no such call").response();
+                    };
+                    if query.needs_key() && !is_operator(&headers, &hash) {
+                        let error = "the operators' key is missing or wrong";
+                        return Answer::error(StatusCode::UNAUTHORIZED, error).response();
+                    }
+                    answerer(query).await.response()
+                }
+            },
+        );
+    warp::serve(route)
+        .incoming(listener)
+        .graceful(shutdown)
+        .run()
+        .await;
+}
+
+/// Passes calls that announce no body.
+fn no_body() -> impl Filter<Extract = (), Error = warp::Rejection> + Clone {
+    warp::get()
+}
+
+fn is_operator(headers: &http::HeaderMap, hash: &str) -> bool {
+    let Ok(Some(key)) = bearer_key(headers) else {
+        return false;
+    };
+    let digest = Sha256::digest(key.as_bytes());
+    let digits: String = digest.iter().map(|b| format!("{b:02x}")).collect();
+    digits.as_bytes().ct_eq(hash.as_bytes()).into()
+}
--- a/cornelstand/src/settings.rs
+++ b/cornelstand/src/settings.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
+use crate::entry::EntryLimits;
 use crate::name::{CentreName, InstanceName, is_name};
 
 /// Largest settings file, in bytes.
@@ -75,13 +76,16 @@
     pub keys: Keys,
     /// Fleet addresses of other instances, used until the instance list answers.
     #[serde(default)]
-    pub seeds: Vec<Seed>,
+    pub seeds: Vec<Peer>,
     /// Times.
     #[serde(default)]
     pub times: Times,
-    /// Bounds on memory and connections.
+    /// Bounds on memory.
     #[serde(default)]
     pub limits: Limits,
+    /// Limits towards callers and endpoints.
+    #[serde(default)]
+    pub entry: EntryLimits,
     /// Logs.
     #[serde(default)]
     pub log: Log,
@@ -123,7 +127,7 @@
 /// Another instance.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
-pub struct Seed {
+pub struct Peer {
     /// Name of the instance.
     pub instance: InstanceName,
     /// Its fleet address.
@@ -140,12 +144,6 @@
     pub link: u64,
     /// Length of a cell's lease.
     pub lease: u64,
-    /// Deadline of a request that names none.
-    pub request: u64,
-    /// First byte of an endpoint's answer.
-    pub first_byte: u64,
-    /// Pause inside an endpoint's answer or a caller's body.
-    pub idle: u64,
     /// Longest planned stop.
     pub drain: u64,
 }
@@ -156,22 +154,15 @@
             store: 2_000,
             link: 3_000,
             lease: 5_000,
-            request: 120_000,
-            first_byte: 30_000,
-            idle: 20_000,
             drain: 600_000,
         }
     }
 }
 
-/// Bounds on memory and connections.
+/// Bounds on memory.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Limits {
-    /// Connections of callers at once.
-    pub callers: usize,
-    /// Bytes of a request body that are kept for another attempt.
-    pub body_bytes: usize,
     /// Events kept for the time line.
     pub events: usize,
     /// Bytes of one message between instances.
@@ -181,8 +172,6 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            callers: 4_096,
-            body_bytes: 1 << 20,
             events: 4_096,
             frame_bytes: 4 << 20,
         }
@@ -253,7 +242,8 @@
         )?;
         self.check_listen()?;
         self.times.check()?;
-        self.limits.check()
+        self.limits.check()?;
+        check_entry(&self.entry)
     }
 
     fn check_listen(&self) -> Result<(), SettingsError> {
@@ -283,9 +273,6 @@
             ("times.store", self.store, 10, 60_000),
             ("times.link", self.link, 100, 60_000),
             ("times.lease", self.lease, 500, 600_000),
-            ("times.request", self.request, 100, 86_400_000),
-            ("times.first-byte", self.first_byte, 100, 3_600_000),
-            ("times.idle", self.idle, 100, 3_600_000),
             ("times.drain", self.drain, 100, 86_400_000),
         ];
         for (field, value, least, most) in range {
@@ -309,8 +296,6 @@
 impl Limits {
     fn check(&self) -> Result<(), SettingsError> {
         let range = [
-            ("limits.callers", self.callers, 1, 1 << 20),
-            ("limits.body-bytes", self.body_bytes, 0, 64 << 20),
             ("limits.events", self.events, 1, 1 << 20),
             ("limits.frame-bytes", self.frame_bytes, 64 << 10, 64 << 20),
         ];
@@ -325,6 +310,31 @@
     }
 }
 
+fn check_entry(entry: &EntryLimits) -> Result<(), SettingsError> {
+    let range = [
+        ("entry.header-ms", entry.header_ms, 100, 600_000),
+        ("entry.body-ms", entry.body_ms, 100, 3_600_000),
+        ("entry.first-ms", entry.first_ms, 100, 3_600_000),
+        ("entry.idle-ms", entry.idle_ms, 100, 3_600_000),
+        ("entry.deadline-ms", entry.deadline_ms, 100, 86_400_000),
+        ("entry.body-bytes", entry.body_bytes, 0, 1 << 32),
+    ];
+    for (field, value, least, most) in range {
+        let message = "outside the allowed range";
+        ensure(field, (least..=most).contains(&value), message)?;
+    }
+    let range = [
+        ("entry.header-bytes", entry.header_bytes, 1 << 10, 1 << 20),
+        ("entry.replay-bytes", entry.replay_bytes, 0, 64 << 20),
+        ("entry.connections", entry.connections, 1, 1 << 20),
+    ];
+    for (field, value, least, most) in range {
+        let message = "outside the allowed range";
+        ensure(field, (least..=most).contains(&value), message)?;
+    }
+    Ok(())
+}
+
 /// Parses JSON with comments into `T`.
 pub(crate) fn parse_json<T>(text: &str) -> Result<T, SettingsError>
 where
