Wire the parts into an instance

Cause: the parts stand side by side and do not serve a request yet. Change: an actor for membership and leases, a follower of revisions, the instance list, answers to peers and operators, start and planned stop.

--- a/cornelstand/src/cell_status.rs
+++ b/cornelstand/src/cell_status.rs
@@ -30,6 +30,17 @@
     pub endpoints: Vec<EndpointStatus>,
 }
 
+impl CellStatus {
+    /// Expected wait of a new request, in milliseconds: zero while a slot is free, else the time
+    /// in which the offers that wait get their turn, if each slot ends one a second.
+    #[must_use]
+    pub fn delay(&self) -> u32 {
+        let slots: u32 = self.endpoints.iter().map(|e| e.limit).sum();
+        let waiting = u32::try_from(self.waiting).unwrap_or(u32::MAX);
+        waiting.saturating_mul(1000) / slots.max(1)
+    }
+}
+
 /// Counts of one owner: `offered` is the sum of `granted`, `refused`, `cancelled` and the offers
 /// that wait; `granted` and `adopted` together are the sum of `ended` and the attempts that run.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
--- a/cornelstand/src/holdings.rs
+++ b/cornelstand/src/holdings.rs
@@ -213,6 +213,11 @@
         held.map(|(cell, h)| (cell.clone(), h.epoch)).collect()
     }
 
+    /// Whether this instance owns a cell with this epoch.
+    pub(crate) fn is_owned(&self, cell: &CellId, epoch: Epoch) -> bool {
+        self.held(cell).is_some_and(|h| h.epoch == epoch)
+    }
+
     /// State of the owned cells.
     pub(crate) async fn status(&self) -> Vec<CellStatus> {
         let mut cells = Vec::new();
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -17,6 +17,8 @@
 //! # Ok::<(), serde_json::Error>(())
 //! ```
 
+mod agent;
+mod answers;
 mod attempt;
 mod auth;
 mod body;
@@ -41,6 +43,7 @@
 mod handshake;
 mod headers;
 mod holdings;
+mod instance;
 mod keeper;
 mod lease;
 mod ledger;
@@ -52,6 +55,7 @@
 mod name;
 mod note;
 mod operator;
+mod platform;
 mod path;
 mod problem;
 mod publish;
@@ -68,7 +72,9 @@
 mod tombs;
 mod trace;
 mod unique;
+mod updater;
 mod upstream;
+mod view;
 
 pub use attempt::{
     Answering, ConnectError, Loss, Lost, NotRun, Outcome, Ready, Resend, Sending, Sent, Unsent,
@@ -132,3 +138,5 @@
 pub use store::{Condition, Listing, Object, ObjectKind, Store, StoreError, VALUE_BYTES, Version};
 pub use timeline::{Event, Stamp, Timeline, Topic, merge};
 pub use trace::{trace_json, trace_page};
+pub use instance::{Addresses, Instance, StartError};
+pub use operator::{NOTE_BYTES, OperatorError};
--- a/cornelstand/src/link.rs
+++ b/cornelstand/src/link.rs
@@ -93,7 +93,7 @@
     /// Exchanges news of the membership.
     async fn gossip(gossip: Gossip) -> Option<Gossip>;
     /// Asks for the use of a half of a cell's limits.
-    async fn borrow(borrow: Borrow) -> BorrowReply;
+    async fn borrow(borrow: Borrow) -> Option<BorrowReply>;
     /// Asks for a configuration newer than `known`.
     async fn config(known: Revision) -> Option<Config>;
     /// Asks for the events of the time line.
@@ -114,7 +114,7 @@
     pub(crate) census: Call<(CellId, Epoch), Census>,
     pub(crate) hand_over: Call<Handover, bool>,
     pub(crate) gossip: Call<Gossip, Option<Gossip>>,
-    pub(crate) borrow: Call<Borrow, BorrowReply>,
+    pub(crate) borrow: Call<Borrow, Option<BorrowReply>>,
     pub(crate) config: Call<Revision, Option<Config>>,
     pub(crate) events: Arc<dyn Fn() -> Vec<Event> + Send + Sync>,
     pub(crate) status: Call<(), InstanceStatus>,
@@ -149,7 +149,7 @@
         (self.gossip)(gossip).await
     }
 
-    async fn borrow(self, _: Context, borrow: Borrow) -> BorrowReply {
+    async fn borrow(self, _: Context, borrow: Borrow) -> Option<BorrowReply> {
         (self.borrow)(borrow).await
     }
 
--- /dev/null
+++ b/cornelstand/src/platform.rs
@@ -0,0 +1,91 @@
+//! Client of the platform's instance list.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use derive_more::IsVariant;
+use serde::{Deserialize, Serialize};
+use tokio::time::{MissedTickBehavior, interval};
+use xtra::Address;
+
+use crate::agent::{Agent, Listed};
+use crate::gossip::Seed;
+use crate::holdings::Holdings;
+use crate::name::{EndpointName, InstanceName};
+
+/// Time between two readings of the list, and for the answer to one.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// The list as the platform gives it.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct InstanceList {
+    instances: Vec<ListedInstance>,
+}
+
+/// One line of the list: an instance of the fleet or an endpoint.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct ListedInstance {
+    name: String,
+    address: SocketAddr,
+    state: ListedState,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, Eq, IsVariant, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+enum ListedState {
+    Live,
+    Leaving,
+}
+
+impl InstanceList {
+    fn leaving(&self) -> BTreeSet<EndpointName> {
+        let leaving = self.instances.iter().filter(|i| i.state.is_leaving());
+        leaving.map(|i| i.name.as_str().into()).collect()
+    }
+
+    fn seeds(&self) -> Vec<Seed> {
+        let seeds = self.instances.iter().map(|i| Seed {
+            name: Some(InstanceName::from(i.name.as_str())),
+            address: i.address,
+            leaving: i.state.is_leaving(),
+        });
+        seeds.collect()
+    }
+}
+
+/// Reads the list at `platform` again and again and tells the membership and the cells.
+pub(crate) async fn follow_instances(
+    platform: SocketAddr,
+    agent: Address<Agent>,
+    holdings: Holdings,
+) {
+    let http = reqwest::Client::builder().no_proxy().timeout(PERIOD);
+    let http = http
+        .build()
+        .expect("an HTTP client without TLS needs no system resources");
+    let mut last = InstanceList::default();
+    let mut ticks = interval(PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let Some(list) = read(&http, platform).await else {
+            continue;
+        };
+        if list.leaving() != last.leaving() {
+            holdings.set_leaving(list.leaving()).await;
+        }
+        let listed = Listed {
+            seeds: list.seeds(),
+            is_complete: true,
+        };
+        agent.send(listed).await.ok();
+        last = list;
+    }
+}
+
+async fn read(http: &reqwest::Client, platform: SocketAddr) -> Option<InstanceList> {
+    let request = http.get(format!("http://{platform}/instances"));
+    let answer = request.send().await.ok()?.error_for_status().ok()?;
+    answer.json().await.ok()
+}
--- a/cornelstand/src/route.rs
+++ b/cornelstand/src/route.rs
@@ -16,7 +16,8 @@
 
 use crate::config::Config;
 use crate::dispatch::{Dispatch, Offer, Phase, Refusal, Reply, Report};
-use crate::link::{Handlers, LinkError, Links, Receipt};
+use crate::holdings::Holdings;
+use crate::link::{LinkError, Links, Receipt};
 use crate::name::{AttemptId, CellId, InstanceName, ServiceName};
 
 /// Wait before an offer is repeated after a failed call.
@@ -66,13 +67,13 @@
 pub(crate) struct Router {
     directory: Directory,
     links: Links,
-    local: Handlers,
+    local: Holdings,
     outboxes: Arc<Mutex<HashMap<CellId, mpsc::UnboundedSender<Report>>>>,
 }
 
 impl Router {
     /// A router that serves own cells through `local` and others over `links`.
-    pub(crate) fn new(directory: Directory, links: Links, local: Handlers) -> Self {
+    pub(crate) fn new(directory: Directory, links: Links, local: Holdings) -> Self {
         Self {
             directory,
             links,
@@ -127,7 +128,7 @@
             .and_then(|instance| self.owner_named(instance))
             .or_else(|| (self.directory.owner)(&offer.cell))?;
         if owner.instance == self.directory.own {
-            return Some((self.local.offer)(offer.clone()).await);
+            return Some(self.local.offer(offer.clone()).await);
         }
         let sent = offer.clone();
         self.links
@@ -206,7 +207,7 @@
             return Ok(None);
         };
         if owner.instance == self.directory.own {
-            return Ok(Some((self.local.tell)(reports).await));
+            return Ok(Some(self.local.tell(reports).await));
         }
         self.links
             .call(owner.address, REPORT_WAIT, |client, context| async move {
@@ -223,7 +224,7 @@
         while start.elapsed() < REPORT_MOST {
             if let Some(owner) = (self.directory.owner)(&cell) {
                 if owner.instance == self.directory.own {
-                    (self.local.withdraw)((cell, attempt)).await;
+                    self.local.withdraw(&cell, attempt).await;
                     return;
                 }
                 let cell = cell.clone();
