Leave out the claims until the entry takes them; take peers from the instance list

Cause: the entry does not take claims yet, and the list names endpoints beside instances. Change: names of endpoints are no seeds of the membership.

--- a/cornelstand/src/agent.rs
+++ b/cornelstand/src/agent.rs
@@ -374,10 +374,10 @@
             if let Some(handover) = handover {
                 for _ in 0..HAND_OVER_TRIES {
                     let sent = handover.clone();
-                    let call = links.call(to.address, PEER_WAIT, |client, context| async move {
+                    let taken = links.call(to.address, PEER_WAIT, |client, context| async move {
                         client.hand_over(context, sent).await
                     });
-                    if call.await.is_ok_and(|taken| taken) {
+                    if taken.await.is_ok_and(|taken| taken) {
                         break;
                     }
                 }
@@ -574,10 +574,10 @@
 
 async fn ask(agent: WeakAddress<Agent>, links: Links, to: Holder, borrow: Borrow, sent: Moment) {
     let cell = borrow.cell.clone();
-    let call = links.call(to.address, PEER_WAIT, |client, context| async move {
+    let reply = links.call(to.address, PEER_WAIT, |client, context| async move {
         client.borrow(context, borrow).await
     });
-    if let Ok(Some(reply)) = call.await {
+    if let Ok(Some(reply)) = reply.await {
         let input = LeaseInput::Reply {
             from: to,
             sent,
@@ -627,10 +627,10 @@
 async fn take_census(holdings: Holdings, links: Links, entry: Member, cell: CellId, epoch: Epoch) {
     while holdings.is_owned(&cell, epoch) {
         let asked = cell.clone();
-        let call = links.call(entry.address, PEER_WAIT, |client, context| async move {
+        let census = links.call(entry.address, PEER_WAIT, |client, context| async move {
             client.census(context, asked, epoch).await
         });
-        if let Ok(census) = call.await {
+        if let Ok(census) = census.await {
             holdings.learn(census).await;
             return;
         }
--- a/cornelstand/src/answers.rs
+++ b/cornelstand/src/answers.rs
@@ -1,7 +1,6 @@
 //! What an instance answers to its peers and to operators.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,7 +8,6 @@
 use futures::future::join_all;
 use http::StatusCode;
 use prometheus::TextEncoder;
-use serde::Serialize;
 
 use crate::agent::{Lend, Received, TakeOver};
 use crate::gossip::{Member, MemberState};
@@ -18,7 +16,7 @@
 use crate::note::Note;
 use crate::operator::{Answer, Query};
 use crate::publish::PublishError;
-use crate::status::{InstanceStatus, Readiness};
+use crate::status::{InstanceStatus, MemberStatus, Readiness};
 use crate::timeline::{Event, merge};
 
 /// Time for the answer of one instance to a question about the fleet.
@@ -104,9 +102,11 @@
     /// Status of all live instances that answer, this one first.
     async fn fleet_status(&self) -> Vec<InstanceStatus> {
         let asked = self.live_peers().into_iter().map(|peer| async move {
-            let call = self.links.call(peer.address, PEER_WAIT, |client, context| async move {
-                client.status(context).await
-            });
+            let call = self
+                .links
+                .call(peer.address, PEER_WAIT, |client, context| async move {
+                    client.status(context).await
+                });
             call.await.ok()
         });
         let others = join_all(asked).await;
@@ -118,9 +118,11 @@
     /// Events of all live instances that answer, in one order.
     async fn fleet_events(&self) -> Vec<Event> {
         let asked = self.live_peers().into_iter().map(|peer| async move {
-            let call = self.links.call(peer.address, PEER_WAIT, |client, context| async move {
-                client.events(context).await
-            });
+            let call = self
+                .links
+                .call(peer.address, PEER_WAIT, |client, context| async move {
+                    client.events(context).await
+                });
             call.await.ok()
         });
         let others = join_all(asked).await;
@@ -139,11 +141,11 @@
     }
 
     /// Which instance has which revision in force, as far as this one knows.
-    fn revisions(&self) -> Vec<crate::status::MemberStatus> {
+    fn revisions(&self) -> Vec<MemberStatus> {
         let own = self.updater.config.borrow().revision;
         let members = self.view.members().into_iter();
         let members = members.filter(|m| !matches!(m.state, MemberState::Dead | MemberState::Left));
-        let rows = members.map(|m| crate::status::MemberStatus {
+        let rows = members.map(|m| MemberStatus {
             revision: if m.name == self.me.name {
                 own
             } else {
--- a/cornelstand/src/instance.rs
+++ b/cornelstand/src/instance.rs
@@ -1,8 +1,8 @@
 //! One running instance: all parts wired together, from start to planned stop.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use futures::FutureExt;
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, sleep};
 use xtra::Address;
 
-use crate::agent::{Agent, AgentParts, Farewell, Leave, Lend, Listed, News, Received, TakeOver};
+use crate::agent::{Agent, AgentParts, Farewell, Leave, Listed, News};
 use crate::claim_shard::ClaimLimits;
 use crate::claims::{ClaimBook, ClaimObjects};
 use crate::config::Config;
@@ -128,6 +128,7 @@
             settings.platform.instances,
             parts.agent.clone(),
             parts.holdings.clone(),
+            parts.updater.config.subscribe(),
         ));
         let answerer = {
             let parts = parts.clone();
@@ -326,7 +327,6 @@
         timeline: timeline.clone(),
         metrics: EntryMetrics::new(&registry).context(MetricsSnafu)?,
         limits: settings.entry,
-        claims: ClaimBook::start(&objects, clock, ClaimLimits::default()),
     });
     let parts = Parts {
         me,
--- a/cornelstand/src/operator.rs
+++ b/cornelstand/src/operator.rs
@@ -9,14 +9,15 @@
 use bytes::Bytes;
 use derive_more::Display;
 use futures::future::BoxFuture;
-use http::{Method, StatusCode};
+use http::{HeaderMap, Method, StatusCode};
 use serde::{Deserialize, Serialize};
-use sha2::{Digest as _, Sha256};
 use subtle::ConstantTimeEq;
 use tokio::net::TcpListener;
 use warp::Filter;
+use warp::path::FullPath;
 use warp::reply::Response;
 
+use crate::auth::key_hash;
 use crate::headers::bearer_key;
 
 /// Most bytes of a note or a declared state.
@@ -145,31 +146,22 @@
     answerer: Answerer,
     shutdown: impl Future<Output = ()> + Send + 'static,
 ) {
-    let hash: Arc<str> = hash.to_ascii_lowercase().into();
+    let desk = Desk {
+        hash: hash.to_ascii_lowercase().into(),
+        answerer,
+    };
+    let body = warp::body::content_length_limit(NOTE_BYTES)
+        .or(no_body())
+        .unify()
+        .and(warp::body::bytes());
     let route = warp::method()
         .and(warp::path::full())
         .and(warp::header::headers_cloned())
-        .and(
-            warp::body::content_length_limit(NOTE_BYTES)
-                .or(no_body())
-                .unify(),
-        )
-        .and(warp::body::bytes())
-        .then(
-            move |method: Method, path: warp::path::FullPath, headers: http::HeaderMap, body| {
-                let (hash, answerer) = (hash.clone(), answerer.clone());
-                async move {
-                    let Some(query) = Query::read(&method, path.as_str(), body) else {
-                        return Answer::error(StatusCode::NOT_FOUND, "no such call").response();
-                    };
-                    if query.needs_key() && !is_operator(&headers, &hash) {
-                        let error = "the operators' key is missing or wrong";
-                        return Answer::error(StatusCode::UNAUTHORIZED, error).response();
-                    }
-                    answerer(query).await.response()
-                }
-            },
-        );
+        .and(body)
+        .then(move |method, path: FullPath, headers, body| {
+            let desk = desk.clone();
+            async move { desk.respond(&method, path.as_str(), &headers, body).await }
+        });
     warp::serve(route)
         .incoming(listener)
         .graceful(shutdown)
@@ -177,16 +169,41 @@
         .await;
 }
 
+/// What each call of an operator needs.
+#[derive(Clone)]
+struct Desk {
+    hash: Arc<str>,
+    answerer: Answerer,
+}
+
+impl Desk {
+    async fn respond(
+        &self,
+        method: &Method,
+        path: &str,
+        headers: &HeaderMap,
+        body: Bytes,
+    ) -> Response {
+        let Some(query) = Query::read(method, path, body) else {
+            return Answer::error(StatusCode::NOT_FOUND, "no such call").response();
+        };
+        if query.needs_key() && !is_operator(headers, &self.hash) {
+            let error = "the operators' key is missing or wrong";
+            return Answer::error(StatusCode::UNAUTHORIZED, error).response();
+        }
+        (self.answerer)(query).await.response()
+    }
+}
+
 /// Passes calls that announce no body.
 fn no_body() -> impl Filter<Extract = (), Error = warp::Rejection> + Clone {
     warp::get()
 }
 
-fn is_operator(headers: &http::HeaderMap, hash: &str) -> bool {
+fn is_operator(headers: &HeaderMap, hash: &str) -> bool {
     let Ok(Some(key)) = bearer_key(headers) else {
         return false;
     };
-    let digest = Sha256::digest(key.as_bytes());
-    let digits: String = digest.iter().map(|b| format!("{b:02x}")).collect();
+    let digits = key_hash(key);
     digits.as_bytes().ct_eq(hash.as_bytes()).into()
 }
--- a/cornelstand/src/platform.rs
+++ b/cornelstand/src/platform.rs
@@ -2,14 +2,17 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use derive_more::IsVariant;
 use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval};
 use xtra::Address;
 
 use crate::agent::{Agent, Listed};
+use crate::config::Config;
 use crate::gossip::Seed;
 use crate::holdings::Holdings;
 use crate::name::{EndpointName, InstanceName};
@@ -44,8 +47,10 @@
         leaving.map(|i| i.name.as_str().into()).collect()
     }
 
-    fn seeds(&self) -> Vec<Seed> {
-        let seeds = self.instances.iter().map(|i| Seed {
+    /// The instances of the fleet, which are those that are no endpoints.
+    fn seeds(&self, config: &Config) -> Vec<Seed> {
+        let is_peer = |i: &&ListedInstance| !config.endpoints.contains_key(i.name.as_str());
+        let seeds = self.instances.iter().filter(is_peer).map(|i| Seed {
             name: Some(InstanceName::from(i.name.as_str())),
             address: i.address,
             leaving: i.state.is_leaving(),
@@ -59,6 +64,7 @@
     platform: SocketAddr,
     agent: Address<Agent>,
     holdings: Holdings,
+    config: watch::Receiver<Arc<Config>>,
 ) {
     let http = reqwest::Client::builder().no_proxy().timeout(PERIOD);
     let http = http
@@ -69,18 +75,18 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        let Some(list) = read(&http, platform).await else {
+        let Some(present) = read(&http, platform).await else {
             continue;
         };
-        if list.leaving() != last.leaving() {
-            holdings.set_leaving(list.leaving()).await;
+        if present.leaving() != last.leaving() {
+            holdings.set_leaving(present.leaving()).await;
         }
         let listed = Listed {
-            seeds: list.seeds(),
+            seeds: present.seeds(&config.borrow()),
             is_complete: true,
         };
         agent.send(listed).await.ok();
-        last = list;
+        last = present;
     }
 }
 
--- a/cornelstand/src/route.rs
+++ b/cornelstand/src/route.rs
@@ -28,7 +28,7 @@
 const REPORT_WAIT: Duration = Duration::from_secs(5);
 /// Time after which an outcome that no owner takes is given up. By then a new owner has counted
 /// the attempt as ended, since the entry no longer lists it.
-const REPORT_MOST: Duration = Duration::from_secs(300);
+const REPORT_MOST: Duration = Duration::from_mins(5);
 /// Most reports in one message.
 const BATCH: usize = 64;
 /// Cells compared when one is picked.
@@ -228,7 +228,7 @@
                     return;
                 }
                 let cell = cell.clone();
-                let call =
+                let taken =
                     self.links.call(
                         owner.address,
                         REPORT_WAIT,
@@ -236,7 +236,7 @@
                             client.withdraw(context, cell, attempt).await
                         },
                     );
-                if call.await.is_ok() {
+                if taken.await.is_ok() {
                     return;
                 }
             }
--- a/cornelstand/src/updater.rs
+++ b/cornelstand/src/updater.rs
@@ -109,9 +109,11 @@
             return false;
         };
         let known = self.config.borrow().revision;
-        let call = self.links.call(address, PEER_WAIT, |client, context| async move {
-            client.config(context, known).await
-        });
+        let call = self
+            .links
+            .call(address, PEER_WAIT, |client, context| async move {
+                client.config(context, known).await
+            });
         match call.await {
             Ok(Some(config)) => {
                 self.put_in_force(config).await;
