--- a/cornelstand/src/claim.rs
+++ b/cornelstand/src/claim.rs
@@ -247,6 +247,8 @@
     pub next: u64,
     /// The claims by identity.
     pub claims: BTreeMap<ClaimId, Claim>,
+    /// Tokens given up, with the change that did so. A copy of their `begin` claims nothing.
+    pub released: BTreeMap<Token, u64>,
 }
 
 /// Error of reading a claim object.
@@ -264,6 +266,9 @@
         /// Where and why.
         source: serde_json::Error,
     },
+    /// A released token is newer than its shard.
+    #[snafu(display("a released token is newer than its shard"))]
+    Newer,
     /// A claim breaks a rule of its shard.
     #[snafu(display("claim {id} {what}"))]
     Invalid {
@@ -292,6 +297,10 @@
             let what = "has a longer answer than is kept";
             ensure!(is_kept(&claim.state), InvalidSnafu { id, what });
         }
+        ensure!(
+            shard.released.values().all(|change| *change < shard.next),
+            NewerSnafu
+        );
         Ok(shard)
     }
 
@@ -329,24 +338,36 @@
         true
     }
 
-    /// Removes the open claim that `token` made.
+    /// Removes the open claim that `token` made, and keeps `token` from making one.
     pub(crate) fn release(&mut self, id: ClaimId, token: Token) {
+        if self.released.contains_key(&token) {
+            return;
+        }
         let own = |c: &Claim| c.token == token && c.state.is_open();
         if self.claims.get(&id).is_some_and(own) {
             self.claims.remove(&id);
-            take(&mut self.next);
         }
+        self.released.insert(token, take(&mut self.next));
     }
 
-    /// Removes settled claims unchanged since change `settled`, and open ones since `open`.
-    pub(crate) fn expire(&mut self, settled: u64, open: u64) {
+    /// Removes what was not changed since the changes of `limits`.
+    pub(crate) fn expire(&mut self, limits: Expiry) {
         self.claims.retain(|_, claim| {
-            let limit = if claim.state.is_open() { open } else { settled };
-            claim.change >= limit
+            let open = claim.state.is_open();
+            claim.change >= if open { limits.open } else { limits.settled }
         });
+        self.released.retain(|_, change| *change >= limits.released);
     }
 }
 
+/// Changes of a shard before which each kind of entry has expired.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Expiry {
+    pub(crate) settled: u64,
+    pub(crate) open: u64,
+    pub(crate) released: u64,
+}
+
 /// What a `begin` asks for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Wish {
--- a/cornelstand/src/claim_shard.rs
+++ b/cornelstand/src/claim_shard.rs
@@ -15,7 +15,7 @@
 
 use derive_more::IsVariant;
 
-use crate::claim::{Claim, ClaimId, ClaimState, Recorded, Shard, Token, Wish};
+use crate::claim::{Claim, ClaimId, ClaimState, Expiry, Recorded, Shard, Token, Wish};
 use crate::moment::Moment;
 use crate::name::Fingerprint;
 use crate::store::{Condition, VALUE_BYTES, Version};
@@ -35,7 +35,7 @@
     pub gap: Duration,
     /// Time after which a `begin` without an answer from the store is refused.
     pub patience: Duration,
-    /// Time for which a settlement is tried.
+    /// Time for which a settlement is tried, and a released token is remembered.
     pub settle: Duration,
     /// Time from `begin` within which the request has to be sent.
     pub window: Duration,
@@ -137,7 +137,8 @@
 
 #[derive(Debug)]
 struct Pending {
-    op: OpId,
+    /// Whom to answer, `None` if that was done.
+    op: Option<OpId>,
     claim: ClaimId,
     what: Op,
     until: Moment,
@@ -211,7 +212,7 @@
             self.limits.settle
         };
         self.queue.push_back(Pending {
-            op,
+            op: Some(op),
             claim,
             what,
             until: now.after(patience),
@@ -272,7 +273,7 @@
             let Some(answer) = pending.answer.take() else {
                 return true;
             };
-            out.push(Effect::Reply(pending.op, answer));
+            out.extend(pending.op.map(|op| Effect::Reply(op, answer)));
             false
         });
     }
@@ -285,7 +286,8 @@
             if now < pending.until {
                 return true;
             }
-            out.push(Effect::Reply(pending.op, Answer::Unavailable));
+            let op = pending.op.take();
+            out.extend(op.map(|op| Effect::Reply(op, Answer::Unavailable)));
             let exposed = pending.exposed || writing && pending.answer.is_some();
             let Op::Begin(wish) = pending.what else {
                 return false;
@@ -308,9 +310,11 @@
         };
         let condition = cached.condition;
         let mut shard = cached.shard.clone();
-        let settled = self.ages.before(now, self.limits.keep);
-        let open = self.ages.before(now, self.limits.orphan);
-        shard.expire(settled, open);
+        shard.expire(Expiry {
+            settled: self.ages.before(now, self.limits.keep),
+            open: self.ages.before(now, self.limits.orphan),
+            released: self.ages.before(now, self.limits.settle),
+        });
         let dated = self.ages.before(now, self.limits.run);
         if !self.apply(&mut shard, dated, false) {
             self.start_read(out);
@@ -327,6 +331,7 @@
     }
 
     fn start_read(&mut self, out: &mut Vec<Effect>) {
+        self.cached = None;
         for pending in &mut self.queue {
             pending.confirmed = true;
             pending.answer = None;
@@ -346,6 +351,7 @@
         for pending in self.queue.iter_mut().take(self.limits.queue) {
             let answer = match &pending.what {
                 Op::Begin(_) if full && !shard.claims.contains_key(&pending.claim) => Answer::Full,
+                Op::Begin(wish) if shard.released.contains_key(&wish.token) => Answer::Lost,
                 Op::Begin(wish) => {
                     let held = shard.claim(pending.claim, *wish);
                     let foreign = held.token != wish.token;
@@ -446,3 +452,6 @@
             .map_or(0, |(_, next)| *next)
     }
 }
+
+#[cfg(test)]
+mod tests;
