Pin the faults of the claim writer and count age on quiet shards

A shard without writes took no sample of its age, so an open claim counted as running and a settled one was kept for as long as nothing happened. The last sample now always holds the newest change.

--- a/cornelstand/src/claim_shard.rs
+++ b/cornelstand/src/claim_shard.rs
@@ -423,16 +423,17 @@
 
 impl Ages {
     /// Notes that all changes below `next` exist at `now`.
+    ///
+    /// The last sample holds all changes; the others are a step apart or more.
     fn see(&mut self, now: Moment, next: u64, limits: &ClaimLimits) {
         let spans = [limits.run, limits.keep, limits.orphan];
         let step = spans.into_iter().min().unwrap_or_default() / SAMPLES;
-        let due = self
-            .samples
-            .back()
-            .is_none_or(|(at, _)| now.since(*at) >= step);
-        if due {
-            self.samples.push_back((now, next));
+        let before = self.samples.len().checked_sub(2);
+        let dense = before.is_some_and(|i| now.since(self.samples[i].0) < step);
+        if dense {
+            self.samples.pop_back();
         }
+        self.samples.push_back((now, next));
         let longest = spans.into_iter().max().unwrap_or_default();
         while self
             .samples
--- a/cornelstand/src/claim_shard/tests.rs
+++ b/cornelstand/src/claim_shard/tests.rs
@@ -510,6 +510,134 @@
     result.unwrap_or_else(|e| panic!("{e}"));
     insta::assert_snapshot!(
         format!("{SCHEDULES} schedules, {} runs, {} refusals", runs.get(), refusals.get()),
-        @"10000 schedules, 3753 runs, 19564 refusals"
+        @"10000 schedules, 3762 runs, 19478 refusals"
     );
 }
+
+const START: Moment = Moment(0);
+
+fn wish(token: u128) -> Wish {
+    Wish {
+        token: Token(token),
+        fingerprint: Fingerprint(1),
+        request: RequestId(token),
+    }
+}
+
+fn begin(op: OpId) -> Event {
+    Event::Asked(op, id(0), Op::Begin(wish(u128::from(op))))
+}
+
+/// A writer that has claimed for operation 1, with version 1 in the store.
+fn claimed() -> Writer {
+    let mut writer = Writer::new(limits());
+    writer.on(START, begin(1));
+    writer.on(START, Event::Read(ReadEnd::Absent));
+    let effects = writer.on(START, written(1));
+    assert_eq!(replies(&effects), [(1, Answer::Fresh)]);
+    writer
+}
+
+fn written(version: u64) -> Event {
+    Event::Written(WriteEnd::Written(Version(version)))
+}
+
+fn replies(effects: &[Effect]) -> Vec<(OpId, Answer)> {
+    effects
+        .iter()
+        .filter_map(|e| match e {
+            Effect::Reply(op, answer) => Some((*op, answer.clone())),
+            _ => None,
+        })
+        .collect()
+}
+
+fn at(time: Duration) -> Moment {
+    START.after(time)
+}
+
+#[test]
+fn a_begin_that_was_given_up_is_not_answered_again() {
+    let mut writer = Writer::new(limits());
+    writer.on(START, begin(1));
+    writer.on(START, Event::Read(ReadEnd::Absent));
+    let late = at(limits().patience);
+    let effects = writer.on(late, Event::Tick);
+    assert_eq!(replies(&effects), [(1, Answer::Unavailable)]);
+    let effects = writer.on(late, written(1));
+    assert_eq!(replies(&effects), []);
+    let effects = writer.on(late, written(2));
+    assert_eq!(replies(&effects), []);
+}
+
+#[test]
+fn a_copy_of_a_begin_after_its_release_claims_nothing() {
+    let mut writer = claimed();
+    let later = at(limits().gap);
+    writer.on(later, Event::Asked(2, id(0), Op::Release(Token(1))));
+    writer.on(later, written(2));
+    let effects = writer.on(at(limits().gap * 2), begin_copy(3));
+    assert_eq!(replies(&effects), [(3, Answer::Lost)]);
+}
+
+fn begin_copy(op: OpId) -> Event {
+    Event::Asked(op, id(0), Op::Begin(wish(1)))
+}
+
+#[test]
+fn a_failed_read_does_not_pass_for_a_fresh_one() {
+    let mut writer = claimed();
+    let mut now = at(limits().gap);
+    let effects = writer.on(now, begin(2));
+    assert!(effects.contains(&Effect::Read));
+    let effects = writer.on(now, Event::Read(ReadEnd::Failed));
+    assert_eq!(replies(&effects), []);
+    now = now.after(limits().gap);
+    let effects = writer.on(now, Event::Tick);
+    assert!(effects.contains(&Effect::Read), "{effects:?}");
+    assert_eq!(replies(&effects), []);
+}
+
+/// What a later begin hears when the claim was last changed at time zero.
+fn heard(writer: &mut Writer, time: Duration) -> Vec<(OpId, Answer)> {
+    let shard = writer
+        .cached
+        .as_ref()
+        .map(|c| c.shard.clone())
+        .expect("a value");
+    let mut effects = writer.on(at(time), begin(9));
+    if effects.contains(&Effect::Read) {
+        let found = Event::Read(ReadEnd::Found(Version(1), shard));
+        effects = writer.on(at(time), found);
+    }
+    if replies(&effects).is_empty() {
+        effects = writer.on(at(time), written(2));
+    }
+    replies(&effects)
+}
+
+#[rstest::rstest]
+#[case::young(limits().run - Duration::from_millis(1), Answer::Running)]
+#[case::dated(limits().run, Answer::Unknown)]
+#[case::kept(limits().orphan - Duration::from_millis(1), Answer::Unknown)]
+#[case::expired(limits().orphan, Answer::Fresh)]
+fn an_open_claim_is_kept_for_its_time(#[case] time: Duration, #[case] answer: Answer) {
+    assert_eq!(heard(&mut claimed(), time), [(9, answer)]);
+}
+
+#[rstest::rstest]
+#[case::kept(limits().gap + limits().keep - Duration::from_millis(1), false)]
+#[case::expired(limits().gap + limits().keep, true)]
+fn a_settled_claim_is_kept_for_its_time(#[case] time: Duration, #[case] fresh: bool) {
+    let mut writer = claimed();
+    let later = at(limits().gap);
+    let settle = Op::Settle(Token(1), ClaimState::Unknown);
+    writer.on(later, Event::Asked(2, id(0), settle));
+    writer.on(later, written(1));
+    let answer = if fresh {
+        Answer::Fresh
+    } else {
+        Answer::Unknown
+    };
+    assert_eq!(heard(&mut writer, time), [(9, answer)]);
+}
