Count what may run unseen, and a boot as proven only while it shows

Cause: an attempt whose connection was silent or reset may still run at its endpoint, an idle endpoint can restart without anyone noticing, and an entry whose own network is cut could make every endpoint suspect. Change: such attempts stay counted until a young load report bounds them; an endpoint where nothing runs gets its cold number until a reply shows the boot again; repeated bad outcomes of one entry count once per 250 ms.

--- a/cornelstand/src/cell.rs
+++ b/cornelstand/src/cell.rs
@@ -4,20 +4,20 @@
 //! while it holds the lease and some endpoint has room, so that no slot idles while work waits.
 //! A repeated input changes nothing: an attempt is queued, charged and freed once.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::active::{Active, ActiveSet};
+use crate::cell_message::{CellInput, CellOutput, Part};
 use crate::cell_status::{AccountStatus, CellStatus, Counts, EndpointStatus};
-use crate::config::{Class, Config};
-use crate::dispatch::{
-    Census, Counter, Ending, EndpointState, Grant, Handover, Offer, Phase, Refusal, Report, Running,
-};
-use crate::endpoint::{EndpointModel, LOAD_LAG, Load, Sight, State};
-use crate::fair::{AccountId, FairQueue, Waiting, arrival};
+use crate::config::Config;
+use crate::dispatch::{Ending, Grant, Offer, Phase, Refusal, Report};
+use crate::endpoint::{EndpointModel, Load, Sight};
+use crate::fair::{FairQueue, Waiting, arrival};
 use crate::moment::Moment;
 use crate::name::{AttemptId, CellId, EndpointName, Epoch, InstanceName};
-use crate::tombs::Tombs;
 
 /// Cost of a call of a service that is not configured.
 const DEFAULT_ESTIMATE: u64 = 100;
@@ -31,125 +31,24 @@
 /// Longest time after which a refused caller is asked to come back.
 const RETRY_LAST: Duration = Duration::from_mins(1);
 
-/// Part of each endpoint's limit that the owner of a cell may use.
-#[derive(
-    Clone, Copy, Debug, serde::Deserialize, Eq, derive_more::IsVariant, PartialEq, serde::Serialize,
-)]
-#[serde(rename_all = "kebab-case")]
-pub enum Part {
-    /// All of it: the lease is held and can be renewed.
-    Full,
-    /// Half, rounded up: the lease cannot be renewed.
-    Kept,
-    /// Half, rounded down: owner for as long as nobody can take the lease.
-    Provisional,
-}
-
-impl Part {
-    /// This part of `limit`.
-    #[must_use]
-    pub fn of(self, limit: u32) -> u32 {
-        match self {
-            Self::Full => limit,
-            Self::Kept => limit.div_ceil(2),
-            Self::Provisional => limit / 2,
-        }
-    }
-}
-
-/// Event for a cell.
-#[derive(Clone, Debug)]
-pub enum CellInput {
-    /// An entry offers a request.
-    Offer(Offer),
-    /// An entry takes an offer back.
-    Withdraw(AttemptId),
-    /// An entry tells how a granted attempt goes.
-    Report(Report),
-    /// An endpoint reported its load.
-    Load {
-        /// The endpoint.
-        endpoint: EndpointName,
-        /// The report.
-        load: Load,
-    },
-    /// The endpoints that the platform is about to stop, all of them.
-    Leaving(BTreeSet<EndpointName>),
-    /// A revision of the configuration is in force.
-    Configure(Arc<Config>),
-    /// The cell is owned until a moment.
-    Lease {
-        /// Nothing is granted from then on.
-        until: Moment,
-        /// Part of each limit that may be used.
-        part: Part,
-    },
-    /// An entry lists what it runs.
-    Census(Census),
-    /// The cell was taken over without a handover.
-    Recover {
-        /// Entries that may run requests of the cell and have still to report.
-        entries: BTreeSet<InstanceName>,
-    },
-    /// An entry is gone for good.
-    EntryGone(InstanceName),
-    /// Time has passed.
-    Tick,
-}
-
-/// Effect of an input.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum CellOutput {
-    /// A waiting offer is granted.
-    Grant(Grant),
-    /// An offer is refused. It has not run.
-    Refuse {
-        /// The attempt.
-        attempt: AttemptId,
-        /// The reason.
-        refusal: Refusal,
-    },
-    /// An endpoint has changed state.
-    Changed {
-        /// The endpoint.
-        endpoint: EndpointName,
-        /// The new state.
-        state: State,
-    },
-}
-
-/// A granted attempt that has not ended.
-#[derive(Debug)]
-struct Active {
-    account: AccountId,
-    class: Class,
-    endpoint: EndpointName,
-    entry: Option<InstanceName>,
-    charged: u64,
-    generation: u32,
-    granted: Moment,
-}
-
 /// Decisions of one cell.
 #[derive(Debug)]
 pub struct Cell {
-    id: CellId,
-    epoch: Epoch,
-    config: Arc<Config>,
+    pub(crate) id: CellId,
+    pub(crate) epoch: Epoch,
+    pub(crate) config: Arc<Config>,
     until: Moment,
     part: Part,
-    queue: FairQueue,
-    endpoints: BTreeMap<EndpointName, EndpointModel>,
-    active: HashMap<AttemptId, Active>,
-    batch: u32,
-    tombs: Tombs,
-    unreported: BTreeSet<InstanceName>,
+    pub(crate) queue: FairQueue,
+    pub(crate) endpoints: BTreeMap<EndpointName, EndpointModel>,
+    pub(crate) active: ActiveSet,
+    pub(crate) unreported: BTreeSet<InstanceName>,
     /// Whether an entry went without reporting what it ran.
-    lost: bool,
-    recovered: Moment,
+    pub(crate) lost: bool,
+    pub(crate) recovered: Moment,
     /// Time of the latest input.
     latest: Moment,
-    counts: Counts,
+    pub(crate) counts: Counts,
 }
 
 impl Cell {
@@ -166,9 +65,7 @@
             part: Part::Full,
             queue,
             endpoints: BTreeMap::new(),
-            active: HashMap::new(),
-            batch: 0,
-            tombs: Tombs::default(),
+            active: ActiveSet::default(),
             unreported: BTreeSet::new(),
             lost: false,
             recovered: now,
@@ -179,53 +76,6 @@
         cell
     }
 
-    /// A cell that goes on where its earlier owner stopped.
-    #[must_use]
-    pub fn resume(handover: Handover, epoch: Epoch, config: Arc<Config>, now: Moment) -> Self {
-        let mut cell = Self::new(handover.cell, epoch, config, now);
-        for counter in &handover.counters {
-            let share = cell.share(counter.account.as_str());
-            let id = cell.queue.account(&counter.account, share);
-            cell.queue.restore(id, counter.service, counter.average);
-        }
-        let floor = handover.counters.iter().map(|c| c.service).max();
-        cell.queue.set_floor(floor.unwrap_or(0));
-        for known in &handover.endpoints {
-            if let Some(model) = cell.endpoints.get_mut(&known.endpoint) {
-                model.restore(known.boot, known.answers);
-            }
-        }
-        for census in handover.running {
-            for running in census.running {
-                cell.adopt(running, Some(census.entry.clone()), false);
-            }
-        }
-        cell
-    }
-
-    /// What the next owner needs to go on. Offers that wait are not part of it.
-    #[must_use]
-    pub fn hand_over(self) -> Handover {
-        let counters = self.queue.views().map(|a| Counter {
-            account: a.name.clone(),
-            service: a.service,
-            average: a.average,
-        });
-        let counters = counters.collect();
-        let endpoints = self.endpoints.iter().map(|(name, model)| EndpointState {
-            endpoint: name.clone(),
-            boot: model.boot(),
-            answers: model.answers(),
-        });
-        Handover {
-            counters,
-            running: self.censuses(),
-            endpoints: endpoints.collect(),
-            cell: self.id,
-            epoch: self.epoch,
-        }
-    }
-
     /// Takes in one input and appends its effects to `out`.
     pub fn handle(&mut self, now: Moment, input: CellInput, out: &mut Vec<CellOutput>) {
         self.latest = now;
@@ -240,7 +90,7 @@
                 self.until = until;
                 self.part = part;
             }
-            CellInput::Census(census) => self.census(census),
+            CellInput::Census(census) => self.census(now, census),
             CellInput::Recover { entries } => self.recover(now, entries),
             CellInput::EntryGone(entry) => self.entry_gone(now, &entry, out),
             CellInput::Tick => {}
@@ -276,7 +126,7 @@
     }
 
     /// Endpoints with their addresses, to poll for load.
-    pub fn polled(&self) -> impl Iterator<Item = (&EndpointName, std::net::SocketAddr)> {
+    pub fn polled(&self) -> impl Iterator<Item = (&EndpointName, SocketAddr)> {
         let all = self.config.cell_endpoints(&self.id);
         all.map(|(name, endpoint)| (name, endpoint.address))
     }
@@ -309,14 +159,14 @@
         if self.queue.contains(attempt) {
             return;
         }
-        if let Some(active) = self.active.get(&attempt) {
+        if let Some(active) = self.active.get(attempt) {
             out.push(CellOutput::Grant(self.granted(attempt, active)));
             return;
         }
         self.counts.offered += 1;
         let refusal = if now >= self.until {
             Some(Refusal::NotOwner(None))
-        } else if self.tombs.contains(attempt) {
+        } else if self.active.has_ended(attempt) {
             Some(Refusal::Cancelled)
         } else if !self.endpoints.values().any(EndpointModel::is_in) {
             let retry = RETRY_FIRST;
@@ -354,7 +204,12 @@
         None
     }
 
-    fn refuse(&mut self, attempt: AttemptId, refusal: Refusal, out: &mut Vec<CellOutput>) {
+    pub(crate) fn refuse(
+        &mut self,
+        attempt: AttemptId,
+        refusal: Refusal,
+        out: &mut Vec<CellOutput>,
+    ) {
         if refusal == Refusal::Cancelled {
             self.counts.cancelled += 1;
         } else {
@@ -364,15 +219,12 @@
     }
 
     fn withdraw(&mut self, attempt: AttemptId, out: &mut Vec<CellOutput>) {
-        self.tombs.insert(attempt);
+        let closed = self.active.close(attempt);
         if self.queue.remove(attempt).is_some() {
             self.refuse(attempt, Refusal::Cancelled, out);
-            return;
         }
         // The grant crossed the withdrawal, so the entry never runs the attempt.
-        let Some(active) = self.close(attempt) else {
-            return;
-        };
+        let Some(active) = closed else { return };
         self.queue.finish(active.account, active.charged, 0);
         if let Some(model) = self.endpoints.get_mut(&active.endpoint) {
             model.stop();
@@ -381,33 +233,17 @@
     }
 
     fn report(&mut self, now: Moment, report: &Report) {
-        if !self.active.contains_key(&report.attempt) && !self.learn(report) {
+        if !self.active.contains(report.attempt) && !self.learn(now, report) {
             return;
         }
         match report.phase {
-            Phase::Running => self.progress(report),
+            Phase::Running => self.progress(now, report),
             Phase::Ended(ending) => self.end(now, report, ending),
         }
     }
 
-    /// Takes in an attempt that an earlier owner granted, and tells whether it is one.
-    fn learn(&mut self, report: &Report) -> bool {
-        let foreign = report.epoch < self.epoch && !self.tombs.contains(report.attempt);
-        if foreign {
-            let running = Running {
-                attempt: report.attempt,
-                endpoint: report.endpoint.clone(),
-                account: report.account.clone(),
-                class: Class::Interactive,
-                cost: 0,
-            };
-            self.adopt(running, None, true);
-        }
-        foreign
-    }
-
-    fn progress(&mut self, report: &Report) {
-        let Some(active) = self.active.get_mut(&report.attempt) else {
+    fn progress(&mut self, now: Moment, report: &Report) {
+        let Some(active) = self.active.get_mut(report.attempt) else {
             return;
         };
         if report.cost > active.charged {
@@ -417,12 +253,12 @@
         }
         let sight = sight(active, report);
         if let Some(model) = self.endpoints.get_mut(&active.endpoint) {
-            model.sight(sight);
+            model.sight(now, sight);
         }
     }
 
     fn end(&mut self, now: Moment, report: &Report, ending: Ending) {
-        let Some(active) = self.close(report.attempt) else {
+        let Some(active) = self.active.close(report.attempt) else {
             return;
         };
         let cost = if ending.is_not_sent() { 0 } else { report.cost };
@@ -431,28 +267,13 @@
             self.queue.learn(active.account, cost);
         }
         if let Some(model) = self.endpoints.get_mut(&active.endpoint) {
-            model.stop();
             model.ended(now, sight(&active, report), ending);
         }
         self.counts.ended += 1;
     }
 
-    /// Takes an attempt out of those that run.
-    fn close(&mut self, attempt: AttemptId) -> Option<Active> {
-        let active = self.active.remove(&attempt)?;
-        self.tombs.insert(attempt);
-        if active.class.is_batch() {
-            self.batch = self.batch.saturating_sub(1);
-        }
-        Some(active)
-    }
-
     fn load(&mut self, now: Moment, endpoint: &EndpointName, load: Load) {
-        let settled = self
-            .active
-            .values()
-            .filter(|a| a.endpoint == *endpoint && a.granted.after(LOAD_LAG) <= now);
-        let settled = u32::try_from(settled.count()).unwrap_or(u32::MAX);
+        let settled = self.active.settled(endpoint, now);
         if let Some(model) = self.endpoints.get_mut(endpoint) {
             model.load(now, load, settled);
         }
@@ -502,107 +323,10 @@
             .retain(|name, m| m.running() > 0 || config.endpoints.contains_key(name));
     }
 
-    fn share(&self, account: &str) -> u32 {
+    pub(crate) fn share(&self, account: &str) -> u32 {
         self.config.accounts.get(account).map_or(1, |a| a.share)
     }
 
-    fn recover(&mut self, now: Moment, entries: BTreeSet<InstanceName>) {
-        self.recovered = now;
-        self.unreported = entries;
-        if self.unreported.is_empty() {
-            return;
-        }
-        for model in self.endpoints.values_mut() {
-            model.doubt(now);
-        }
-    }
-
-    fn census(&mut self, census: Census) {
-        let listed: BTreeSet<AttemptId> = census.running.iter().map(|r| r.attempt).collect();
-        for running in census.running {
-            let known = self.active.contains_key(&running.attempt);
-            if !known && !self.tombs.contains(running.attempt) {
-                self.adopt(running, Some(census.entry.clone()), true);
-            }
-        }
-        for attempt in listed {
-            if let Some(active) = self.active.get_mut(&attempt) {
-                active.entry = Some(census.entry.clone());
-            }
-        }
-        if self.unreported.remove(&census.entry) {
-            self.settle();
-        }
-    }
-
-    /// Ends the recovery once nobody has still to report.
-    fn settle(&mut self) {
-        if !self.unreported.is_empty() || self.lost {
-            return;
-        }
-        for model in self.endpoints.values_mut() {
-            model.settle();
-        }
-    }
-
-    fn entry_gone(&mut self, now: Moment, entry: &InstanceName, out: &mut Vec<CellOutput>) {
-        if self.unreported.remove(entry) {
-            self.lost = true;
-        }
-        let gone = self
-            .active
-            .iter()
-            .filter(|(_, a)| a.entry.as_ref() == Some(entry));
-        let gone: Vec<AttemptId> = gone.map(|(attempt, _)| *attempt).collect();
-        for attempt in gone {
-            let Some(active) = self.close(attempt) else {
-                continue;
-            };
-            self.queue
-                .finish(active.account, active.charged, active.charged);
-            if let Some(model) = self.endpoints.get_mut(&active.endpoint) {
-                model.orphan(now);
-            }
-            self.counts.ended += 1;
-        }
-        let waiting = self
-            .queue
-            .attempts()
-            .filter(|a| self.queue.get(*a).is_some_and(|w| w.entry == *entry));
-        for attempt in waiting.collect::<Vec<_>>() {
-            self.queue.remove(attempt);
-            self.refuse(attempt, Refusal::Cancelled, out);
-        }
-    }
-
-    /// Counts an attempt that another owner granted, charging it if that owner's charge is lost.
-    fn adopt(&mut self, running: Running, entry: Option<InstanceName>, charge: bool) {
-        let share = self.share(running.account.as_str());
-        let account = self.queue.account(&running.account, share);
-        if charge {
-            self.queue.start(account, running.cost);
-        } else {
-            self.queue.count(account);
-        }
-        let model = self.endpoints.get_mut(&running.endpoint);
-        let generation = model.map_or(0, |m| {
-            m.adopt();
-            m.generation()
-        });
-        self.batch += u32::from(running.class.is_batch());
-        self.counts.adopted += 1;
-        let active = Active {
-            account,
-            class: running.class,
-            endpoint: running.endpoint,
-            entry,
-            charged: running.cost,
-            generation,
-            granted: self.recovered,
-        };
-        self.active.insert(running.attempt, active);
-    }
-
     fn expire(&mut self, now: Moment, out: &mut Vec<CellOutput>) {
         for attempt in self.queue.expired(now) {
             self.queue.remove(attempt);
@@ -632,7 +356,7 @@
             .map(|m| self.part.of(m.bears()))
             .sum();
         let batch_limit = (slots * BATCH_QUARTERS).div_ceil(4);
-        while let Some(attempt) = self.queue.next(self.batch >= batch_limit) {
+        while let Some(attempt) = self.queue.next(self.active.batch() >= batch_limit) {
             let Some(endpoint) = self.pick(now, attempt) else {
                 return;
             };
@@ -669,7 +393,6 @@
             generation: model.generation(),
             granted: now,
         };
-        self.batch += u32::from(waiting.class.is_batch());
         let grant = self.granted(attempt, &active);
         self.active.insert(attempt, active);
         self.counts.granted += 1;
@@ -694,32 +417,12 @@
             }
         }
     }
-
-    fn censuses(&self) -> Vec<Census> {
-        let mut entries: BTreeMap<InstanceName, Vec<Running>> = BTreeMap::new();
-        for (attempt, active) in &self.active {
-            let Some(entry) = &active.entry else { continue };
-            let running = Running {
-                attempt: *attempt,
-                endpoint: active.endpoint.clone(),
-                account: self.queue.name(active.account).clone(),
-                class: active.class,
-                cost: active.charged,
-            };
-            entries.entry(entry.clone()).or_default().push(running);
-        }
-        let censuses = entries.into_iter().map(|(entry, running)| Census {
-            entry,
-            cell: self.id.clone(),
-            running,
-        });
-        censuses.collect()
-    }
 }
 
-fn sight(active: &Active, report: &Report) -> Sight {
+fn sight<'a>(active: &'a Active, report: &Report) -> Sight<'a> {
     Sight {
         generation: active.generation,
+        entry: active.entry.as_ref(),
         boot: report.boot,
         first: report.first,
     }
--- a/cornelstand/src/cell_status.rs
+++ b/cornelstand/src/cell_status.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::cell::Part;
+use crate::cell_message::Part;
 use crate::endpoint::State;
 use crate::fair::AccountView;
 use crate::name::{AccountName, BootId, CellId, EndpointName, Epoch, InstanceName};
--- a/cornelstand/src/dispatcher.rs
+++ b/cornelstand/src/dispatcher.rs
@@ -16,7 +16,8 @@
 use xtra::WeakAddress;
 use xtra::prelude::*;
 
-use crate::cell::{Cell, CellInput, CellOutput, Part};
+use crate::cell::Cell;
+use crate::cell_message::{CellInput, CellOutput, Part};
 use crate::cell_status::CellStatus;
 use crate::config::Config;
 use crate::dispatch::{Census, Handover, Offer, Refusal, Reply, Report};
--- a/cornelstand/src/endpoint.rs
+++ b/cornelstand/src/endpoint.rs
@@ -14,7 +14,8 @@
 use crate::config::Endpoint;
 use crate::dispatch::Ending;
 use crate::moment::Moment;
-use crate::name::BootId;
+use crate::name::{BootId, InstanceName};
+use crate::probe::Probe;
 
 /// Oldest that a load report may be.
 pub(crate) const LOAD_LAG: Duration = Duration::from_secs(3);
@@ -22,14 +23,9 @@
 /// Longest that requests which nobody can follow are assumed to run without a load report.
 const DOUBT: Duration = Duration::from_mins(1);
 
-/// Bad outcomes without an answer between them that make an endpoint suspect.
-const STRIKES: u32 = 3;
-
-/// Shortest time between probes of a suspect endpoint.
-const PROBE_FIRST: Duration = Duration::from_millis(500);
-
-/// Longest time between probes of a suspect endpoint.
-const PROBE_LAST: Duration = Duration::from_secs(30);
+/// How long a boot counts as proven after it was seen while nothing runs there. A restart takes
+/// longer.
+const PROOF: Duration = Duration::from_millis(250);
 
 /// Boot identities that are remembered as ended.
 const RETIRED: usize = 8;
@@ -78,13 +74,24 @@
 
 /// What an attempt showed of its endpoint.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Sight {
+pub(crate) struct Sight<'a> {
     /// Generation of the endpoint when the attempt was granted.
     pub(crate) generation: u32,
+    /// Who ran the attempt.
+    pub(crate) entry: Option<&'a InstanceName>,
     pub(crate) boot: Option<BootId>,
     pub(crate) first: Option<Duration>,
 }
 
+/// When a boot was last seen.
+#[derive(Clone, Copy, Debug, Default)]
+struct Proof {
+    /// Whether a running attempt showed the boot, or one did shortly before the first of them.
+    shown: bool,
+    at: Moment,
+}
+
+/// Knowledge of one endpoint.
 #[derive(Debug)]
 pub(crate) struct EndpointModel {
     cold: u32,
@@ -104,9 +111,10 @@
     confirm: bool,
     firsts: u32,
     first: Duration,
-    strikes: u32,
-    backoff: Duration,
-    probe: Moment,
+    proof: Proof,
+    /// Broken attempts since `held` was set.
+    broken: u32,
+    probe: Probe,
     leaving: bool,
     out: bool,
     running: u32,
@@ -131,9 +139,9 @@
             confirm: true,
             firsts: 0,
             first: Duration::ZERO,
-            strikes: 0,
-            backoff: PROBE_FIRST,
-            probe: Moment::default(),
+            proof: Proof::default(),
+            broken: 0,
+            probe: Probe::new(),
             leaving: false,
             out: false,
             running: 0,
@@ -147,7 +155,11 @@
     }
 
     pub(crate) fn configure(&mut self, config: &Endpoint, out: bool) {
-        self.cold = config.cold;
+        self.cold = if config.ramp == 0 {
+            config.warm
+        } else {
+            config.cold
+        };
         self.warm = config.warm.max(config.cold);
         self.ramp = config.ramp;
         self.out = out;
@@ -162,7 +174,11 @@
     }
 
     /// Takes over what an earlier owner had learned.
-    pub(crate) fn restore(&mut self, boot: Option<BootId>, answers: u32) {
+    pub(crate) fn restore(&mut self, now: Moment, boot: Option<BootId>, answers: u32) {
+        self.proof = Proof {
+            shown: boot.is_some(),
+            at: now,
+        };
         self.boot = boot;
         self.answers = answers;
     }
@@ -188,7 +204,7 @@
             State::Out
         } else if self.leaving {
             State::Leaving
-        } else if self.strikes >= STRIKES {
+        } else if self.probe.is_suspect() {
             State::Suspect
         } else if self.bears() >= self.warm {
             State::Warm
@@ -222,16 +238,34 @@
         self.cold + u32::try_from(gained).unwrap_or(0)
     }
 
+    /// Requests at once that may be granted. With nothing running there, no connection would break
+    /// at a restart, so a boot that was not seen lately counts as cold until it shows.
+    fn limit(&self, now: Moment) -> u32 {
+        if self.is_proved(now) {
+            self.bears()
+        } else {
+            self.cold
+        }
+    }
+
+    fn is_proved(&self, now: Moment) -> bool {
+        if self.running == 0 {
+            now <= self.proof.at.after(PROOF)
+        } else {
+            self.proof.shown
+        }
+    }
+
     /// Requests that may be granted now, where `part` takes the dispatcher's part of a limit.
     pub(crate) fn room(&self, now: Moment, part: impl Fn(u32) -> u32) -> u32 {
         let Some(foreign) = self.foreign(now) else {
             return 0;
         };
-        let limit = part(self.bears());
+        let limit = part(self.limit(now));
         let free = limit.saturating_sub(self.running.saturating_add(foreign));
         match self.state() {
             State::Out | State::Leaving => 0,
-            State::Suspect if now < self.probe => 0,
+            State::Suspect if now < self.probe.due() => 0,
             State::Suspect => free.min(1),
             State::Cold | State::Warming | State::Warm => free,
         }
@@ -253,19 +287,19 @@
 
     /// When a suspect endpoint may be probed again.
     pub(crate) fn probe(&self) -> Option<Moment> {
-        self.state().is_suspect().then_some(self.probe)
+        self.state().is_suspect().then_some(self.probe.due())
     }
 
     /// Counts a grant.
     pub(crate) fn start(&mut self, now: Moment) {
+        self.proof.shown = self.is_proved(now);
         self.running += 1;
-        if self.strikes >= STRIKES {
-            self.delay_probe(now);
-        }
+        self.probe.start(now);
     }
 
     /// Counts an attempt that an earlier owner granted.
-    pub(crate) fn adopt(&mut self) {
+    pub(crate) fn adopt(&mut self, now: Moment) {
+        self.proof.shown = self.is_proved(now);
         self.running += 1;
     }
 
@@ -275,34 +309,35 @@
     }
 
     /// Takes in what a running attempt showed.
-    pub(crate) fn sight(&mut self, sight: Sight) {
+    pub(crate) fn sight(&mut self, now: Moment, sight: Sight<'_>) {
         let Some(boot) = sight.boot else { return };
-        if self.boot == Some(boot) {
-            return;
+        if self.boot != Some(boot) && self.retired.contains(&boot) {
+            self.revive(now, boot, sight.generation);
+        } else if self.boot != Some(boot) {
+            self.adopt_boot(boot);
         }
-        if self.retired.contains(&boot) {
-            self.revive(boot, sight.generation);
-            return;
-        }
-        if self.boot.is_some() {
-            self.cut();
+        if self.boot == Some(boot) {
+            self.proof = Proof {
+                shown: true,
+                at: now,
+            };
         }
-        self.boot = Some(boot);
-        self.held = None;
-        self.confirm_load();
     }
 
-    /// Takes in how an attempt ended.
-    pub(crate) fn ended(&mut self, now: Moment, sight: Sight, ending: Ending) {
-        self.sight(sight);
+    /// Takes in how a counted attempt ended.
+    pub(crate) fn ended(&mut self, now: Moment, sight: Sight<'_>, ending: Ending) {
+        self.stop();
+        self.sight(now, sight);
         match ending {
             Ending::Answered => self.answered(sight),
             Ending::Cancelled | Ending::Failed => {}
-            Ending::NotSent | Ending::Silent => self.strike(now),
-            Ending::Overloaded => {
-                self.slump(sight.generation);
+            Ending::NotSent => self.probe.strike(now, sight.entry),
+            Ending::Silent => {
+                self.haunt(now, 1);
+                self.probe.strike(now, sight.entry);
             }
-            Ending::Broken => self.broken(now, sight.generation),
+            Ending::Overloaded => self.overloaded(now, sight),
+            Ending::Broken => self.broken(now, sight),
         }
     }
 
@@ -342,18 +377,39 @@
     /// Counts one known attempt as one that can no longer be followed.
     pub(crate) fn orphan(&mut self, now: Moment) {
         self.stop();
+        self.haunt(now, 1);
+    }
+
+    /// Counts attempts that may still run although their connections are gone.
+    fn haunt(&mut self, now: Moment, count: u32) {
+        if count == 0 {
+            return;
+        }
         self.risen = now;
         if let Foreign::AtMost(most) = &mut self.foreign {
-            *most += 1;
+            *most += count;
         }
     }
 
-    fn answered(&mut self, sight: Sight) {
+    /// Takes a boot that was not seen before as the present one.
+    fn adopt_boot(&mut self, boot: BootId) {
+        if self.boot.is_some() {
+            self.cut();
+        }
+        self.boot = Some(boot);
+        self.held = None;
+        self.broken = 0;
+        if let Foreign::AtMost(most) = &mut self.foreign {
+            *most = 0;
+        }
+        self.confirm_load();
+    }
+
+    fn answered(&mut self, sight: Sight<'_>) {
         if sight.boot.is_some() && sight.boot == self.boot {
             self.answers = self.answers.saturating_add(1);
         }
-        self.strikes = 0;
-        self.backoff = PROBE_FIRST;
+        self.probe.clear();
         if let Some(first) = sight.first {
             self.first_byte(first, sight.generation);
         }
@@ -373,14 +429,23 @@
         self.firsts = self.firsts.saturating_add(1);
     }
 
-    fn broken(&mut self, now: Moment, generation: u32) {
-        if generation != self.generation {
-            return;
+    fn broken(&mut self, now: Moment, sight: Sight<'_>) {
+        if sight.generation == self.generation {
+            let held = self.boot.map(|boot| (boot, self.answers)).or(self.held);
+            self.cut();
+            self.held = held;
+            self.probe.strike(now, sight.entry);
+        }
+        if self.held.is_some() {
+            self.broken += 1;
+        }
+    }
+
+    fn overloaded(&mut self, now: Moment, sight: Sight<'_>) {
+        if sight.generation == self.generation {
+            self.slump(sight.generation);
+            self.probe.strike(now, sight.entry);
         }
-        let held = self.boot.map(|boot| (boot, self.answers)).or(self.held);
-        self.cut();
-        self.held = held;
-        self.strike(now);
     }
 
     /// Cuts the limit of a boot that goes on, so that only its own answers raise it again.
@@ -411,7 +476,7 @@
     }
 
     /// Restores the boot before a broken connection, if an attempt sent after that shows it.
-    fn revive(&mut self, boot: BootId, generation: u32) {
+    fn revive(&mut self, now: Moment, boot: BootId, generation: u32) {
         let Some((held, answers)) = self.held else {
             return;
         };
@@ -423,6 +488,8 @@
         self.boot = Some(boot);
         self.answers = answers;
         self.confirm = false;
+        let broken = std::mem::take(&mut self.broken);
+        self.haunt(now, broken);
     }
 
     fn confirm_load(&mut self) {
@@ -433,18 +500,6 @@
             self.answers = self.answers.max(answers);
         }
     }
-
-    fn strike(&mut self, now: Moment) {
-        self.strikes = self.strikes.saturating_add(1);
-        if self.strikes == STRIKES {
-            self.delay_probe(now);
-        }
-    }
-
-    fn delay_probe(&mut self, now: Moment) {
-        self.probe = now.after(self.backoff);
-        self.backoff = (self.backoff * 2).min(PROBE_LAST);
-    }
 }
 
 /// A load report of an endpoint.
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -17,7 +17,9 @@
 //! # Ok::<(), serde_json::Error>(())
 //! ```
 
+mod active;
 mod cell;
+mod cell_message;
 mod cell_status;
 mod config;
 mod dispatch;
@@ -26,11 +28,14 @@
 mod fair;
 mod moment;
 mod name;
+mod probe;
 mod store;
+mod takeover;
 mod timeline;
 mod tombs;
 
-pub use cell::{Cell, CellInput, CellOutput, Part};
+pub use cell::Cell;
+pub use cell_message::{CellInput, CellOutput, Part};
 pub use cell_status::{AccountStatus, CellStatus, Counts, EndpointStatus};
 pub use config::{Account, Centre, Class, Config, Endpoint, Kind, Repeat, Route, Service};
 pub use dispatch::{
