--- /dev/null
+++ b/cornelstand/tests/decide/endpoints.rs
@@ -0,0 +1,313 @@
+//! What a cell permits at one endpoint as it learns of it.
+
+use std::time::Duration;
+
+use cornelstand::{
+    BootId, Cell, CellInput, CellOutput, Ending, Grant, Load, Moment, Phase, Report, State,
+};
+use rstest::rstest;
+
+use crate::make::{Size, at, cell, config, ended, flat, grants, offer, send};
+
+const SIZE: Size = Size {
+    cold: 2,
+    warm: 10,
+    ramp: 8,
+};
+
+/// A cell with one endpoint of [`SIZE`] and more offers than it ever bears.
+struct Bed {
+    cell: Cell,
+    now: u64,
+    running: Vec<Grant>,
+    boot: u64,
+}
+
+impl Bed {
+    fn new() -> Self {
+        let mut bed = Self {
+            cell: cell(&config(&[1], &[SIZE])),
+            now: 1000,
+            running: Vec::new(),
+            boot: 1,
+        };
+        for number in 0..200 {
+            bed.send(CellInput::Offer(offer(number, "a0")));
+        }
+        bed
+    }
+
+    /// A bed whose endpoint is warm and full.
+    fn warm() -> Self {
+        let mut bed = Self::new();
+        for _ in 0..SIZE.ramp {
+            bed.end(0, Ending::Answered);
+        }
+        assert_eq!(bed.limit(), (State::Warm, SIZE.warm));
+        assert_eq!(bed.running.len(), 10);
+        bed
+    }
+
+    fn send(&mut self, input: CellInput) -> Vec<CellOutput> {
+        self.now += 1;
+        let out = send(&mut self.cell, at(self.now), input);
+        self.running.extend(grants(&out));
+        out
+    }
+
+    fn report(&self, grant: &Grant, ending: Ending) -> Report {
+        let report = ended(grant, "a0", 10, ending);
+        let boot = report.boot.map(|_| BootId(self.boot));
+        Report { boot, ..report }
+    }
+
+    /// Ends the running attempt at `index`.
+    fn end(&mut self, index: usize, ending: Ending) {
+        let grant = self.running.remove(index);
+        let report = self.report(&grant, ending);
+        self.send(CellInput::Report(report));
+    }
+
+    fn load(&mut self, boot: u64, running: u32, answers: u32) {
+        let load = Load {
+            boot: BootId(boot),
+            running,
+            waiting: 0,
+            answers,
+        };
+        let endpoint = "e0".into();
+        self.send(CellInput::Load { endpoint, load });
+    }
+
+    fn limit(&self) -> (State, u32) {
+        let status = self.cell.status();
+        (status.endpoints[0].state, status.endpoints[0].limit)
+    }
+}
+
+#[test]
+fn the_limit_rises_with_answers_of_the_boot() {
+    let mut bed = Bed::new();
+    let mut seen = vec![(bed.limit(), bed.running.len())];
+    for _ in 0..SIZE.ramp {
+        bed.end(0, Ending::Answered);
+        seen.push((bed.limit(), bed.running.len()));
+    }
+    let lines = seen.iter().map(|((s, l), r)| format!("{s} {l} {r}"));
+    insta::assert_snapshot!(lines.collect::<Vec<_>>().join("\n"), @r"
+    cold 2 2
+    warming 3 3
+    warming 4 4
+    warming 5 5
+    warming 6 6
+    warming 7 7
+    warming 8 8
+    warming 9 9
+    warm 10 10
+    ");
+}
+
+#[rstest]
+#[case::broken(Ending::Broken)]
+#[case::overloaded(Ending::Overloaded)]
+fn a_bad_end_cuts_to_cold_at_once(#[case] ending: Ending) {
+    let mut bed = Bed::warm();
+    bed.end(0, ending);
+    assert_eq!(bed.limit(), (State::Cold, SIZE.cold));
+    assert_eq!(bed.running.len(), 9, "nothing is granted above the limit");
+}
+
+#[test]
+fn the_ends_of_one_restart_cut_once() {
+    let mut bed = Bed::warm();
+    for _ in 0..8 {
+        bed.end(0, Ending::Broken);
+    }
+    bed.end(0, Ending::Broken);
+    bed.boot = 2;
+    let fresh = bed.running.len() - 1;
+    bed.end(fresh, Ending::Answered);
+    assert_eq!(bed.limit(), (State::Warming, SIZE.cold + 1));
+    bed.end(0, Ending::Broken);
+    assert_eq!(bed.limit(), (State::Warming, SIZE.cold + 1));
+}
+
+#[test]
+fn a_new_boot_in_an_answer_cuts_to_cold() {
+    let mut bed = Bed::warm();
+    bed.boot = 2;
+    bed.end(0, Ending::Answered);
+    assert_eq!(bed.limit(), (State::Warming, SIZE.cold + 1));
+}
+
+#[test]
+fn a_late_answer_of_an_earlier_boot_changes_nothing() {
+    let mut bed = Bed::warm();
+    bed.boot = 2;
+    bed.end(0, Ending::Answered);
+    bed.boot = 1;
+    bed.end(0, Ending::Answered);
+    assert_eq!(bed.limit(), (State::Warming, SIZE.cold + 1));
+}
+
+#[test]
+fn a_boot_that_outlives_a_broken_connection_is_warm_again() {
+    let mut bed = Bed::warm();
+    for _ in 0..9 {
+        bed.end(0, Ending::Broken);
+    }
+    let fresh = bed.running.len() - 1;
+    bed.end(fresh, Ending::Answered);
+    assert_eq!(bed.limit(), (State::Warm, SIZE.warm));
+    let running = u32::try_from(bed.running.len()).expect("few");
+    assert_eq!(running, SIZE.warm - 9, "the broken ones may still run");
+    bed.now += 3000;
+    bed.load(1, running, 20);
+    assert_eq!(bed.running.len(), 10);
+}
+
+#[test]
+fn a_load_report_of_a_new_boot_cuts_and_one_of_an_old_boot_does_not_restore() {
+    let mut bed = Bed::warm();
+    bed.load(2, 0, 0);
+    assert_eq!(bed.limit(), (State::Cold, SIZE.cold));
+    bed.load(1, 10, 50);
+    assert_eq!(bed.limit(), (State::Cold, SIZE.cold));
+}
+
+#[test]
+fn a_load_report_raises_the_limit_only_of_a_boot_that_an_answer_showed() {
+    let mut bed = Bed::new();
+    bed.load(1, 0, 50);
+    assert_eq!(bed.limit(), (State::Cold, SIZE.cold));
+    bed.end(0, Ending::Answered);
+    assert_eq!(bed.limit(), (State::Warm, SIZE.warm));
+}
+
+#[test]
+fn an_overloaded_boot_is_raised_by_its_own_answers_only() {
+    let mut bed = Bed::warm();
+    bed.end(0, Ending::Overloaded);
+    bed.load(1, 9, 50);
+    assert_eq!(bed.limit(), (State::Cold, SIZE.cold));
+    bed.end(0, Ending::Answered);
+    assert_eq!(bed.limit(), (State::Warming, SIZE.cold + 1));
+}
+
+#[test]
+fn a_first_byte_far_later_than_before_cuts_to_cold() {
+    let mut bed = Bed::warm();
+    let mut answer = |ms| {
+        let grant = bed.running.remove(0);
+        let first = Some(Duration::from_millis(ms));
+        let report = Report {
+            first,
+            ..bed.report(&grant, Ending::Answered)
+        };
+        bed.send(CellInput::Report(report));
+        bed.limit()
+    };
+    for _ in 0..20 {
+        assert_eq!(answer(20), (State::Warm, SIZE.warm));
+    }
+    assert_eq!(answer(100), (State::Warm, SIZE.warm));
+    assert_eq!(answer(1000), (State::Cold, SIZE.cold));
+}
+
+#[test]
+fn an_idle_endpoint_gets_its_cold_number_until_its_boot_shows() {
+    let mut bed = Bed::warm();
+    let mut cell = std::mem::replace(&mut bed.cell, cell(&config(&[1], &[SIZE])));
+    let waiting = (0..200).map(crate::make::attempt);
+    for attempt in waiting {
+        send(&mut cell, at(2000), CellInput::Withdraw(attempt));
+    }
+    let offers = (300..320).map(|n| send(&mut cell, at(3000), CellInput::Offer(offer(n, "a0"))));
+    let granted: Vec<Grant> = offers.flat_map(|out| grants(&out)).collect();
+    assert_eq!(granted.len(), 2);
+    let report = Report {
+        boot: Some(BootId(1)),
+        phase: Phase::Running,
+        ..ended(&granted[0], "a0", 1, Ending::Answered)
+    };
+    let out = send(&mut cell, at(3001), CellInput::Report(report));
+    assert_eq!(grants(&out).len(), 8);
+}
+
+#[test]
+fn a_silent_attempt_holds_its_slot_until_a_young_load_report() {
+    let mut bed = Bed::warm();
+    bed.end(0, Ending::Silent);
+    assert_eq!(bed.running.len(), 9);
+    bed.load(1, 9, 50);
+    assert_eq!(bed.running.len(), 9, "the report may be older than the end");
+    bed.now += 3000;
+    bed.load(1, 9, 50);
+    assert_eq!(bed.running.len(), 10);
+}
+
+#[test]
+fn an_endpoint_that_cannot_be_reached_is_probed_with_backoff() {
+    let mut bed = Bed::new();
+    let mut probes = Vec::new();
+    while bed.now < 20_000 {
+        while !bed.running.is_empty() {
+            let start = bed.now;
+            bed.end(0, Ending::NotSent);
+            if bed.limit().0 == State::Suspect {
+                probes.push(start - 1000);
+            }
+            bed.now += 100;
+        }
+        let due = bed.cell.timer().expect("a probe is due");
+        bed.now = due.0 / 1000;
+        bed.send(CellInput::Tick);
+    }
+    insta::assert_snapshot!(format!("{probes:?}"), @"[806, 907, 1308, 2309, 4310, 8311, 16312]");
+    bed.end(0, Ending::Answered);
+    assert_eq!(bed.limit().0, State::Warming);
+}
+
+#[test]
+fn a_leaving_endpoint_gets_nothing_more() {
+    let mut bed = Bed::warm();
+    let names = ["e0".into()].into();
+    let out = bed.send(CellInput::Leaving(names));
+    let changed = CellOutput::Changed {
+        endpoint: "e0".into(),
+        state: State::Leaving,
+    };
+    assert!(out.contains(&changed));
+    bed.end(0, Ending::Answered);
+    assert_eq!(bed.running.len(), 9);
+    assert_eq!(bed.cell.status().running, 9);
+}
+
+#[test]
+fn a_data_centre_taken_out_gets_nothing_more_and_comes_back() {
+    let base = config(&[1], &[flat(2)]);
+    let mut cell = cell(&base);
+    send(&mut cell, at(1), CellInput::Offer(offer(0, "a0")));
+    let revised = |revision, out| {
+        let mut config = (*base).clone();
+        config.revision = cornelstand::Revision(revision);
+        let centre = config.centres.values_mut().next().expect("a centre");
+        centre.out = out;
+        CellInput::Configure(config.into())
+    };
+    send(&mut cell, at(2), revised(1, true));
+    assert_eq!(cell.status().endpoints[0].state, State::Out);
+    let out = send(&mut cell, at(3), CellInput::Offer(offer(1, "a0")));
+    assert!(grants(&out).is_empty());
+    assert_eq!(cell.status().running, 1);
+    send(&mut cell, at(4), revised(2, false));
+    let out = send(&mut cell, at(5), CellInput::Offer(offer(2, "a0")));
+    assert_eq!(grants(&out).len(), 1);
+    send(&mut cell, at(6), revised(1, true));
+    assert_eq!(
+        cell.status().endpoints[0].state,
+        State::Warm,
+        "an old revision"
+    );
+    assert_eq!(cell.timer(), None::<Moment>);
+}
--- a/cornelstand/tests/decide/main.rs
+++ b/cornelstand/tests/decide/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the dispatch decisions and of the actor around them.
 
 mod basics;
+mod endpoints;
 mod make;
