Keep the refusals' problem documents inside the crate

The documents of refusals are for the fleet's own HTTP servers only, so that type is private to the crate now. Kinds of problem that nothing gives yet come with what gives them.

--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -89,7 +89,6 @@
 };
 pub use note::{Action, Digest, Items, Names, Note, NoteError, Problem, Reason, Row, plan};
 pub use path::{CallPath, PathError, split_path};
-pub use problem::{PROBLEM_TYPE, Problem, ProblemKind};
 pub use retry::{RetryBudgets, RetryPermit};
 pub use sse::{EVENT_BYTES, Scanner, SseError};
 pub use store::{Condition, Listing, Object, ObjectKind, Store, StoreError, VALUE_BYTES, Version};
--- a/cornelstand/src/problem.rs
+++ b/cornelstand/src/problem.rs
@@ -15,12 +15,12 @@
 use crate::name::RequestId;
 
 /// Media type of a problem document.
-pub const PROBLEM_TYPE: &str = "application/problem+json";
+pub(crate) const PROBLEM_TYPE: &str = "application/problem+json";
 
 /// What kind of problem it is.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
-pub enum ProblemKind {
+pub(crate) enum ProblemKind {
     /// A header is malformed.
     #[display("malformed header")]
     BadHeader,
@@ -42,18 +42,6 @@
     /// The call may not be repeated and has no idempotency key.
     #[display("idempotency key required")]
     KeyRequired,
-    /// The idempotency key was used for another request.
-    #[display("idempotency key of another request")]
-    KeyReused,
-    /// The request with this idempotency key still runs.
-    #[display("request still running")]
-    StillRunning,
-    /// The outcome of the request with this idempotency key is not known.
-    #[display("outcome unknown")]
-    OutcomeUnknown,
-    /// The platform's store cannot be asked.
-    #[display("store unavailable")]
-    StoreUnavailable,
     /// The account's queue is full.
     #[display("queue full")]
     QueueFull,
@@ -72,15 +60,11 @@
     /// The endpoint did not answer in time.
     #[display("endpoint silent")]
     EndpointSilent,
-    /// Endpoints crashed while they ran this request.
-    #[display("request suspected of crashing endpoints")]
-    Suspect,
 }
 
 impl ProblemKind {
     /// Status of the answer.
-    #[must_use]
-    pub fn status(self) -> StatusCode {
+    pub(crate) fn status(self) -> StatusCode {
         match self {
             Self::BadHeader | Self::BadPath | Self::BodyIncomplete | Self::KeyRequired => {
                 StatusCode::BAD_REQUEST
@@ -88,12 +72,8 @@
             Self::BadKey => StatusCode::UNAUTHORIZED,
             Self::UnknownService => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::KeyReused | Self::Suspect => StatusCode::UNPROCESSABLE_ENTITY,
-            Self::StillRunning | Self::OutcomeUnknown => StatusCode::CONFLICT,
             Self::QueueFull => StatusCode::TOO_MANY_REQUESTS,
-            Self::StoreUnavailable | Self::NoEndpoint | Self::Unavailable => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoEndpoint | Self::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
             Self::EndpointLost => StatusCode::BAD_GATEWAY,
             Self::DeadlinePassed | Self::EndpointSilent => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -107,15 +87,15 @@
 
 /// A refusal.
 #[derive(Debug)]
-pub struct Problem {
+pub(crate) struct Problem {
     /// Kind of problem.
-    pub kind: ProblemKind,
+    pub(crate) kind: ProblemKind,
     /// What the caller may conclude.
-    pub verdict: Verdict,
+    pub(crate) verdict: Verdict,
     /// What happened, for people.
-    pub detail: String,
+    pub(crate) detail: String,
     /// Time after which to try again, where waiting helps.
-    pub retry: Option<Duration>,
+    pub(crate) retry: Option<Duration>,
 }
 
 #[derive(Serialize)]
@@ -130,8 +110,7 @@
 
 impl Problem {
     /// A problem that waiting does not help.
-    #[must_use]
-    pub fn new(kind: ProblemKind, verdict: Verdict, detail: impl Into<String>) -> Self {
+    pub(crate) fn new(kind: ProblemKind, verdict: Verdict, detail: impl Into<String>) -> Self {
         Self {
             kind,
             verdict,
@@ -141,15 +120,13 @@
     }
 
     /// Says when to try again.
-    #[must_use]
-    pub fn retry_after(mut self, wait: Duration) -> Self {
+    pub(crate) fn retry_after(mut self, wait: Duration) -> Self {
         self.retry = Some(wait);
         self
     }
 
     /// The answer to `request`.
-    #[must_use]
-    pub fn into_answer(self, request: RequestId) -> http::Response<Vec<u8>> {
+    pub(crate) fn into_answer(self, request: RequestId) -> http::Response<Vec<u8>> {
         let document = Document {
             r#type: format!("urn:cornelstand:problem:{}", self.kind.slug()),
             title: self.kind.to_string(),
