Claim requests that may not be repeated, and contain those that crash endpoints

A request that may not be repeated is claimed before an endpoint is asked for. Its claim is released only with the proof that nothing was written, recorded with the whole answer, and otherwise settled as unknown; it runs to its end when its caller has gone.

A request whose endpoint crashed gets one more endpoint as a trial, one at a time over the fleet, and is then refused until it is forgiven; a whole answer clears it. Peers hear of it before the caller does. An entry now also waits for what runs on for callers that have gone.

Before: claims stood beside the entry, and a poisonous request could take down every endpoint.

--- a/cornelstand/src/call.rs
+++ b/cornelstand/src/call.rs
@@ -1,28 +1,34 @@
 //! One request from its admission to its last byte.
 //!
-//! The task asks for an endpoint, sends, and passes the answer on, for as many attempts as the
-//! state machine of `attempt` allows. A caller that goes away ends it at every step.
+//! The task claims a request that may not be repeated, asks for an endpoint, sends, and delivers
+//! the answer, for as many attempts as the state machine of `attempt` allows. A caller that goes
+//! away ends it at every step, but for a claimed request that was sent: that one runs to its end,
+//! so that its answer is there when it is sent again. For the same reason the caller's deadline
+//! bounds the wait for an endpoint only, once a request is claimed.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, HeaderValue};
 use http::{HeaderMap, Method, StatusCode};
 use reqwest::Response;
 
-use crate::attempt::{ConnectError, Loss, Ready, Sent, Unsent};
-use crate::body::{CallBody, stated_length};
-use crate::caller::{Caller, Gone, Reader};
+use crate::attempt::{ConnectError, Loss, NotRun, Ready, Sent, Unsent, Verdict};
+use crate::body::CallBody;
+use crate::caller::{Caller, Gone};
+use crate::claim::Recorded;
+use crate::claims::{Begun, Ticket};
 use crate::config::{Class, Kind, Repeat};
-use crate::dispatch::{Ending, Grant, Offer, Refusal};
+use crate::containment::{Clearance, TrialGuard};
+use crate::deliver::{Head, Leg};
+use crate::dispatch::{Ending, Grant, Offer, Refusal, Reply};
 use crate::entry::Core;
 use crate::flight::Flight;
-use crate::headers::{REQUEST_ID, forwarded};
 use crate::moment::Moment;
-use crate::name::{AccountName, EndpointName, RequestId, ServiceName};
-use crate::problem::{Problem, ProblemKind};
+use crate::name::{AccountName, EndpointName, Fingerprint, RequestId, ServiceName};
+use crate::problem::Problem;
+use crate::refusal;
 use crate::relay::{Origin, Source, has_end, is_events};
 use crate::retry::RetryPermit;
 use crate::timeline::Topic;
@@ -30,10 +36,6 @@
 
 /// Most attempts of a request, those that were not sent included.
 const ATTEMPTS: u32 = 8;
-/// Wait that a refusal suggests when another attempt may go better.
-const RETRY: Duration = Duration::from_secs(1);
-/// Largest answer that is held until it is whole, so that a cut one can be asked for again.
-const HELD_BYTES: u64 = 64 * 1024;
 
 /// A request on its way.
 pub(crate) struct Call {
@@ -51,8 +53,15 @@
     /// Length of the body as the caller stated it.
     pub(crate) length: Option<u64>,
     pub(crate) body: CallBody,
+    /// Idempotency key.
+    pub(crate) key: Option<String>,
+    /// The claim, from its success until it is settled.
+    pub(crate) ticket: Option<Ticket>,
+    /// The trial, while the request is suspect.
+    pub(crate) trial: Option<TrialGuard>,
     pub(crate) hint: Option<u64>,
     pub(crate) prefix: Option<u64>,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) arrived: Moment,
     pub(crate) deadline: Moment,
     /// Endpoints that earlier attempts failed at.
@@ -60,44 +69,83 @@
 }
 
 /// What follows an attempt. The caller is given back if there is another one.
-enum Step {
+pub(crate) enum Step {
     Again(Ready, Caller),
     Done,
 }
 
 impl Call {
     /// Carries the request out.
-    pub(crate) async fn run(mut self, caller: Caller) {
+    pub(crate) async fn run(mut self, unsent: Unsent, caller: Caller) {
         self.core.budgets().earn(&self.account, &self.service);
-        let mut ready = Ready::Unsent(Unsent::new(self.request));
-        let mut caller = caller;
-        while let Step::Again(next, back) = self.attempt(ready, caller).await {
-            ready = next;
-            caller = back;
+        let mut step = self.claim(unsent, caller).await;
+        while let Step::Again(ready, caller) = step {
+            step = self.attempt(ready, caller).await;
+            self.trial = None;
         }
     }
 
+    /// Claims a request that may not be repeated, before an endpoint is asked for.
+    async fn claim(&mut self, unsent: Unsent, mut caller: Caller) -> Step {
+        let Some(key) = self.key.as_deref().filter(|_| self.repeat == Repeat::Once) else {
+            return Step::Again(Ready::Unsent(unsent), caller);
+        };
+        let claiming = self
+            .core
+            .claims
+            .begin(&self.account, key, self.fingerprint, self.request);
+        let begun = tokio::select! {
+            begun = claiming => begun,
+            () = caller.gone() => {
+                caller.leave();
+                return Step::Done;
+            }
+        };
+        let problem = match begun {
+            Ok(Begun::Fresh(ticket)) => {
+                self.ticket = Some(ticket);
+                return Step::Again(Ready::Unsent(unsent), caller);
+            }
+            Ok(Begun::Answered(recorded)) => match recorded.body {
+                Some(body) => {
+                    caller.replay(recorded.status, &recorded.media, &body);
+                    return Step::Done;
+                }
+                None => refusal::not_kept(recorded.status),
+            },
+            Ok(Begun::Running) => refusal::still_running(),
+            Ok(Begun::Unknown) => refusal::outcome_unknown(),
+            Ok(Begun::Mismatch) => refusal::key_reused(unsent.refuse()),
+            Err(error) => refusal::unclaimed(unsent.refuse(), error),
+        };
+        caller.refuse(&problem);
+        Step::Done
+    }
+
     async fn attempt(&mut self, ready: Ready, mut caller: Caller) -> Step {
         if ready.attempt().number >= ATTEMPTS {
-            let detail = "no endpoint could be reached";
-            let problem = Problem::new(ProblemKind::NoEndpoint, ready.refuse(), detail);
-            caller.refuse(problem.retry_after(RETRY));
-            return Step::Done;
+            return self.give_up(caller, refusal::unreachable(ready)).await;
         }
-        let reply = self.offer(&ready, &mut caller).await;
-        let grant = match reply {
-            Ok(Ok(grant)) => grant,
-            Ok(Err(refusal)) => {
-                caller.refuse(refused(ready, &refusal));
-                return Step::Done;
-            }
-            Err(Gone) => {
-                caller.leave();
-                return Step::Done;
+        match self.clearance(&mut caller).await {
+            Ok(Clearance::Go) => {}
+            Ok(Clearance::Refused(left)) => return self.contain(ready, caller, left).await,
+            Ok(Clearance::Late) => {
+                let problem = refusal::refused(ready, &Refusal::Deadline);
+                return self.give_up(caller, problem).await;
             }
+            Err(Gone) => return self.leave(ready, caller).await,
+        }
+        let grant = match self.offer(&ready, &mut caller).await {
+            Ok(Ok(grant)) => grant,
+            Ok(Err(no)) => return self.give_up(caller, refusal::refused(ready, &no)).await,
+            Err(Gone) => return self.leave(ready, caller).await,
         };
         self.record("granted", grant.endpoint.as_str());
         let flight = Flight::begin(self, grant);
+        if self.is_claim_late() {
+            flight.end(Ending::NotSent);
+            return self.give_up(caller, refusal::claim_late(ready)).await;
+        }
         let Some(address) = self.address(flight.grant()) else {
             self.avoid(&flight);
             flight.end(Ending::NotSent);
@@ -108,11 +156,7 @@
     }
 
     /// Asks for an endpoint. Dropping the offer cancels it.
-    async fn offer(
-        &self,
-        ready: &Ready,
-        caller: &mut Caller,
-    ) -> Result<Result<Grant, Refusal>, Gone> {
+    async fn offer(&self, ready: &Ready, caller: &mut Caller) -> Result<Reply, Gone> {
         let now = self.core.clock.now();
         if now >= self.deadline {
             return Ok(Err(Refusal::Deadline));
@@ -158,65 +202,61 @@
     ) -> Step {
         let upcall = self.upcall(&ready, address);
         flight.sent(self.core.clock.now());
-        let wait = self.first_wait();
+        let wait = self.first_wait(&flight);
         let sending = ready.send();
         let reply = tokio::select! {
             reply = tokio::time::timeout(wait, self.core.upstreams.send(upcall)) => reply,
-            () = caller.gone() => {
+            () = caller.gone(), if !self.is_claimed() => {
                 flight.cancel(address);
                 caller.leave();
                 return Step::Done;
             }
         };
-        match reply.map(|r| r.map_err(ConnectError::prove)) {
+        let loss = match reply.map(|r| r.map_err(ConnectError::prove)) {
             Ok(Ok(answer)) => {
                 flight.head(boot_of(answer.headers()));
                 let leg = Leg { flight, address };
-                self.answer(sending.sent(), leg, answer, caller).await
+                return self.answer(sending.sent(), leg, answer, caller).await;
             }
             Ok(Err(Ok(proof))) => {
                 self.avoid(&flight);
                 flight.end(Ending::Broken);
                 self.count_retry("unconnected");
-                Step::Again(sending.unconnected(&proof), caller)
+                return Step::Again(sending.unconnected(&proof), caller);
             }
-            Ok(Err(Err(_))) => {
-                let leg = Leg { flight, address };
-                self.lost(sending.sent(), Loss::Broken, leg, caller)
-            }
-            Err(_) => {
-                let leg = Leg { flight, address };
-                self.lost(sending.sent(), Loss::Silent, leg, caller)
-            }
-        }
+            Ok(Err(Err(_))) => Loss::Broken,
+            Err(_) => Loss::Silent,
+        };
+        let leg = Leg { flight, address };
+        self.lost(sending.sent(), loss, leg, caller).await
     }
 
     async fn answer(&mut self, sent: Sent, leg: Leg, answer: Response, caller: Caller) -> Step {
         let status = answer.status();
         let headers = answer.headers().clone();
-        if is_foreign(&headers, leg.flight.grant().attempt) {
+        let attempt = leg.flight.grant().attempt;
+        if is_foreign(&headers, attempt) {
             self.core.metrics.foreign.inc();
             self.core.replace_pool(leg.address);
-            return self.lost(sent, Loss::Broken, leg, caller);
+            return self.lost(sent, Loss::Broken, leg, caller).await;
         }
-        if self.is_overload(status) && self.body.is_sendable() {
-            let permit = self.permit();
-            if let Some(permit) = permit {
-                self.avoid(&leg.flight);
-                leg.flight.end(Ending::Overloaded);
-                self.count_retry("overloaded");
-                return Step::Again(sent.lost(Loss::Failed).retry(permit), caller);
-            }
+        if self.is_overload(status)
+            && let Some(permit) = self.permit()
+        {
+            self.avoid(&leg.flight);
+            leg.flight.end(Ending::Overloaded);
+            self.count_retry("overloaded");
+            return Step::Again(sent.lost(Loss::Failed).retry(permit), caller);
         }
         let model = self.kind == Kind::Model;
         let events = model && is_events(&headers);
         if !events && !has_end(&self.method, status, &headers) {
-            return self.lost(sent, Loss::Broken, leg, caller);
+            return self.lost(sent, Loss::Broken, leg, caller).await;
         }
         let origin = Origin {
             core: self.core.clone(),
             address: leg.address,
-            attempt: leg.flight.grant().attempt,
+            attempt,
         };
         let source = Source::new(origin, answer, model);
         let head = Head {
@@ -224,150 +264,107 @@
             headers,
             events,
         };
-        self.relay(sent, leg, head, source, caller).await
-    }
-
-    /// Passes an answer on, beginning with its first piece, or with all of it if it is short.
-    async fn relay(
-        &mut self,
-        sent: Sent,
-        mut leg: Leg,
-        head: Head,
-        mut source: Source,
-        mut caller: Caller,
-    ) -> Step {
-        let ahead = tokio::select! {
-            ahead = self.read_ahead(&head, &mut source, &mut leg.flight) => ahead,
-            () = caller.gone() => {
-                leg.flight.cancel(leg.address);
-                caller.leave();
-                return Step::Done;
-            }
-        };
-        let (pieces, ended) = match ahead {
-            Ok(ahead) => ahead,
-            Err(loss) => return self.lost(sent, loss, leg, caller),
-        };
-        let ending = self.ending(head.status);
-        let reader = caller.begin(sent.answering(), head.status, head.for_caller());
-        self.pass(leg, source, reader, pieces, ended, ending).await;
-        Step::Done
-    }
-
-    /// Reads what is held before the head of the answer goes out, and tells whether it is all.
-    async fn read_ahead(
-        &self,
-        head: &Head,
-        source: &mut Source,
-        flight: &mut Flight,
-    ) -> Result<(Vec<Bytes>, bool), Loss> {
-        let hold = !head.events && stated_length(&head.headers).is_some_and(|l| l <= HELD_BYTES);
-        let mut pieces = Vec::new();
-        let mut wait = self.first_wait();
-        while pieces.is_empty() || hold {
-            let Some(piece) = source.next(wait).await? else {
-                return Ok((pieces, true));
-            };
-            flight.first_byte(self.core.clock.now());
-            pieces.push(piece);
-            wait = self.core.limits.idle();
-        }
-        Ok((pieces, false))
-    }
-
-    async fn pass(
-        &self,
-        mut leg: Leg,
-        mut source: Source,
-        reader: Reader,
-        ahead: Vec<Bytes>,
-        ended: bool,
-        ending: Ending,
-    ) {
-        let idle = self.core.limits.idle();
-        let mut ahead = ahead.into_iter();
-        loop {
-            let next = match ahead.next() {
-                Some(piece) => Ok(Some(piece)),
-                None if ended => Ok(None),
-                None => tokio::select! {
-                    next = source.next(idle) => next,
-                    () = reader.gone() => {
-                        leg.flight.cancel(leg.address);
-                        reader.leave(idle).await;
-                        return;
-                    }
-                },
-            };
-            self.charge(&source, &mut leg.flight);
-            match next {
-                Ok(Some(piece)) => {
-                    if reader.write(piece, idle).await == Err(Gone) {
-                        leg.flight.cancel(leg.address);
-                        reader.leave(idle).await;
-                        return;
-                    }
-                }
-                Ok(None) => {
-                    leg.flight.end(ending);
-                    reader.finish();
-                    return;
-                }
-                Err(loss) => {
-                    self.note_loss(loss, &leg);
-                    leg.flight.end(ending_of(loss));
-                    reader.cut(idle).await;
-                    return;
-                }
-            }
-        }
+        self.deliver(sent, leg, head, source, caller).await
     }
 
     /// A sent attempt has no answer: tries again if that is allowed.
-    fn lost(&mut self, sent: Sent, loss: Loss, leg: Leg, caller: Caller) -> Step {
+    pub(crate) async fn lost(&mut self, sent: Sent, loss: Loss, leg: Leg, caller: Caller) -> Step {
         self.note_loss(loss, &leg);
         self.avoid(&leg.flight);
         let Leg { flight, address } = leg;
-        let fault = self.body.fault();
-        let late = self.core.clock.now() >= self.deadline;
         let attempt = sent.lost(loss);
-        if let Some(fault) = fault {
+        if let Some(fault) = self.body.fault() {
             flight.cancel(address);
-            let problem = Problem::new(
-                ProblemKind::BodyIncomplete,
-                attempt.refuse(),
-                fault.to_string(),
-            );
-            caller.refuse(problem);
-            return Step::Done;
+            let problem = refusal::body_broke(attempt, fault);
+            return self.give_up(caller, problem).await;
         }
-        if late {
+        let leg = Leg { flight, address };
+        if loss.is_broken() {
+            self.examine(&leg).await;
+        }
+        let flight = leg.flight;
+        if !self.is_claimed() && self.core.clock.now() >= self.deadline {
             flight.cancel(address);
-            let detail = "the deadline passed before the answer began";
-            caller.refuse(Problem::new(
-                ProblemKind::DeadlinePassed,
-                attempt.refuse(),
-                detail,
-            ));
-            return Step::Done;
+            return self.give_up(caller, refusal::late(attempt)).await;
         }
         flight.end(ending_of(loss));
-        if self.body.is_sendable()
-            && let Some(permit) = self.permit()
-        {
+        if let Some(permit) = self.permit() {
             self.count_retry("lost");
             return Step::Again(attempt.retry(permit), caller);
         }
-        let kind = match loss {
-            Loss::Silent => ProblemKind::EndpointSilent,
-            Loss::Broken | Loss::Failed => ProblemKind::EndpointLost,
-        };
-        caller.refuse(Problem::new(kind, attempt.refuse(), loss.to_string()));
+        self.give_up(caller, refusal::lost(attempt, loss)).await
+    }
+
+    /// The caller has gone while nothing runs.
+    async fn leave(&mut self, ready: Ready, caller: Caller) -> Step {
+        let open = caller.leave();
+        self.settle(&ready.refuse()).await;
+        drop(open);
+        Step::Done
+    }
+
+    /// Refuses a request that endpoints crashed on.
+    async fn contain(&mut self, ready: Ready, caller: Caller, left: Duration) -> Step {
+        let open = caller.refuse(&refusal::suspect(left));
+        self.settle(&ready.refuse()).await;
+        drop(open);
         Step::Done
     }
 
+    /// Gives the caller its final answer at once, and settles the claim after it.
+    async fn give_up(&mut self, caller: Caller, problem: Problem) -> Step {
+        let open = caller.refuse(&problem);
+        self.settle(&problem.verdict).await;
+        drop(open);
+        Step::Done
+    }
+
+    /// Settles the claim of a request that gets no answer. Only the proof that it was not sent
+    /// releases the claim.
+    async fn settle(&mut self, verdict: &Verdict) {
+        match verdict {
+            Verdict::NotRun(proof) => self.release(proof).await,
+            Verdict::Unknown | Verdict::Failed => self.settle_unknown().await,
+        }
+    }
+
+    async fn release(&mut self, _proof: &NotRun) {
+        if let Some(ticket) = self.ticket.take() {
+            let done = self.core.claims.release(ticket).await;
+            self.count_claim("released", done.is_ok());
+        }
+    }
+
+    /// Notes that a claimed request has no answer.
+    pub(crate) async fn settle_unknown(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            let done = self.core.claims.settle_unknown(ticket).await;
+            self.count_claim("unknown", done.is_ok());
+        }
+    }
+
+    /// Records the answer to a claimed request.
+    pub(crate) async fn record_answer(&mut self, recorded: Option<Recorded>) {
+        if let (Some(ticket), Some(recorded)) = (self.ticket.take(), recorded) {
+            let done = self.core.claims.record(ticket, recorded).await;
+            self.count_claim("recorded", done.is_ok());
+        }
+    }
+
+    /// Tells whether the request holds a claim.
+    pub(crate) fn is_claimed(&self) -> bool {
+        self.ticket.is_some()
+    }
+
+    /// Tells whether the claim is too old for the request to be sent.
+    fn is_claim_late(&self) -> bool {
+        let now = self.core.clock.now();
+        self.ticket.as_ref().is_some_and(|t| !t.is_sendable(now))
+    }
+
+    /// Permission to send the request once more, if it can be.
     fn permit(&self) -> Option<RetryPermit> {
-        if !self.repeat.is_idempotent() {
+        if !self.repeat.is_idempotent() || !self.body.is_sendable() {
             return None;
         }
         let mut budgets = self.core.budgets();
@@ -379,31 +376,16 @@
     }
 
     /// A silent connection says that its neighbours may be dead, too.
-    fn note_loss(&self, loss: Loss, leg: &Leg) {
-        let attempt = leg.flight.grant().attempt;
+    pub(crate) fn note_loss(&self, loss: Loss, leg: &Leg) {
         if loss.is_silent() {
             self.core.replace_pool(leg.address);
             if self.kind == Kind::Model {
-                self.core.cancel(leg.address, attempt);
+                self.core.cancel(leg.address, leg.flight.grant().attempt);
             }
         }
         self.record(loss_event(loss), leg.flight.grant().endpoint.as_str());
     }
 
-    /// Corrects the cost of a running attempt.
-    fn charge(&self, source: &Source, flight: &mut Flight) {
-        let cost = match self.kind {
-            Kind::Model => source.tokens().unwrap_or_else(|| flight.grant().charged),
-            Kind::Plain => flight.slot_millis(self.core.clock.now()),
-        };
-        flight.progress(cost);
-    }
-
-    fn first_wait(&self) -> Duration {
-        let left = self.deadline.since(self.core.clock.now());
-        self.core.limits.first().min(left)
-    }
-
     fn upcall(&self, ready: &Ready, address: SocketAddr) -> Upcall {
         let mut headers = self.headers.clone();
         if let (true, Some(length)) = (self.body.is_stream(), self.length) {
@@ -425,7 +407,8 @@
             || (self.kind == Kind::Model && status == StatusCode::TOO_MANY_REQUESTS)
     }
 
-    fn ending(&self, status: StatusCode) -> Ending {
+    /// How an attempt with a whole answer ended.
+    pub(crate) fn ending(&self, status: StatusCode) -> Ending {
         if self.is_overload(status) {
             Ending::Overloaded
         } else if status.is_server_error() {
@@ -443,41 +426,23 @@
     }
 
     fn count_retry(&self, reason: &str) {
-        self.core.metrics.retries.with_label_values(&[reason]).inc();
+        let retries = &self.core.metrics.retries;
+        retries.with_label_values(&[reason]).inc();
     }
 
-    fn record(&self, what: &str, subject: &str) {
+    fn count_claim(&self, end: &str, done: bool) {
+        let result = if done { end } else { "unsettled" };
+        let claims = &self.core.metrics.claims;
+        claims.with_label_values(&[result]).inc();
+    }
+
+    pub(crate) fn record(&self, what: &str, subject: &str) {
         self.core
             .timeline
             .record(Topic::Request, what, subject, Some(self.request));
     }
 }
 
-/// An attempt that was sent, and where to.
-struct Leg {
-    flight: Flight,
-    address: SocketAddr,
-}
-
-/// Head of an endpoint's answer.
-struct Head {
-    status: StatusCode,
-    headers: HeaderMap,
-    events: bool,
-}
-
-impl Head {
-    /// The headers for the caller.
-    fn for_caller(&self) -> HeaderMap {
-        let mut headers = forwarded(&self.headers);
-        headers.remove(REQUEST_ID);
-        if self.events {
-            headers.remove(CONTENT_LENGTH);
-        }
-        headers
-    }
-}
-
 /// Counts a request that waits for an endpoint.
 struct Waiting<'a>(&'a Core);
 
@@ -494,15 +459,8 @@
     }
 }
 
-fn loss_event(loss: Loss) -> &'static str {
-    match loss {
-        Loss::Broken => "broken",
-        Loss::Silent => "silent",
-        Loss::Failed => "failed",
-    }
-}
-
-fn ending_of(loss: Loss) -> Ending {
+/// How an attempt that is lost ended.
+pub(crate) fn ending_of(loss: Loss) -> Ending {
     match loss {
         Loss::Broken => Ending::Broken,
         Loss::Silent => Ending::Silent,
@@ -510,17 +468,10 @@
     }
 }
 
-/// The problem for an offer that was not granted.
-fn refused(ready: Ready, refusal: &Refusal) -> Problem {
-    let (kind, retry) = match refusal {
-        Refusal::QueueFull { retry } => (ProblemKind::QueueFull, Some(*retry)),
-        Refusal::NoEndpoint { retry } => (ProblemKind::NoEndpoint, Some(*retry)),
-        Refusal::Deadline => (ProblemKind::DeadlinePassed, None),
-        Refusal::NotOwner(_) | Refusal::UnknownAccount | Refusal::Cancelled => {
-            (ProblemKind::Unavailable, Some(RETRY))
-        }
-    };
-    let mut problem = Problem::new(kind, ready.refuse(), refusal.to_string());
-    problem.retry = retry;
-    problem
+fn loss_event(loss: Loss) -> &'static str {
+    match loss {
+        Loss::Broken => "broken",
+        Loss::Silent => "silent",
+        Loss::Failed => "failed",
+    }
 }
--- a/cornelstand/src/caller.rs
+++ b/cornelstand/src/caller.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use http::{HeaderMap, StatusCode};
 use snafu::Snafu;
 use tokio::sync::{mpsc, oneshot};
@@ -19,6 +20,8 @@
 use crate::problem::{Problem, ProblemKind, id_value};
 use crate::timeline::Topic;
 
+/// Header that tells that an answer was recorded earlier.
+const REPLAYED: HeaderName = HeaderName::from_static("idempotent-replayed");
 /// Pieces of an answer on their way to the caller.
 const PIECES: usize = 4;
 
@@ -36,7 +39,9 @@
 
 /// What the handler of a request gives to the HTTP library.
 pub(crate) enum Answer {
-    Refused(http::Response<Vec<u8>>),
+    /// It is here.
+    Short(http::Response<Vec<u8>>),
+    /// Its body comes.
     Begun {
         status: StatusCode,
         headers: HeaderMap,
@@ -46,20 +51,20 @@
 
 impl Answer {
     /// Counts a refusal and makes the answer of it.
-    pub(crate) fn refused(core: &Core, request: RequestId, problem: Problem) -> Self {
+    pub(crate) fn refused(core: &Core, request: RequestId, problem: &Problem) -> Self {
         let outcome = problem.verdict.outcome().to_string();
         let kind = problem.kind.to_string();
-        core.metrics.requests.with_label_values(&[&outcome]).inc();
+        core.count(&outcome);
         core.metrics.refusals.with_label_values(&[&kind]).inc();
         core.timeline
             .record(Topic::Request, "refused", &kind, Some(request));
-        Self::Refused(problem.into_answer(request))
+        Self::Short(problem.answer(request))
     }
 
     /// The answer to `request` for the HTTP library.
     pub(crate) fn into_response(self, request: RequestId) -> Response {
         match self {
-            Self::Refused(answer) => {
+            Self::Short(answer) => {
                 let (parts, body) = answer.into_parts();
                 Response::from_parts(parts, body.into())
             }
@@ -98,7 +103,7 @@
         async move {
             answer
                 .await
-                .unwrap_or_else(|_| Answer::refused(&core, request, lost_task()))
+                .unwrap_or_else(|_| Answer::refused(&core, request, &lost_task()))
         }
     };
     let caller = Caller {
@@ -122,18 +127,32 @@
     }
 
     /// Gives the final answer: none.
-    pub(crate) fn refuse(self, problem: Problem) {
+    pub(crate) fn refuse(self, problem: &Problem) -> Open {
         let answer = Answer::refused(&self.core, self.request, problem);
         let _ = self.head.send(answer);
+        self.open
+    }
+
+    /// Gives an answer that was recorded earlier.
+    pub(crate) fn replay(self, status: u16, media: &str, body: &Bytes) {
+        self.core.count("replayed");
+        let mut answer = http::Response::new(body.to_vec());
+        *answer.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+        let headers = answer.headers_mut();
+        headers.insert(REPLAYED, HeaderValue::from_static("true"));
+        headers.insert(REQUEST_ID, id_value(self.request));
+        if let Ok(media) = HeaderValue::from_str(media)
+            && !media.is_empty()
+        {
+            headers.insert(CONTENT_TYPE, media);
+        }
+        let _ = self.head.send(Answer::Short(answer));
     }
 
     /// Counts that the caller went away.
-    pub(crate) fn leave(self) {
-        self.core
-            .metrics
-            .requests
-            .with_label_values(&["gone"])
-            .inc();
+    pub(crate) fn leave(self) -> Open {
+        self.core.count("gone");
+        self.open
     }
 
     /// Gives the head of the answer of the attempt that is `answering`.
@@ -154,7 +173,7 @@
             core: self.core,
             _answering: answering,
             pieces,
-            _open: self.open,
+            open: self.open,
         }
     }
 }
@@ -164,7 +183,7 @@
     core: Arc<Core>,
     _answering: Answering,
     pieces: mpsc::Sender<Piece>,
-    _open: Open,
+    open: Open,
 }
 
 impl Reader {
@@ -183,27 +202,21 @@
     }
 
     /// Ends a whole answer.
-    pub(crate) fn finish(self) {
-        self.count("answered");
+    pub(crate) fn finish(self) -> Open {
+        self.core.count("answered");
+        self.open
     }
 
     /// Ends an answer that is not whole, so that the caller sees it.
-    pub(crate) async fn cut(self, idle: Duration) {
-        self.count("cut");
+    pub(crate) async fn cut(self, idle: Duration) -> Open {
+        self.core.count("cut");
         let _ = self.pieces.send_timeout(Err(CutError), idle).await;
+        self.open
     }
 
-    /// Counts that the caller went away or stopped reading.
+    /// Ends an answer that the caller does not take.
     pub(crate) async fn leave(self, idle: Duration) {
-        self.count("gone");
+        self.core.count("gone");
         let _ = self.pieces.send_timeout(Err(CutError), idle).await;
     }
-
-    fn count(&self, result: &str) {
-        self.core
-            .metrics
-            .requests
-            .with_label_values(&[result])
-            .inc();
-    }
 }
--- a/cornelstand/src/entry.rs
+++ b/cornelstand/src/entry.rs
@@ -4,9 +4,10 @@
 //! own (see `call`), which notices when the caller goes away. The handler waits for the head of
 //! the answer and passes the body on as it comes.
 
+use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -16,24 +17,30 @@
 use tokio::sync::watch;
 use warp::hyper::body::Incoming;
 use warp::reply::Response;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::attempt::{NotRun, Unsent, Verdict};
 use crate::auth::KeyIndex;
 use crate::body::{BodyError, BodyLimits, CallBody};
 use crate::call::Call;
 use crate::caller::{Answer, caller};
-use crate::config::{Config, Repeat};
+use crate::claims::ClaimBook;
+use crate::config::{Config, Kind, Repeat};
+use crate::containment::SpreadCall;
 use crate::dispatch::{Census, Dispatch};
 use crate::entry_metrics::EntryMetrics;
 use crate::headers::{Wishes, bearer_key, for_endpoint};
 use crate::ledger::Ledger;
 use crate::listener::{self, ConnectionLimits};
 use crate::moment::Clock;
-use crate::name::{AccountName, AttemptId, CellId, InstanceName, RequestId};
+use crate::name::{
+    AccountName, AttemptId, BootId, CellId, EndpointName, Fingerprint, InstanceName, RequestId,
+    ServiceName,
+};
 use crate::path::split_path;
 use crate::problem::{Problem, ProblemKind};
 use crate::retry::RetryBudgets;
+use crate::suspect::{Suspects, Suspicion};
 use crate::timeline::{Timeline, Topic};
 use crate::upstream::Upstreams;
 
@@ -116,6 +123,10 @@
     pub name: InstanceName,
     /// Way to the dispatchers.
     pub dispatch: Dispatch,
+    /// Claims of requests that may not be repeated.
+    pub claims: ClaimBook,
+    /// Way to tell the peers of suspect requests.
+    pub spread: SpreadCall,
     /// The configuration in force.
     pub config: watch::Receiver<Arc<Config>>,
     /// Source of moments.
@@ -132,6 +143,8 @@
 pub(crate) struct Core {
     pub(crate) name: InstanceName,
     pub(crate) dispatch: Dispatch,
+    pub(crate) claims: ClaimBook,
+    pub(crate) spread: SpreadCall,
     pub(crate) clock: Clock,
     pub(crate) timeline: Timeline,
     pub(crate) metrics: EntryMetrics,
@@ -141,7 +154,9 @@
     config: watch::Receiver<Arc<Config>>,
     view: Mutex<View>,
     budgets: Mutex<RetryBudgets>,
-    calls: AtomicUsize,
+    suspects: Mutex<Suspects>,
+    boots: Mutex<HashMap<EndpointName, BootId>>,
+    calls: watch::Sender<usize>,
     draining: AtomicBool,
 }
 
@@ -165,6 +180,8 @@
         let core = Core {
             name: parts.name,
             dispatch: parts.dispatch,
+            claims: parts.claims,
+            spread: parts.spread,
             clock: parts.clock,
             timeline: parts.timeline,
             metrics: parts.metrics,
@@ -174,7 +191,9 @@
             config: parts.config,
             view: Mutex::default(),
             budgets: Mutex::default(),
-            calls: AtomicUsize::new(0),
+            suspects: Mutex::default(),
+            boots: Mutex::default(),
+            calls: watch::Sender::new(0),
             draining: AtomicBool::new(false),
         };
         Self {
@@ -182,13 +201,17 @@
         }
     }
 
-    /// Serves callers at `listener` until `shutdown`, then ends the open exchanges.
+    /// Serves callers at `listener` until `shutdown`, then ends the open exchanges and what runs
+    /// on for callers that have gone.
     pub async fn serve(&self, listener: TcpListener, shutdown: impl Future<Output = ()>) {
         let core = self.core.clone();
         let handle = move |request| handle(core.clone(), request);
         let limits = self.core.limits.connection();
         let open = self.core.metrics.connections.clone();
         listener::serve(listener, limits, open, handle, shutdown).await;
+        let mut calls = self.core.calls.subscribe();
+        // The sender lives as long as this entry.
+        let _ = calls.wait_for(|&open| open == 0).await;
     }
 
     /// Refuses new requests from now on. Those accepted go on.
@@ -203,7 +226,7 @@
     /// Number of requests accepted and not ended, waiting ones included.
     #[must_use]
     pub fn running(&self) -> usize {
-        self.core.calls.load(Ordering::Relaxed)
+        *self.core.calls.borrow()
     }
 
     /// Number of attempts granted and not ended.
@@ -212,6 +235,28 @@
         self.core.ledger.len()
     }
 
+    /// What is known about suspect requests, the latest `most` of them, for the peers.
+    #[must_use]
+    pub fn suspicions(&self, most: usize) -> Vec<Suspicion> {
+        let now = self.core.clock.now();
+        self.core.suspects().suspicions(now, most)
+    }
+
+    /// Takes in what peers know about suspect requests.
+    pub fn learn(&self, told: Vec<Suspicion>) {
+        self.core.learn(told);
+    }
+
+    /// Takes in what a peer tells of one request and returns what is known of it here.
+    #[must_use]
+    pub fn exchange(&self, told: Suspicion) -> Option<Suspicion> {
+        let now = self.core.clock.now();
+        let request = told.fingerprint;
+        let mut suspects = self.core.suspects();
+        suspects.merge(now, told);
+        suspects.suspicion(now, request)
+    }
+
     /// What the entry runs of `cell`.
     #[must_use]
     pub fn census(&self, cell: &CellId) -> Census {
@@ -225,9 +270,33 @@
         self.config.borrow().clone()
     }
 
+    /// Counts what a caller got.
+    pub(crate) fn count(&self, result: &str) {
+        let requests = &self.metrics.requests;
+        requests.with_label_values(&[result]).inc();
+    }
+
     /// The retry budgets.
     pub(crate) fn budgets(&self) -> MutexGuard<'_, RetryBudgets> {
-        self.budgets.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.budgets)
+    }
+
+    /// The suspect requests.
+    pub(crate) fn suspects(&self) -> MutexGuard<'_, Suspects> {
+        lock(&self.suspects)
+    }
+
+    /// Boot identity that an endpoint showed last.
+    pub(crate) fn boot(&self, endpoint: &EndpointName) -> Option<BootId> {
+        lock(&self.boots).get(endpoint).copied()
+    }
+
+    /// Notes the boot identity that an endpoint shows.
+    pub(crate) fn note_boot(&self, endpoint: &EndpointName, boot: BootId) {
+        let mut boots = lock(&self.boots);
+        if boots.get(endpoint) != Some(&boot) {
+            boots.insert(endpoint.clone(), boot);
+        }
     }
 
     /// Replaces the pool of connections to `address`.
@@ -245,7 +314,7 @@
     /// The configuration in force with its keys.
     fn view(&self) -> View {
         let config = self.config();
-        let mut view = self.view.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut view = lock(&self.view);
         if !Arc::ptr_eq(&view.config, &config) {
             self.forget(&config);
             view.keys = Arc::new(KeyIndex::new(&config));
@@ -258,18 +327,23 @@
     fn forget(&self, config: &Config) {
         let known = |address| config.endpoints.values().any(|e| e.address == address);
         self.upstreams.retain(known);
+        lock(&self.boots).retain(|name, _| config.endpoints.contains_key(name));
         self.budgets().retain(|account, service| {
             config.accounts.contains_key(account) && config.services.contains_key(service)
         });
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Counts a request until it ends.
 pub(crate) struct Open(Arc<Core>);
 
 impl Open {
     fn new(core: Arc<Core>) -> Self {
-        core.calls.fetch_add(1, Ordering::Relaxed);
+        core.calls.send_modify(|n| *n += 1);
         core.metrics.open.inc();
         Self(core)
     }
@@ -277,7 +351,7 @@
 
 impl Drop for Open {
     fn drop(&mut self) {
-        self.0.calls.fetch_sub(1, Ordering::Relaxed);
+        self.0.calls.send_modify(|n| *n -= 1);
         self.0.metrics.open.dec();
     }
 }
@@ -286,29 +360,18 @@
 async fn handle(core: Arc<Core>, request: Request<Incoming>) -> Response {
     let id = RequestId(rand::random());
     let open = Open::new(core.clone());
+    let unsent = Unsent::new(id);
     let answer = match admit(&core, id, request).await {
         Ok(call) => {
             let (caller, answer) = caller(core.clone(), id, open);
-            tokio::spawn(call.run(caller));
+            tokio::spawn(call.run(unsent, caller));
             answer.await
         }
-        Err(problem) => Answer::refused(&core, id, problem),
+        Err(flaw) => Answer::refused(&core, id, &flaw.problem(unsent.refuse())),
     };
     answer.into_response(id)
 }
 
-/// Checks a request and reads its body.
-async fn admit(
-    core: &Arc<Core>,
-    id: RequestId,
-    request: Request<Incoming>,
-) -> Result<Call, Problem> {
-    let unsent = Unsent::new(id);
-    check(core, id, request)
-        .await
-        .map_err(|flaw| flaw.problem(unsent.refuse()))
-}
-
 /// Why a request is refused before an endpoint is asked for.
 struct Flaw {
     kind: ProblemKind,
@@ -332,7 +395,8 @@
     }
 }
 
-async fn check(core: &Arc<Core>, id: RequestId, request: Request<Incoming>) -> Result<Call, Flaw> {
+/// Checks a request and reads its body.
+async fn admit(core: &Arc<Core>, id: RequestId, request: Request<Incoming>) -> Result<Call, Flaw> {
     if core.draining.load(Ordering::Relaxed) {
         let flaw = Flaw::new(ProblemKind::Unavailable, &"the instance is about to stop");
         let retry = Some(DRAINING_RETRY);
@@ -365,7 +429,8 @@
     let wait = wishes
         .deadline
         .unwrap_or(Duration::from_millis(core.limits.deadline_ms));
-    let is_model = service.kind == crate::config::Kind::Model;
+    let fingerprint = fingerprint(&account, &parts.method, name, &target, body.ahead());
+    let is_model = service.kind == Kind::Model;
     let prefix = is_model.then(|| xxh3_64(&body.ahead()[..body.ahead().len().min(PREFIX_BYTES)]));
     Ok(Call {
         core: core.clone(),
@@ -380,8 +445,12 @@
         headers: for_endpoint(&parts.headers),
         length: crate::body::stated_length(&parts.headers),
         body,
+        key: wishes.key,
+        ticket: None,
+        trial: None,
         hint: wishes.hint,
         prefix,
+        fingerprint,
         arrived,
         deadline: arrived.after(wait),
         avoid: Vec::new(),
@@ -409,3 +478,20 @@
         BodyError::Broken | BodyError::Slow => ProblemKind::BodyIncomplete,
     }
 }
+
+/// Fingerprint of a request. The body counts as far as it is read ahead.
+fn fingerprint(
+    account: &AccountName,
+    method: &http::Method,
+    service: &ServiceName,
+    target: &str,
+    body: &[u8],
+) -> Fingerprint {
+    let mut hash = Xxh3::new();
+    let names = [account.as_str(), method.as_str(), service.as_str(), target];
+    for part in names.map(str::as_bytes).into_iter().chain([body]) {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    Fingerprint(hash.digest())
+}
--- a/cornelstand/src/entry_metrics.rs
+++ b/cornelstand/src/entry_metrics.rs
@@ -5,7 +5,7 @@
 /// Counters of an entry, registered once.
 #[derive(Clone, Debug)]
 pub struct EntryMetrics {
-    /// Requests by what the caller got: `answered`, `cut`, `gone` or a refusal's outcome.
+    /// Requests by what the caller got: `answered`, `replayed`, `cut`, `gone` or a refusal's outcome.
     pub(crate) requests: IntCounterVec,
     /// Refusals by kind of problem.
     pub(crate) refusals: IntCounterVec,
@@ -15,8 +15,12 @@
     pub(crate) retries: IntCounterVec,
     /// Retries of lost attempts that the budgets did not allow.
     pub(crate) unbudgeted: IntCounter,
+    /// Claims by how they were settled: `recorded`, `released`, `unknown` or `unsettled`.
+    pub(crate) claims: IntCounterVec,
     /// Streams resumed, by result: `resumed` or `refused`.
     pub(crate) resumes: IntCounterVec,
+    /// Attempts lost because the endpoint crashed.
+    pub(crate) crashes: IntCounter,
     /// Answers that named another attempt.
     pub(crate) foreign: IntCounter,
     /// Pools of connections replaced.
@@ -65,7 +69,13 @@
                 "reason",
             )?,
             unbudgeted: counter("entry_retries_refused_total", "Retries beyond the budgets")?,
+            claims: vec(
+                "entry_claims_total",
+                "Claims by how they were settled",
+                "result",
+            )?,
             resumes: vec("entry_resumes_total", "Resumed streams by result", "result")?,
+            crashes: counter("entry_crashes_total", "Attempts lost to a crash")?,
             foreign: counter("entry_foreign_answers_total", "Answers of other attempts")?,
             pools: counter(
                 "entry_pools_replaced_total",
--- a/cornelstand/src/flight.rs
+++ b/cornelstand/src/flight.rs
@@ -26,6 +26,7 @@
     start: Moment,
     reported: u64,
     cost: u64,
+    before: Option<BootId>,
     boot: Option<BootId>,
     first: Option<Duration>,
     ended: bool,
@@ -35,6 +36,7 @@
     /// Enters `grant` into the ledger.
     pub(crate) fn begin(call: &Call, grant: Grant) -> Self {
         let core = call.core.clone();
+        let before = core.boot(&grant.endpoint);
         let running = Running {
             attempt: grant.attempt,
             endpoint: grant.endpoint.clone(),
@@ -51,6 +53,7 @@
             reported: grant.charged,
             grant,
             cost: 0,
+            before,
             boot: None,
             first: None,
             ended: false,
@@ -67,15 +70,28 @@
         self.start = now;
     }
 
+    /// Time since sending began.
+    pub(crate) fn slot(&self, now: Moment) -> Duration {
+        now.since(self.start)
+    }
+
     /// Milliseconds that the attempt has held its slot, at least one.
     pub(crate) fn slot_millis(&self, now: Moment) -> u64 {
-        let millis = now.since(self.start).as_millis();
+        let millis = self.slot(now).as_millis();
         u64::try_from(millis).unwrap_or(u64::MAX).max(1)
     }
 
+    /// Boot identity that the endpoint showed in this answer, or last before it.
+    pub(crate) fn boot_before(&self) -> Option<BootId> {
+        self.boot.or(self.before)
+    }
+
     /// Notes the head of the answer.
     pub(crate) fn head(&mut self, boot: Option<BootId>) {
         self.boot = boot;
+        if let Some(boot) = boot {
+            self.core.note_boot(&self.grant.endpoint, boot);
+        }
     }
 
     /// Notes the first byte of the answer.
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -28,6 +28,8 @@
 mod claim_shard;
 mod claims;
 mod config;
+mod containment;
+mod deliver;
 mod dispatch;
 mod dispatcher;
 mod endpoint;
@@ -43,11 +45,13 @@
 mod note;
 mod path;
 mod problem;
+mod refusal;
 mod relay;
 mod retry;
 mod rules;
 mod sse;
 mod store;
+mod suspect;
 mod timeline;
 mod tombs;
 mod unique;
@@ -67,6 +71,7 @@
 pub use claim_shard::{ClaimLimits, WriteEnd};
 pub use claims::{Begun, ClaimBook, ClaimError, ClaimObjects, Ticket};
 pub use config::{Account, Centre, Class, Config, Endpoint, Kind, Repeat, Route, Service};
+pub use containment::SpreadCall;
 pub use dispatch::{
     Census, Counter, Dispatch, Ending, EndpointState, Grant, Handover, Offer, Phase, Refusal,
     Reply, Report, Running,
@@ -92,4 +97,5 @@
 pub use retry::{RetryBudgets, RetryPermit};
 pub use sse::{EVENT_BYTES, Scanner, SseError};
 pub use store::{Condition, Listing, Object, ObjectKind, Store, StoreError, VALUE_BYTES, Version};
+pub use suspect::{Crash, MAX_CRASHES, Standing, Suspects, Suspicion, Trial, TrialPhase};
 pub use timeline::{Event, Stamp, Timeline, Topic, merge};
--- a/cornelstand/src/problem.rs
+++ b/cornelstand/src/problem.rs
@@ -42,6 +42,18 @@
     /// The call may not be repeated and has no idempotency key.
     #[display("idempotency key required")]
     KeyRequired,
+    /// The idempotency key was used for another request.
+    #[display("idempotency key of another request")]
+    KeyReused,
+    /// The request with this idempotency key still runs.
+    #[display("request still running")]
+    StillRunning,
+    /// The outcome of the request with this idempotency key is not known.
+    #[display("outcome unknown")]
+    OutcomeUnknown,
+    /// The platform's store cannot be asked.
+    #[display("store unavailable")]
+    StoreUnavailable,
     /// The account's queue is full.
     #[display("queue full")]
     QueueFull,
@@ -60,6 +72,9 @@
     /// The endpoint did not answer in time.
     #[display("endpoint silent")]
     EndpointSilent,
+    /// Endpoints crashed while they ran this request.
+    #[display("request suspected of crashing endpoints")]
+    Suspect,
 }
 
 impl ProblemKind {
@@ -72,8 +87,12 @@
             Self::BadKey => StatusCode::UNAUTHORIZED,
             Self::UnknownService => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::KeyReused | Self::Suspect => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::StillRunning | Self::OutcomeUnknown => StatusCode::CONFLICT,
             Self::QueueFull => StatusCode::TOO_MANY_REQUESTS,
-            Self::NoEndpoint | Self::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
+            Self::StoreUnavailable | Self::NoEndpoint | Self::Unavailable => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::EndpointLost => StatusCode::BAD_GATEWAY,
             Self::DeadlinePassed | Self::EndpointSilent => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -126,7 +145,7 @@
     }
 
     /// The answer to `request`.
-    pub(crate) fn into_answer(self, request: RequestId) -> http::Response<Vec<u8>> {
+    pub(crate) fn answer(&self, request: RequestId) -> http::Response<Vec<u8>> {
         let document = Document {
             r#type: format!("urn:cornelstand:problem:{}", self.kind.slug()),
             title: self.kind.to_string(),
--- /dev/null
+++ b/cornelstand/src/refusal.rs
@@ -0,0 +1,100 @@
+//! The refusals of a request that is on its way, each with what it proves.
+
+use std::time::Duration;
+
+use crate::attempt::{Loss, Lost, NotRun, Ready, Verdict};
+use crate::body::BodyError;
+use crate::claims::ClaimError;
+use crate::dispatch::Refusal;
+use crate::problem::{Problem, ProblemKind};
+
+/// Wait that a refusal suggests when another attempt may go better.
+const RETRY: Duration = Duration::from_secs(1);
+
+/// The dispatcher did not grant the request.
+pub(crate) fn refused(ready: Ready, refusal: &Refusal) -> Problem {
+    let (kind, retry) = match refusal {
+        Refusal::QueueFull { retry } => (ProblemKind::QueueFull, Some(*retry)),
+        Refusal::NoEndpoint { retry } => (ProblemKind::NoEndpoint, Some(*retry)),
+        Refusal::Deadline => (ProblemKind::DeadlinePassed, None),
+        Refusal::NotOwner(_) | Refusal::UnknownAccount | Refusal::Cancelled => {
+            (ProblemKind::Unavailable, Some(RETRY))
+        }
+    };
+    let mut problem = Problem::new(kind, ready.refuse(), refusal.to_string());
+    problem.retry = retry;
+    problem
+}
+
+/// No granted endpoint could be reached.
+pub(crate) fn unreachable(ready: Ready) -> Problem {
+    let detail = "no endpoint could be reached";
+    Problem::new(ProblemKind::NoEndpoint, ready.refuse(), detail).retry_after(RETRY)
+}
+
+/// The request waited longer for an endpoint than its claim allows.
+pub(crate) fn claim_late(ready: Ready) -> Problem {
+    let detail = "no endpoint was free while the claim allowed sending";
+    Problem::new(ProblemKind::DeadlinePassed, ready.refuse(), detail).retry_after(RETRY)
+}
+
+/// A sent request has no answer and is not tried again.
+pub(crate) fn lost(attempt: Lost, loss: Loss) -> Problem {
+    let kind = match loss {
+        Loss::Silent => ProblemKind::EndpointSilent,
+        Loss::Broken | Loss::Failed => ProblemKind::EndpointLost,
+    };
+    Problem::new(kind, attempt.refuse(), loss.to_string())
+}
+
+/// The caller's deadline passed while an endpoint had the request.
+pub(crate) fn late(attempt: Lost) -> Problem {
+    let detail = "the deadline passed before the answer began";
+    Problem::new(ProblemKind::DeadlinePassed, attempt.refuse(), detail)
+}
+
+/// The caller's body broke off while it was passed on.
+pub(crate) fn body_broke(attempt: Lost, fault: BodyError) -> Problem {
+    let kind = match fault {
+        BodyError::TooLarge { .. } => ProblemKind::BodyTooLarge,
+        BodyError::Broken | BodyError::Slow => ProblemKind::BodyIncomplete,
+    };
+    Problem::new(kind, attempt.refuse(), fault.to_string())
+}
+
+/// Endpoints crashed while they ran this request.
+pub(crate) fn suspect(left: Duration) -> Problem {
+    let detail = "endpoints crashed while they ran this request; it is not run again for now";
+    Problem::new(ProblemKind::Suspect, Verdict::Failed, detail).retry_after(left)
+}
+
+/// The request cannot be claimed now.
+pub(crate) fn unclaimed(proof: NotRun, error: ClaimError) -> Problem {
+    let kind = ProblemKind::StoreUnavailable;
+    let verdict = Verdict::NotRun(proof);
+    Problem::new(kind, verdict, error.to_string()).retry_after(RETRY)
+}
+
+/// The idempotency key belongs to another request.
+pub(crate) fn key_reused(proof: NotRun) -> Problem {
+    let detail = "the idempotency key was used for a request with another route or body";
+    Problem::new(ProblemKind::KeyReused, Verdict::NotRun(proof), detail)
+}
+
+/// The request with this key was sent before and has not ended.
+pub(crate) fn still_running() -> Problem {
+    let detail = "a request with this idempotency key is running";
+    Problem::new(ProblemKind::StillRunning, Verdict::Unknown, detail).retry_after(RETRY)
+}
+
+/// The request with this key was sent before, and its end is not known.
+pub(crate) fn outcome_unknown() -> Problem {
+    let detail = "a request with this idempotency key was sent and its outcome is not known";
+    Problem::new(ProblemKind::OutcomeUnknown, Verdict::Unknown, detail)
+}
+
+/// The request with this key was answered, but its answer was too long to keep.
+pub(crate) fn not_kept(status: u16) -> Problem {
+    let detail = format!("the request ran and was answered with {status}; the answer is not kept");
+    Problem::new(ProblemKind::OutcomeUnknown, Verdict::Unknown, detail)
+}
--- a/cornelstand/src/upstream.rs
+++ b/cornelstand/src/upstream.rs
@@ -101,6 +101,12 @@
         answer.is_ok_and(|a| a.status().is_success())
     }
 
+    /// Asks an endpoint on a new connection which boot identity it has.
+    pub(crate) async fn boot(&self, address: SocketAddr) -> Result<Option<BootId>, reqwest::Error> {
+        let answer = self.single.get(format!("http://{address}/load")).send();
+        Ok(boot_of(answer.await?.headers()))
+    }
+
     /// Replaces the pool of `address`.
     pub(crate) fn replace(&self, address: SocketAddr) {
         self.lock().remove(&address);
