--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -34,6 +34,8 @@
 mod codec;
 mod command;
 mod config;
+mod containment;
+mod deliver;
 #[cfg(feature = "demo")]
 mod deployment;
 mod dispatch;
@@ -72,6 +74,7 @@
 mod probe;
 mod problem;
 mod publish;
+mod refusal;
 mod relay;
 mod retry;
 mod route;
@@ -81,6 +84,7 @@
 mod sse;
 mod status;
 mod store;
+mod suspect;
 mod takeover;
 mod timeline;
 mod tombs;
@@ -106,6 +110,7 @@
 pub use claims::{Begun, ClaimBook, ClaimError, ClaimObjects, Ticket};
 pub use command::{KEY_FILE_VARIABLE, command};
 pub use config::{Account, Centre, Class, Config, Endpoint, Kind, Repeat, Route, Service};
+pub use containment::SpreadCall;
 #[cfg(feature = "demo")]
 pub use deployment::{
     AccountSize, BATCH_CHAT, CHAT, Deployment, LOOKUP, ORDER, PLAIN_CALL, ServiceSize,
@@ -167,5 +172,6 @@
 pub use sse::{EVENT_BYTES, Scanner, SseError};
 pub use status::{InstanceStatus, MemberStatus, OwnerStatus, Readiness, TrafficStatus};
 pub use store::{Condition, Listing, Object, ObjectKind, Store, StoreError, VALUE_BYTES, Version};
+pub use suspect::{Crash, MAX_CRASHES, Standing, Suspects, Suspicion, Trial, TrialPhase};
 pub use timeline::{Event, Stamp, Timeline, Topic, merge};
 pub use trace::{trace_json, trace_page};
