--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -17,17 +17,25 @@
 //! # Ok::<(), serde_json::Error>(())
 //! ```
 
+mod active;
+mod agent;
+mod answers;
 mod attempt;
 mod auth;
 mod body;
 mod call;
 mod caller;
 mod cell;
+mod cell_message;
 mod cell_status;
 mod claim;
 mod claim_shard;
 mod claims;
+mod codec;
+mod command;
 mod config;
+mod containment;
+mod deliver;
 #[cfg(feature = "demo")]
 mod deployment;
 mod dispatch;
@@ -40,41 +48,59 @@
 mod figures;
 mod flight;
 mod gossip;
+mod handshake;
 mod headers;
+mod holdings;
+mod instance;
 mod keeper;
 mod lease;
 mod ledger;
+mod link;
 mod listener;
 mod load;
 mod load_call;
 mod load_plan;
 mod load_result;
 mod member;
+mod meter;
 mod moment;
 mod name;
 mod note;
+mod operator;
 #[cfg(feature = "demo")]
 mod outside;
 mod path;
+mod platform;
+mod probe;
 mod problem;
 mod publish;
+mod refusal;
 mod relay;
 mod retry;
+mod route;
 mod rules;
+mod settings;
 mod shard;
 mod sse;
+mod status;
 mod store;
+mod suspect;
+mod takeover;
 mod timeline;
 mod tombs;
+mod trace;
 mod unique;
+mod updater;
 mod upstream;
+mod view;
 
 pub use attempt::{
     Answering, ConnectError, Loss, Lost, NotRun, Outcome, Ready, Resend, Sending, Sent, Unsent,
     Verdict,
 };
 pub use auth::{KeyIndex, key_hash};
-pub use cell::{Cell, CellInput, CellOutput};
+pub use cell::Cell;
+pub use cell_message::{CellInput, CellOutput};
 pub use cell_status::{AccountStatus, CellStatus, Counts, EndpointStatus};
 pub use claim::{
     BODY_BYTES, Claim, ClaimId, ClaimState, HexError, MEDIA_BYTES, Recorded, Shard, ShardError,
@@ -82,7 +108,9 @@
 };
 pub use claim_shard::{ClaimLimits, WriteEnd};
 pub use claims::{Begun, ClaimBook, ClaimError, ClaimObjects, Ticket};
+pub use command::{KEY_FILE_VARIABLE, command};
 pub use config::{Account, Centre, Class, Config, Endpoint, Kind, Repeat, Route, Service};
+pub use containment::SpreadCall;
 #[cfg(feature = "demo")]
 pub use deployment::{
     AccountSize, BATCH_CHAT, CHAT, Deployment, LOOKUP, ORDER, PLAIN_CALL, ServiceSize,
@@ -104,10 +132,12 @@
     CellClaim, Extension, ExtensionTopic, GOSSIP_CELLS, GOSSIP_EXTRA, GOSSIP_MEMBERS, Gossip,
     Member, MemberState, Seed,
 };
+pub use handshake::{HELLO_BYTES, HELLO_TIME, HandshakeError, PROTOCOL};
 pub use headers::{
     ACCOUNT_KEY_BYTES, HeaderError, IDEMPOTENCY_KEY_BYTES, MAX_DEADLINE, MAX_HINT, Wishes,
     bearer_key,
 };
+pub use instance::{Addresses, Instance, StartError};
 pub use keeper::Keeper;
 pub use lease::{
     Borrow, BorrowReply, Holder, Lease, LeaseEffect, LeaseInput, LeaseTiming, LeaseView, Part,
@@ -120,19 +150,28 @@
     AccountResult, BUCKET, LoadResult, Outcomes, Quantiles, Refused, SourceResult,
 };
 pub use member::{MemberInput, MemberOutput, MemberTiming, Members};
+pub use meter::Traffic;
 pub use moment::{Clock, Moment, micros};
 pub use name::{
     AccountName, AttemptId, BootId, CellId, CentreName, EndpointName, Epoch, Fingerprint,
     Incarnation, InstanceName, NAME_BYTES, RequestId, Revision, ServiceName, is_name,
 };
 pub use note::{Action, Digest, Items, Names, Note, NoteError, NoteProblem, Reason, Row, plan};
+pub use operator::{NOTE_BYTES, OperatorError};
 #[cfg(feature = "demo")]
 pub use outside::{Fake, Outside, Reading, Replica, SAMPLE, Sample, Sampler};
 pub use path::{CallPath, PathError, split_path};
 pub use problem::{PROBLEM_TYPE, Problem, ProblemKind};
 pub use publish::{Acceptance, HEAD_NAME, Known, PublishError, accept, collect, fetch};
 pub use retry::{RetryBudgets, RetryPermit};
+pub use settings::{
+    FLEET_KEY_CHARS, Keys, Limits, Listen, Log, LogFormat, Peer, Place, Platform, SETTINGS_BYTES,
+    Settings, SettingsError, Times, is_hash,
+};
 pub use shard::{Accepted, Head, ShardRef};
 pub use sse::{EVENT_BYTES, Scanner, SseError};
+pub use status::{InstanceStatus, MemberStatus, OwnerStatus, Readiness, TrafficStatus};
 pub use store::{Condition, Listing, Object, ObjectKind, Store, StoreError, VALUE_BYTES, Version};
+pub use suspect::{Crash, MAX_CRASHES, Standing, Suspects, Suspicion, Trial, TrialPhase};
 pub use timeline::{Event, Stamp, Timeline, Topic, merge};
+pub use trace::{trace_json, trace_page};
