Add the demo: a fleet with its stand-ins in one process under a real workload

A newcomer should see within a minute what the fleet does. The demo starts six instances and their stand-ins on loopback, puts the first configuration in force by a note, sends interactive, batch and at-most-once calls over HTTP, takes a data centre out and brings it back, and holds the run against the promises. All numbers come from callers and endpoints.

--- a/cornelstand/src/fleet.rs
+++ b/cornelstand/src/fleet.rs
@@ -8,6 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::FutureExt;
+use futures::future::BoxFuture;
 use snafu::{ResultExt, Snafu};
 use stand_ins::{InstanceState, Listed};
 use tokio::runtime::{Builder, Runtime};
@@ -20,7 +22,9 @@
 use crate::name::{CentreName, InstanceName};
 use crate::note::{Note, plan};
 use crate::outside::Outside;
-use crate::settings::{Keys, Limits, Listen, Log, Platform, Seed, Settings, Times};
+
+use crate::entry::EntryLimits;
+use crate::settings::{Keys, Limits, Listen, Log, Peer, Platform, Settings, Times};
 use crate::status::InstanceStatus;
 
 /// Key of the operators of such a fleet.
@@ -100,10 +104,7 @@
     /// # Errors
     ///
     /// Any [`FleetError`].
-    pub async fn start(
-        deployment: &Deployment,
-        outside: Arc<Outside>,
-    ) -> Result<Self, FleetError> {
+    pub async fn start(deployment: &Deployment, outside: Arc<Outside>) -> Result<Self, FleetError> {
         let runtime = Builder::new_multi_thread()
             .worker_threads(THREADS)
             .thread_name(FLEET_THREADS)
@@ -115,11 +116,7 @@
             runtime: Some(runtime),
             members: Vec::new(),
             config: Config::default(),
-            http: reqwest::Client::builder()
-                .no_proxy()
-                .timeout(OPERATOR)
-                .build()
-                .expect("an HTTP client without TLS needs no system resources"),
+            http: client(),
         };
         for place in 0..deployment.instances {
             let centre = &deployment.centres[place % deployment.centres.len()];
@@ -231,8 +228,12 @@
     ///
     /// [`FleetError::Task`].
     pub async fn stop(mut self) -> Result<(), FleetError> {
-        let instances = self.members.iter_mut().filter_map(|m| m.instance.take());
-        let drains: Vec<_> = instances.map(|i| self.spawn(i.drain())).collect();
+        let members = self.members.iter_mut();
+        let instances: Vec<Instance> = members.filter_map(|m| m.instance.take()).collect();
+        let drains: Vec<_> = instances
+            .into_iter()
+            .map(|i| self.spawn(i.drain()))
+            .collect();
         for drain in drains {
             drain.await?;
         }
@@ -258,7 +259,7 @@
         let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let seeds = self.members.iter().filter_map(|m| {
             let address = m.instance.as_ref()?.addresses().fleet;
-            Some(Seed {
+            Some(Peer {
                 instance: m.settings.instance.clone(),
                 address,
             })
@@ -282,6 +283,7 @@
             seeds: seeds.collect(),
             times: Times::default(),
             limits: Limits::default(),
+            entry: EntryLimits::default(),
             log: Log::default(),
         }
     }
@@ -291,7 +293,11 @@
         let name = settings.instance.clone();
         let started = self.spawn(Instance::start(settings)).await?;
         let instance = started.context(StartSnafu { name: name.clone() })?;
-        self.list(name.as_str(), instance.addresses().fleet, InstanceState::Live);
+        self.list(
+            name.as_str(),
+            instance.addresses().fleet,
+            InstanceState::Live,
+        );
         self.members[place].instance = Some(instance);
         Ok(())
     }
@@ -302,7 +308,9 @@
         };
         let ready = tokio::time::timeout(READY, instance.ready()).await;
         let name = &self.members[place].settings.instance;
-        ready.ok().ok_or_else(|| FleetError::NotReady { name: name.clone() })
+        ready
+            .ok()
+            .ok_or_else(|| FleetError::NotReady { name: name.clone() })
     }
 
     fn list(&self, name: &str, address: SocketAddr, state: InstanceState) {
@@ -314,16 +322,24 @@
     }
 
     /// Runs a task on the fleet's threads.
-    fn spawn<T: Send + 'static>(
-        &self,
-        task: impl Future<Output = T> + Send + 'static,
-    ) -> impl Future<Output = Result<T, FleetError>> + use<T> {
+    fn spawn<F>(&self, task: F) -> BoxFuture<'static, Result<F::Output, FleetError>>
+    where
+        F: Future<Output: Send> + Send + 'static,
+    {
         let runtime = self.runtime.as_ref().expect("it is taken on drop only");
         let handle = runtime.spawn(task);
-        async move { handle.await.context(TaskSnafu) }
+        async move { handle.await.context(TaskSnafu) }.boxed()
     }
 }
 
+fn client() -> reqwest::Client {
+    reqwest::Client::builder()
+        .no_proxy()
+        .timeout(OPERATOR)
+        .build()
+        .expect("an HTTP client without TLS needs no system resources")
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         if let Some(runtime) = self.runtime.take() {
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -37,6 +37,12 @@
 mod containment;
 mod deliver;
 #[cfg(feature = "demo")]
+mod demo;
+#[cfg(feature = "demo")]
+mod demo_table;
+#[cfg(feature = "demo")]
+mod demo_work;
+#[cfg(feature = "demo")]
 mod deployment;
 mod dispatch;
 mod dispatcher;
@@ -46,6 +52,8 @@
 mod fair;
 #[cfg(feature = "demo")]
 mod figures;
+#[cfg(feature = "demo")]
+mod fleet;
 mod flight;
 mod gossip;
 mod handshake;
@@ -73,6 +81,8 @@
 mod platform;
 mod probe;
 mod problem;
+#[cfg(feature = "demo")]
+mod promise;
 mod publish;
 mod refusal;
 mod relay;
@@ -112,6 +122,8 @@
 pub use config::{Account, Centre, Class, Config, Endpoint, Kind, Repeat, Route, Service};
 pub use containment::SpreadCall;
 #[cfg(feature = "demo")]
+pub use demo::{DemoError, DemoOptions, DemoResult, LEAST_SECONDS, run_demo};
+#[cfg(feature = "demo")]
 pub use deployment::{
     AccountSize, BATCH_CHAT, CHAT, Deployment, LOOKUP, ORDER, PLAIN_CALL, ServiceSize,
 };
@@ -128,6 +140,8 @@
 pub use entry_metrics::EntryMetrics;
 #[cfg(feature = "demo")]
 pub use figures::{Span, WINDOW, fairness_gap, gained, service_per_share, utilisation, whole};
+#[cfg(feature = "demo")]
+pub use fleet::{FLEET_THREADS, Fleet, FleetError, OPERATOR_KEY};
 pub use gossip::{
     CellClaim, Extension, ExtensionTopic, GOSSIP_CELLS, GOSSIP_EXTRA, GOSSIP_MEMBERS, Gossip,
     Member, MemberState, Seed,
@@ -162,6 +176,8 @@
 pub use outside::{Fake, Outside, Reading, Replica, SAMPLE, Sample, Sampler};
 pub use path::{CallPath, PathError, split_path};
 pub use problem::{PROBLEM_TYPE, Problem, ProblemKind};
+#[cfg(feature = "demo")]
+pub use promise::{OUT_WITHIN, Promise, answer_promises, centre_promise};
 pub use publish::{Acceptance, HEAD_NAME, Known, PublishError, accept, collect, fetch};
 pub use retry::{RetryBudgets, RetryPermit};
 pub use settings::{
