--- a/cornelstand/src/answers.rs
+++ b/cornelstand/src/answers.rs
@@ -57,6 +57,7 @@
                 parts.agent.send(Received(gossip)).await.ok().flatten()
             }),
             borrow: answer!(|parts, borrow| parts.agent.send(Lend(borrow)).await.ok().flatten()),
+            suspect: answer!(|parts, suspicion| parts.entry.exchange(suspicion)),
             config: answer!(|parts, known| {
                 let config = parts.updater.config.borrow().clone();
                 (config.revision > known).then(|| (*config).clone())
@@ -132,12 +133,7 @@
     }
 
     fn live_peers(&self) -> Vec<Member> {
-        let mut members = self.view.members();
-        members.retain(|m| {
-            let runs = !matches!(m.state, MemberState::Dead | MemberState::Left);
-            runs && m.name != self.me.name
-        });
-        members
+        self.view.peers_of(&self.me.name)
     }
 
     /// Which instance has which revision in force, as far as this one knows.
--- a/cornelstand/src/claim_shard/tests.rs
+++ b/cornelstand/src/claim_shard/tests.rs
@@ -617,16 +617,16 @@
 }
 
 #[rstest::rstest]
-#[case::young(limits().run - Duration::from_millis(1), Answer::Running)]
+#[case::young(limits().run.saturating_sub(Duration::from_millis(1)), Answer::Running)]
 #[case::dated(limits().run, Answer::Unknown)]
-#[case::kept(limits().orphan - Duration::from_millis(1), Answer::Unknown)]
+#[case::kept(limits().orphan.saturating_sub(Duration::from_millis(1)), Answer::Unknown)]
 #[case::expired(limits().orphan, Answer::Fresh)]
 fn an_open_claim_is_kept_for_its_time(#[case] time: Duration, #[case] answer: Answer) {
     assert_eq!(heard(&mut claimed(), time), [(9, answer)]);
 }
 
 #[rstest::rstest]
-#[case::kept(limits().gap + limits().keep - Duration::from_millis(1), false)]
+#[case::kept((limits().gap + limits().keep).saturating_sub(Duration::from_millis(1)), false)]
 #[case::expired(limits().gap + limits().keep, true)]
 fn a_settled_claim_is_kept_for_its_time(#[case] time: Duration, #[case] fresh: bool) {
     let mut writer = claimed();
--- a/cornelstand/src/instance.rs
+++ b/cornelstand/src/instance.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use futures::FutureExt;
+use futures::future::join_all;
 use prometheus::Registry;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
@@ -18,6 +19,7 @@
 use crate::claim_shard::ClaimLimits;
 use crate::claims::{ClaimBook, ClaimObjects};
 use crate::config::Config;
+use crate::containment::SpreadCall;
 use crate::entry::{Entry, EntryParts};
 use crate::entry_metrics::EntryMetrics;
 use crate::gossip::{Member, MemberState, Seed};
@@ -26,7 +28,7 @@
 use crate::link::{self, LinkSettings, Links};
 use crate::meter::Traffic;
 use crate::moment::{Clock, micros};
-use crate::name::{Incarnation, Revision};
+use crate::name::{Incarnation, InstanceName, Revision};
 use crate::operator;
 use crate::platform;
 use crate::publish::Known;
@@ -42,6 +44,8 @@
 const DRAIN_PAUSE: Duration = Duration::from_millis(100);
 /// Time in which peers and the balancer hear that the instance takes no more requests.
 const NOTICE: Duration = Duration::from_secs(1);
+/// Time for a peer's answer about a suspect request.
+const SPREAD_WAIT: Duration = Duration::from_millis(500);
 /// Time for the last exchanges of gossip.
 const FAREWELL: Duration = Duration::from_millis(500);
 
@@ -327,6 +331,8 @@
         timeline: timeline.clone(),
         metrics: EntryMetrics::new(&registry).context(MetricsSnafu)?,
         limits: settings.entry,
+        spread: spread(&settings.instance, &view, &links),
+        claims: ClaimBook::start(&objects, clock, ClaimLimits::default()),
     });
     let parts = Parts {
         me,
@@ -360,6 +366,25 @@
     }
 }
 
+/// The call that tells all peers of a suspect request.
+fn spread(own: &InstanceName, view: &FleetView, links: &Links) -> SpreadCall {
+    let (own, view, links) = (own.clone(), view.clone(), links.clone());
+    Arc::new(move |suspicion| {
+        let asked = view.peers_of(&own).into_iter().map(|peer| {
+            let (links, suspicion) = (links.clone(), suspicion.clone());
+            async move {
+                let answer = links.call(peer.address, SPREAD_WAIT, |client, context| async move {
+                    client.suspect(context, suspicion).await
+                });
+                answer.await.ok().flatten()
+            }
+        });
+        join_all(asked.collect::<Vec<_>>())
+            .map(|answers| answers.into_iter().flatten().collect())
+            .boxed()
+    })
+}
+
 fn own_member(settings: &Settings, fleet: SocketAddr) -> Member {
     let start = SystemTime::now().duration_since(UNIX_EPOCH);
     Member {
--- a/cornelstand/src/link.rs
+++ b/cornelstand/src/link.rs
@@ -33,6 +33,7 @@
 use crate::meter::{Metered, Traffic};
 use crate::name::{AttemptId, CellId, Epoch, InstanceName, Revision};
 use crate::status::InstanceStatus;
+use crate::suspect::Suspicion;
 use crate::timeline::{Event, Stamp};
 
 /// Heartbeats sent in the time after which a link counts as silent.
@@ -94,6 +95,8 @@
     async fn gossip(gossip: Gossip) -> Option<Gossip>;
     /// Asks for the use of a half of a cell's limits.
     async fn borrow(borrow: Borrow) -> Option<BorrowReply>;
+    /// Tells of a suspect request and asks what is known of it.
+    async fn suspect(suspicion: Suspicion) -> Option<Suspicion>;
     /// Asks for a configuration newer than `known`.
     async fn config(known: Revision) -> Option<Config>;
     /// Asks for the events of the time line.
@@ -115,6 +118,7 @@
     pub(crate) hand_over: Call<Handover, bool>,
     pub(crate) gossip: Call<Gossip, Option<Gossip>>,
     pub(crate) borrow: Call<Borrow, Option<BorrowReply>>,
+    pub(crate) suspect: Call<Suspicion, Option<Suspicion>>,
     pub(crate) config: Call<Revision, Option<Config>>,
     pub(crate) events: Arc<dyn Fn() -> Vec<Event> + Send + Sync>,
     pub(crate) status: Call<(), InstanceStatus>,
@@ -153,6 +157,10 @@
         (self.borrow)(borrow).await
     }
 
+    async fn suspect(self, _: Context, suspicion: Suspicion) -> Option<Suspicion> {
+        (self.suspect)(suspicion).await
+    }
+
     async fn config(self, _: Context, known: Revision) -> Option<Config> {
         (self.config)(known).await
     }
@@ -261,11 +269,6 @@
         call(client, context).await.context(CallSnafu { address })
     }
 
-    /// Number of open connections.
-    pub(crate) fn count(&self) -> usize {
-        self.links().values().filter(|l| l.is_open()).count()
-    }
-
     fn link(&self, address: SocketAddr) -> Arc<Link> {
         let mut links = self.links();
         let link = links.entry(address).or_insert_with(|| {
@@ -297,12 +300,6 @@
 }
 
 impl Link {
-    fn is_open(&self) -> bool {
-        self.connection
-            .try_lock()
-            .is_ok_and(|c| c.as_ref().is_some_and(|c| !c.dispatch.is_finished()))
-    }
-
     async fn client(self: &Arc<Self>, settings: &LinkSettings) -> Result<FleetClient, LinkError> {
         let mut connection = self.connection.lock().await;
         if let Some(open) = connection.as_ref().filter(|c| !c.dispatch.is_finished()) {
--- a/cornelstand/src/view.rs
+++ b/cornelstand/src/view.rs
@@ -61,6 +61,16 @@
         self.read().members.values().cloned().collect()
     }
 
+    /// The other instances that may answer.
+    pub(crate) fn peers_of(&self, own: &InstanceName) -> Vec<Member> {
+        let mut members = self.members();
+        members.retain(|m| {
+            let has_ended = matches!(m.state, MemberState::Dead | MemberState::Left);
+            !has_ended && m.name != *own
+        });
+        members
+    }
+
     /// All known owners of cells.
     pub(crate) fn cells(&self) -> Vec<CellClaim> {
         self.read().cells.values().cloned().collect()
