Measure the fleet: cold endpoints, a departing data centre, a rolling restart, overhead

Every scenario prints its figures with target and verdict, beside both baselines where they apply, and writes what callers met as JSON.

--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -157,7 +157,7 @@
     Borrow, BorrowReply, Holder, Lease, LeaseEffect, LeaseInput, LeaseTiming, LeaseView, Part,
     Tenure,
 };
-pub use load::run_load;
+pub use load::{run_load, run_load_through};
 pub use load_call::Check;
 pub use load_plan::{AccountLoad, Arrival, CallKind, Source, Through, Workload};
 pub use load_result::{
--- a/cornelstand/src/load.rs
+++ b/cornelstand/src/load.rs
@@ -12,6 +12,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use reqwest::Client;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
@@ -34,8 +35,22 @@
 ///
 /// If the workload names no instance.
 pub async fn run_load(workload: &Workload, check: Option<Check>) -> LoadResult {
+    let (_sender, instances) = watch::channel(workload.instances.clone());
+    run_load_through(workload, &instances, check).await
+}
+
+/// Sends `workload` to the instances that `instances` names at each moment, as a balancer does.
+///
+/// # Panics
+///
+/// If there is no instance at the start.
+pub async fn run_load_through(
+    workload: &Workload,
+    instances: &watch::Receiver<Vec<SocketAddr>>,
+    check: Option<Check>,
+) -> LoadResult {
     assert!(
-        !workload.instances.is_empty(),
+        !instances.borrow().is_empty(),
         "a workload needs an instance to call"
     );
     let start = Instant::now();
@@ -50,7 +65,7 @@
                 http: client(),
                 account: account.clone(),
                 source: source.clone(),
-                targets: workload.instances.clone(),
+                instances: instances.clone(),
                 check,
                 record: record.clone(),
                 sent: AtomicU64::default(),
@@ -124,7 +139,7 @@
     http: Client,
     account: AccountLoad,
     source: Source,
-    targets: Vec<SocketAddr>,
+    instances: watch::Receiver<Vec<SocketAddr>>,
     check: Option<Check>,
     record: Arc<Mutex<Record>>,
     sent: AtomicU64,
@@ -165,7 +180,8 @@
             Through::All => usize::try_from(number).unwrap_or_default(),
             Through::One(index) => index,
         };
-        self.targets[index % self.targets.len()]
+        let instances = self.instances.borrow();
+        instances[index % instances.len().max(1)]
     }
 
     /// Makes one call that arrived at `arrival`, and gives the pause that its refusal asks for.
--- a/cornelstand/tests/load.rs
+++ b/cornelstand/tests/load.rs
@@ -4,7 +4,7 @@
 
 use cornelstand::{
     AccountLoad, Arrival, CallKind, Check, LoadResult, Outcomes, Source, Through, Workload,
-    run_load,
+    run_load, run_load_through,
 };
 use rstest::rstest;
 use stand_ins::{
@@ -219,3 +219,23 @@
     assert!(sources.iter().all(|s| s.counts.arrived > 0));
     assert_eq!(outcomes(&result).answered, outcomes(&result).arrived);
 }
+
+#[tokio::test]
+async fn calls_go_to_the_instances_that_are_live() {
+    let (first, second) = (
+        engine(1_000, Overload::Refuse),
+        engine(1_000, Overload::Refuse),
+    );
+    let load = chat(Arrival::Backlog(1), first.address());
+    let (sender, live) = tokio::sync::watch::channel(vec![first.address()]);
+    let switch = async {
+        while first.counts().answers == 0 {
+            tokio::task::yield_now().await;
+        }
+        sender.send_replace(vec![second.address()]);
+    };
+    let (result, ()) = tokio::join!(run_load_through(&load, &live, Some(CHECK)), switch);
+    let answers = [first.counts().answers, second.counts().answers];
+    assert!(answers.iter().all(|&n| n > 0), "{answers:?}");
+    assert_eq!(outcomes(&result).answered, answers.iter().sum::<u64>());
+}
--- a/measure/src/baseline.rs
+++ b/measure/src/baseline.rs
@@ -41,9 +41,9 @@
 }
 
 /// A router on a listener of its own.
-#[derive(Debug)]
 pub(crate) struct Router {
     pub(crate) address: SocketAddr,
+    shared: Arc<Shared>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -72,6 +72,8 @@
     own: u32,
     /// Requests that it reported last.
     reported: u32,
+    /// Whether operators have taken it out.
+    out: bool,
 }
 
 #[derive(Debug)]
@@ -138,8 +140,24 @@
                 answer(serving.clone(), method, path, headers, body)
             });
         let server = warp::serve(filter).incoming(listener).run();
-        let tasks = vec![tokio::spawn(server), tokio::spawn(poll(shared))];
-        Ok(Self { address, tasks })
+        let tasks = vec![tokio::spawn(server), tokio::spawn(poll(shared.clone()))];
+        Ok(Self {
+            address,
+            shared,
+            tasks,
+        })
+    }
+}
+
+impl Router {
+    /// Takes endpoints out or brings them back.
+    pub(crate) fn set_out(&self, addresses: &[SocketAddr], out: bool) {
+        let mut state = self.shared.lock();
+        let targets = state.targets.iter_mut();
+        for target in targets.filter(|t| addresses.contains(&t.address)) {
+            target.out = out;
+        }
+        state.grant_all();
     }
 }
 
@@ -151,6 +169,7 @@
             warm: e.warm,
             own: 0,
             reported: 0,
+            out: false,
         });
         let share = |name: &AccountName| config.accounts.get(name).map_or(1, |a| a.share);
         let tenants = keys.iter().map(|(name, _)| Tenant {
@@ -269,7 +288,7 @@
             Policy::FairSplit { slots } => slots,
         };
         targets
-            .filter(|(_, t)| t.service == *service && known(t) < limit(t))
+            .filter(|(_, t)| t.service == *service && !t.out && known(t) < limit(t))
             .min_by_key(|(_, t)| known(t))
             .map(|(place, _)| place)
     }
--- a/measure/src/fairness.rs
+++ b/measure/src/fairness.rs
@@ -45,14 +45,14 @@
     report: &mut Report,
     plots: Option<&std::path::Path>,
 ) -> Result<(), Error> {
-    for variant in [Variant::LeastLoaded, Variant::FairSplit] {
+    for variant in [Variant::Fleet, Variant::LeastLoaded, Variant::FairSplit] {
         let stage = Stage::start(deployment, variant).await?;
         let cast = Cast::new(deployment);
         let load = load_of(&stage, &cast, report.seed, report.seconds);
         let run = stage.run(&load).await;
         judge(&stage, &cast, variant, &run, report);
         report.results.push((variant, run.result));
-        stage.stop().await;
+        stage.stop().await?;
     }
     if let Some(dir) = plots {
         for (variant, result) in &report.results {
@@ -62,6 +62,53 @@
     Ok(())
 }
 
+/// Measures utilisation with all accounts backlogged over all instances, and with one alone.
+pub(crate) async fn measure_use(deployment: &Deployment, report: &mut Report) -> Result<(), Error> {
+    let steady = Span {
+        from: WARM_UP,
+        to: Duration::from_secs(report.seconds),
+    };
+    for variant in [Variant::Fleet, Variant::LeastLoaded, Variant::FairSplit] {
+        let stage = Stage::start(deployment, variant).await?;
+        let mut load = workload(&stage, report.seed, report.seconds);
+        for size in &deployment.accounts {
+            let sources = vec![chat(deployment, "backlog", backlog(deployment, size))];
+            load.accounts.push(account(size, Through::All, sources));
+        }
+        let run = stage.run(&load).await;
+        judge_use(&stage, variant, &run, steady, report);
+        load.accounts.truncate(1);
+        load.accounts[0].share = deployment.shares();
+        let models = deployment.models();
+        let slots = models.bearing.warm * u32::try_from(models.replicas).unwrap_or(u32::MAX);
+        load.accounts[0].sources[0].arrival = Arrival::Backlog(slots + slots / 2);
+        let alone = stage.run(&load).await;
+        let tokens = gained(&alone.samples, steady, |p| stage.is_model(p), |r| r.service);
+        let warm = stage.capacity(models.replicas) * steady.length().as_secs_f64();
+        let least = Some(Target::AtLeast(0.97));
+        let part = Some(whole(tokens) / warm);
+        report.add(
+            variant,
+            "tokens made for an account alone",
+            part,
+            "of warm capacity",
+            least,
+        );
+        let above = Some(whole(stage.above()));
+        let none = Some(Target::AtMost(0.0));
+        report.add(
+            variant,
+            "requests above what an endpoint bore",
+            above,
+            "",
+            none,
+        );
+        report.results.push((variant, run.result));
+        stage.stop().await?;
+    }
+    Ok(())
+}
+
 fn load_of(stage: &Stage, cast: &Cast, seed: u64, seconds: u64) -> Workload {
     let deployment = &stage.deployment;
     let half = seconds * 500 + 6_000;
--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -1,9 +1,13 @@
 //! Scenarios, baselines, load and plots.
 
 mod baseline;
+mod centre;
+mod cold;
 mod fairness;
+mod overhead;
 mod plot;
 mod report;
+mod roll;
 mod stage;
 
 use std::path::PathBuf;
@@ -58,7 +62,14 @@
         results: Vec::new(),
     };
     let plots = args.get_one::<PathBuf>("plots").map(PathBuf::as_path);
-    fairness::measure(&deployment, &mut report, plots).await?;
+    match scenario {
+        "cold" => cold::measure(&deployment, &mut report).await?,
+        "centre" => centre::measure(&deployment, &mut report, plots).await?,
+        "roll" => roll::measure(&deployment, &mut report).await?,
+        "overhead" => overhead::measure(&deployment, &mut report).await?,
+        "utilisation" => fairness::measure_use(&deployment, &mut report).await?,
+        _ => fairness::measure(&deployment, &mut report, plots).await?,
+    }
     println!("{}", report.table());
     if let Some(path) = args.get_one::<PathBuf>("json") {
         let text = serde_json::to_string_pretty(&report).map_err(|e| whatever("JSON", &e))?;
@@ -67,10 +78,23 @@
     Ok(report.is_passed())
 }
 
-const SCENARIOS: [(&str, &str); 1] = [(
-    "fairness",
-    "Fairness, starvation and utilisation, accounts unevenly over the instances",
-)];
+const SCENARIOS: [(&str, &str); 6] = [
+    (
+        "fairness",
+        "Fairness, starvation and utilisation, accounts unevenly over the instances",
+    ),
+    (
+        "utilisation",
+        "Utilisation with all accounts backlogged, and with one alone",
+    ),
+    ("cold", "Endpoints that turn cold without warning"),
+    ("centre", "A data centre that leaves and returns"),
+    ("roll", "A rolling restart of the whole fleet"),
+    (
+        "overhead",
+        "The path through the fleet beside the endpoint called directly",
+    ),
+];
 
 fn command() -> Command {
     let root = Command::new("measure")
--- a/measure/src/stage.rs
+++ b/measure/src/stage.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 
 use cornelstand::{
-    AccountLoad, AccountName, AccountSize, Arrival, CHAT, CallKind, Check, Config, Deployment,
-    LoadResult, Outside, Sample, Sampler, Source, Through, Workload, run_load, whole,
+    AccountLoad, AccountName, AccountSize, Arrival, CHAT, CallKind, CentreName, Check, Config,
+    Deployment, Fleet, LoadResult, Outside, Sample, Sampler, Source, Through, Workload, run_load,
+    whole,
 };
 use stand_ins::{Overload, call_digest, digest, text};
 use tokio::time::Instant;
@@ -33,7 +34,8 @@
     pub(crate) deployment: Deployment,
     pub(crate) outside: Arc<Outside>,
     pub(crate) addresses: Vec<SocketAddr>,
-    _routers: Vec<Router>,
+    pub(crate) fleet: Option<Fleet>,
+    routers: Vec<Router>,
 }
 
 /// What came of a workload.
@@ -57,12 +59,22 @@
         let outside =
             Outside::start(deployment, is_warm, overload).map_err(|e| whatever("stand-ins", &e))?;
         let config = deployment.config(&outside.addresses());
+        let outside = Arc::new(outside);
         let routers = routers(deployment, &config, variant).await?;
+        let mut addresses: Vec<SocketAddr> = routers.iter().map(|r| r.address).collect();
+        let mut fleet = None;
+        if variant == Variant::Fleet {
+            let started = Fleet::start(deployment, outside.clone()).await;
+            let started = started.map_err(|e| whatever("fleet", &e))?;
+            addresses = started.callers();
+            fleet = Some(started);
+        }
         Ok(Self {
             deployment: deployment.clone(),
-            outside: Arc::new(outside),
-            addresses: routers.iter().map(|r| r.address).collect(),
-            _routers: routers,
+            outside,
+            addresses,
+            fleet,
+            routers,
         })
     }
 
@@ -93,9 +105,31 @@
     }
 
     /// Stops everything.
-    pub(crate) async fn stop(self) {
-        drop(self);
-        tokio::task::yield_now().await;
+    pub(crate) async fn stop(self) -> Result<(), Error> {
+        match self.fleet {
+            Some(fleet) => fleet.stop().await.map_err(|e| whatever("fleet", &e)),
+            None => Ok(()),
+        }
+    }
+
+    /// Takes a data centre out, or brings it back.
+    pub(crate) async fn set_centre(&mut self, centre: &CentreName, out: bool) -> Result<(), Error> {
+        if let Some(fleet) = &mut self.fleet {
+            let set = fleet.set_centre(centre, out).await;
+            return set.map_err(|e| whatever("note", &e));
+        }
+        let endpoints = self.outside.endpoints.iter();
+        let there = endpoints.filter(|e| e.centre == *centre);
+        let addresses: Vec<SocketAddr> = there.map(cornelstand::Replica::address).collect();
+        for router in &self.routers {
+            router.set_out(&addresses, out);
+        }
+        Ok(())
+    }
+
+    /// Tells by its place whether an endpoint is a model engine in `centre`.
+    pub(crate) fn is_model_in(&self, place: usize, centre: &CentreName) -> bool {
+        self.is_model(place) && self.outside.endpoints[place].centre == *centre
     }
 
     /// Requests that came beyond what an endpoint bore.
