--- a/cornelstand/src/demo_work.rs
+++ b/cornelstand/src/demo_work.rs
@@ -45,6 +45,7 @@
             arrival,
             after: 0,
             until: None,
+            seed: None,
             deadline: None,
         };
     let chat = |tokens| CallKind::Chat {
--- a/cornelstand/src/load.rs
+++ b/cornelstand/src/load.rs
@@ -71,7 +71,7 @@
                 sent: AtomicU64::default(),
                 label: format!("{}-{}-{index}", workload.seed, account.account),
             });
-            let seed = workload.seed ^ stream_seed(place, index);
+            let seed = workload.seed ^ source.seed.unwrap_or(stream_seed(place, index));
             sources.spawn(run_source(shared, ChaCha8Rng::seed_from_u64(seed)));
         }
     }
--- a/cornelstand/src/load_plan.rs
+++ b/cornelstand/src/load_plan.rs
@@ -77,6 +77,9 @@
     /// Milliseconds after the start at which it ends, if before the end of the workload.
     #[serde(default)]
     pub until: Option<u64>,
+    /// Seed of the source, if another is to have the same arrivals and sizes.
+    #[serde(default)]
+    pub seed: Option<u64>,
     /// Milliseconds until each call's deadline, if it states one.
     #[serde(default)]
     pub deadline: Option<u64>,
--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -58,10 +58,12 @@
         deployment: deployment.name,
         seed: number("seed"),
         seconds: number("seconds"),
+        machine: Vec::new(),
         figures: Vec::new(),
         results: Vec::new(),
     };
     let plots = args.get_one::<PathBuf>("plots").map(PathBuf::as_path);
+    report.note_machine();
     match scenario {
         "cold" => cold::measure(&deployment, &mut report).await?,
         "centre" => centre::measure(&deployment, &mut report, plots).await?,
@@ -70,6 +72,7 @@
         "utilisation" => fairness::measure_use(&deployment, &mut report).await?,
         _ => fairness::measure(&deployment, &mut report, plots).await?,
     }
+    report.note_machine();
     println!("{}", report.table());
     if let Some(path) = args.get_one::<PathBuf>("json") {
         let text = serde_json::to_string_pretty(&report).map_err(|e| whatever("JSON", &e))?;
--- a/measure/src/overhead.rs
+++ b/measure/src/overhead.rs
@@ -81,6 +81,7 @@
         arrival,
         after: 0,
         until: None,
+        seed: None,
         deadline: None,
     };
     let size = &stage.deployment.accounts[0];
