Stop the last instance of a fleet without waiting for a next owner

Cause: a planned stop waited for its cells to move, and the last instance has nobody to hand them to, so it stayed for the whole drain time of 600 s. Change: a stop waits for its cells for two lease lengths at most, for requests as before.

--- a/cornelstand/src/instance.rs
+++ b/cornelstand/src/instance.rs
@@ -84,6 +84,7 @@
     parts: Parts,
     addresses: Addresses,
     drain: Duration,
+    handover: Duration,
     shutdown: watch::Sender<bool>,
     callers: JoinSet<()>,
     tasks: JoinSet<()>,
@@ -161,6 +162,8 @@
             parts,
             addresses,
             drain: Times::duration(settings.times.drain),
+            // The last instance of a fleet has nobody to hand its cells to.
+            handover: Times::duration(settings.times.lease) * 2,
             shutdown,
             callers: serving,
             tasks,
@@ -209,8 +212,8 @@
         parts.entry.drain();
         self.shutdown.send_replace(true);
         while start.elapsed() < self.drain {
-            let is_idle = parts.entry.running() == 0 && parts.holdings.owned().is_empty();
-            if is_idle {
+            let is_free = parts.holdings.owned().is_empty() || start.elapsed() > self.handover;
+            if parts.entry.running() == 0 && is_free {
                 break;
             }
             sleep(DRAIN_PAUSE).await;
