Bound the service gap and prove limits in whole runs

Cause: a refund could lower the least counter, so that a chain of newly backlogged accounts started ever lower and the gap grew with their number. Runs with restarts then showed two requests at an engine that bore one: a load report and the late outcome of the same answer were added up, and an attempt that was never sent counted as a sign of life. Change: the counter to start from never falls; the gap of two backlogged accounts is at most their in-flight cost over share plus the patience of batch work. Reported and counted answers are compared, not added. A boot counts as proven for 500 ms after a sight and by attempts of that age. A driver runs a cell against engines that count what they run.

--- a/cornelstand/src/cell.rs
+++ b/cornelstand/src/cell.rs
@@ -90,7 +90,7 @@
                 self.until = until;
                 self.part = part;
             }
-            CellInput::Census(census) => self.census(now, census),
+            CellInput::Census(census) => self.census(census),
             CellInput::Recover { entries } => self.recover(now, entries),
             CellInput::EntryGone(entry) => self.entry_gone(now, &entry, out),
             CellInput::Tick => {}
@@ -227,13 +227,13 @@
         let Some(active) = closed else { return };
         self.queue.finish(active.account, active.charged, 0);
         if let Some(model) = self.endpoints.get_mut(&active.endpoint) {
-            model.stop();
+            model.stop(active.granted, attempt);
         }
         self.counts.ended += 1;
     }
 
     fn report(&mut self, now: Moment, report: &Report) {
-        if !self.active.contains(report.attempt) && !self.learn(now, report) {
+        if !self.active.contains(report.attempt) && !self.learn(report) {
             return;
         }
         match report.phase {
@@ -383,7 +383,7 @@
     fn start(&mut self, now: Moment, attempt: AttemptId, endpoint: EndpointName) -> Option<Grant> {
         let (waiting, charged) = self.queue.serve(now, attempt)?;
         let model = self.endpoints.get_mut(&endpoint)?;
-        model.start(now);
+        model.start(now, attempt);
         let active = Active {
             account: waiting.account,
             class: waiting.class,
@@ -421,6 +421,8 @@
 
 fn sight<'a>(active: &'a Active, report: &Report) -> Sight<'a> {
     Sight {
+        attempt: report.attempt,
+        granted: active.granted,
         generation: active.generation,
         entry: active.entry.as_ref(),
         boot: report.boot,
--- a/cornelstand/src/endpoint.rs
+++ b/cornelstand/src/endpoint.rs
@@ -6,6 +6,7 @@
 //! Each cut starts a generation; what attempts of an earlier generation tell cannot cut again.
 //! `docs/design/endpoints.md` has the reasons.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use derive_more::{Display, IsVariant};
@@ -14,7 +15,7 @@
 use crate::config::Endpoint;
 use crate::dispatch::Ending;
 use crate::moment::Moment;
-use crate::name::{BootId, InstanceName};
+use crate::name::{AttemptId, BootId, InstanceName};
 use crate::probe::Probe;
 
 /// Oldest that a load report may be.
@@ -23,9 +24,9 @@
 /// Longest that requests which nobody can follow are assumed to run without a load report.
 const DOUBT: Duration = Duration::from_mins(1);
 
-/// How long a boot counts as proven after it was seen while nothing runs there. A restart takes
-/// longer.
-const PROOF: Duration = Duration::from_millis(250);
+/// How long a boot counts as proven after it was seen, and age from which a running attempt proves
+/// it. A restart, and the outcome of what it cut, take longer.
+const PROOF: Duration = Duration::from_millis(500);
 
 /// Boot identities that are remembered as ended.
 const RETIRED: usize = 8;
@@ -75,6 +76,8 @@
 /// What an attempt showed of its endpoint.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Sight<'a> {
+    pub(crate) attempt: AttemptId,
+    pub(crate) granted: Moment,
     /// Generation of the endpoint when the attempt was granted.
     pub(crate) generation: u32,
     /// Who ran the attempt.
@@ -83,12 +86,13 @@
     pub(crate) first: Option<Duration>,
 }
 
-/// When a boot was last seen.
-#[derive(Clone, Copy, Debug, Default)]
-struct Proof {
-    /// Whether a running attempt showed the boot, or one did shortly before the first of them.
-    shown: bool,
-    at: Moment,
+/// What was known of a boot.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    boot: BootId,
+    answers: u32,
+    load: Option<(BootId, u32)>,
+    confirm: bool,
 }
 
 /// Knowledge of one endpoint.
@@ -100,10 +104,10 @@
     /// Boot that an answer has shown.
     boot: Option<BootId>,
     retired: Vec<BootId>,
-    /// Boot and answers before a broken connection, restored when the boot turns out to live on.
-    held: Option<(BootId, u32)>,
+    /// The boot before a broken connection, restored when it turns out to live on.
+    held: Option<Held>,
     generation: u32,
-    /// Answers since the boot or the latest cut.
+    /// Outcomes that are answers since the boot or the latest cut.
     answers: u32,
     /// Latest load report of a boot that has not ended.
     load: Option<(BootId, u32)>,
@@ -111,13 +115,15 @@
     confirm: bool,
     firsts: u32,
     first: Duration,
-    proof: Proof,
+    /// When the boot was last seen.
+    proof: Moment,
     /// Broken attempts since `held` was set.
     broken: u32,
     probe: Probe,
     leaving: bool,
     out: bool,
-    running: u32,
+    /// Running attempts, by the moment of their grant.
+    calls: BTreeSet<(Moment, AttemptId)>,
     foreign: Foreign,
     /// When `foreign` last rose; load reports say nothing of it until [`LOAD_LAG`] later.
     risen: Moment,
@@ -139,12 +145,12 @@
             confirm: true,
             firsts: 0,
             first: Duration::ZERO,
-            proof: Proof::default(),
+            proof: Moment::default(),
             broken: 0,
             probe: Probe::new(),
             leaving: false,
             out: false,
-            running: 0,
+            calls: BTreeSet::new(),
             foreign: Foreign::AtMost(0),
             risen: Moment::default(),
             shown: State::Cold,
@@ -175,10 +181,7 @@
 
     /// Takes over what an earlier owner had learned.
     pub(crate) fn restore(&mut self, now: Moment, boot: Option<BootId>, answers: u32) {
-        self.proof = Proof {
-            shown: boot.is_some(),
-            at: now,
-        };
+        self.proof = now;
         self.boot = boot;
         self.answers = answers;
     }
@@ -196,7 +199,7 @@
     }
 
     pub(crate) fn running(&self) -> u32 {
-        self.running
+        u32::try_from(self.calls.len()).unwrap_or(u32::MAX)
     }
 
     pub(crate) fn state(&self) -> State {
@@ -230,39 +233,34 @@
 
     /// Requests at once that the endpoint surely bears.
     pub(crate) fn bears(&self) -> u32 {
-        if self.answers >= self.ramp {
+        let answers = self.answers.max(self.reported());
+        if answers >= self.ramp {
             return self.warm;
         }
         let span = u64::from(self.warm - self.cold);
-        let gained = span * u64::from(self.answers) / u64::from(self.ramp);
+        let gained = span * u64::from(answers) / u64::from(self.ramp);
         self.cold + u32::try_from(gained).unwrap_or(0)
     }
 
-    /// Requests at once that may be granted. With nothing running there, no connection would break
-    /// at a restart, so a boot that was not seen lately counts as cold until it shows.
+    /// Requests at once that may be granted. A boot that was not seen lately, and has no
+    /// connection that would have broken at a restart, counts as cold until it shows.
     fn limit(&self, now: Moment) -> u32 {
-        if self.is_proved(now) {
+        let oldest = self.calls.first().map(|(granted, _)| *granted);
+        let settled = oldest.is_some_and(|granted| granted.after(PROOF) <= now);
+        if settled || now <= self.proof.after(PROOF) {
             self.bears()
         } else {
             self.cold
         }
     }
 
-    fn is_proved(&self, now: Moment) -> bool {
-        if self.running == 0 {
-            now <= self.proof.at.after(PROOF)
-        } else {
-            self.proof.shown
-        }
-    }
-
     /// Requests that may be granted now, where `part` takes the dispatcher's part of a limit.
     pub(crate) fn room(&self, now: Moment, part: impl Fn(u32) -> u32) -> u32 {
         let Some(foreign) = self.foreign(now) else {
             return 0;
         };
         let limit = part(self.limit(now));
-        let free = limit.saturating_sub(self.running.saturating_add(foreign));
+        let free = limit.saturating_sub(self.running().saturating_add(foreign));
         match self.state() {
             State::Out | State::Leaving => 0,
             State::Suspect if now < self.probe.due() => 0,
@@ -291,21 +289,19 @@
     }
 
     /// Counts a grant.
-    pub(crate) fn start(&mut self, now: Moment) {
-        self.proof.shown = self.is_proved(now);
-        self.running += 1;
+    pub(crate) fn start(&mut self, now: Moment, attempt: AttemptId) {
+        self.calls.insert((now, attempt));
         self.probe.start(now);
     }
 
     /// Counts an attempt that an earlier owner granted.
-    pub(crate) fn adopt(&mut self, now: Moment) {
-        self.proof.shown = self.is_proved(now);
-        self.running += 1;
+    pub(crate) fn adopt(&mut self, granted: Moment, attempt: AttemptId) {
+        self.calls.insert((granted, attempt));
     }
 
     /// Counts an end, whatever it was.
-    pub(crate) fn stop(&mut self) {
-        self.running = self.running.saturating_sub(1);
+    pub(crate) fn stop(&mut self, granted: Moment, attempt: AttemptId) {
+        self.calls.remove(&(granted, attempt));
     }
 
     /// Takes in what a running attempt showed.
@@ -317,16 +313,13 @@
             self.adopt_boot(boot);
         }
         if self.boot == Some(boot) {
-            self.proof = Proof {
-                shown: true,
-                at: now,
-            };
+            self.proof = now;
         }
     }
 
     /// Takes in how a counted attempt ended.
     pub(crate) fn ended(&mut self, now: Moment, sight: Sight<'_>, ending: Ending) {
-        self.stop();
+        self.stop(sight.granted, sight.attempt);
         self.sight(now, sight);
         match ending {
             Ending::Answered => self.answered(sight),
@@ -359,8 +352,9 @@
         if self.boot.is_some_and(|b| b != load.boot) {
             self.cut();
         }
-        self.load = Some((load.boot, load.answers));
-        self.confirm_load();
+        let known = self.load.filter(|(boot, _)| *boot == load.boot);
+        let answers = known.map_or(0, |(_, answers)| answers);
+        self.load = Some((load.boot, load.answers.max(answers)));
     }
 
     /// Assumes that requests unknown to the dispatcher may run.
@@ -375,8 +369,8 @@
     }
 
     /// Counts one known attempt as one that can no longer be followed.
-    pub(crate) fn orphan(&mut self, now: Moment) {
-        self.stop();
+    pub(crate) fn orphan(&mut self, now: Moment, granted: Moment, attempt: AttemptId) {
+        self.stop(granted, attempt);
         self.haunt(now, 1);
     }
 
@@ -402,7 +396,6 @@
         if let Foreign::AtMost(most) = &mut self.foreign {
             *most = 0;
         }
-        self.confirm_load();
     }
 
     fn answered(&mut self, sight: Sight<'_>) {
@@ -431,7 +424,7 @@
 
     fn broken(&mut self, now: Moment, sight: Sight<'_>) {
         if sight.generation == self.generation {
-            let held = self.boot.map(|boot| (boot, self.answers)).or(self.held);
+            let held = self.boot.map(|boot| self.hold(boot)).or(self.held);
             self.cut();
             self.held = held;
             self.probe.strike(now, sight.entry);
@@ -475,30 +468,37 @@
         self.retired.push(boot);
     }
 
+    fn hold(&self, boot: BootId) -> Held {
+        Held {
+            boot,
+            answers: self.answers,
+            load: self.load,
+            confirm: self.confirm,
+        }
+    }
+
     /// Restores the boot before a broken connection, if an attempt sent after that shows it.
     fn revive(&mut self, now: Moment, boot: BootId, generation: u32) {
-        let Some((held, answers)) = self.held else {
-            return;
-        };
-        if held != boot || generation != self.generation {
+        let Some(held) = self.held else { return };
+        if held.boot != boot || generation != self.generation {
             return;
         }
         self.held = None;
         self.retired.retain(|b| *b != boot);
         self.boot = Some(boot);
-        self.answers = answers;
-        self.confirm = false;
+        self.answers = held.answers;
+        self.load = held.load;
+        self.confirm = held.confirm;
         let broken = std::mem::take(&mut self.broken);
         self.haunt(now, broken);
     }
 
-    fn confirm_load(&mut self) {
-        let Some((boot, answers)) = self.load else {
-            return;
-        };
-        if self.confirm && self.boot == Some(boot) {
-            self.answers = self.answers.max(answers);
-        }
+    /// Answers of the present boot by its load reports. They may count the same answers as the
+    /// outcomes, so the two are never added up.
+    fn reported(&self) -> u32 {
+        let load = self.load.filter(|_| self.confirm);
+        load.filter(|(boot, _)| self.boot == Some(*boot))
+            .map_or(0, |(_, answers)| answers)
     }
 }
 
--- a/cornelstand/src/fair.rs
+++ b/cornelstand/src/fair.rs
@@ -4,8 +4,8 @@
 //! the backlogged account with the lowest counter; inside an account interactive requests go
 //! before batch ones, each in order of arrival. The cost of a request is known at its end only:
 //! an estimate is charged on the grant and corrected by progress reports and the outcome. An
-//! account that turns backlogged starts no lower than the lowest counter of the backlogged, so
-//! that no credit is saved up. `docs/design/fairness.md` states the bound on the service gap.
+//! account that turns backlogged starts no lower than the lowest counter of the backlogged has
+//! been, so that no credit is saved up. `docs/design/fairness.md` states the bound on the service gap.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -92,7 +92,8 @@
     urgent: BTreeSet<Rank>,
     waiting: HashMap<AttemptId, Waiting>,
     deadlines: BTreeSet<(Moment, AttemptId)>,
-    /// Counter that a newly backlogged account starts from when no other is backlogged.
+    /// Highest that the lowest counter of the backlogged has been, from which an account that
+    /// turns backlogged starts. Refunds lower counters, but not this.
     floor: u64,
     turns: u64,
     estimate: u64,
@@ -193,9 +194,9 @@
         let id = waiting.account;
         self.unrank(id);
         if self.waiting_of(id) == 0 {
-            let least = self.least();
+            let floor = self.floor;
             let account = self.at_mut(id);
-            account.service = account.service.max(least);
+            account.service = account.service.max(floor);
         }
         let place = (waiting.arrival, attempt);
         self.line(id, waiting.class).insert(place);
@@ -213,9 +214,6 @@
         self.line(id, waiting.class)
             .remove(&(waiting.arrival, attempt));
         self.rank(id);
-        if self.backlogged.is_empty() {
-            self.floor = self.floor.max(self.at(id).service);
-        }
         Some(waiting)
     }
 
@@ -327,9 +325,9 @@
         (0..u32::try_from(self.accounts.len()).unwrap_or(u32::MAX)).map(AccountId)
     }
 
-    /// Lowest counter of the backlogged accounts.
-    pub(crate) fn least(&self) -> u64 {
-        self.backlogged.first().map_or(self.floor, |r| r.service)
+    /// Counter that an account that turns backlogged starts from.
+    pub(crate) fn floor(&self) -> u64 {
+        self.floor
     }
 
     fn at(&self, id: AccountId) -> &Account {
@@ -373,6 +371,8 @@
         if !self.at(id).interactive.is_empty() {
             self.urgent.insert(rank);
         }
+        let least = self.backlogged.first().map_or(0, |r| r.service);
+        self.floor = self.floor.max(least);
     }
 }
 
--- a/cornelstand/src/takeover.rs
+++ b/cornelstand/src/takeover.rs
@@ -36,7 +36,7 @@
         }
         for census in handover.running {
             for running in census.running {
-                cell.adopt(now, running, Some(census.entry.clone()), false);
+                cell.adopt(running, Some(census.entry.clone()), false);
             }
         }
         cell
@@ -45,10 +45,10 @@
     /// What the next owner needs to go on. Offers that wait are not part of it.
     #[must_use]
     pub fn hand_over(self) -> Handover {
-        let least = self.queue.least();
+        let floor = self.queue.floor();
         let counters = self.queue.views().map(|a| Counter {
             account: a.name.clone(),
-            service: a.service.max(least),
+            service: a.service.max(floor),
             average: a.average,
         });
         let counters = counters.collect();
@@ -67,7 +67,7 @@
     }
 
     /// Takes in an attempt that an earlier owner granted, and tells whether it is one.
-    pub(crate) fn learn(&mut self, now: Moment, report: &Report) -> bool {
+    pub(crate) fn learn(&mut self, report: &Report) -> bool {
         let foreign = report.epoch < self.epoch && !self.active.has_ended(report.attempt);
         if foreign {
             let running = Running {
@@ -77,7 +77,7 @@
                 class: Class::Interactive,
                 cost: 0,
             };
-            self.adopt(now, running, None, true);
+            self.adopt(running, None, true);
         }
         foreign
     }
@@ -93,12 +93,12 @@
         }
     }
 
-    pub(crate) fn census(&mut self, now: Moment, census: Census) {
+    pub(crate) fn census(&mut self, census: Census) {
         let listed: BTreeSet<AttemptId> = census.running.iter().map(|r| r.attempt).collect();
         for running in census.running {
             let known = self.active.contains(running.attempt);
             if !known && !self.active.has_ended(running.attempt) {
-                self.adopt(now, running, Some(census.entry.clone()), true);
+                self.adopt(running, Some(census.entry.clone()), true);
             }
         }
         for attempt in listed {
@@ -138,7 +138,7 @@
             self.queue
                 .finish(active.account, active.charged, active.charged);
             if let Some(model) = self.endpoints.get_mut(&active.endpoint) {
-                model.orphan(now);
+                model.orphan(now, active.granted, attempt);
             }
             self.counts.ended += 1;
         }
@@ -153,7 +153,7 @@
     }
 
     /// Counts an attempt that another owner granted, charging it if that owner's charge is lost.
-    fn adopt(&mut self, now: Moment, running: Running, entry: Option<InstanceName>, charge: bool) {
+    fn adopt(&mut self, running: Running, entry: Option<InstanceName>, charge: bool) {
         let share = self.share(running.account.as_str());
         let account = self.queue.account(&running.account, share);
         if charge {
@@ -161,9 +161,10 @@
         } else {
             self.queue.count(account);
         }
+        let granted = self.recovered;
         let model = self.endpoints.get_mut(&running.endpoint);
         let generation = model.map_or(0, |m| {
-            m.adopt(now);
+            m.adopt(granted, running.attempt);
             m.generation()
         });
         self.counts.adopted += 1;
@@ -174,7 +175,7 @@
             entry,
             charged: running.cost,
             generation,
-            granted: self.recovered,
+            granted,
         };
         self.active.insert(running.attempt, active);
     }
--- /dev/null
+++ b/cornelstand/tests/decide/driver.rs
@@ -0,0 +1,460 @@
+//! Runs a cell against simple engines in its own time and checks it after each input.
+//!
+//! One unit of cost takes an engine one millisecond. Engines count what they run, so that a limit
+//! that the cell gets wrong shows where it matters.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+use cornelstand::{
+    BootId, Cell, CellInput, CellOutput, CellStatus, Class, Ending, Grant, Load, Offer, Phase,
+    Refusal, Report,
+};
+
+use crate::make::{Size, at, attempt, cell, config, ended, offer};
+
+/// Time that a report takes to the cell.
+const REPORT_MS: u64 = 1;
+
+/// Time that a lost outcome takes until it is repeated.
+const REPEAT_MS: u64 = 400;
+
+/// Time between progress reports.
+const PROGRESS_MS: u64 = 100;
+
+/// Time until an attempt shows the boot of its engine.
+const FIRST_MS: u64 = 5;
+
+/// Time that an engine refuses connections when it restarts: longer than a boot counts as proven
+/// and a lost outcome takes to arrive.
+const DOWN_MS: u64 = 1000;
+
+/// Timers further away are left out.
+const HORIZON_MS: u64 = 120_000;
+
+/// Time between load reports.
+const LOAD_MS: u64 = 1000;
+
+/// Units of a counter for one unit of cost at share 1, as the status gives it.
+const UNITS: u64 = 65_536;
+
+/// One request of an account.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub(crate) at: u64,
+    pub(crate) account: usize,
+    pub(crate) class: Class,
+    pub(crate) cost: u64,
+    pub(crate) hint: Option<u64>,
+    /// Time after which the caller goes.
+    pub(crate) cancel: Option<u64>,
+    /// Whether the outcome is lost at first.
+    pub(crate) lost: bool,
+    /// Whether the outcome comes twice.
+    pub(crate) twice: bool,
+}
+
+/// A whole run.
+#[derive(Clone, Debug)]
+pub(crate) struct Plan {
+    pub(crate) shares: Vec<u32>,
+    pub(crate) sizes: Vec<Size>,
+    pub(crate) jobs: Vec<Job>,
+    /// Time and engine of each restart.
+    pub(crate) restarts: Vec<(u64, usize)>,
+    /// Age of load reports.
+    pub(crate) lag: u64,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Step {
+    Offer(usize),
+    Cancel(usize),
+    First(usize, u64),
+    Progress(usize, u64),
+    Finish(usize, u64),
+    Deliver(usize, Arrival),
+    Up(usize),
+    Restart(usize),
+    Sample(usize),
+    Loaded(usize, (u64, u32, u32)),
+    Tick,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Arrival {
+    cost: u64,
+    boot: Option<u64>,
+    ending: Option<u8>,
+}
+
+const ANSWERED: u8 = 0;
+const BROKEN: u8 = 1;
+const NOT_SENT: u8 = 2;
+const CANCELLED: u8 = 3;
+
+#[derive(Debug)]
+struct Engine {
+    size: Size,
+    boot: u64,
+    up: bool,
+    answers: u32,
+    running: Vec<usize>,
+}
+
+impl Engine {
+    fn bears(&self) -> u32 {
+        let Size { cold, warm, ramp } = self.size;
+        if self.answers >= ramp {
+            return warm;
+        }
+        cold + (warm - cold) * self.answers / ramp
+    }
+}
+
+/// Peaks of one account over the run, for the bound on the gap.
+#[derive(Clone, Copy, Debug, Default)]
+struct Peak {
+    in_flight: u64,
+    average: u64,
+}
+
+/// What a run came to.
+#[derive(Debug, Default)]
+pub(crate) struct Outcome {
+    /// Waiting time of each granted job, by job.
+    pub(crate) waits: BTreeMap<usize, u64>,
+    /// Largest gap between the counters of two backlogged accounts over its bound, in percent.
+    pub(crate) gap_percent: u64,
+    /// Time and engine of each request above what the engine bore.
+    pub(crate) excess: Vec<(u64, usize)>,
+    /// Times that work waited beside a slot that the cell held to be free.
+    pub(crate) idle: u32,
+    /// When the last job ended.
+    pub(crate) end: u64,
+    /// Status at the end.
+    pub(crate) status: Option<CellStatus>,
+}
+
+pub(crate) struct Driver {
+    plan: Plan,
+    cell: Cell,
+    now: u64,
+    order: u64,
+    steps: BinaryHeap<Reverse<(u64, u64, Step)>>,
+    engines: Vec<Engine>,
+    grants: BTreeMap<usize, Grant>,
+    /// Start of each job that an engine runs.
+    open: BTreeMap<usize, u64>,
+    /// Jobs whose end the cell has not heard of.
+    flying: BTreeSet<usize>,
+    peaks: Vec<Peak>,
+    out: Outcome,
+}
+
+impl Driver {
+    pub(crate) fn new(plan: Plan) -> Self {
+        let config = config(&plan.shares, &plan.sizes);
+        let engines = plan.sizes.iter().enumerate().map(|(i, size)| Engine {
+            size: *size,
+            boot: 100 * (i as u64 + 1),
+            up: true,
+            answers: 0,
+            running: Vec::new(),
+        });
+        let mut driver = Self {
+            cell: cell(&config),
+            now: 0,
+            order: 0,
+            steps: BinaryHeap::new(),
+            engines: engines.collect(),
+            grants: BTreeMap::new(),
+            open: BTreeMap::new(),
+            flying: BTreeSet::new(),
+            peaks: vec![Peak::default(); plan.shares.len()],
+            out: Outcome::default(),
+            plan,
+        };
+        for job in 0..driver.plan.jobs.len() {
+            driver.push(driver.plan.jobs[job].at, Step::Offer(job));
+        }
+        for (at, engine) in driver.plan.restarts.clone() {
+            driver.push(at, Step::Restart(engine));
+        }
+        for engine in 0..driver.engines.len() {
+            driver.push(LOAD_MS, Step::Sample(engine));
+        }
+        driver
+    }
+
+    /// Runs until nothing is left to do.
+    pub(crate) fn run(mut self) -> Outcome {
+        while let Some(Reverse((at, _, step))) = self.steps.pop() {
+            self.now = at;
+            self.step(step);
+        }
+        self.out.status = Some(self.cell.status());
+        self.out
+    }
+
+    fn push(&mut self, at: u64, step: Step) {
+        self.order += 1;
+        self.steps.push(Reverse((at, self.order, step)));
+    }
+
+    fn is_busy(&self) -> bool {
+        let status = self.cell.status();
+        let ahead = self.plan.jobs.iter().any(|j| j.at >= self.now);
+        ahead || status.waiting + status.running > 0
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Offer(job) => self.offer(job),
+            Step::Cancel(job) => self.cancel(job),
+            Step::First(job, boot) => self.first(job, boot),
+            Step::Progress(job, cost) => self.progress(job, cost),
+            Step::Finish(job, boot) => self.finish(job, boot),
+            Step::Deliver(job, arrival) => self.deliver(job, arrival),
+            Step::Up(engine) => self.engines[engine].up = true,
+            Step::Restart(engine) => self.restart(engine),
+            Step::Sample(engine) => self.sample(engine),
+            Step::Loaded(engine, (boot, running, answers)) => {
+                let load = Load {
+                    boot: BootId(boot),
+                    running,
+                    waiting: 0,
+                    answers,
+                };
+                let endpoint = format!("e{engine}").as_str().into();
+                self.send(CellInput::Load { endpoint, load });
+            }
+            Step::Tick => self.send(CellInput::Tick),
+        }
+    }
+
+    fn offer(&mut self, job: usize) {
+        let planned = self.plan.jobs[job].clone();
+        let account = format!("a{}", planned.account);
+        let offer = Offer {
+            class: planned.class,
+            hint: planned.hint,
+            ..offer(job as u128, &account)
+        };
+        if let Some(after) = planned.cancel {
+            self.push(self.now + after, Step::Cancel(job));
+        }
+        self.send(CellInput::Offer(offer));
+    }
+
+    /// The caller goes: its entry withdraws the offer, or ends the attempt.
+    fn cancel(&mut self, job: usize) {
+        if !self.grants.contains_key(&job) {
+            self.send(CellInput::Withdraw(attempt(job as u128)));
+        } else if let Some(start) = self.open.remove(&job) {
+            let cost = self.now - start;
+            self.leave(job);
+            self.outcome(job, cost, None, CANCELLED);
+        }
+    }
+
+    fn leave(&mut self, job: usize) {
+        for engine in &mut self.engines {
+            engine.running.retain(|j| *j != job);
+        }
+    }
+
+    fn first(&mut self, job: usize, boot: u64) {
+        if self.open.contains_key(&job) {
+            let arrival = Arrival {
+                cost: 0,
+                boot: Some(boot),
+                ending: None,
+            };
+            self.push(self.now + REPORT_MS, Step::Deliver(job, arrival));
+        }
+    }
+
+    fn progress(&mut self, job: usize, cost: u64) {
+        if self.open.contains_key(&job) {
+            let arrival = Arrival {
+                cost,
+                boot: None,
+                ending: None,
+            };
+            self.push(self.now + REPORT_MS, Step::Deliver(job, arrival));
+            let next = self.now + PROGRESS_MS;
+            self.push(next, Step::Progress(job, cost + PROGRESS_MS));
+        }
+    }
+
+    fn finish(&mut self, job: usize, boot: u64) {
+        if self.open.remove(&job).is_none() {
+            return;
+        }
+        self.leave(job);
+        let engine = self.engines.iter_mut().find(|e| e.boot == boot);
+        engine.expect("an engine of that boot").answers += 1;
+        let cost = self.plan.jobs[job].cost;
+        self.outcome(job, cost, Some(boot), ANSWERED);
+    }
+
+    /// Sends the outcome, late if it is lost at first and again if it comes twice.
+    fn outcome(&mut self, job: usize, cost: u64, boot: Option<u64>, ending: u8) {
+        let ending = Some(ending);
+        let arrival = Arrival { cost, boot, ending };
+        let planned = &self.plan.jobs[job];
+        let (lost, twice) = (planned.lost, planned.twice);
+        let at = self.now + if lost { REPEAT_MS } else { REPORT_MS };
+        self.push(at, Step::Deliver(job, arrival));
+        if twice {
+            self.push(at + REPEAT_MS, Step::Deliver(job, arrival));
+        }
+    }
+
+    fn deliver(&mut self, job: usize, arrival: Arrival) {
+        let grant = &self.grants[&job];
+        let account = format!("a{}", self.plan.jobs[job].account);
+        let phase = arrival.ending.map_or(Phase::Running, |ending| {
+            Phase::Ended(match ending {
+                ANSWERED => Ending::Answered,
+                BROKEN => Ending::Broken,
+                NOT_SENT => Ending::NotSent,
+                _ => Ending::Cancelled,
+            })
+        });
+        let report = Report {
+            cost: arrival.cost,
+            boot: arrival.boot.map(BootId),
+            phase,
+            ..ended(grant, &account, 0, Ending::Answered)
+        };
+        if phase != Phase::Running {
+            self.flying.remove(&job);
+        }
+        self.out.end = self.now;
+        self.send(CellInput::Report(report));
+    }
+
+    fn restart(&mut self, engine: usize) {
+        let engine_index = engine;
+        let engine = &mut self.engines[engine];
+        engine.boot += 1;
+        engine.answers = 0;
+        engine.up = false;
+        let broken = std::mem::take(&mut engine.running);
+        self.push(self.now + DOWN_MS, Step::Up(engine_index));
+        for job in broken {
+            if let Some(start) = self.open.remove(&job) {
+                self.outcome(job, self.now - start, None, BROKEN);
+            }
+        }
+    }
+
+    fn sample(&mut self, engine: usize) {
+        let sampled = &self.engines[engine];
+        let running = u32::try_from(sampled.running.len()).expect("few");
+        let load = (sampled.boot, running, sampled.answers);
+        if sampled.up {
+            self.push(self.now + self.plan.lag, Step::Loaded(engine, load));
+        }
+        if self.is_busy() {
+            self.push(self.now + LOAD_MS, Step::Sample(engine));
+        }
+    }
+
+    fn send(&mut self, input: CellInput) {
+        let before = self.cell.timer();
+        let mut out = Vec::new();
+        self.cell.handle(at(self.now), input, &mut out);
+        for output in out {
+            match output {
+                CellOutput::Grant(grant) => self.grant(grant),
+                CellOutput::Refuse { refusal, .. } => assert_eq!(refusal, Refusal::Cancelled),
+                CellOutput::Changed { .. } => {}
+            }
+        }
+        let due = self.cell.timer();
+        if let Some(due) = due.filter(|d| Some(*d) != before) {
+            let at = due.0.div_ceil(1000);
+            // Deadlines an hour away are never reached by a run.
+            if at < self.now + HORIZON_MS {
+                self.push(at.max(self.now + 1), Step::Tick);
+            }
+        }
+        self.check();
+    }
+
+    fn grant(&mut self, grant: Grant) {
+        let job = usize::try_from(grant.attempt.request.0).expect("a job");
+        let number: usize = grant.endpoint.as_str()[1..].parse().expect("a number");
+        self.out
+            .waits
+            .insert(job, self.now - self.plan.jobs[job].at);
+        let known = self.grants.insert(job, grant);
+        assert_eq!(known, None, "a job is granted once");
+        self.flying.insert(job);
+        let engine = &mut self.engines[number];
+        if !engine.up {
+            self.outcome(job, 0, None, NOT_SENT);
+            return;
+        }
+        engine.running.push(job);
+        let running = u32::try_from(engine.running.len()).expect("few");
+        if running > engine.bears() {
+            self.out.excess.push((self.now, number));
+        }
+        let boot = engine.boot;
+        let cost = self.plan.jobs[job].cost;
+        self.open.insert(job, self.now);
+        self.push(self.now + FIRST_MS.min(cost), Step::First(job, boot));
+        self.push(self.now + PROGRESS_MS, Step::Progress(job, PROGRESS_MS));
+        self.push(self.now + cost, Step::Finish(job, boot));
+    }
+
+    fn check(&mut self) {
+        let status = self.cell.status();
+        let c = status.counts;
+        let waiting = status.waiting as u64;
+        assert_eq!(c.offered, c.granted + c.refused + c.cancelled + waiting);
+        assert_eq!(c.granted, c.ended + status.running as u64);
+        let slots: u32 = status.endpoints.iter().map(|e| e.running).sum();
+        assert_eq!(slots as usize, status.running);
+        let free = status.endpoints.iter().any(|e| e.running < e.limit);
+        self.out.idle += u32::from(status.waiting > 0 && free);
+        self.check_gap(&status);
+    }
+
+    /// Compares the gap of each two backlogged accounts with its bound.
+    fn check_gap(&mut self, status: &CellStatus) {
+        let mut in_flight = vec![0; self.peaks.len()];
+        for job in &self.flying {
+            let planned = &self.plan.jobs[*job];
+            in_flight[planned.account] += planned.cost.max(self.grants[job].charged);
+        }
+        let mut backlogged = Vec::new();
+        for view in &status.accounts {
+            let account: usize = view.account.as_str()[1..].parse().expect("a number");
+            let peak = &mut self.peaks[account];
+            peak.in_flight = peak.in_flight.max(in_flight[account]);
+            peak.average = peak.average.max(view.average);
+            if view.interactive + view.batch > 0 {
+                backlogged.push((account, view.service));
+            }
+        }
+        for (f, high) in &backlogged {
+            for (g, low) in backlogged.iter().filter(|(_, low)| low < high) {
+                let percent = (high - low) * 100 / self.bound(*f, *g);
+                self.out.gap_percent = self.out.gap_percent.max(percent);
+            }
+        }
+    }
+
+    /// In-flight cost over share of both, and the patience of batch work.
+    fn bound(&self, f: usize, g: usize) -> u64 {
+        let over = |cost: u64, account: usize| cost * UNITS / u64::from(self.plan.shares[account]);
+        let patience = (0..self.peaks.len()).map(|a| over(4 * self.peaks[a].average, a));
+        let flight = over(self.peaks[f].in_flight, f) + over(self.peaks[g].in_flight, g);
+        flight + patience.max().unwrap_or(0) + 2
+    }
+}
--- a/cornelstand/tests/decide/endpoints.rs
+++ b/cornelstand/tests/decide/endpoints.rs
@@ -184,6 +184,16 @@
     assert_eq!(bed.limit(), (State::Warm, SIZE.warm));
 }
 
+#[test]
+fn a_load_report_and_the_late_outcome_of_the_same_answer_count_once() {
+    let mut bed = Bed::new();
+    bed.end(0, Ending::Answered);
+    bed.load(1, 1, 2);
+    assert_eq!(bed.limit(), (State::Warming, SIZE.cold + 2));
+    bed.end(0, Ending::Answered);
+    assert_eq!(bed.limit(), (State::Warming, SIZE.cold + 2));
+}
+
 #[test]
 fn an_overloaded_boot_is_raised_by_its_own_answers_only() {
     let mut bed = Bed::warm();
--- a/cornelstand/tests/decide/main.rs
+++ b/cornelstand/tests/decide/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the dispatch decisions and of the actor around them.
 
 mod basics;
+mod driver;
 mod endpoints;
 mod make;
+mod properties;
