--- a/cornelstand/src/cell.rs
+++ b/cornelstand/src/cell.rs
@@ -10,12 +10,13 @@
 use std::time::Duration;
 
 use crate::active::{Active, ActiveSet};
-use crate::cell_message::{CellInput, CellOutput, Part};
+use crate::cell_message::{CellInput, CellOutput};
 use crate::cell_status::{AccountStatus, CellStatus, Counts, EndpointStatus};
 use crate::config::Config;
 use crate::dispatch::{Ending, Grant, Offer, Phase, Refusal, Report};
 use crate::endpoint::{EndpointModel, Load, Sight};
 use crate::fair::{FairQueue, Waiting, arrival};
+use crate::lease::{Part, Tenure};
 use crate::moment::Moment;
 use crate::name::{AttemptId, CellId, EndpointName, Epoch, InstanceName};
 
@@ -37,8 +38,7 @@
     pub(crate) id: CellId,
     pub(crate) epoch: Epoch,
     pub(crate) config: Arc<Config>,
-    until: Moment,
-    part: Part,
+    tenure: Tenure,
     pub(crate) queue: FairQueue,
     pub(crate) endpoints: BTreeMap<EndpointName, EndpointModel>,
     pub(crate) active: ActiveSet,
@@ -61,8 +61,12 @@
             id,
             epoch,
             config,
-            until: Moment::default(),
-            part: Part::Full,
+            tenure: Tenure {
+                epoch,
+                part: Part::Full,
+                until: Moment::default(),
+                after: None,
+            },
             queue,
             endpoints: BTreeMap::new(),
             active: ActiveSet::default(),
@@ -86,10 +90,7 @@
             CellInput::Load { endpoint, load } => self.load(now, &endpoint, load),
             CellInput::Leaving(names) => self.leaving(&names),
             CellInput::Configure(config) => self.configure(config, out),
-            CellInput::Lease { until, part } => {
-                self.until = until;
-                self.part = part;
-            }
+            CellInput::Lease(tenure) => self.tenure = tenure,
             CellInput::Census(census) => self.census(census),
             CellInput::Recover { entries } => self.recover(now, entries),
             CellInput::EntryGone(entry) => self.entry_gone(now, &entry, out),
@@ -109,7 +110,7 @@
             .endpoints
             .values()
             .filter_map(EndpointModel::doubt_ends);
-        let due = probes.chain(doubts).chain([deadline, self.until]);
+        let due = probes.chain(doubts).chain([deadline, self.tenure.until]);
         due.filter(|at| *at > self.latest).min()
     }
 
@@ -134,17 +135,18 @@
     /// Queues, counters and endpoints.
     #[must_use]
     pub fn status(&self) -> CellStatus {
+        let part = self.tenure.part_at(self.latest);
         let endpoints = self.endpoints.iter().map(|(name, model)| EndpointStatus {
             endpoint: name.clone(),
             state: model.state(),
-            limit: self.part.of(model.bears()),
+            limit: part.map_or(0, |p| p.of(model.bears())),
             running: model.running(),
             boot: model.boot(),
         });
         CellStatus {
             cell: self.id.clone(),
             epoch: self.epoch,
-            part: self.part,
+            part,
             unreported: self.unreported.iter().cloned().collect(),
             counts: self.counts,
             waiting: self.queue.len(),
@@ -164,7 +166,7 @@
             return;
         }
         self.counts.offered += 1;
-        let refusal = if now >= self.until {
+        let refusal = if self.tenure.part_at(now).is_none() {
             Some(Refusal::NotOwner(None))
         } else if self.active.has_ended(attempt) {
             Some(Refusal::Cancelled)
@@ -332,7 +334,7 @@
             self.queue.remove(attempt);
             self.refuse(attempt, Refusal::Deadline, out);
         }
-        let refusal = if now >= self.until {
+        let refusal = if self.tenure.part_at(now).is_none() {
             Refusal::NotOwner(None)
         } else if self.endpoints.values().any(EndpointModel::is_in) {
             return;
@@ -347,17 +349,16 @@
     }
 
     fn grant(&mut self, now: Moment, out: &mut Vec<CellOutput>) {
-        if now >= self.until || self.queue.is_empty() {
+        let Some(part) = self.tenure.part_at(now) else {
+            return;
+        };
+        if self.queue.is_empty() {
             return;
         }
-        let slots: u32 = self
-            .endpoints
-            .values()
-            .map(|m| self.part.of(m.bears()))
-            .sum();
+        let slots: u32 = self.endpoints.values().map(|m| part.of(m.bears())).sum();
         let batch_limit = (slots * BATCH_QUARTERS).div_ceil(4);
         while let Some(attempt) = self.queue.next(self.active.batch() >= batch_limit) {
-            let Some(endpoint) = self.pick(now, attempt) else {
+            let Some(endpoint) = self.pick(now, part, attempt) else {
                 return;
             };
             let Some(grant) = self.start(now, attempt, endpoint) else {
@@ -369,10 +370,10 @@
 
     /// The endpoint with the largest free part of its limit; one to avoid only if no other is
     /// free.
-    fn pick(&self, now: Moment, attempt: AttemptId) -> Option<EndpointName> {
+    fn pick(&self, now: Moment, part: Part, attempt: AttemptId) -> Option<EndpointName> {
         let avoid = self.queue.get(attempt).map_or(&[][..], |w| &w.avoid);
         let free = self.endpoints.iter().filter_map(|(name, model)| {
-            let room = model.room(now, |limit| self.part.of(limit));
+            let room = model.room(now, |limit| part.of(limit));
             let score = u64::from(room) * 1000 / u64::from(model.bears().max(1));
             (room > 0).then(|| (!avoid.contains(name), score, name))
         });
