Test takeovers and the actor, and keep counters over a handover

Cause: takeovers had no tests. The first one showed that the offers that come back one after another after a handover lifted the later accounts to the counter of the earlier ones, which lost the gap between them. Change: an account whose counter was handed over keeps it when it turns backlogged in the next five seconds. The census of a handover is sorted. An endpoint where nothing runs is proven only while an outcome is handled, and the status shows the limit that is permitted now.

--- a/cornelstand/src/active.rs
+++ b/cornelstand/src/active.rs
@@ -100,10 +100,14 @@
             };
             entries.entry(entry.clone()).or_default().push(running);
         }
-        let censuses = entries.into_iter().map(|(entry, running)| Census {
-            entry,
-            cell: cell.clone(),
-            running,
+        let censuses = entries.into_iter().map(|(entry, mut running)| {
+            running.sort_by_key(|r| r.attempt);
+            let cell = cell.clone();
+            Census {
+                entry,
+                cell,
+                running,
+            }
         });
         censuses.collect()
     }
--- a/cornelstand/src/cell.rs
+++ b/cornelstand/src/cell.rs
@@ -26,6 +26,9 @@
 /// Batch work may hold this many quarters of the slots while interactive work waits.
 const BATCH_QUARTERS: u32 = 3;
 
+/// Time after a handover in which waiting requests come back to the next owner.
+const COMEBACK: Duration = Duration::from_secs(5);
+
 /// Shortest time after which a refused caller is asked to come back.
 const RETRY_FIRST: Duration = Duration::from_secs(1);
 
@@ -83,6 +86,9 @@
     /// Takes in one input and appends its effects to `out`.
     pub fn handle(&mut self, now: Moment, input: CellInput, out: &mut Vec<CellOutput>) {
         self.latest = now;
+        if now >= self.recovered.after(COMEBACK) {
+            self.queue.forget_restored();
+        }
         match input {
             CellInput::Offer(offer) => self.offer(now, offer, out),
             CellInput::Withdraw(attempt) => self.withdraw(attempt, out),
@@ -139,7 +145,7 @@
         let endpoints = self.endpoints.iter().map(|(name, model)| EndpointStatus {
             endpoint: name.clone(),
             state: model.state(),
-            limit: part.map_or(0, |p| p.of(model.bears())),
+            limit: part.map_or(0, |p| p.of(model.limit(self.latest))),
             running: model.running(),
             boot: model.boot(),
         });
--- a/cornelstand/src/endpoint.rs
+++ b/cornelstand/src/endpoint.rs
@@ -24,8 +24,8 @@
 /// Longest that requests which nobody can follow are assumed to run without a load report.
 const DOUBT: Duration = Duration::from_mins(1);
 
-/// How long a boot counts as proven after it was seen, and age from which a running attempt proves
-/// it. A restart, and the outcome of what it cut, take longer.
+/// While attempts run: how long a boot counts as proven after it was seen, and age from which an
+/// attempt proves it. Less than a restart takes beyond the outcomes of what it cuts.
 const PROOF: Duration = Duration::from_millis(500);
 
 /// Boot identities that are remembered as ended.
@@ -244,14 +244,11 @@
 
     /// Requests at once that may be granted. A boot that was not seen lately, and has no
     /// connection that would have broken at a restart, counts as cold until it shows.
-    fn limit(&self, now: Moment) -> u32 {
-        let oldest = self.calls.first().map(|(granted, _)| *granted);
-        let settled = oldest.is_some_and(|granted| granted.after(PROOF) <= now);
-        if settled || now <= self.proof.after(PROOF) {
-            self.bears()
-        } else {
-            self.cold
-        }
+    pub(crate) fn limit(&self, now: Moment) -> u32 {
+        let proved = self.calls.first().map_or(now <= self.proof, |(oldest, _)| {
+            now <= self.proof.after(PROOF) || oldest.after(PROOF) <= now
+        });
+        if proved { self.bears() } else { self.cold }
     }
 
     /// Requests that may be granted now, where `part` takes the dispatcher's part of a limit.
--- a/cornelstand/src/fair.rs
+++ b/cornelstand/src/fair.rs
@@ -7,7 +7,7 @@
 //! account that turns backlogged starts no lower than the lowest counter of the backlogged has
 //! been, so that no credit is saved up. `docs/design/fairness.md` states the bound on the service gap.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
 use crate::config::Class;
@@ -95,6 +95,8 @@
     /// Highest that the lowest counter of the backlogged has been, from which an account that
     /// turns backlogged starts. Refunds lower counters, but not this.
     floor: u64,
+    /// Accounts whose counters an earlier owner left, until they turn backlogged here.
+    restored: HashSet<AccountId>,
     turns: u64,
     estimate: u64,
 }
@@ -109,6 +111,7 @@
             waiting: HashMap::new(),
             deadlines: BTreeSet::new(),
             floor: 0,
+            restored: HashSet::new(),
             turns: 0,
             estimate: estimate.clamp(1, COST_LIMIT),
         }
@@ -142,15 +145,22 @@
         self.rank(id);
     }
 
-    /// Sets the counter and the average of an account, as an earlier owner left them.
+    /// Sets the counter and the average of an account, as an earlier owner left them. It keeps the
+    /// counter when its requests come back.
     pub(crate) fn restore(&mut self, id: AccountId, service: u64, average: u64) {
         self.unrank(id);
         let account = self.at_mut(id);
         account.service = service;
         account.average = average.clamp(1, COST_LIMIT);
+        self.restored.insert(id);
         self.rank(id);
     }
 
+    /// Treats accounts that have not come back since [`Self::restore`] as idle.
+    pub(crate) fn forget_restored(&mut self) {
+        self.restored.clear();
+    }
+
     pub(crate) fn set_floor(&mut self, floor: u64) {
         self.floor = floor;
     }
@@ -193,7 +203,7 @@
     pub(crate) fn push(&mut self, attempt: AttemptId, waiting: Waiting) {
         let id = waiting.account;
         self.unrank(id);
-        if self.waiting_of(id) == 0 {
+        if self.waiting_of(id) == 0 && !self.restored.remove(&id) {
             let floor = self.floor;
             let account = self.at_mut(id);
             account.service = account.service.max(floor);
--- /dev/null
+++ b/cornelstand/tests/decide/actor.rs
@@ -0,0 +1,96 @@
+//! The actor around a cell, in paused time.
+
+use std::time::Duration;
+
+use cornelstand::{
+    Ask, Clock, Dispatcher, Ending, Epoch, HandOver, Inspect, Offer, Part, Refusal, Reply,
+    SetLease, Tell, Tenure, Timeline, Withdraw,
+};
+use tokio::sync::oneshot::Receiver;
+use xtra::Address;
+
+use crate::make::{attempt, config, ended, flat, offer};
+
+/// A dispatcher of one slot that owns its cell for ten seconds.
+async fn start() -> Address<Dispatcher> {
+    let clock = Clock::start();
+    let config = config(&[1], &[flat(1)]);
+    let cell = cornelstand::Cell::new(crate::make::cell_id(), Epoch(2), config, clock.now());
+    let timeline = Timeline::new("i0".into(), 10);
+    let dispatcher = Dispatcher::spawn(cell, clock, timeline);
+    let tenure = Tenure {
+        epoch: Epoch(2),
+        part: Part::Full,
+        until: clock.now().after(Duration::from_secs(10)),
+        after: None,
+    };
+    dispatcher.send(SetLease(tenure)).await.expect("it runs");
+    dispatcher
+}
+
+async fn ask(dispatcher: &Address<Dispatcher>, number: u128, left: u64) -> Receiver<Reply> {
+    let left = Duration::from_secs(left);
+    let offer = Offer {
+        left,
+        ..offer(number, "a0")
+    };
+    dispatcher.send(Ask(offer)).await.expect("it runs")
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_outcome_passes_the_slot_on() {
+    let dispatcher = start().await;
+    let first = ask(&dispatcher, 1, 60).await;
+    let second = ask(&dispatcher, 2, 60).await;
+    let grant = first.await.expect("a reply").expect("a grant");
+    let reports = vec![ended(&grant, "a0", 10, Ending::Answered)];
+    assert!(dispatcher.send(Tell(reports)).await.expect("it runs"));
+    let grant = second.await.expect("a reply").expect("a grant");
+    assert_eq!(grant.attempt, attempt(2));
+}
+
+#[tokio::test(start_paused = true)]
+async fn deadlines_and_the_end_of_the_lease_are_kept_by_the_timer() {
+    let dispatcher = start().await;
+    let first = ask(&dispatcher, 1, 60).await;
+    assert!(first.await.expect("a reply").is_ok());
+    let late = ask(&dispatcher, 2, 3).await;
+    let lapsed = ask(&dispatcher, 3, 60).await;
+    assert_eq!(late.await.expect("a reply"), Err(Refusal::Deadline));
+    assert_eq!(lapsed.await.expect("a reply"), Err(Refusal::NotOwner(None)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_withdrawn_offer_is_cancelled() {
+    let dispatcher = start().await;
+    let first = ask(&dispatcher, 1, 60).await;
+    let second = ask(&dispatcher, 2, 60).await;
+    dispatcher
+        .send(Withdraw(attempt(1)))
+        .await
+        .expect("it runs");
+    assert!(first.await.expect("a reply").is_ok());
+    assert!(
+        second.await.expect("a reply").is_ok(),
+        "the slot is free again"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn after_a_handover_the_next_owner_is_named() {
+    let dispatcher = start().await;
+    let first = ask(&dispatcher, 1, 60).await;
+    let grant = first.await.expect("a reply").expect("a grant");
+    let waiting = ask(&dispatcher, 2, 60).await;
+    let next = Some("i1".into());
+    let handed = dispatcher.send(HandOver { next: next.clone() }).await;
+    let handover = handed.expect("it runs").expect("a handover");
+    assert_eq!(handover.running[0].running[0].attempt, attempt(1));
+    let refused = Err(Refusal::NotOwner(next));
+    assert_eq!(waiting.await.expect("a reply"), refused);
+    let later = ask(&dispatcher, 3, 60).await;
+    assert_eq!(later.await.expect("a reply"), refused);
+    let reports = vec![ended(&grant, "a0", 10, Ending::Answered)];
+    assert!(!dispatcher.send(Tell(reports)).await.expect("it runs"));
+    assert_eq!(dispatcher.send(Inspect).await.expect("it runs"), None);
+}
--- a/cornelstand/tests/decide/main.rs
+++ b/cornelstand/tests/decide/main.rs
@@ -1,7 +1,9 @@
 //! Tests of the dispatch decisions and of the actor around them.
 
+mod actor;
 mod basics;
 mod driver;
 mod endpoints;
 mod make;
 mod properties;
+mod takeover;
