Exchange counters between the cells of a service

Cause: an account with work at several cells got a full turn at each, while one whose work lies at one cell got a turn there only. Change: each cell tells the others at most once a second what service it has given to its backlogged accounts, as running totals; a receiver adds what has come since to the accounts that are backlogged at itself too. Messages may be lost, repeated or cut at 500 accounts.

--- a/cornelstand/src/cell.rs
+++ b/cornelstand/src/cell.rs
@@ -15,6 +15,7 @@
 use crate::config::Config;
 use crate::dispatch::{Ending, Grant, Offer, Phase, Refusal, Report};
 use crate::endpoint::{EndpointModel, Load, Sight};
+use crate::exchange::{Exchange, Totals};
 use crate::fair::{FairQueue, Waiting, arrival};
 use crate::lease::{Part, Tenure};
 use crate::moment::Moment;
@@ -52,6 +53,7 @@
     /// Time of the latest input.
     latest: Moment,
     pub(crate) counts: Counts,
+    exchange: Exchange,
 }
 
 impl Cell {
@@ -78,6 +80,7 @@
             recovered: now,
             latest: now,
             counts: Counts::default(),
+            exchange: Exchange::default(),
         };
         cell.place_endpoints();
         cell
@@ -100,10 +103,12 @@
             CellInput::Census(census) => self.census(census),
             CellInput::Recover { entries } => self.recover(now, entries),
             CellInput::EntryGone(entry) => self.entry_gone(now, &entry, out),
+            CellInput::Totals(totals) => self.hear(now, totals),
             CellInput::Tick => {}
         }
         self.expire(now, out);
         self.grant(now, out);
+        self.tell(now, out);
         self.show(out);
     }
 
@@ -116,7 +121,9 @@
             .endpoints
             .values()
             .filter_map(EndpointModel::doubt_ends);
-        let due = probes.chain(doubts).chain([deadline, self.tenure.until]);
+        let told = self.has_peers().then(|| self.exchange.due());
+        let due = probes.chain(doubts).chain(told);
+        let due = due.chain([deadline, self.tenure.until]);
         due.filter(|at| *at > self.latest).min()
     }
 
@@ -416,6 +423,31 @@
         }
     }
 
+    fn has_peers(&self) -> bool {
+        let service = self.config.services.get(&self.id.service);
+        service.is_some_and(|s| s.cells > 1)
+    }
+
+    fn tell(&mut self, now: Moment, out: &mut Vec<CellOutput>) {
+        if !self.has_peers() {
+            return;
+        }
+        let accounts = self.exchange.tell(now, &self.queue);
+        if !accounts.is_empty() {
+            out.push(CellOutput::Tell(Totals {
+                cell: self.id.clone(),
+                epoch: self.epoch,
+                accounts,
+            }));
+        }
+    }
+
+    fn hear(&mut self, now: Moment, totals: Totals) {
+        if totals.cell.service == self.id.service && totals.cell != self.id {
+            self.exchange.hear(now, totals, &mut self.queue);
+        }
+    }
+
     fn show(&mut self, out: &mut Vec<CellOutput>) {
         for (name, model) in &mut self.endpoints {
             if let Some(state) = model.changed() {
--- a/cornelstand/src/cell_message.rs
+++ b/cornelstand/src/cell_message.rs
@@ -6,6 +6,7 @@
 use crate::config::Config;
 use crate::dispatch::{Census, Grant, Offer, Refusal, Report};
 use crate::endpoint::{Load, State};
+use crate::exchange::Totals;
 use crate::lease::Tenure;
 use crate::name::{AttemptId, EndpointName, InstanceName};
 
@@ -40,6 +41,8 @@
     },
     /// An entry is gone for good.
     EntryGone(InstanceName),
+    /// Another cell of the service tells what service it has given.
+    Totals(Totals),
     /// Time has passed.
     Tick,
 }
@@ -56,6 +59,8 @@
         /// The reason.
         refusal: Refusal,
     },
+    /// To be told to the other cells of the service. It may be lost.
+    Tell(Totals),
     /// An endpoint has changed state.
     Changed {
         /// The endpoint.
--- a/cornelstand/src/dispatcher.rs
+++ b/cornelstand/src/dispatcher.rs
@@ -11,7 +11,7 @@
 
 use futures::StreamExt;
 use futures::stream;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval, sleep_until};
 use xtra::WeakAddress;
 use xtra::prelude::*;
@@ -22,6 +22,7 @@
 use crate::config::Config;
 use crate::dispatch::{Census, Handover, Offer, Refusal, Reply, Report};
 use crate::endpoint::Load;
+use crate::exchange::Totals;
 use crate::lease::Tenure;
 use crate::moment::{Clock, Moment};
 use crate::name::{AttemptId, EndpointName, InstanceName};
@@ -83,6 +84,15 @@
     pub next: Option<InstanceName>,
 }
 
+/// Names the channel for totals to the other cells of the service. Those it has no room for are
+/// dropped.
+#[derive(Debug)]
+pub struct Publish(pub mpsc::Sender<Totals>);
+
+/// Takes in the totals of another cell of the service.
+#[derive(Debug)]
+pub struct Hear(pub Totals);
+
 /// The timer of the cell is due.
 struct Tick;
 
@@ -103,6 +113,7 @@
     timeline: Timeline,
     replies: HashMap<AttemptId, oneshot::Sender<Reply>>,
     next: Option<InstanceName>,
+    totals: Option<mpsc::Sender<Totals>>,
     timer: watch::Sender<Option<Moment>>,
     out: Vec<CellOutput>,
 }
@@ -124,6 +135,7 @@
             timeline,
             replies: HashMap::new(),
             next: None,
+            totals: None,
             timer,
             out: Vec::new(),
         };
@@ -150,6 +162,10 @@
             match output {
                 CellOutput::Grant(grant) => self.reply(grant.attempt, Ok(grant)),
                 CellOutput::Refuse { attempt, refusal } => self.reply(attempt, Err(refusal)),
+                CellOutput::Tell(totals) => {
+                    // Later totals make up for any that are dropped.
+                    self.totals.as_ref().map(|peers| peers.try_send(totals));
+                }
                 CellOutput::Changed { endpoint, state } => {
                     let state = state.to_string();
                     self.timeline
@@ -221,6 +237,14 @@
     }
 }
 
+impl Handler<Publish> for Dispatcher {
+    type Return = ();
+
+    async fn handle(&mut self, Publish(peers): Publish, _: &mut Context<Self>) {
+        self.totals = Some(peers);
+    }
+}
+
 impl Handler<Polled> for Dispatcher {
     type Return = Vec<(EndpointName, SocketAddr)>;
 
@@ -251,6 +275,7 @@
     Recover(entries) => Recover, CellInput::Recover { entries };
     Learn(census) => Learn, CellInput::Census(census);
     EntryGone(entry) => EntryGone, CellInput::EntryGone(entry);
+    Hear(totals) => Hear, CellInput::Totals(totals);
     Loaded { endpoint, load } => Loaded, CellInput::Load { endpoint, load };
     _ => Tick, CellInput::Tick;
 }
--- a/cornelstand/src/fair.rs
+++ b/cornelstand/src/fair.rs
@@ -44,6 +44,8 @@
     name: AccountName,
     share: u32,
     service: u64,
+    /// Service that this cell gave, modulo 2^64.
+    given: u64,
     turn: u64,
     average: u64,
     running: u32,
@@ -128,6 +130,7 @@
             name: name.clone(),
             share: share.max(1),
             service: 0,
+            given: 0,
             turn: 0,
             average: self.estimate,
             running: 0,
@@ -287,9 +290,31 @@
         let paid = units(from, account.share);
         let due = units(to, account.share);
         account.service = account.service.saturating_add(due).saturating_sub(paid);
+        account.given = account.given.wrapping_add(due).wrapping_sub(paid);
         self.rank(id);
     }
 
+    /// Adds service that another cell gave to the account.
+    pub(crate) fn shift(&mut self, id: AccountId, service: i64) {
+        self.unrank(id);
+        let account = self.at_mut(id);
+        account.service = account.service.saturating_add_signed(service);
+        self.rank(id);
+    }
+
+    /// Service that this cell gave to the account, modulo 2^64.
+    pub(crate) fn given(&self, id: AccountId) -> u64 {
+        self.at(id).given
+    }
+
+    pub(crate) fn find(&self, name: &AccountName) -> Option<AccountId> {
+        self.ids.get(name).copied()
+    }
+
+    pub(crate) fn backlogged(&self) -> impl Iterator<Item = AccountId> + '_ {
+        self.backlogged.iter().map(|rank| rank.id)
+    }
+
     /// Counts a request as ended, with `charged` replaced by its real cost.
     pub(crate) fn finish(&mut self, id: AccountId, charged: u64, cost: u64) {
         let account = self.at_mut(id);
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -35,6 +35,7 @@
 mod endpoint;
 mod entry;
 mod entry_metrics;
+mod exchange;
 mod fair;
 mod flight;
 mod gossip;
@@ -83,12 +84,13 @@
     Reply, Report, Running,
 };
 pub use dispatcher::{
-    Ask, Configure, Dispatcher, EntryGone, HandOver, Inspect, Learn, Recover, SetLease, SetLeaving,
-    Tell, Withdraw,
+    Ask, Configure, Dispatcher, EntryGone, HandOver, Hear, Inspect, Learn, Publish, Recover,
+    SetLease, SetLeaving, Tell, Withdraw,
 };
 pub use endpoint::{Load, State};
 pub use entry::{Entry, EntryLimits, EntryParts};
 pub use entry_metrics::EntryMetrics;
+pub use exchange::{Total, Totals};
 pub use gossip::{
     CellClaim, Extension, ExtensionTopic, GOSSIP_CELLS, GOSSIP_EXTRA, GOSSIP_MEMBERS, Gossip,
     Member, MemberState, Seed,
--- a/cornelstand/tests/decide/driver.rs
+++ b/cornelstand/tests/decide/driver.rs
@@ -371,7 +371,7 @@
             match output {
                 CellOutput::Grant(grant) => self.grant(grant),
                 CellOutput::Refuse { refusal, .. } => assert_eq!(refusal, Refusal::Cancelled),
-                CellOutput::Changed { .. } => {}
+                CellOutput::Changed { .. } | CellOutput::Tell(_) => {}
             }
         }
         let due = self.cell.timer();
--- a/cornelstand/tests/decide/main.rs
+++ b/cornelstand/tests/decide/main.rs
@@ -4,6 +4,7 @@
 mod basics;
 mod driver;
 mod endpoints;
+mod exchange;
 mod make;
 mod properties;
 mod takeover;
