--- a/cornelstand/src/fair.rs
+++ b/cornelstand/src/fair.rs
@@ -224,8 +224,12 @@
         let id = waiting.account;
         self.deadlines.remove(&(waiting.deadline, attempt));
         self.unrank(id);
-        self.line(id, waiting.class)
-            .remove(&(waiting.arrival, attempt));
+        let line = self.line(id, waiting.class);
+        line.remove(&(waiting.arrival, attempt));
+        if line.is_empty() {
+            // A set that was emptied keeps its root node, which idle accounts would pay for.
+            *line = BTreeSet::new();
+        }
         self.rank(id);
         Some(waiting)
     }
