--- a/cornelstand/tests/decide/main.rs
+++ b/cornelstand/tests/decide/main.rs
@@ -1,5 +1,10 @@
 //! Tests of the dispatch decisions and of the actor around them.
 
+mod actor;
 mod basics;
+mod driver;
 mod endpoints;
+mod exchange;
 mod make;
+mod properties;
+mod takeover;
