Pick up streams of silent connections without a second run

A request on a connection that is silent for good waited for the first-byte deadline and then ran again. A model engine is now asked on a new connection whether it knows the stream: after three seconds, and before any lost stream is given up. It gives the rest if it does; if it does not, the request is sent again within the budget.

Before: a stream without a head was lost to its deadline.

--- a/cornelstand/src/call.rs
+++ b/cornelstand/src/call.rs
@@ -13,8 +13,9 @@
 use http::header::{CONTENT_LENGTH, HeaderValue};
 use http::{HeaderMap, Method, StatusCode};
 use reqwest::Response;
+use tokio::time::sleep;
 
-use crate::attempt::{ConnectError, Loss, NotRun, Ready, Sent, Unsent, Verdict};
+use crate::attempt::{Loss, NotRun, Ready, Sent, Unsent, Verdict};
 use crate::body::CallBody;
 use crate::caller::{Caller, Gone};
 use crate::claim::Recorded;
@@ -25,6 +26,7 @@
 use crate::dispatch::{Ending, Grant, Offer, Refusal, Reply};
 use crate::entry::Core;
 use crate::flight::Flight;
+use crate::head::HeadError;
 use crate::moment::Moment;
 use crate::name::{AccountName, EndpointName, Fingerprint, RequestId, ServiceName};
 use crate::problem::Problem;
@@ -37,6 +39,11 @@
 /// Most attempts of a request, those that were not sent included.
 const ATTEMPTS: u32 = 8;
 
+/// Pause before the third attempt.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Times that the pause is doubled at most.
+const MAX_DOUBLINGS: u32 = 5;
+
 /// A request on its way.
 pub(crate) struct Call {
     pub(crate) core: Arc<Core>,
@@ -79,8 +86,11 @@
     pub(crate) async fn run(mut self, unsent: Unsent, caller: Caller) {
         self.core.budgets().earn(&self.account, &self.service);
         let mut step = self.claim(unsent, caller).await;
-        while let Step::Again(ready, caller) = step {
-            step = self.attempt(ready, caller).await;
+        while let Step::Again(ready, mut caller) = step {
+            step = match self.pause(&ready, &mut caller).await {
+                Ok(()) => self.attempt(ready, caller).await,
+                Err(Gone) => self.leave(ready, caller).await,
+            };
             self.trial = None;
         }
     }
@@ -122,6 +132,20 @@
         Step::Done
     }
 
+    /// Waits before an attempt that is not the first or second, so that a grant that cannot be
+    /// used is not asked for again and again while the dispatcher does not know better.
+    async fn pause(&self, ready: &Ready, caller: &mut Caller) -> Result<(), Gone> {
+        let Some(doublings) = ready.attempt().number.checked_sub(2) else {
+            return Ok(());
+        };
+        let left = self.deadline.since(self.core.clock.now());
+        let pause = PAUSE.saturating_mul(1 << doublings.min(MAX_DOUBLINGS));
+        tokio::select! {
+            () = sleep(pause.min(left)) => Ok(()),
+            () = caller.gone() => Err(Gone),
+        }
+    }
+
     async fn attempt(&mut self, ready: Ready, mut caller: Caller) -> Step {
         if ready.attempt().number >= ATTEMPTS {
             return self.give_up(caller, refusal::unreachable(ready)).await;
@@ -180,7 +204,7 @@
         let _waiting = Waiting::new(&self.core);
         tokio::select! {
             reply = (self.core.dispatch.offer)(offer) => Ok(reply),
-            () = tokio::time::sleep(left) => Ok(Err(Refusal::Deadline)),
+            () = sleep(left) => Ok(Err(Refusal::Deadline)),
             () = caller.gone() => Err(Gone),
         }
     }
@@ -203,39 +227,51 @@
         let upcall = self.upcall(&ready, address);
         flight.sent(self.core.clock.now());
         let wait = self.first_wait(&flight);
+        let origin = Origin {
+            core: self.core.clone(),
+            address,
+            attempt: ready.attempt(),
+        };
         let sending = ready.send();
         let reply = tokio::select! {
-            reply = tokio::time::timeout(wait, self.core.upstreams.send(upcall)) => reply,
+            reply = self.head(upcall, &origin, wait) => reply,
             () = caller.gone(), if !self.is_claimed() => {
                 flight.cancel(address);
                 caller.leave();
                 return Step::Done;
             }
         };
-        let loss = match reply.map(|r| r.map_err(ConnectError::prove)) {
-            Ok(Ok(answer)) => {
+        match reply {
+            Ok(answer) => {
                 flight.head(boot_of(answer.headers()));
                 let leg = Leg { flight, address };
-                return self.answer(sending.sent(), leg, answer, caller).await;
+                self.answer(sending.sent(), leg, origin, answer, caller)
+                    .await
             }
-            Ok(Err(Ok(proof))) => {
+            Err(HeadError::Unconnected(proof)) => {
                 self.avoid(&flight);
                 flight.end(Ending::Broken);
                 self.count_retry("unconnected");
-                return Step::Again(sending.unconnected(&proof), caller);
+                Step::Again(sending.unconnected(&proof), caller)
             }
-            Ok(Err(Err(_))) => Loss::Broken,
-            Err(_) => Loss::Silent,
-        };
-        let leg = Leg { flight, address };
-        self.lost(sending.sent(), loss, leg, caller).await
+            Err(HeadError::Lost(loss)) => {
+                let leg = Leg { flight, address };
+                self.lost(sending.sent(), loss, leg, caller).await
+            }
+        }
     }
 
-    async fn answer(&mut self, sent: Sent, leg: Leg, answer: Response, caller: Caller) -> Step {
+    async fn answer(
+        &mut self,
+        sent: Sent,
+        leg: Leg,
+        origin: Origin,
+        answer: Response,
+        caller: Caller,
+    ) -> Step {
         let status = answer.status();
         let headers = answer.headers().clone();
-        let attempt = leg.flight.grant().attempt;
-        if is_foreign(&headers, attempt) {
+        if is_foreign(&headers, origin.attempt) {
             self.core.metrics.foreign.inc();
             self.core.replace_pool(leg.address);
             return self.lost(sent, Loss::Broken, leg, caller).await;
@@ -253,11 +289,6 @@
         if !events && !has_end(&self.method, status, &headers) {
             return self.lost(sent, Loss::Broken, leg, caller).await;
         }
-        let origin = Origin {
-            core: self.core.clone(),
-            address: leg.address,
-            attempt,
-        };
         let source = Source::new(origin, answer, model);
         let head = Head {
             status,
--- /dev/null
+++ b/cornelstand/src/head.rs
@@ -0,0 +1,97 @@
+//! The wait for the head of an endpoint's answer.
+//!
+//! A model engine can be asked on a new connection whether it knows a stream. That tells a
+//! connection that is silent for good from an engine that takes its time, long before the
+//! deadline, and picks the stream up without a second run.
+
+use std::time::Duration;
+
+use reqwest::Response;
+use serde::Deserialize;
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::attempt::{ConnectError, Loss};
+use crate::body::CallBody;
+use crate::call::Call;
+use crate::config::Kind;
+use crate::relay::{Origin, Resumed};
+use crate::upstream::Upcall;
+
+/// Wait for the head after which an engine is asked whether it knows the stream.
+const PROBE: Duration = Duration::from_secs(3);
+
+/// Why there is no head.
+pub(crate) enum HeadError {
+    /// No connection was made.
+    Unconnected(ConnectError),
+    /// The request may have been sent.
+    Lost(Loss),
+}
+
+/// The part of a chat completion's body that tells how it is answered.
+#[derive(Deserialize)]
+struct ChatForm {
+    #[serde(default)]
+    stream: bool,
+}
+
+impl Call {
+    /// Sends a request and waits for the head of the answer.
+    pub(crate) async fn head(
+        &self,
+        upcall: Upcall,
+        origin: &Origin,
+        wait: Duration,
+    ) -> Result<Response, HeadError> {
+        let until = Instant::now() + wait;
+        let loss = match self.first_head(upcall, origin, until).await {
+            Err(HeadError::Lost(loss)) if self.is_resumable() => loss,
+            other => return other,
+        };
+        match origin.resume(0).await {
+            Resumed::Stream(answer) => Ok(answer),
+            Resumed::Unknown | Resumed::Failed => Err(HeadError::Lost(loss)),
+        }
+    }
+
+    async fn first_head(
+        &self,
+        upcall: Upcall,
+        origin: &Origin,
+        until: Instant,
+    ) -> Result<Response, HeadError> {
+        let send = timeout_at(until, self.core.upstreams.send(upcall));
+        let mut send = std::pin::pin!(send);
+        if self.kind == Kind::Model {
+            tokio::select! {
+                reply = &mut send => return head_of(reply),
+                () = sleep(PROBE) => {}
+            }
+            match origin.resume(0).await {
+                Resumed::Stream(answer) if self.is_resumable() => return Ok(answer),
+                Resumed::Unknown => return Err(HeadError::Lost(Loss::Silent)),
+                Resumed::Stream(_) | Resumed::Failed => {}
+            }
+        }
+        head_of(send.await)
+    }
+
+    /// Tells whether the answer is a stream that the engine can give again.
+    fn is_resumable(&self) -> bool {
+        let CallBody::Whole(body) = &self.body else {
+            return false;
+        };
+        let form = serde_json::from_slice::<ChatForm>(body);
+        self.kind == Kind::Model && form.is_ok_and(|f| f.stream)
+    }
+}
+
+fn head_of(
+    reply: Result<Result<Response, reqwest::Error>, tokio::time::error::Elapsed>,
+) -> Result<Response, HeadError> {
+    let reply = reply.map_err(|_| HeadError::Lost(Loss::Silent))?;
+    reply.map_err(|error| match ConnectError::prove(error) {
+        Ok(proof) => HeadError::Unconnected(proof),
+        Err(_) => HeadError::Lost(Loss::Broken),
+    })
+}
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -38,6 +38,7 @@
 mod fair;
 mod flight;
 mod gossip;
+mod head;
 mod headers;
 mod keeper;
 mod lease;
--- a/cornelstand/src/relay.rs
+++ b/cornelstand/src/relay.rs
@@ -24,6 +24,8 @@
 const RESUMES: u32 = 3;
 /// Most bytes of a whole answer that are kept to find its usage.
 const USAGE_BYTES: usize = 256 * 1024;
+/// Longest wait for an engine to take up a stream again.
+const RESUME: Duration = Duration::from_secs(2);
 /// Longest wait for the end of a stream after its last event.
 const TAIL: Duration = Duration::from_secs(1);
 
@@ -138,31 +140,51 @@
             *resumes += 1;
             scanner.rewind();
             let chunks = scanner.chunks();
-            self.stream = self.origin.resume(chunks, wait).await.ok_or(loss)?;
+            self.stream = match self.origin.resume(chunks).await {
+                Resumed::Stream(answer) => answer.bytes_stream().boxed(),
+                Resumed::Unknown | Resumed::Failed => return Err(loss),
+            };
         }
     }
 }
 
+/// What an engine says about a stream.
+pub(crate) enum Resumed {
+    /// It gives the rest.
+    Stream(Response),
+    /// It does not know the stream.
+    Unknown,
+    /// It cannot be asked.
+    Failed,
+}
+
 impl Origin {
-    async fn resume(&self, chunks: u64, wait: Duration) -> Option<Bytestream> {
+    /// Asks on a new connection for the rest of the stream after `chunks` of it.
+    pub(crate) async fn resume(&self, chunks: u64) -> Resumed {
         self.core.replace_pool(self.address);
-        let request = self
-            .core
-            .upstreams
-            .resume(self.address, self.attempt, chunks);
-        let answer = tokio::time::timeout(wait, request).await;
-        let answer = answer.ok().and_then(Result::ok).filter(|a| {
-            a.status() == StatusCode::OK
-                && is_events(a.headers())
-                && !is_foreign(a.headers(), self.attempt)
-        });
-        let result = if answer.is_some() {
-            "resumed"
-        } else {
-            "refused"
+        let upstreams = &self.core.upstreams;
+        let request = upstreams.resume(self.address, self.attempt, chunks);
+        let resumed = match tokio::time::timeout(RESUME, request).await {
+            Ok(Ok(answer)) => self.resumed(answer),
+            Ok(Err(_)) | Err(_) => Resumed::Failed,
         };
-        self.core.metrics.resumes.with_label_values(&[result]).inc();
-        Some(answer?.bytes_stream().boxed())
+        let result = match &resumed {
+            Resumed::Stream(_) => "resumed",
+            Resumed::Unknown => "unknown",
+            Resumed::Failed => "failed",
+        };
+        let counter = &self.core.metrics.resumes;
+        counter.with_label_values(&[result]).inc();
+        resumed
+    }
+
+    fn resumed(&self, answer: Response) -> Resumed {
+        let is_own = is_events(answer.headers()) && !is_foreign(answer.headers(), self.attempt);
+        match answer.status() {
+            StatusCode::OK if is_own => Resumed::Stream(answer),
+            StatusCode::NOT_FOUND => Resumed::Unknown,
+            _ => Resumed::Failed,
+        }
     }
 }
 
--- a/cornelstand/tests/entry/streams.rs
+++ b/cornelstand/tests/entry/streams.rs
@@ -99,3 +99,28 @@
     assert!(running.text().await.unwrap().ends_with("data: [DONE]\n\n"));
     fleet.idle().await;
 }
+
+#[tokio::test]
+async fn a_connection_that_went_silent_is_not_used_again() {
+    let engine = engine();
+    let limits = EntryLimits {
+        first_ms: 300,
+        ..EntryLimits::default()
+    };
+    let fleet = Fleet::start(&[engine.address()], limits).await;
+    let whole = chat(&fleet, "five zips", 12).send().await.unwrap();
+    let whole = whole.text().await.unwrap();
+    engine.silence();
+    for _ in 0..2 {
+        let next = chat(&fleet, "five zips", 12).send().await.unwrap();
+        assert_eq!(next.text().await.unwrap(), whole);
+    }
+    assert_eq!(engine.counts().runs, 3);
+    let endings = [
+        Ending::Answered,
+        Ending::Silent,
+        Ending::Answered,
+        Ending::Answered,
+    ];
+    assert_eq!(fleet.endings(), endings);
+}
