Part the entry by job, and bound the bodies that it holds

The entry's file had grown over admission, shared state and serving; they are three modules now. Bodies read ahead were bounded one by one, 256 KiB on each of 2,048 connections; all together are bounded now, by default to 64 MiB, and a request that finds no room in time is refused as not run. Retry budgets that are full take no memory.

Before: 512 MiB of bodies at worst.

--- /dev/null
+++ b/cornelstand/src/admit.rs
@@ -0,0 +1,178 @@
+//! Admission: what is checked of a request before an endpoint is asked for.
+//!
+//! Nothing was sent at this point, so every refusal here is a true "not run".
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::header::TRANSFER_ENCODING;
+use http::{HeaderMap, Method, Request};
+use warp::hyper::body::Incoming;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
+
+use crate::attempt::{NotRun, Verdict};
+use crate::body::{BodyError, BodyLimits, CallBody, stated_length};
+use crate::call::Call;
+use crate::config::{Kind, Repeat};
+use crate::entry_core::{Core, View};
+use crate::headers::{Wishes, bearer_key, for_endpoint};
+use crate::name::{AccountName, Fingerprint, RequestId, ServiceName};
+use crate::path::split_path;
+use crate::problem::{Problem, ProblemKind};
+
+/// Wait that a refusal suggests when the instance stops or has no room.
+const RETRY: Duration = Duration::from_secs(1);
+/// Bytes of a body that its prompt's prefix is taken from.
+const PREFIX_BYTES: usize = 1024;
+
+/// Why a request is refused before an endpoint is asked for.
+pub(crate) struct Flaw {
+    kind: ProblemKind,
+    detail: String,
+    retry: Option<Duration>,
+}
+
+impl Flaw {
+    fn new(kind: ProblemKind, detail: &impl ToString) -> Self {
+        Self {
+            kind,
+            detail: detail.to_string(),
+            retry: None,
+        }
+    }
+
+    fn unavailable(detail: &str) -> Self {
+        let flaw = Self::new(ProblemKind::Unavailable, &detail);
+        let retry = Some(RETRY);
+        Self { retry, ..flaw }
+    }
+
+    /// The refusal, with the proof that nothing was sent.
+    pub(crate) fn problem(self, proof: NotRun) -> Problem {
+        let mut problem = Problem::new(self.kind, Verdict::NotRun(proof), self.detail);
+        problem.retry = self.retry;
+        problem
+    }
+}
+
+/// Checks a request and reads its body.
+pub(crate) async fn admit(
+    core: &Arc<Core>,
+    id: RequestId,
+    request: Request<Incoming>,
+) -> Result<Call, Flaw> {
+    if core.is_draining() {
+        return Err(Flaw::unavailable("the instance is about to stop"));
+    }
+    let (parts, incoming) = request.into_parts();
+    let view = core.view();
+    let bad_header = |e| Flaw::new(ProblemKind::BadHeader, &e);
+    let account = authenticate(&view, &parts.headers)?;
+    let wishes = Wishes::parse(&parts.headers).map_err(bad_header)?;
+    let path = split_path(parts.uri.path()).map_err(|e| Flaw::new(ProblemKind::BadPath, &e))?;
+    let (name, service) = view
+        .config
+        .services
+        .get_key_value(path.service)
+        .ok_or_else(|| Flaw::new(ProblemKind::UnknownService, &"the path names no service"))?;
+    let (class, repeat) = view.config.rule(service, &path.plain);
+    if needs_key(&parts.method, repeat) && wishes.key.is_none() {
+        let detail = "the call may not be repeated and needs an Idempotency-Key";
+        return Err(Flaw::new(ProblemKind::KeyRequired, &detail));
+    }
+    let target = match parts.uri.query() {
+        Some(query) => format!("{}?{query}", path.raw),
+        None => path.raw.to_owned(),
+    };
+    let limits = core.limits.body();
+    let room = core
+        .room(ahead_bytes(&parts.headers, limits), limits.ahead)
+        .await
+        .ok_or_else(|| Flaw::unavailable("the instance has no room for the body"))?;
+    let body = CallBody::read(&parts.headers, incoming, limits)
+        .await
+        .map_err(|e| Flaw::new(body_problem(e), &e))?;
+    let arrived = core.clock.now();
+    let wait = wishes.deadline.unwrap_or(core.limits.deadline());
+    let fingerprint = fingerprint(&account, &parts.method, name, &target, body.ahead());
+    let prefix = prefix(service.kind, body.ahead());
+    Ok(Call {
+        core: core.clone(),
+        request: id,
+        account,
+        service: name.clone(),
+        kind: service.kind,
+        class,
+        repeat,
+        method: parts.method,
+        target,
+        headers: for_endpoint(&parts.headers),
+        length: stated_length(&parts.headers),
+        body,
+        _room: room,
+        key: wishes.key,
+        ticket: None,
+        trial: None,
+        hint: wishes.hint,
+        prefix,
+        fingerprint,
+        arrived,
+        deadline: arrived.after(wait),
+        avoid: Vec::new(),
+    })
+}
+
+fn authenticate(view: &View, headers: &HeaderMap) -> Result<AccountName, Flaw> {
+    let key = bearer_key(headers).map_err(|e| Flaw::new(ProblemKind::BadKey, &e))?;
+    let key = key.ok_or_else(|| Flaw::new(ProblemKind::BadKey, &"no account key is given"))?;
+    view.keys
+        .account(key)
+        .cloned()
+        .ok_or_else(|| Flaw::new(ProblemKind::BadKey, &"the key belongs to no account"))
+}
+
+/// Tells whether a call needs an idempotency key. Safe methods ask for nothing that could run
+/// twice; they are still sent at most once where the rule says so.
+fn needs_key(method: &Method, repeat: Repeat) -> bool {
+    !repeat.is_idempotent() && !method.is_safe()
+}
+
+fn body_problem(error: BodyError) -> ProblemKind {
+    match error {
+        BodyError::TooLarge { .. } => ProblemKind::BodyTooLarge,
+        BodyError::Broken | BodyError::Slow => ProblemKind::BodyIncomplete,
+    }
+}
+
+/// Most bytes of a body that are read ahead, as far as its headers tell.
+fn ahead_bytes(headers: &HeaderMap, limits: BodyLimits) -> usize {
+    let stated = stated_length(headers).and_then(|length| usize::try_from(length).ok());
+    match stated {
+        Some(length) => length.min(limits.replay),
+        None if headers.contains_key(TRANSFER_ENCODING) => limits.replay,
+        None => 0,
+    }
+}
+
+/// Hash of a prompt's prefix.
+fn prefix(kind: Kind, body: &[u8]) -> Option<u64> {
+    let prefix = &body[..body.len().min(PREFIX_BYTES)];
+    (kind == Kind::Model).then(|| xxh3_64(prefix))
+}
+
+/// Fingerprint of a request. The body counts as far as it is read ahead.
+fn fingerprint(
+    account: &AccountName,
+    method: &Method,
+    service: &ServiceName,
+    target: &str,
+    body: &[u8],
+) -> Fingerprint {
+    let mut hash = Xxh3::new();
+    let names = [account.as_str(), method.as_str(), service.as_str(), target];
+    for part in names.map(str::as_bytes).into_iter().chain([body]) {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    Fingerprint(hash.digest())
+}
--- a/cornelstand/src/call.rs
+++ b/cornelstand/src/call.rs
@@ -13,6 +13,7 @@
 use http::header::{CONTENT_LENGTH, HeaderValue};
 use http::{HeaderMap, Method, StatusCode};
 use reqwest::Response;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::sleep;
 
 use crate::attempt::{Loss, NotRun, Ready, Sent, Unsent, Verdict};
@@ -24,7 +25,7 @@
 use crate::containment::{Clearance, TrialGuard};
 use crate::deliver::{Head, Leg};
 use crate::dispatch::{Ending, Grant, Offer, Refusal, Reply};
-use crate::entry::Core;
+use crate::entry_core::Core;
 use crate::flight::Flight;
 use crate::head::HeadError;
 use crate::moment::Moment;
@@ -60,6 +61,8 @@
     /// Length of the body as the caller stated it.
     pub(crate) length: Option<u64>,
     pub(crate) body: CallBody,
+    /// Room for the body, held as long as it is.
+    pub(crate) _room: OwnedSemaphorePermit,
     /// Idempotency key.
     pub(crate) key: Option<String>,
     /// The claim, from its success until it is settled.
--- a/cornelstand/src/caller.rs
+++ b/cornelstand/src/caller.rs
@@ -14,7 +14,7 @@
 use warp::reply::Response;
 
 use crate::attempt::{Answering, Verdict};
-use crate::entry::{Core, Open};
+use crate::entry_core::{Core, Open};
 use crate::headers::REQUEST_ID;
 use crate::name::RequestId;
 use crate::problem::{Problem, ProblemKind, id_value};
--- a/cornelstand/src/containment.rs
+++ b/cornelstand/src/containment.rs
@@ -13,7 +13,7 @@
 use crate::call::Call;
 use crate::caller::{Caller, Gone};
 use crate::deliver::Leg;
-use crate::entry::Core;
+use crate::entry_core::Core;
 use crate::name::{BootId, Fingerprint};
 use crate::suspect::{Crash, Standing, Suspicion, TrialPhase};
 
--- a/cornelstand/src/entry.rs
+++ b/cornelstand/src/entry.rs
@@ -4,11 +4,8 @@
 //! own (see `call`), which notices when the caller goes away. The handler waits for the head of
 //! the answer and passes the body on as it comes.
 
-use std::collections::HashMap;
 use std::future::Future;
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::Request;
@@ -17,37 +14,22 @@
 use tokio::sync::watch;
 use warp::hyper::body::Incoming;
 use warp::reply::Response;
-use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
-use crate::attempt::{NotRun, Unsent, Verdict};
-use crate::auth::KeyIndex;
-use crate::body::{BodyError, BodyLimits, CallBody};
-use crate::call::Call;
+use crate::admit::admit;
+use crate::attempt::Unsent;
+use crate::body::BodyLimits;
 use crate::caller::{Answer, caller};
 use crate::claims::ClaimBook;
-use crate::config::{Config, Kind, Repeat};
+use crate::config::Config;
 use crate::containment::SpreadCall;
 use crate::dispatch::{Census, Dispatch};
+use crate::entry_core::{Core, Open};
 use crate::entry_metrics::EntryMetrics;
-use crate::headers::{Wishes, bearer_key, for_endpoint};
-use crate::ledger::Ledger;
 use crate::listener::{self, ConnectionLimits};
 use crate::moment::Clock;
-use crate::name::{
-    AccountName, AttemptId, BootId, CellId, EndpointName, Fingerprint, InstanceName, RequestId,
-    ServiceName,
-};
-use crate::path::split_path;
-use crate::problem::{Problem, ProblemKind};
-use crate::retry::RetryBudgets;
-use crate::suspect::{Suspects, Suspicion};
-use crate::timeline::{Timeline, Topic};
-use crate::upstream::Upstreams;
-
-/// Wait that a refusal of a stopping instance suggests.
-const DRAINING_RETRY: Duration = Duration::from_secs(1);
-/// Bytes of a body that its prompt's prefix is taken from.
-const PREFIX_BYTES: usize = 1024;
+use crate::name::{CellId, InstanceName, RequestId};
+use crate::suspect::Suspicion;
+use crate::timeline::Timeline;
 
 /// Limits of an entry.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -63,6 +45,8 @@
     pub body_bytes: u64,
     /// Most bytes of a body that are kept for a further attempt.
     pub replay_bytes: usize,
+    /// Most bytes of all bodies together that are kept at once.
+    pub buffer_bytes: usize,
     /// Milliseconds from sending to the first byte of the answer.
     pub first_ms: u64,
     /// Milliseconds between two pieces of a body or answer, on either side.
@@ -81,6 +65,7 @@
             body_ms: 30_000,
             body_bytes: 64 << 20,
             replay_bytes: 256 * 1024,
+            buffer_bytes: 64 << 20,
             first_ms: 60_000,
             idle_ms: 20_000,
             deadline_ms: 300_000,
@@ -106,7 +91,11 @@
         }
     }
 
-    fn body(&self) -> BodyLimits {
+    pub(crate) fn deadline(&self) -> Duration {
+        Duration::from_millis(self.deadline_ms)
+    }
+
+    pub(crate) fn body(&self) -> BodyLimits {
         BodyLimits {
             idle: self.idle(),
             ahead: Duration::from_millis(self.body_ms),
@@ -139,34 +128,6 @@
     pub limits: EntryLimits,
 }
 
-/// Everything that the requests of an entry share.
-pub(crate) struct Core {
-    pub(crate) name: InstanceName,
-    pub(crate) dispatch: Dispatch,
-    pub(crate) claims: ClaimBook,
-    pub(crate) spread: SpreadCall,
-    pub(crate) clock: Clock,
-    pub(crate) timeline: Timeline,
-    pub(crate) metrics: EntryMetrics,
-    pub(crate) limits: EntryLimits,
-    pub(crate) ledger: Ledger,
-    pub(crate) upstreams: Upstreams,
-    config: watch::Receiver<Arc<Config>>,
-    view: Mutex<View>,
-    budgets: Mutex<RetryBudgets>,
-    suspects: Mutex<Suspects>,
-    boots: Mutex<HashMap<EndpointName, BootId>>,
-    calls: watch::Sender<usize>,
-    draining: AtomicBool,
-}
-
-/// The configuration with what is derived from it.
-#[derive(Clone, Default)]
-struct View {
-    config: Arc<Config>,
-    keys: Arc<KeyIndex>,
-}
-
 /// The entry of one instance. Clones share their state.
 #[derive(Clone)]
 pub struct Entry {
@@ -177,27 +138,8 @@
     /// An entry that serves nothing yet.
     #[must_use]
     pub fn new(parts: EntryParts) -> Self {
-        let core = Core {
-            name: parts.name,
-            dispatch: parts.dispatch,
-            claims: parts.claims,
-            spread: parts.spread,
-            clock: parts.clock,
-            timeline: parts.timeline,
-            metrics: parts.metrics,
-            limits: parts.limits,
-            ledger: Ledger::default(),
-            upstreams: Upstreams::new(),
-            config: parts.config,
-            view: Mutex::default(),
-            budgets: Mutex::default(),
-            suspects: Mutex::default(),
-            boots: Mutex::default(),
-            calls: watch::Sender::new(0),
-            draining: AtomicBool::new(false),
-        };
         Self {
-            core: Arc::new(core),
+            core: Arc::new(Core::new(parts)),
         }
     }
 
@@ -209,24 +151,18 @@
         let limits = self.core.limits.connection();
         let open = self.core.metrics.connections.clone();
         listener::serve(listener, limits, open, handle, shutdown).await;
-        let mut calls = self.core.calls.subscribe();
-        // The sender lives as long as this entry.
-        let _ = calls.wait_for(|&open| open == 0).await;
+        self.core.idle().await;
     }
 
     /// Refuses new requests from now on. Those accepted go on.
     pub fn drain(&self) {
-        self.core.draining.store(true, Ordering::Relaxed);
-        let name = self.core.name.as_str();
-        self.core
-            .timeline
-            .record(Topic::Process, "draining", name, None);
+        self.core.drain();
     }
 
     /// Number of requests accepted and not ended, waiting ones included.
     #[must_use]
     pub fn running(&self) -> usize {
-        *self.core.calls.borrow()
+        self.core.open_calls()
     }
 
     /// Number of attempts granted and not ended.
@@ -264,98 +200,6 @@
     }
 }
 
-impl Core {
-    /// The configuration in force.
-    pub(crate) fn config(&self) -> Arc<Config> {
-        self.config.borrow().clone()
-    }
-
-    /// Counts what a caller got.
-    pub(crate) fn count(&self, result: &str) {
-        let requests = &self.metrics.requests;
-        requests.with_label_values(&[result]).inc();
-    }
-
-    /// The retry budgets.
-    pub(crate) fn budgets(&self) -> MutexGuard<'_, RetryBudgets> {
-        lock(&self.budgets)
-    }
-
-    /// The suspect requests.
-    pub(crate) fn suspects(&self) -> MutexGuard<'_, Suspects> {
-        lock(&self.suspects)
-    }
-
-    /// Boot identity that an endpoint showed last.
-    pub(crate) fn boot(&self, endpoint: &EndpointName) -> Option<BootId> {
-        lock(&self.boots).get(endpoint).copied()
-    }
-
-    /// Notes the boot identity that an endpoint shows.
-    pub(crate) fn note_boot(&self, endpoint: &EndpointName, boot: BootId) {
-        let mut boots = lock(&self.boots);
-        if boots.get(endpoint) != Some(&boot) {
-            boots.insert(endpoint.clone(), boot);
-        }
-    }
-
-    /// Replaces the pool of connections to `address`.
-    pub(crate) fn replace_pool(&self, address: SocketAddr) {
-        self.metrics.pools.inc();
-        self.upstreams.replace(address);
-    }
-
-    /// Tells a model engine that nobody waits for an attempt any more.
-    pub(crate) fn cancel(self: &Arc<Self>, address: SocketAddr, attempt: AttemptId) {
-        let core = self.clone();
-        tokio::spawn(async move { core.upstreams.cancel(address, attempt).await });
-    }
-
-    /// The configuration in force with its keys.
-    fn view(&self) -> View {
-        let config = self.config();
-        let mut view = lock(&self.view);
-        if !Arc::ptr_eq(&view.config, &config) {
-            self.forget(&config);
-            view.keys = Arc::new(KeyIndex::new(&config));
-            view.config = config;
-        }
-        view.clone()
-    }
-
-    /// Drops what belongs to endpoints and accounts that `config` does not have.
-    fn forget(&self, config: &Config) {
-        let known = |address| config.endpoints.values().any(|e| e.address == address);
-        self.upstreams.retain(known);
-        lock(&self.boots).retain(|name, _| config.endpoints.contains_key(name));
-        self.budgets().retain(|account, service| {
-            config.accounts.contains_key(account) && config.services.contains_key(service)
-        });
-    }
-}
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// Counts a request until it ends.
-pub(crate) struct Open(Arc<Core>);
-
-impl Open {
-    fn new(core: Arc<Core>) -> Self {
-        core.calls.send_modify(|n| *n += 1);
-        core.metrics.open.inc();
-        Self(core)
-    }
-}
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.0.calls.send_modify(|n| *n -= 1);
-        self.0.metrics.open.dec();
-    }
-}
-
 /// Answers one request.
 async fn handle(core: Arc<Core>, request: Request<Incoming>) -> Response {
     let id = RequestId(rand::random());
@@ -371,127 +215,3 @@
     };
     answer.into_response(id)
 }
-
-/// Why a request is refused before an endpoint is asked for.
-struct Flaw {
-    kind: ProblemKind,
-    detail: String,
-    retry: Option<Duration>,
-}
-
-impl Flaw {
-    fn new(kind: ProblemKind, detail: &impl ToString) -> Self {
-        Self {
-            kind,
-            detail: detail.to_string(),
-            retry: None,
-        }
-    }
-
-    fn problem(self, proof: NotRun) -> Problem {
-        let mut problem = Problem::new(self.kind, Verdict::NotRun(proof), self.detail);
-        problem.retry = self.retry;
-        problem
-    }
-}
-
-/// Checks a request and reads its body.
-async fn admit(core: &Arc<Core>, id: RequestId, request: Request<Incoming>) -> Result<Call, Flaw> {
-    if core.draining.load(Ordering::Relaxed) {
-        let flaw = Flaw::new(ProblemKind::Unavailable, &"the instance is about to stop");
-        let retry = Some(DRAINING_RETRY);
-        return Err(Flaw { retry, ..flaw });
-    }
-    let (parts, incoming) = request.into_parts();
-    let view = core.view();
-    let bad_header = |e| Flaw::new(ProblemKind::BadHeader, &e);
-    let account = authenticate(&view, &parts.headers)?;
-    let wishes = Wishes::parse(&parts.headers).map_err(bad_header)?;
-    let path = split_path(parts.uri.path()).map_err(|e| Flaw::new(ProblemKind::BadPath, &e))?;
-    let (name, service) = view
-        .config
-        .services
-        .get_key_value(path.service)
-        .ok_or_else(|| Flaw::new(ProblemKind::UnknownService, &"the path names no service"))?;
-    let (class, repeat) = view.config.rule(service, &path.plain);
-    if needs_key(&parts.method, repeat) && wishes.key.is_none() {
-        let detail = "the call may not be repeated and needs an Idempotency-Key";
-        return Err(Flaw::new(ProblemKind::KeyRequired, &detail));
-    }
-    let target = match parts.uri.query() {
-        Some(query) => format!("{}?{query}", path.raw),
-        None => path.raw.to_owned(),
-    };
-    let body = CallBody::read(&parts.headers, incoming, core.limits.body())
-        .await
-        .map_err(|e| Flaw::new(body_problem(e), &e))?;
-    let arrived = core.clock.now();
-    let wait = wishes
-        .deadline
-        .unwrap_or(Duration::from_millis(core.limits.deadline_ms));
-    let fingerprint = fingerprint(&account, &parts.method, name, &target, body.ahead());
-    let is_model = service.kind == Kind::Model;
-    let prefix = is_model.then(|| xxh3_64(&body.ahead()[..body.ahead().len().min(PREFIX_BYTES)]));
-    Ok(Call {
-        core: core.clone(),
-        request: id,
-        account,
-        service: name.clone(),
-        kind: service.kind,
-        class,
-        repeat,
-        method: parts.method,
-        target,
-        headers: for_endpoint(&parts.headers),
-        length: crate::body::stated_length(&parts.headers),
-        body,
-        key: wishes.key,
-        ticket: None,
-        trial: None,
-        hint: wishes.hint,
-        prefix,
-        fingerprint,
-        arrived,
-        deadline: arrived.after(wait),
-        avoid: Vec::new(),
-    })
-}
-
-fn authenticate(view: &View, headers: &http::HeaderMap) -> Result<AccountName, Flaw> {
-    let key = bearer_key(headers).map_err(|e| Flaw::new(ProblemKind::BadKey, &e))?;
-    let key = key.ok_or_else(|| Flaw::new(ProblemKind::BadKey, &"no account key is given"))?;
-    view.keys
-        .account(key)
-        .cloned()
-        .ok_or_else(|| Flaw::new(ProblemKind::BadKey, &"the key belongs to no account"))
-}
-
-/// Tells whether a call needs an idempotency key. Safe methods ask for nothing that could run
-/// twice; they are still sent at most once where the rule says so.
-fn needs_key(method: &http::Method, repeat: Repeat) -> bool {
-    !repeat.is_idempotent() && !method.is_safe()
-}
-
-fn body_problem(error: BodyError) -> ProblemKind {
-    match error {
-        BodyError::TooLarge { .. } => ProblemKind::BodyTooLarge,
-        BodyError::Broken | BodyError::Slow => ProblemKind::BodyIncomplete,
-    }
-}
-
-/// Fingerprint of a request. The body counts as far as it is read ahead.
-fn fingerprint(
-    account: &AccountName,
-    method: &http::Method,
-    service: &ServiceName,
-    target: &str,
-    body: &[u8],
-) -> Fingerprint {
-    let mut hash = Xxh3::new();
-    let names = [account.as_str(), method.as_str(), service.as_str(), target];
-    for part in names.map(str::as_bytes).into_iter().chain([body]) {
-        hash.update(&(part.len() as u64).to_le_bytes());
-        hash.update(part);
-    }
-    Fingerprint(hash.digest())
-}
--- /dev/null
+++ b/cornelstand/src/entry_core.rs
@@ -0,0 +1,204 @@
+//! What all requests of one entry share.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::time::timeout;
+
+use crate::auth::KeyIndex;
+use crate::claims::ClaimBook;
+use crate::config::Config;
+use crate::containment::SpreadCall;
+use crate::dispatch::Dispatch;
+use crate::entry::{EntryLimits, EntryParts};
+use crate::entry_metrics::EntryMetrics;
+use crate::ledger::Ledger;
+use crate::moment::Clock;
+use crate::name::{AttemptId, BootId, EndpointName, InstanceName};
+use crate::retry::RetryBudgets;
+use crate::suspect::Suspects;
+use crate::timeline::{Timeline, Topic};
+use crate::upstream::Upstreams;
+
+/// Bytes by which buffers are counted.
+const BUFFER_UNIT: usize = 1024;
+
+/// Everything that the requests of an entry share.
+pub(crate) struct Core {
+    pub(crate) name: InstanceName,
+    pub(crate) dispatch: Dispatch,
+    pub(crate) claims: ClaimBook,
+    pub(crate) spread: SpreadCall,
+    pub(crate) clock: Clock,
+    pub(crate) timeline: Timeline,
+    pub(crate) metrics: EntryMetrics,
+    pub(crate) limits: EntryLimits,
+    pub(crate) ledger: Ledger,
+    pub(crate) upstreams: Upstreams,
+    config: watch::Receiver<Arc<Config>>,
+    view: Mutex<View>,
+    budgets: Mutex<RetryBudgets>,
+    suspects: Mutex<Suspects>,
+    boots: Mutex<HashMap<EndpointName, BootId>>,
+    buffers: Arc<Semaphore>,
+    calls: watch::Sender<usize>,
+    draining: AtomicBool,
+}
+
+/// The configuration with what is derived from it.
+#[derive(Clone, Default)]
+pub(crate) struct View {
+    pub(crate) config: Arc<Config>,
+    pub(crate) keys: Arc<KeyIndex>,
+}
+
+impl Core {
+    pub(crate) fn new(parts: EntryParts) -> Self {
+        let units = parts.limits.buffer_bytes / BUFFER_UNIT;
+        Self {
+            name: parts.name,
+            dispatch: parts.dispatch,
+            claims: parts.claims,
+            spread: parts.spread,
+            clock: parts.clock,
+            timeline: parts.timeline,
+            metrics: parts.metrics,
+            limits: parts.limits,
+            ledger: Ledger::default(),
+            upstreams: Upstreams::new(),
+            config: parts.config,
+            view: Mutex::default(),
+            budgets: Mutex::default(),
+            suspects: Mutex::default(),
+            boots: Mutex::default(),
+            buffers: Arc::new(Semaphore::new(units.min(Semaphore::MAX_PERMITS))),
+            calls: watch::Sender::new(0),
+            draining: AtomicBool::new(false),
+        }
+    }
+
+    /// Refuses new requests from now on.
+    pub(crate) fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+        let name = self.name.as_str();
+        self.timeline.record(Topic::Process, "draining", name, None);
+    }
+
+    /// Tells whether new requests are refused.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Number of requests accepted and not ended.
+    pub(crate) fn open_calls(&self) -> usize {
+        *self.calls.borrow()
+    }
+
+    /// Waits until no request is open.
+    pub(crate) async fn idle(&self) {
+        let mut calls = self.calls.subscribe();
+        // The sender is part of this.
+        let _ = calls.wait_for(|&open| open == 0).await;
+    }
+
+    /// Room for `bytes` of a body, or `None` if there is none for `wait`.
+    pub(crate) async fn room(&self, bytes: usize, wait: Duration) -> Option<OwnedSemaphorePermit> {
+        let units = u32::try_from(bytes.div_ceil(BUFFER_UNIT)).ok()?;
+        let permit = self.buffers.clone().acquire_many_owned(units);
+        timeout(wait, permit).await.ok()?.ok()
+    }
+
+    /// The configuration in force.
+    pub(crate) fn config(&self) -> Arc<Config> {
+        self.config.borrow().clone()
+    }
+
+    /// Counts what a caller got.
+    pub(crate) fn count(&self, result: &str) {
+        let requests = &self.metrics.requests;
+        requests.with_label_values(&[result]).inc();
+    }
+
+    /// The retry budgets.
+    pub(crate) fn budgets(&self) -> MutexGuard<'_, RetryBudgets> {
+        lock(&self.budgets)
+    }
+
+    /// The suspect requests.
+    pub(crate) fn suspects(&self) -> MutexGuard<'_, Suspects> {
+        lock(&self.suspects)
+    }
+
+    /// Boot identity that an endpoint showed last.
+    pub(crate) fn boot(&self, endpoint: &EndpointName) -> Option<BootId> {
+        lock(&self.boots).get(endpoint).copied()
+    }
+
+    /// Notes the boot identity that an endpoint shows.
+    pub(crate) fn note_boot(&self, endpoint: &EndpointName, boot: BootId) {
+        let mut boots = lock(&self.boots);
+        if boots.get(endpoint) != Some(&boot) {
+            boots.insert(endpoint.clone(), boot);
+        }
+    }
+
+    /// Replaces the pool of connections to `address`.
+    pub(crate) fn replace_pool(&self, address: SocketAddr) {
+        self.metrics.pools.inc();
+        self.upstreams.replace(address);
+    }
+
+    /// Tells a model engine that nobody waits for an attempt any more.
+    pub(crate) fn cancel(self: &Arc<Self>, address: SocketAddr, attempt: AttemptId) {
+        let core = self.clone();
+        tokio::spawn(async move { core.upstreams.cancel(address, attempt).await });
+    }
+
+    /// The configuration in force with its keys.
+    pub(crate) fn view(&self) -> View {
+        let config = self.config();
+        let mut view = lock(&self.view);
+        if !Arc::ptr_eq(&view.config, &config) {
+            self.forget(&config);
+            view.keys = Arc::new(KeyIndex::new(&config));
+            view.config = config;
+        }
+        view.clone()
+    }
+
+    /// Drops what belongs to endpoints and accounts that `config` does not have.
+    fn forget(&self, config: &Config) {
+        let known = |address| config.endpoints.values().any(|e| e.address == address);
+        self.upstreams.retain(known);
+        lock(&self.boots).retain(|name, _| config.endpoints.contains_key(name));
+        self.budgets().retain(|account, service| {
+            config.accounts.contains_key(account) && config.services.contains_key(service)
+        });
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Counts a request until it ends.
+pub(crate) struct Open(Arc<Core>);
+
+impl Open {
+    pub(crate) fn new(core: Arc<Core>) -> Self {
+        core.calls.send_modify(|n| *n += 1);
+        core.metrics.open.inc();
+        Self(core)
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.calls.send_modify(|n| *n -= 1);
+        self.0.metrics.open.dec();
+    }
+}
--- a/cornelstand/src/flight.rs
+++ b/cornelstand/src/flight.rs
@@ -10,7 +10,7 @@
 use crate::call::Call;
 use crate::config::Kind;
 use crate::dispatch::{Ending, Grant, Phase, Report, Running};
-use crate::entry::Core;
+use crate::entry_core::Core;
 use crate::moment::Moment;
 use crate::name::{AccountName, BootId};
 
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -17,6 +17,7 @@
 //! # Ok::<(), serde_json::Error>(())
 //! ```
 
+mod admit;
 mod attempt;
 mod auth;
 mod body;
@@ -34,6 +35,7 @@
 mod dispatcher;
 mod endpoint;
 mod entry;
+mod entry_core;
 mod entry_metrics;
 mod fair;
 mod flight;
--- a/cornelstand/src/relay.rs
+++ b/cornelstand/src/relay.rs
@@ -15,7 +15,7 @@
 use reqwest::Response;
 
 use crate::attempt::Loss;
-use crate::entry::Core;
+use crate::entry_core::Core;
 use crate::name::AttemptId;
 use crate::sse::{self, Scanner};
 use crate::upstream::is_foreign;
--- a/cornelstand/src/retry.rs
+++ b/cornelstand/src/retry.rs
@@ -6,6 +6,7 @@
 //! bounds the sum.
 
 use std::collections::HashMap;
+use std::hash::Hash;
 
 use crate::config::Repeat;
 use crate::name::{AccountName, ServiceName};
@@ -24,27 +25,25 @@
 #[derive(Clone, Copy, Debug)]
 struct Bucket(u32);
 
-impl Default for Bucket {
-    fn default() -> Self {
-        Self(BUCKET)
-    }
-}
-
 impl Bucket {
-    fn earn(&mut self) {
-        self.0 = (self.0 + EARNED).min(BUCKET);
+    const FULL: Self = Self(BUCKET);
+
+    fn earned(self) -> Self {
+        Self((self.0 + EARNED).min(BUCKET))
     }
 
-    fn has_token(self) -> bool {
-        self.0 >= SPENT
+    fn spent(self) -> Option<Self> {
+        self.0.checked_sub(SPENT).map(Self)
     }
 
-    fn spend(&mut self) {
-        self.0 -= SPENT;
+    fn is_full(self) -> bool {
+        self.0 == BUCKET
     }
 }
 
 /// Retry budgets of all accounts and services at one entry.
+///
+/// A bucket that is not kept is full.
 #[derive(Debug, Default)]
 pub struct RetryBudgets {
     accounts: HashMap<(AccountName, ServiceName), Bucket>,
@@ -54,8 +53,10 @@
 impl RetryBudgets {
     /// Counts a first try.
     pub fn earn(&mut self, account: &AccountName, service: &ServiceName) {
-        self.account(account, service).earn();
-        self.services.entry(service.clone()).or_default().earn();
+        earn(&mut self.services, service);
+        if !self.accounts.is_empty() {
+            earn(&mut self.accounts, &(account.clone(), service.clone()));
+        }
     }
 
     /// Spends a retry of a sent request, if it is idempotent and both budgets allow it.
@@ -68,27 +69,29 @@
         if !repeat.is_idempotent() {
             return None;
         }
-        let total = self.services.entry(service.clone()).or_default();
-        let left = *total;
-        let own = self.account(account, service);
-        if !left.has_token() || !own.has_token() {
-            return None;
-        }
-        own.spend();
-        self.services.entry(service.clone()).or_default().spend();
+        let pair = (account.clone(), service.clone());
+        let own = self.accounts.get(&pair).unwrap_or(&Bucket::FULL).spent()?;
+        let total = self
+            .services
+            .get(service)
+            .unwrap_or(&Bucket::FULL)
+            .spent()?;
+        self.accounts.insert(pair, own);
+        self.services.insert(service.clone(), total);
         Some(RetryPermit(()))
     }
 
     /// Forgets accounts and services for which `keep` is false.
     pub fn retain(&mut self, keep: impl Fn(&AccountName, &ServiceName) -> bool) {
         self.accounts.retain(|(a, s), _| keep(a, s));
-        let accounts = &self.accounts;
-        self.services
-            .retain(|s, _| accounts.keys().any(|(_, used)| used == s));
     }
+}
 
-    fn account(&mut self, account: &AccountName, service: &ServiceName) -> &mut Bucket {
-        let key = (account.clone(), service.clone());
-        self.accounts.entry(key).or_default()
+fn earn<K: Eq + Hash>(buckets: &mut HashMap<K, Bucket>, key: &K) {
+    if let Some(bucket) = buckets.get_mut(key) {
+        *bucket = bucket.earned();
+        if bucket.is_full() {
+            buckets.remove(key);
+        }
     }
 }
--- a/cornelstand/tests/entry/connections.rs
+++ b/cornelstand/tests/entry/connections.rs
@@ -6,7 +6,7 @@
 use cornelstand::EntryLimits;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
 use crate::fleet::{Fleet, KEY, echo, problem};
@@ -166,3 +166,30 @@
     use warp::Filter;
     crate::fleet::endpoint(warp::body::bytes().map(move |_| vec![b'z'; bytes])).await
 }
+
+#[tokio::test]
+async fn bodies_beyond_the_room_for_them_are_refused_as_not_run() {
+    let limits = EntryLimits {
+        buffer_bytes: 1_024,
+        connections: 8,
+        body_ms: 300,
+        ..limits()
+    };
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let fleet = Fleet::start(&[silent.local_addr().unwrap()], limits).await;
+    let held = fleet.post("/app/stock").body("z".repeat(900)).send();
+    let held = tokio::spawn(held);
+    while fleet.entry.granted() == 0 {
+        tokio::task::yield_now().await;
+    }
+    let refused = fleet.post("/app/stock").body("z".repeat(900)).send();
+    let (status, problem) = problem(refused.await.unwrap()).await;
+    assert_eq!((status, &problem["outcome"]), (503, &"not-run".into()));
+    held.abort();
+    fleet.idle().await;
+    let next = tokio::spawn(fleet.post("/app/stock").body("z".repeat(900)).send());
+    while fleet.entry.granted() == 0 {
+        tokio::task::yield_now().await;
+    }
+    next.abort();
+}
