--- a/cornelstand/tests/entry/answers.rs
+++ b/cornelstand/tests/entry/answers.rs
@@ -1,12 +1,15 @@
 //! Whole answers, cut answers and refusals.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cornelstand::{Config, Ending, EntryLimits};
+use http::Response;
 use reqwest::Client;
 use rstest::rstest;
+use warp::Filter;
 
-use crate::fleet::{Fleet, WHOLE, echo, problem, raw, refusing, store};
+use crate::fleet::{Fleet, KEY, WHOLE, echo, endpoint, problem, raw, refusing, store};
 
 #[tokio::test]
 async fn an_answer_comes_whole_with_the_request_identity() {
@@ -118,3 +121,60 @@
     assert_eq!(answer.status(), 200);
     assert_eq!(fleet.endings(), [Ending::NotSent, Ending::Answered]);
 }
+
+#[tokio::test]
+async fn a_late_answer_is_not_given_to_the_next_request() {
+    let slow = warp::header::<String>("x-request-id")
+        .and(warp::path::full())
+        .then(|id: String, path: warp::path::FullPath| async move {
+            if path.as_str() == "/slow" {
+                tokio::time::sleep(Duration::from_millis(150)).await;
+            }
+            Response::builder()
+                .header("x-request-id", id)
+                .body(path.as_str().to_owned())
+        });
+    let limits = EntryLimits {
+        first_ms: 60,
+        ..EntryLimits::default()
+    };
+    let fleet = Fleet::start(&[endpoint(slow).await], limits).await;
+    let late = tokio::spawn(fleet.get("/app/slow").send());
+    for _ in 0..40 {
+        let answer = fleet.get("/app/fast").send().await.unwrap();
+        assert_eq!(answer.text().await.unwrap(), "/fast");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    late.abort();
+}
+
+#[rstest]
+#[case::no_body("HTTP/1.1 204 No Content\r\n\r\n", 204, None)]
+#[case::length_of_a_head("HTTP/1.1 200 OK\r\ncontent-length: 700\r\n\r\n", 200, Some("700"))]
+#[tokio::test]
+async fn an_answer_without_a_body_is_whole(
+    #[case] answer: &'static str,
+    #[case] status: u16,
+    #[case] length: Option<&str>,
+) {
+    let fleet = Fleet::start(&[raw(answer).await], EntryLimits::default()).await;
+    let request = Client::new().head(fleet.url("/app/stock")).bearer_auth(KEY);
+    let answer = request.send().await.unwrap();
+    assert_eq!(answer.status(), status);
+    let given = answer.headers().get("content-length");
+    assert_eq!(given.map(|v| v.to_str().unwrap()), length);
+    assert_eq!(fleet.endings(), [Ending::Answered]);
+}
+
+#[tokio::test]
+async fn headers_between_fleet_and_endpoint_stay_there() {
+    let fleet = Fleet::start(&[echo().await], EntryLimits::default()).await;
+    let request = fleet.get("/app/stock").header("connection", "x-private");
+    let request = request
+        .header("x-private", "1")
+        .header("x-request-id", "forged");
+    let answer = request.send().await.unwrap();
+    assert_ne!(answer.headers()["x-request-id"], "forged");
+    assert_eq!(answer.headers()["x-endpoint-boot"], "7");
+    assert!(answer.text().await.unwrap().contains("None"));
+}
--- a/cornelstand/tests/entry/fleet.rs
+++ b/cornelstand/tests/entry/fleet.rs
@@ -9,7 +9,7 @@
     Account, AccountName, Centre, CentreName, ClaimBook, ClaimLimits, Class, Clock, Config,
     Dispatch, Ending, Endpoint, EndpointName, Entry, EntryLimits, EntryMetrics, EntryParts, Epoch,
     Grant, InstanceName, Kind, Offer, Phase, Refusal, Repeat, Reply, Report, Route, Service,
-    ServiceName, Store, Timeline, key_hash,
+    ServiceName, SpreadCall, Store, Timeline, key_hash,
 };
 use futures::future::BoxFuture;
 use http::Response;
@@ -109,10 +109,23 @@
     ClaimBook::start(&store.into(), Clock::start(), limits)
 }
 
+/// Entries that hear of suspect requests at once.
+pub(crate) type Peers = Arc<Mutex<Vec<Entry>>>;
+
+fn spread(peers: Peers) -> SpreadCall {
+    Arc::new(move |told| {
+        let peers = peers.lock().unwrap();
+        let views = peers.iter().filter_map(|p| p.exchange(told.clone()));
+        let views = views.collect();
+        Box::pin(async move { views })
+    })
+}
+
 /// An entry that serves until it is dropped.
 pub(crate) struct Fleet {
     pub(crate) entry: Entry,
     pub(crate) address: SocketAddr,
+    pub(crate) peers: Peers,
     pub(crate) reports: Arc<Mutex<Vec<Report>>>,
     pub(crate) config: watch::Sender<Arc<Config>>,
     _stop: oneshot::Sender<()>,
@@ -154,12 +167,13 @@
                 Some(cornelstand::CellId { service, index: 0 })
             }),
         };
+        let peers = Peers::default();
         let name = InstanceName::from("entry-1");
         let entry = Entry::new(EntryParts {
             name: name.clone(),
             dispatch,
             claims: claims(store),
-            spread: Arc::new(|_| Box::pin(async { Vec::new() })),
+            spread: spread(peers.clone()),
             config: config.subscribe(),
             clock: Clock::start(),
             timeline: Timeline::new(name, 1_000),
@@ -178,6 +192,7 @@
         Self {
             entry,
             address,
+            peers,
             reports,
             config,
             _stop: stop,
--- a/cornelstand/tests/entry/streams.rs
+++ b/cornelstand/tests/entry/streams.rs
@@ -124,3 +124,29 @@
     ];
     assert_eq!(fleet.endings(), endings);
 }
+
+#[tokio::test]
+async fn a_poisonous_request_sent_through_other_entries_takes_down_no_more() {
+    let engines: Vec<Engine> = (0..6).map(|_| engine()).collect();
+    let addresses: Vec<_> = engines.iter().map(Engine::address).collect();
+    let mut fleets = Vec::new();
+    for _ in 0..4 {
+        fleets.push(Fleet::start(&addresses, EntryLimits::default()).await);
+    }
+    for fleet in &fleets {
+        let others = fleets.iter().filter(|f| f.address != fleet.address);
+        let others = others.map(|f| f.entry.clone()).collect();
+        *fleet.peers.lock().unwrap() = others;
+    }
+    for fleet in fleets.iter().cycle().take(12) {
+        let answer = chat(fleet, "a torn tent", 12).send().await.unwrap();
+        let cut = answer.status() == 200 && answer.text().await.is_err();
+        assert!(cut || fleet.entry.suspicions(1)[0].crashes.len() == 2);
+    }
+    let crashes: u64 = engines.iter().map(|e| e.counts().crashes).sum();
+    assert_eq!(crashes, 2);
+    for fleet in &fleets {
+        let other = chat(fleet, "five zips", 12).send().await.unwrap();
+        assert_eq!(other.status(), 200);
+    }
+}
