Keep requests beside a poisonous one from harm, and tell the deadline on

Two suspect requests of one entry could stand trial at the same endpoint, so that one crash counted against both; they take different endpoints now. What was not sent is tried until the deadline in place of eight times, since a request that waits for its place would have run out of tries. Claims are checked by their own clock, engines get the time left and no accept-encoding, an engine's overload beyond the retry budget is a problem document with Retry-After, and requests put their start and end on the time line.

Before: a trial of eight streams beside a poisonous prompt ended with 503 for one of them.

--- a/cornelstand/src/admit.rs
+++ b/cornelstand/src/admit.rs
@@ -106,7 +106,7 @@
         repeat,
         method: parts.method,
         target,
-        headers: for_endpoint(&parts.headers),
+        headers: for_endpoint(&parts.headers, service.kind),
         length: stated_length(&parts.headers),
         body,
         _room: room,
--- a/cornelstand/src/call.rs
+++ b/cornelstand/src/call.rs
@@ -28,6 +28,7 @@
 use crate::entry_core::Core;
 use crate::flight::Flight;
 use crate::head::HeadError;
+use crate::headers::DEADLINE_MS;
 use crate::moment::Moment;
 use crate::name::{AccountName, EndpointName, Fingerprint, RequestId, ServiceName};
 use crate::problem::Problem;
@@ -37,9 +38,6 @@
 use crate::timeline::Topic;
 use crate::upstream::{Upcall, boot_of, is_foreign};
 
-/// Most attempts of a request, those that were not sent included.
-const ATTEMPTS: u32 = 8;
-
 /// Pause before the third attempt.
 const PAUSE: Duration = Duration::from_millis(50);
 /// Times that the pause is doubled at most.
@@ -87,6 +85,7 @@
 impl Call {
     /// Carries the request out.
     pub(crate) async fn run(mut self, unsent: Unsent, caller: Caller) {
+        self.record("accepted", self.service.as_str());
         self.core.budgets().earn(&self.account, &self.service);
         let mut step = self.claim(unsent, caller).await;
         while let Step::Again(ready, mut caller) = step {
@@ -150,9 +149,6 @@
     }
 
     async fn attempt(&mut self, ready: Ready, mut caller: Caller) -> Step {
-        if ready.attempt().number >= ATTEMPTS {
-            return self.give_up(caller, refusal::unreachable(ready)).await;
-        }
         match self.clearance(&mut caller).await {
             Ok(Clearance::Go) => {}
             Ok(Clearance::Refused(left)) => return self.contain(ready, caller, left).await,
@@ -173,7 +169,10 @@
             flight.end(Ending::NotSent);
             return self.give_up(caller, refusal::claim_late(ready)).await;
         }
-        let Some(address) = self.address(flight.grant()) else {
+        let usable = self
+            .address(flight.grant())
+            .filter(|_| self.place_trial(&flight));
+        let Some(address) = usable else {
             self.avoid(&flight);
             flight.end(Ending::NotSent);
             self.count_retry("withdrawn");
@@ -201,7 +200,7 @@
             hint: self.hint,
             waited: now.since(self.arrived),
             left,
-            avoid: self.avoid.clone(),
+            avoid: self.avoided(),
             prefix: self.prefix,
         };
         let _waiting = Waiting::new(&self.core);
@@ -212,6 +211,15 @@
         }
     }
 
+    /// Endpoints that another one is to be granted for, if possible.
+    fn avoided(&self) -> Vec<EndpointName> {
+        let mut avoided = self.avoid.clone();
+        if self.trial.is_some() {
+            avoided.extend(self.core.trials().iter().cloned());
+        }
+        avoided
+    }
+
     /// Address of the granted endpoint, unless the entry's own configuration withdraws it.
     fn address(&self, grant: &Grant) -> Option<SocketAddr> {
         let config = self.core.config();
@@ -279,13 +287,22 @@
             self.core.replace_pool(leg.address);
             return self.lost(sent, Loss::Broken, leg, caller).await;
         }
-        if self.is_overload(status)
-            && let Some(permit) = self.permit()
-        {
-            self.avoid(&leg.flight);
-            leg.flight.end(Ending::Overloaded);
-            self.count_retry("overloaded");
-            return Step::Again(sent.lost(Loss::Failed).retry(permit), caller);
+        if self.is_overload(status) && self.repeat.is_idempotent() {
+            match self.permit() {
+                Some(permit) => {
+                    self.avoid(&leg.flight);
+                    leg.flight.end(Ending::Overloaded);
+                    self.count_retry("overloaded");
+                    return Step::Again(sent.lost(Loss::Failed).retry(permit), caller);
+                }
+                None if self.kind == Kind::Model => {
+                    leg.flight.end(Ending::Overloaded);
+                    let problem = refusal::overloaded(sent.lost(Loss::Failed));
+                    return self.give_up(caller, problem).await;
+                }
+                // The answer of a plain service passes as it is.
+                None => {}
+            }
         }
         let model = self.kind == Kind::Model;
         let events = model && is_events(&headers);
@@ -392,8 +409,8 @@
 
     /// Tells whether the claim is too old for the request to be sent.
     fn is_claim_late(&self) -> bool {
-        let now = self.core.clock.now();
-        self.ticket.as_ref().is_some_and(|t| !t.is_sendable(now))
+        let claims = &self.core.claims;
+        self.ticket.as_ref().is_some_and(|t| !claims.is_sendable(t))
     }
 
     /// Permission to send the request once more, if it can be.
@@ -425,6 +442,9 @@
         if let (true, Some(length)) = (self.body.is_stream(), self.length) {
             headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
         }
+        let left = self.deadline.since(self.core.clock.now());
+        let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        headers.insert(DEADLINE_MS, HeaderValue::from(millis));
         Upcall {
             address,
             attempt: ready.attempt(),
--- a/cornelstand/src/containment.rs
+++ b/cornelstand/src/containment.rs
@@ -14,7 +14,8 @@
 use crate::caller::{Caller, Gone};
 use crate::deliver::Leg;
 use crate::entry_core::Core;
-use crate::name::{BootId, Fingerprint};
+use crate::flight::Flight;
+use crate::name::{BootId, EndpointName, Fingerprint};
 use crate::suspect::{Crash, Standing, Suspicion, TrialPhase};
 
 /// Longest wait for the peers to take a suspicion in.
@@ -70,6 +71,7 @@
         self.trial = Some(TrialGuard {
             core: core.clone(),
             request,
+            endpoint: None,
         });
         core.spread(request).await;
         let now = core.clock.now();
@@ -84,6 +86,20 @@
         false
     }
 
+    /// Takes the granted endpoint for the trial, if the request is on trial. Two trials of this
+    /// entry at one endpoint would make a crash count against both.
+    pub(crate) fn place_trial(&mut self, flight: &Flight) -> bool {
+        let Some(trial) = &mut self.trial else {
+            return true;
+        };
+        let endpoint = &flight.grant().endpoint;
+        let is_free = self.core.trials().insert(endpoint.clone());
+        if is_free {
+            trial.endpoint = Some(endpoint.clone());
+        }
+        is_free
+    }
+
     /// Finds out whether an attempt was lost because its endpoint crashed, and if so makes it
     /// known before anything else happens with the request.
     pub(crate) async fn examine(&self, leg: &Leg) {
@@ -144,6 +160,7 @@
 pub(crate) struct TrialGuard {
     core: Arc<Core>,
     request: Fingerprint,
+    endpoint: Option<EndpointName>,
 }
 
 impl Drop for TrialGuard {
@@ -152,5 +169,9 @@
         let name = &self.core.name;
         let mut suspects = self.core.suspects();
         suspects.set_phase(now, self.request, name, TrialPhase::Ended);
+        drop(suspects);
+        if let Some(endpoint) = &self.endpoint {
+            self.core.trials().remove(endpoint);
+        }
     }
 }
--- a/cornelstand/src/deliver.rs
+++ b/cornelstand/src/deliver.rs
@@ -200,6 +200,7 @@
         let idle = self.core.limits.idle();
         match delivered {
             Delivered::Whole => {
+                self.record("answered", leg.flight.grant().endpoint.as_str());
                 self.clear();
                 leg.flight.end(self.ending(status));
                 let open = reader.finish();
@@ -217,6 +218,7 @@
                 drop(open);
             }
             Delivered::Gone => {
+                self.record("caller-gone", leg.flight.grant().endpoint.as_str());
                 leg.flight.cancel(leg.address);
                 reader.leave(idle).await;
             }
--- a/cornelstand/src/entry_core.rs
+++ b/cornelstand/src/entry_core.rs
@@ -1,6 +1,6 @@
 //! What all requests of one entry share.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -43,6 +43,7 @@
     view: Mutex<View>,
     budgets: Mutex<RetryBudgets>,
     suspects: Mutex<Suspects>,
+    trials: Mutex<HashSet<EndpointName>>,
     boots: Mutex<HashMap<EndpointName, BootId>>,
     buffers: Arc<Semaphore>,
     calls: watch::Sender<usize>,
@@ -74,6 +75,7 @@
             view: Mutex::default(),
             budgets: Mutex::default(),
             suspects: Mutex::default(),
+            trials: Mutex::default(),
             boots: Mutex::default(),
             buffers: Arc::new(Semaphore::new(units.min(Semaphore::MAX_PERMITS))),
             calls: watch::Sender::new(0),
@@ -133,6 +135,11 @@
         lock(&self.suspects)
     }
 
+    /// Endpoints that have a suspect request of this entry.
+    pub(crate) fn trials(&self) -> MutexGuard<'_, HashSet<EndpointName>> {
+        lock(&self.trials)
+    }
+
     /// Boot identity that an endpoint showed last.
     pub(crate) fn boot(&self, endpoint: &EndpointName) -> Option<BootId> {
         lock(&self.boots).get(endpoint).copied()
--- a/cornelstand/src/headers.rs
+++ b/cornelstand/src/headers.rs
@@ -7,18 +7,21 @@
 
 use http::HeaderMap;
 use http::header::{
-    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
-    PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    ACCEPT_ENCODING, AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue,
+    PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use snafu::{OptionExt, Snafu, ensure};
 
+use crate::config::Kind;
+
 /// Header with the identity of a request or attempt.
 pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 /// Header with the boot identity of an endpoint.
 pub(crate) const ENDPOINT_BOOT: HeaderName = HeaderName::from_static("x-endpoint-boot");
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 const COST_HINT: HeaderName = HeaderName::from_static("x-cost-hint");
-const DEADLINE_MS: HeaderName = HeaderName::from_static("x-deadline-ms");
+/// Header with the time left until the answer has to begin.
+pub(crate) const DEADLINE_MS: HeaderName = HeaderName::from_static("x-deadline-ms");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
@@ -129,8 +132,12 @@
 }
 
 /// The headers of a caller's request that go on to the endpoint.
-pub(crate) fn for_endpoint(headers: &HeaderMap) -> HeaderMap {
+pub(crate) fn for_endpoint(headers: &HeaderMap, kind: Kind) -> HeaderMap {
     let mut kept = forwarded(headers);
+    if kind == Kind::Model {
+        // A compressed stream of events could not be read for its end.
+        kept.remove(ACCEPT_ENCODING);
+    }
     for name in [
         HOST,
         AUTHORIZATION,
--- a/cornelstand/src/refusal.rs
+++ b/cornelstand/src/refusal.rs
@@ -26,12 +26,6 @@
     problem
 }
 
-/// No granted endpoint could be reached.
-pub(crate) fn unreachable(ready: Ready) -> Problem {
-    let detail = "no endpoint could be reached";
-    Problem::new(ProblemKind::NoEndpoint, ready.refuse(), detail).retry_after(RETRY)
-}
-
 /// The request waited longer for an endpoint than its claim allows.
 pub(crate) fn claim_late(ready: Ready) -> Problem {
     let detail = "no endpoint was free while the claim allowed sending";
@@ -47,6 +41,12 @@
     Problem::new(kind, attempt.refuse(), loss.to_string())
 }
 
+/// Engines refused the request as more than they bear.
+pub(crate) fn overloaded(attempt: Lost) -> Problem {
+    let detail = "the endpoints are overloaded";
+    Problem::new(ProblemKind::NoEndpoint, attempt.refuse(), detail).retry_after(RETRY)
+}
+
 /// The caller's deadline passed while an endpoint had the request.
 pub(crate) fn late(attempt: Lost) -> Problem {
     let detail = "the deadline passed before the answer began";
--- a/cornelstand/src/relay.rs
+++ b/cornelstand/src/relay.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream::BoxStream;
-use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::{HeaderMap, Method, StatusCode};
 use reqwest::Response;
 
@@ -52,12 +52,13 @@
     form: Form,
 }
 
-/// Tells whether an answer is a stream of server-sent events.
+/// Tells whether an answer is a stream of server-sent events that can be read.
 pub(crate) fn is_events(headers: &HeaderMap) -> bool {
-    headers
+    let is_typed = headers
         .get(CONTENT_TYPE)
         .and_then(|v| v.to_str().ok())
-        .is_some_and(|v| v.trim_start().starts_with("text/event-stream"))
+        .is_some_and(|v| v.trim_start().starts_with("text/event-stream"));
+    is_typed && !headers.contains_key(CONTENT_ENCODING)
 }
 
 /// Tells whether the end of an answer can be told from a cut.
--- a/cornelstand/tests/entry/answers.rs
+++ b/cornelstand/tests/entry/answers.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cornelstand::{Config, Ending, EntryLimits};
+use cornelstand::{Config, Ending, EntryLimits, Refusal};
 use http::Response;
 use reqwest::Client;
 use rstest::rstest;
 use warp::Filter;
 
-use crate::fleet::{Fleet, KEY, WHOLE, echo, endpoint, problem, raw, refusing, store};
+use crate::fleet::{Fleet, KEY, WHOLE, config, echo, endpoint, problem, raw, refusing, store};
 
 #[tokio::test]
 async fn an_answer_comes_whole_with_the_request_identity() {
@@ -178,3 +178,39 @@
     assert_eq!(answer.headers()["x-endpoint-boot"], "7");
     assert!(answer.text().await.unwrap().contains("None"));
 }
+
+#[tokio::test]
+async fn a_caller_that_goes_away_while_it_waits_cancels_its_offer() {
+    let offers = Arc::new(());
+    let held = offers.clone();
+    let (config, _) = tokio::sync::watch::channel(Arc::new(config(&[])));
+    let fleet = Fleet::with(config, EntryLimits::default(), None, move |_| {
+        let held = held.clone();
+        Box::pin(async move {
+            std::future::pending::<()>().await;
+            drop(held);
+            Err(Refusal::Cancelled)
+        })
+    })
+    .await;
+    let waiting = tokio::spawn(fleet.get("/app/stock").send());
+    while Arc::strong_count(&offers) < 3 {
+        tokio::task::yield_now().await;
+    }
+    waiting.abort();
+    fleet.idle().await;
+    assert_eq!(Arc::strong_count(&offers), 2);
+}
+
+#[tokio::test]
+async fn a_deadline_is_told_and_ends_the_wait_at_once() {
+    let (config, _) = tokio::sync::watch::channel(Arc::new(config(&[])));
+    let fleet = Fleet::with(config, EntryLimits::default(), None, |offer| {
+        assert!(offer.left <= Duration::from_millis(80));
+        Box::pin(std::future::pending())
+    })
+    .await;
+    let refused = fleet.get("/app/stock").header("x-deadline-ms", "80").send();
+    let (status, problem) = problem(refused.await.unwrap()).await;
+    assert_eq!((status, &problem["outcome"]), (504, &"not-run".into()));
+}
--- a/cornelstand/tests/entry/streams.rs
+++ b/cornelstand/tests/entry/streams.rs
@@ -150,3 +150,34 @@
         assert_eq!(other.status(), 200);
     }
 }
+
+#[tokio::test]
+async fn requests_beside_a_poisonous_one_get_their_answers_in_the_end() {
+    let engines: Vec<Engine> = (0..4).map(|_| engine()).collect();
+    let addresses: Vec<_> = engines.iter().map(Engine::address).collect();
+    let fleet = Fleet::start(&addresses, EntryLimits::default()).await;
+    let beside = (0..8).map(|i| {
+        let (fleet, prompt) = (&fleet, format!("zip {i}"));
+        async move {
+            loop {
+                let answer = chat(fleet, &prompt, 40).send().await.unwrap();
+                assert_eq!(answer.status(), 200);
+                if answer.text().await.is_ok() {
+                    return;
+                }
+            }
+        }
+    });
+    let poison = async {
+        while fleet.entry.granted() < 8 {
+            tokio::task::yield_now().await;
+        }
+        for _ in 0..6 {
+            let answer = chat(&fleet, "a torn tent", 12).send().await.unwrap();
+            let _ = answer.text().await;
+        }
+    };
+    futures::join!(futures::future::join_all(beside), poison);
+    let crashes: u64 = engines.iter().map(|e| e.counts().crashes).sum();
+    assert_eq!(crashes, 2);
+}
