Route claims of a shard to one writer and settle tickets in the background

With one writer per instance each claim of another instance made the cached value stale: a conflict, a read and a second write for each operation. Operations are now serialisable and may be carried to one instance per shard; if no answer comes they are applied here under the same token, and a begin that claims nothing then releases its token so that a late copy claims nothing. The choice of writer is a hint only: safety rests on the versions.

--- a/cornelstand/src/claim.rs
+++ b/cornelstand/src/claim.rs
@@ -242,7 +242,7 @@
 /// Value of one claim object.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
-pub struct Shard {
+pub struct ClaimShard {
     /// Number of the next change.
     pub next: u64,
     /// The claims by identity.
@@ -253,7 +253,7 @@
 
 /// Error of reading a claim object.
 #[derive(Debug, Snafu)]
-pub enum ShardError {
+pub enum ClaimShardError {
     /// Longer than the store holds.
     #[snafu(display("a claim object of {bytes} bytes is too long"))]
     Long {
@@ -279,13 +279,13 @@
     },
 }
 
-impl Shard {
+impl ClaimShard {
     /// Reads the value of a claim object.
     ///
     /// # Errors
     ///
-    /// [`ShardError`] for anything that [`Shard::encode`] cannot have written.
-    pub fn decode(text: &str) -> Result<Self, ShardError> {
+    /// [`ClaimShardError`] for anything that [`ClaimShard::encode`] cannot have written.
+    pub fn decode(text: &str) -> Result<Self, ClaimShardError> {
         let bytes = text.len();
         ensure!(bytes <= VALUE_BYTES, LongSnafu { bytes });
         let shard: Self = serde_json::from_str(text).context(JsonSnafu)?;
@@ -315,7 +315,7 @@
     }
 
     /// Claims `id` unless it is claimed, and tells who holds it.
-    pub(crate) fn claim(&mut self, id: ClaimId, wish: Wish) -> &Claim {
+    pub(crate) fn claim(&mut self, id: ClaimId, wish: ClaimWish) -> &Claim {
         let next = &mut self.next;
         self.claims.entry(id).or_insert_with(|| Claim {
             token: wish.token,
@@ -369,11 +369,59 @@
 }
 
 /// What a `begin` asks for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct Wish {
-    pub(crate) token: Token,
-    pub(crate) fingerprint: Fingerprint,
-    pub(crate) request: RequestId,
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClaimWish {
+    /// Mark of the `begin`.
+    pub token: Token,
+    /// What is claimed.
+    pub fingerprint: Fingerprint,
+    /// The request.
+    pub request: RequestId,
+}
+
+/// What is asked of a shard. Each operation may arrive more than once and late.
+#[derive(Clone, Debug, Deserialize, Eq, IsVariant, PartialEq, Serialize)]
+pub enum ClaimOp {
+    /// Claim.
+    Begin(ClaimWish),
+    /// Keep the end of the request that the token claimed.
+    Settle(Token, ClaimState),
+    /// Give up what the token claimed or may yet claim.
+    Release(Token),
+}
+
+/// One operation on one claim, as instances send it to one another.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClaimCall {
+    /// The claim.
+    pub claim: ClaimId,
+    /// The operation.
+    pub op: ClaimOp,
+}
+
+/// Answer to an operation.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum ClaimAnswer {
+    /// The token holds the claim.
+    Fresh,
+    /// The request was answered before.
+    Answered(Recorded),
+    /// Another token holds the claim.
+    Running,
+    /// The end of the request is not known.
+    Unknown,
+    /// The claim is for another fingerprint.
+    Mismatch,
+    /// Settled or released.
+    Done,
+    /// The token holds no claim.
+    Lost,
+    /// The shard has no room.
+    Full,
+    /// Too many operations wait.
+    Busy,
+    /// The store gave no clear answer in time.
+    Unavailable,
 }
 
 fn take(next: &mut u64) -> u64 {
--- a/cornelstand/src/claim_shard.rs
+++ b/cornelstand/src/claim_shard.rs
@@ -15,7 +15,7 @@
 
 use derive_more::IsVariant;
 
-use crate::claim::{Claim, ClaimId, ClaimState, Expiry, Recorded, Shard, Token, Wish};
+use crate::claim::{Claim, ClaimAnswer, ClaimCall, ClaimOp, ClaimShard, ClaimState, Expiry, Token};
 use crate::moment::Moment;
 use crate::name::Fingerprint;
 use crate::store::{Condition, VALUE_BYTES, Version};
@@ -68,39 +68,11 @@
 /// Identity of an operation within its writer.
 pub(crate) type OpId = u64;
 
-/// What is asked of a shard.
-#[derive(Clone, Debug, Eq, IsVariant, PartialEq)]
-pub(crate) enum Op {
-    Begin(Wish),
-    Settle(Token, ClaimState),
-    Release(Token),
-}
-
-/// Answer to an operation.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) enum Answer {
-    Fresh,
-    Answered(Recorded),
-    Running,
-    Unknown,
-    Mismatch,
-    /// Settled or released.
-    Done,
-    /// The claim to settle does not exist.
-    Lost,
-    /// The shard has no room.
-    Full,
-    /// Too many operations wait.
-    Busy,
-    /// The store gave no clear answer in time.
-    Unavailable,
-}
-
 /// End of a read.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum ReadEnd {
     Absent,
-    Found(Version, Shard),
+    Found(Version, ClaimShard),
     Failed,
 }
 
@@ -120,7 +92,7 @@
 /// Input of the writer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Event {
-    Asked(OpId, ClaimId, Op),
+    Asked(OpId, ClaimCall),
     Read(ReadEnd),
     Written(WriteEnd),
     Tick,
@@ -131,7 +103,7 @@
 pub(crate) enum Effect {
     Read,
     Write(Condition, String),
-    Reply(OpId, Answer),
+    Reply(OpId, ClaimAnswer),
     Wake(Moment),
 }
 
@@ -139,27 +111,26 @@
 struct Pending {
     /// Whom to answer, `None` if that was done.
     op: Option<OpId>,
-    claim: ClaimId,
-    what: Op,
+    call: ClaimCall,
     until: Moment,
     /// The store was read since the operation came.
     confirmed: bool,
     /// A write that may still take effect contains the operation.
     exposed: bool,
-    answer: Option<Answer>,
+    answer: Option<ClaimAnswer>,
 }
 
 #[derive(Debug)]
 enum Step {
     Idle,
     Reading,
-    Writing(Shard),
+    Writing(ClaimShard),
 }
 
 #[derive(Debug)]
 struct Cached {
     condition: Condition,
-    shard: Shard,
+    shard: ClaimShard,
 }
 
 /// The writer of one shard.
@@ -189,7 +160,7 @@
     pub(crate) fn on(&mut self, now: Moment, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
         match event {
-            Event::Asked(op, claim, what) => self.asked(now, op, claim, what, &mut effects),
+            Event::Asked(op, call) => self.asked(now, op, call, &mut effects),
             Event::Read(end) => self.read(now, end),
             Event::Written(end) => self.written(now, end, &mut effects),
             Event::Tick => {}
@@ -200,10 +171,10 @@
         effects
     }
 
-    fn asked(&mut self, now: Moment, op: OpId, claim: ClaimId, what: Op, out: &mut Vec<Effect>) {
-        let begin = what.is_begin();
+    fn asked(&mut self, now: Moment, op: OpId, call: ClaimCall, out: &mut Vec<Effect>) {
+        let begin = call.op.is_begin();
         if begin && self.queue.len() >= self.limits.queue {
-            out.push(Effect::Reply(op, Answer::Busy));
+            out.push(Effect::Reply(op, ClaimAnswer::Busy));
             return;
         }
         let patience = if begin {
@@ -213,8 +184,7 @@
         };
         self.queue.push_back(Pending {
             op: Some(op),
-            claim,
-            what,
+            call,
             until: now.after(patience),
             confirmed: false,
             exposed: false,
@@ -225,7 +195,7 @@
     fn read(&mut self, now: Moment, end: ReadEnd) {
         self.step = Step::Idle;
         let (condition, shard) = match end {
-            ReadEnd::Absent => (Condition::Absent, Shard::default()),
+            ReadEnd::Absent => (Condition::Absent, ClaimShard::default()),
             ReadEnd::Found(version, shard) => (Condition::Match(version), shard),
             ReadEnd::Failed => {
                 self.pause(now);
@@ -287,12 +257,12 @@
                 return true;
             }
             let op = pending.op.take();
-            out.extend(op.map(|op| Effect::Reply(op, Answer::Unavailable)));
+            out.extend(op.map(|op| Effect::Reply(op, ClaimAnswer::Unavailable)));
             let exposed = pending.exposed || writing && pending.answer.is_some();
-            let Op::Begin(wish) = pending.what else {
+            let ClaimOp::Begin(wish) = pending.call.op else {
                 return false;
             };
-            pending.what = Op::Release(wish.token);
+            pending.call.op = ClaimOp::Release(wish.token);
             pending.until = now.after(settle);
             pending.answer = None;
             exposed
@@ -340,33 +310,39 @@
         out.push(Effect::Read);
     }
 
-    fn is_unchanged(&self, shard: &Shard) -> bool {
+    fn is_unchanged(&self, shard: &ClaimShard) -> bool {
         self.cached
             .as_ref()
             .is_some_and(|c| c.shard.next == shard.next)
     }
 
     /// Applies the queued operations. Tells whether the cached value was fresh enough for that.
-    fn apply(&mut self, shard: &mut Shard, dated: u64, full: bool) -> bool {
+    fn apply(&mut self, shard: &mut ClaimShard, dated: u64, full: bool) -> bool {
         for pending in self.queue.iter_mut().take(self.limits.queue) {
-            let answer = match &pending.what {
-                Op::Begin(_) if full && !shard.claims.contains_key(&pending.claim) => Answer::Full,
-                Op::Begin(wish) if shard.released.contains_key(&wish.token) => Answer::Lost,
-                Op::Begin(wish) => {
-                    let held = shard.claim(pending.claim, *wish);
+            let answer = match &pending.call.op {
+                ClaimOp::Begin(_) if full && !shard.claims.contains_key(&pending.call.claim) => {
+                    ClaimAnswer::Full
+                }
+                ClaimOp::Begin(wish) if shard.released.contains_key(&wish.token) => {
+                    ClaimAnswer::Lost
+                }
+                ClaimOp::Begin(wish) => {
+                    let held = shard.claim(pending.call.claim, *wish);
                     let foreign = held.token != wish.token;
                     if foreign && held.state.is_open() && !pending.confirmed {
                         return false;
                     }
                     verdict(held, wish.token, wish.fingerprint, dated)
                 }
-                Op::Settle(token, state) if shard.settle(pending.claim, *token, state) => {
-                    Answer::Done
+                ClaimOp::Settle(token, state)
+                    if shard.settle(pending.call.claim, *token, state) =>
+                {
+                    ClaimAnswer::Done
                 }
-                Op::Settle(..) => Answer::Lost,
-                Op::Release(token) => {
-                    shard.release(pending.claim, *token);
-                    Answer::Done
+                ClaimOp::Settle(..) => ClaimAnswer::Lost,
+                ClaimOp::Release(token) => {
+                    shard.release(pending.call.claim, *token);
+                    ClaimAnswer::Done
                 }
             };
             pending.answer = Some(answer);
@@ -375,7 +351,7 @@
     }
 
     /// The value of `shard`, without its new claims if it has grown too large for them.
-    fn encode(&mut self, shard: &mut Shard, dated: u64) -> String {
+    fn encode(&mut self, shard: &mut ClaimShard, dated: u64) -> String {
         let value = shard.encode();
         if value.len() <= CLAIM_BYTES {
             return value;
@@ -401,17 +377,17 @@
     }
 }
 
-fn verdict(held: &Claim, token: Token, fingerprint: Fingerprint, dated: u64) -> Answer {
+fn verdict(held: &Claim, token: Token, fingerprint: Fingerprint, dated: u64) -> ClaimAnswer {
     if held.token == token {
-        return Answer::Fresh;
+        return ClaimAnswer::Fresh;
     }
     if held.fingerprint != fingerprint {
-        return Answer::Mismatch;
+        return ClaimAnswer::Mismatch;
     }
     match &held.state {
-        ClaimState::Open if held.change >= dated => Answer::Running,
-        ClaimState::Open | ClaimState::Unknown => Answer::Unknown,
-        ClaimState::Recorded(recorded) => Answer::Answered(recorded.clone()),
+        ClaimState::Open if held.change >= dated => ClaimAnswer::Running,
+        ClaimState::Open | ClaimState::Unknown => ClaimAnswer::Unknown,
+        ClaimState::Recorded(recorded) => ClaimAnswer::Answered(recorded.clone()),
     }
 }
 
--- a/cornelstand/src/claim_shard/tests.rs
+++ b/cornelstand/src/claim_shard/tests.rs
@@ -13,6 +13,7 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
 
 use super::*;
+use crate::claim::{ClaimId, ClaimWish, Recorded};
 use crate::name::{AccountName, RequestId};
 
 const NODES: usize = 3;
@@ -144,7 +145,7 @@
 /// The real history of one `begin`.
 #[derive(Clone, Debug)]
 struct History {
-    wish: Wish,
+    wish: ClaimWish,
     key: usize,
     copies: bool,
     asked: Moment,
@@ -226,17 +227,17 @@
         Ok(())
     }
 
-    fn ask(&mut self, node: usize, begin: usize, op: Op) -> Checked {
+    fn ask(&mut self, node: usize, begin: usize, op: ClaimOp) -> Checked {
         let number = self.next;
         self.next += 1;
         self.ops.insert(number, (node, begin));
         let claim = id(self.begins[begin].key);
-        self.on(node, Event::Asked(number, claim, op))
+        self.on(node, Event::Asked(number, ClaimCall { claim, op }))
     }
 
-    fn reply(&mut self, op: OpId, answer: Answer) -> Checked {
+    fn reply(&mut self, op: OpId, answer: ClaimAnswer) -> Checked {
         let (node, begin) = self.ops.remove(&op).expect("one reply to each operation");
-        if answer == Answer::Done {
+        if answer == ClaimAnswer::Done {
             self.begins[begin].acknowledged.get_or_insert(self.now);
             return Ok(());
         }
@@ -245,14 +246,14 @@
             return Ok(());
         }
         match answer {
-            Answer::Fresh => self.begins[begin].fresh = true,
+            ClaimAnswer::Fresh => self.begins[begin].fresh = true,
             other => {
                 if !self.begins[begin].fresh {
                     self.begins[begin].refused = true;
                     self.check_refusal(begin, &other)?;
                     if self.begins[begin].copies {
                         let token = self.begins[begin].wish.token;
-                        return self.ask(node, begin, Op::Release(token));
+                        return self.ask(node, begin, ClaimOp::Release(token));
                     }
                 }
             }
@@ -261,7 +262,7 @@
     }
 
     /// Checks that what a refused caller hears is true.
-    fn check_refusal(&self, begin: usize, answer: &Answer) -> Checked {
+    fn check_refusal(&self, begin: usize, answer: &ClaimAnswer) -> Checked {
         let mine = &self.begins[begin];
         let others = || {
             self.begins
@@ -272,20 +273,20 @@
         let same = |h: &History| h.wish.fingerprint == mine.wish.fingerprint;
         let ended = |h: &History| h.acknowledged.is_some_and(|at| at < mine.asked);
         let holds = match answer {
-            Answer::Answered(found) => others().any(|(i, h)| {
+            ClaimAnswer::Answered(found) => others().any(|(i, h)| {
                 let settled = h.settled.as_ref().map(|(_, s)| s);
                 same(h)
                     && *found == recorded(i)
                     && settled == Some(&Settled::Recorded(found.clone()))
             }),
-            Answer::Running => others().any(|(_, h)| same(h) && !ended(h)),
-            Answer::Unknown => others().any(|(_, h)| {
+            ClaimAnswer::Running => others().any(|(_, h)| same(h) && !ended(h)),
+            ClaimAnswer::Unknown => others().any(|(_, h)| {
                 let settled = h.settled.as_ref().map(|(_, s)| s);
                 same(h) && (!ended(h) || settled == Some(&Settled::Unknown))
             }),
-            Answer::Mismatch => others().any(|(_, h)| !same(h)),
-            Answer::Unavailable | Answer::Busy | Answer::Full => mine.sent.is_none(),
-            Answer::Fresh | Answer::Done | Answer::Lost => false,
+            ClaimAnswer::Mismatch => others().any(|(_, h)| !same(h)),
+            ClaimAnswer::Unavailable | ClaimAnswer::Busy | ClaimAnswer::Full => mine.sent.is_none(),
+            ClaimAnswer::Fresh | ClaimAnswer::Done | ClaimAnswer::Lost => false,
         };
         prop_assert!(
             holds,
@@ -334,9 +335,9 @@
         history.settled = Some((self.now, how.clone()));
         let token = history.wish.token;
         let op = match how {
-            Settled::Recorded(recorded) => Op::Settle(token, ClaimState::Recorded(recorded)),
-            Settled::Released => Op::Release(token),
-            Settled::Unknown => Op::Settle(token, ClaimState::Unknown),
+            Settled::Recorded(recorded) => ClaimOp::Settle(token, ClaimState::Recorded(recorded)),
+            Settled::Released => ClaimOp::Release(token),
+            Settled::Unknown => ClaimOp::Settle(token, ClaimState::Unknown),
         };
         self.ask(node, begin, op)
     }
@@ -360,7 +361,7 @@
         match &self.value {
             None => ReadEnd::Absent,
             Some((version, value)) => {
-                let shard = Shard::decode(value).expect("written by a writer");
+                let shard = ClaimShard::decode(value).expect("written by a writer");
                 ReadEnd::Found(*version, shard)
             }
         }
@@ -401,7 +402,7 @@
                 copies,
             } => {
                 let token = Token(self.begins.len() as u128);
-                let wish = Wish {
+                let wish = ClaimWish {
                     token,
                     fingerprint: Fingerprint(print),
                     request: RequestId(token.0),
@@ -417,12 +418,12 @@
                     settled: None,
                     acknowledged: None,
                 });
-                self.ask(node, self.begins.len() - 1, Op::Begin(wish))
+                self.ask(node, self.begins.len() - 1, ClaimOp::Begin(wish))
             }
             Action::BeginAgain { node, begin } => match pick(&self.begins, begin) {
                 Some(begin) if self.is_copied(begin) => {
                     let wish = self.begins[begin].wish;
-                    self.ask(node, begin, Op::Begin(wish))
+                    self.ask(node, begin, ClaimOp::Begin(wish))
                 }
                 _ => Ok(()),
             },
@@ -514,10 +515,15 @@
     );
 }
 
+fn asked(op: OpId, what: ClaimOp) -> Event {
+    let claim = id(0);
+    Event::Asked(op, ClaimCall { claim, op: what })
+}
+
 const START: Moment = Moment(0);
 
-fn wish(token: u128) -> Wish {
-    Wish {
+fn wish(token: u128) -> ClaimWish {
+    ClaimWish {
         token: Token(token),
         fingerprint: Fingerprint(1),
         request: RequestId(token),
@@ -525,7 +531,7 @@
 }
 
 fn begin(op: OpId) -> Event {
-    Event::Asked(op, id(0), Op::Begin(wish(u128::from(op))))
+    asked(op, ClaimOp::Begin(wish(u128::from(op))))
 }
 
 /// A writer that has claimed for operation 1, with version 1 in the store.
@@ -534,7 +540,7 @@
     writer.on(START, begin(1));
     writer.on(START, Event::Read(ReadEnd::Absent));
     let effects = writer.on(START, written(1));
-    assert_eq!(replies(&effects), [(1, Answer::Fresh)]);
+    assert_eq!(replies(&effects), [(1, ClaimAnswer::Fresh)]);
     writer
 }
 
@@ -542,7 +548,7 @@
     Event::Written(WriteEnd::Written(Version(version)))
 }
 
-fn replies(effects: &[Effect]) -> Vec<(OpId, Answer)> {
+fn replies(effects: &[Effect]) -> Vec<(OpId, ClaimAnswer)> {
     effects
         .iter()
         .filter_map(|e| match e {
@@ -563,7 +569,7 @@
     writer.on(START, Event::Read(ReadEnd::Absent));
     let late = at(limits().patience);
     let effects = writer.on(late, Event::Tick);
-    assert_eq!(replies(&effects), [(1, Answer::Unavailable)]);
+    assert_eq!(replies(&effects), [(1, ClaimAnswer::Unavailable)]);
     let effects = writer.on(late, written(1));
     assert_eq!(replies(&effects), []);
     let effects = writer.on(late, written(2));
@@ -574,14 +580,14 @@
 fn a_copy_of_a_begin_after_its_release_claims_nothing() {
     let mut writer = claimed();
     let later = at(limits().gap);
-    writer.on(later, Event::Asked(2, id(0), Op::Release(Token(1))));
+    writer.on(later, asked(2, ClaimOp::Release(Token(1))));
     writer.on(later, written(2));
     let effects = writer.on(at(limits().gap * 2), begin_copy(3));
-    assert_eq!(replies(&effects), [(3, Answer::Lost)]);
+    assert_eq!(replies(&effects), [(3, ClaimAnswer::Lost)]);
 }
 
 fn begin_copy(op: OpId) -> Event {
-    Event::Asked(op, id(0), Op::Begin(wish(1)))
+    asked(op, ClaimOp::Begin(wish(1)))
 }
 
 #[test]
@@ -598,8 +604,12 @@
     assert_eq!(replies(&effects), []);
 }
 
+fn just_before(time: Duration) -> Duration {
+    time.saturating_sub(Duration::from_millis(1))
+}
+
 /// What a later begin hears when the claim was last changed at time zero.
-fn heard(writer: &mut Writer, time: Duration) -> Vec<(OpId, Answer)> {
+fn heard(writer: &mut Writer, time: Duration) -> Vec<(OpId, ClaimAnswer)> {
     let shard = writer
         .cached
         .as_ref()
@@ -617,27 +627,27 @@
 }
 
 #[rstest::rstest]
-#[case::young(limits().run - Duration::from_millis(1), Answer::Running)]
-#[case::dated(limits().run, Answer::Unknown)]
-#[case::kept(limits().orphan - Duration::from_millis(1), Answer::Unknown)]
-#[case::expired(limits().orphan, Answer::Fresh)]
-fn an_open_claim_is_kept_for_its_time(#[case] time: Duration, #[case] answer: Answer) {
+#[case::young(just_before(limits().run), ClaimAnswer::Running)]
+#[case::dated(limits().run, ClaimAnswer::Unknown)]
+#[case::kept(just_before(limits().orphan), ClaimAnswer::Unknown)]
+#[case::expired(limits().orphan, ClaimAnswer::Fresh)]
+fn an_open_claim_is_kept_for_its_time(#[case] time: Duration, #[case] answer: ClaimAnswer) {
     assert_eq!(heard(&mut claimed(), time), [(9, answer)]);
 }
 
 #[rstest::rstest]
-#[case::kept(limits().gap + limits().keep - Duration::from_millis(1), false)]
+#[case::kept(just_before(limits().gap + limits().keep), false)]
 #[case::expired(limits().gap + limits().keep, true)]
 fn a_settled_claim_is_kept_for_its_time(#[case] time: Duration, #[case] fresh: bool) {
     let mut writer = claimed();
     let later = at(limits().gap);
-    let settle = Op::Settle(Token(1), ClaimState::Unknown);
-    writer.on(later, Event::Asked(2, id(0), settle));
+    let settle = ClaimOp::Settle(Token(1), ClaimState::Unknown);
+    writer.on(later, asked(2, settle));
     writer.on(later, written(1));
     let answer = if fresh {
-        Answer::Fresh
+        ClaimAnswer::Fresh
     } else {
-        Answer::Unknown
+        ClaimAnswer::Unknown
     };
     assert_eq!(heard(&mut writer, time), [(9, answer)]);
 }
--- a/cornelstand/src/claims.rs
+++ b/cornelstand/src/claims.rs
@@ -4,20 +4,25 @@
 //! the shard of a request, and hands out the [`Ticket`] that allows sending it once.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::sync::Arc;
 
 use derive_more::IsVariant;
 use futures::FutureExt;
-use futures::future::BoxFuture;
+use futures::future::{BoxFuture, ready};
 use snafu::{OptionExt, Snafu};
+use tokio::runtime::Handle;
 use tokio::sync::oneshot;
-use tokio::time::sleep_until;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep_until, timeout};
 use tracing::warn;
 use xtra::WeakAddress;
 use xtra::prelude::*;
 
-use crate::claim::{ClaimId, ClaimState, Recorded, Shard, Token, Wish};
-use crate::claim_shard::{Answer, ClaimLimits, Effect, Event, Op, OpId, ReadEnd, WriteEnd, Writer};
+use crate::claim::{
+    ClaimAnswer, ClaimCall, ClaimId, ClaimOp, ClaimShard, ClaimState, ClaimWish, Recorded, Token,
+};
+use crate::claim_shard::{ClaimLimits, Effect, Event, OpId, ReadEnd, WriteEnd, Writer};
 use crate::moment::{Clock, Moment};
 use crate::name::{AccountName, Fingerprint, RequestId};
 use crate::store::{Condition, ObjectKind, Store, StoreError, Version};
@@ -94,17 +99,73 @@
     }
 }
 
+/// Carries an operation on a shard to the instance that writes it, `None` if that is this one.
+///
+/// The future gives `None` if no answer came; the operation is then applied here, which may write
+/// beside the other instance: the versions of the store keep that safe.
+pub type ClaimRoute =
+    Arc<dyn Fn(u16, &ClaimCall) -> Option<BoxFuture<'static, Option<ClaimAnswer>>> + Send + Sync>;
+
+/// The writers of all shards and the way to those of other instances.
+struct Shards {
+    limits: ClaimLimits,
+    actors: Vec<Address<ShardActor>>,
+    route: Option<ClaimRoute>,
+}
+
+/// An answer, and whether copies of the operation may still arrive somewhere.
+struct Answered {
+    answer: Result<ClaimAnswer, ClaimError>,
+    copied: bool,
+}
+
+impl Shards {
+    async fn ask(&self, call: ClaimCall) -> Answered {
+        let remote = self.route.as_ref();
+        let remote = remote.and_then(|route| route(self.index(&call), &call));
+        let copied = remote.is_some();
+        if let Some(remote) = remote
+            && let Ok(Some(answer)) = timeout(self.limits.patience, remote).await
+        {
+            return Answered {
+                answer: Ok(answer),
+                copied,
+            };
+        }
+        let answer = self.ask_here(call).await;
+        Answered { answer, copied }
+    }
+
+    async fn ask_here(&self, call: ClaimCall) -> Result<ClaimAnswer, ClaimError> {
+        let (reply, answer) = oneshot::channel();
+        let actor = self.actors.get(usize::from(self.index(&call)));
+        let actor = actor.context(StoppedSnafu)?;
+        let asked = actor.send(Asked { call, reply }).await;
+        asked.map_err(|_| ClaimError::Stopped)?;
+        answer.await.map_err(|_| ClaimError::Stopped)
+    }
+
+    fn index(&self, call: &ClaimCall) -> u16 {
+        call.claim.shard(self.limits.shards)
+    }
+}
+
 /// The right to send one claimed request once.
 ///
 /// It cannot be copied and is given up by settling it, so a settled claim can never be sent.
 /// A ticket that is dropped without that is settled as unknown.
-#[derive(Debug)]
 #[must_use = "a ticket has to be recorded, released or settled as unknown"]
 pub struct Ticket {
-    id: ClaimId,
+    claim: ClaimId,
     token: Token,
     until: Moment,
-    actor: Option<Address<ShardActor>>,
+    shards: Option<Arc<Shards>>,
+}
+
+impl fmt::Debug for Ticket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Ticket({}, {})", self.claim, self.token)
+    }
 }
 
 impl Ticket {
@@ -119,27 +180,36 @@
 
     /// Drops the ticket without an operation: it holds no claim.
     fn forget(mut self) {
-        self.actor = None;
+        self.shards = None;
     }
 
-    /// Posts the last operation of the ticket.
-    fn end(&mut self, what: Op) -> Option<oneshot::Receiver<Answer>> {
-        let actor = self.actor.take()?;
-        let (reply, answer) = oneshot::channel();
-        let id = self.id;
-        // An unbounded mailbox takes the message at the first poll.
-        let posted = actor
-            .send(Ask { id, what, reply })
-            .detach()
-            .now_or_never()?;
-        drop(posted.ok()?);
-        Some(answer)
+    /// Starts the last operation of the ticket, which goes on by itself.
+    fn end(&mut self, op: ClaimOp) -> Option<JoinHandle<Answered>> {
+        let shards = self.shards.take()?;
+        let claim = self.claim;
+        let runtime = Handle::try_current().ok()?;
+        let mut asking = async move { shards.ask(ClaimCall { claim, op }).await }.boxed();
+        // The first poll posts the operation, ahead of whatever the caller does next.
+        Some(match (&mut asking).now_or_never() {
+            Some(answered) => runtime.spawn(ready(answered)),
+            None => runtime.spawn(asking),
+        })
+    }
+
+    /// Settles the ticket and waits for it. The operation goes on when the future is dropped.
+    async fn settle(mut self, op: ClaimOp) -> Result<(), ClaimError> {
+        let end = self.end(op).context(StoppedSnafu)?;
+        let answered = end.await.map_err(|_| ClaimError::Stopped)?;
+        match answered.answer? {
+            ClaimAnswer::Done => Ok(()),
+            other => Err(failure(&other)),
+        }
     }
 }
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        self.end(Op::Settle(self.token, ClaimState::Unknown));
+        self.end(ClaimOp::Settle(self.token, ClaimState::Unknown));
     }
 }
 
@@ -149,7 +219,7 @@
 impl Drop for Unsent {
     fn drop(&mut self) {
         if let Some(mut ticket) = self.0.take() {
-            let op = Op::Release(ticket.token);
+            let op = ClaimOp::Release(ticket.token);
             ticket.end(op);
         }
     }
@@ -174,25 +244,42 @@
 #[derive(Clone)]
 pub struct ClaimBook {
     clock: Clock,
-    limits: ClaimLimits,
-    shards: Arc<[Address<ShardActor>]>,
+    shards: Arc<Shards>,
 }
 
 impl ClaimBook {
     /// Starts the actors of all shards on the current runtime.
+    ///
+    /// With a `route`, one instance writes each shard in the ordinary case, so that claims of all
+    /// instances share its writes.
     #[must_use]
-    pub fn start(objects: &ClaimObjects, clock: Clock, limits: ClaimLimits) -> Self {
-        let shards = (0..limits.shards.max(1))
+    pub fn start(
+        objects: &ClaimObjects,
+        clock: Clock,
+        limits: ClaimLimits,
+        route: Option<ClaimRoute>,
+    ) -> Self {
+        let actors = (0..limits.shards.max(1))
             .map(|index| {
                 let actor = ShardActor::new(index, objects.clone(), clock, limits);
                 xtra::spawn_tokio(actor, Mailbox::unbounded())
             })
             .collect();
-        Self {
-            clock,
+        let shards = Arc::new(Shards {
             limits,
-            shards,
-        }
+            actors,
+            route,
+        });
+        Self { clock, shards }
+    }
+
+    /// Carries out an operation that another instance has routed here.
+    ///
+    /// # Errors
+    ///
+    /// [`ClaimError::Stopped`].
+    pub async fn serve(&self, call: ClaimCall) -> Result<ClaimAnswer, ClaimError> {
+        self.shards.ask_here(call).await
     }
 
     /// Claims the request of `account` with idempotency key `key`, before it is sent.
@@ -201,7 +288,7 @@
     ///
     /// # Errors
     ///
-    /// Any [`ClaimError`] but `Lost`. The request was not run and must not be sent.
+    /// Any [`ClaimError`]. The request was not run and must not be sent.
     pub async fn begin(
         &self,
         account: &AccountName,
@@ -209,37 +296,32 @@
         fingerprint: Fingerprint,
         request: RequestId,
     ) -> Result<Begun, ClaimError> {
-        let id = ClaimId::new(account, key);
-        let until = self.clock.now().after(self.limits.window);
+        let claim = ClaimId::new(account, key);
         let token = Token(rand::random());
-        let actor = self.actor(id)?;
-        let what = Op::Begin(Wish {
+        let ticket = Ticket {
+            claim,
+            token,
+            until: self.clock.now().after(self.shards.limits.window),
+            shards: Some(self.shards.clone()),
+        };
+        let mut unsent = Unsent(Some(ticket));
+        let op = ClaimOp::Begin(ClaimWish {
             token,
             fingerprint,
             request,
         });
-        let mut unsent = Unsent(Some(Ticket {
-            id,
-            token,
-            until,
-            actor: Some(actor.clone()),
-        }));
-        let (reply, answer) = oneshot::channel();
-        let asked = actor.send(Ask { id, what, reply }).await;
-        asked.map_err(|_| ClaimError::Stopped)?;
-        let answer = answer.await.map_err(|_| ClaimError::Stopped)?;
+        let answered = self.shards.ask(ClaimCall { claim, op }).await;
+        if answered.copied && answered.answer != Ok(ClaimAnswer::Fresh) {
+            // Dropping the ticket keeps a late copy from claiming.
+            drop(unsent);
+            return found(answered.answer?);
+        }
         let ticket = unsent.0.take().context(StoppedSnafu)?;
-        if answer == Answer::Fresh {
+        if answered.answer == Ok(ClaimAnswer::Fresh) {
             return Ok(Begun::Fresh(ticket));
         }
         ticket.forget();
-        match answer {
-            Answer::Answered(recorded) => Ok(Begun::Answered(recorded)),
-            Answer::Running => Ok(Begun::Running),
-            Answer::Unknown => Ok(Begun::Unknown),
-            Answer::Mismatch => Ok(Begun::Mismatch),
-            other => Err(failure(&other)),
-        }
+        found(answered.answer?)
     }
 
     /// Tells whether the request of `ticket` may be sent now. Ask right before the first byte.
@@ -255,8 +337,8 @@
     /// Any [`ClaimError`]: the answer may not have been kept.
     pub async fn record(&self, ticket: Ticket, recorded: Recorded) -> Result<(), ClaimError> {
         let state = ClaimState::Recorded(recorded);
-        let op = Op::Settle(ticket.token, state);
-        settle(ticket, op).await
+        let op = ClaimOp::Settle(ticket.token, state);
+        ticket.settle(op).await
     }
 
     /// Gives up the claim of a request of which no byte was sent.
@@ -265,8 +347,8 @@
     ///
     /// Any [`ClaimError`]: the claim may still be there, and the key then counts as running.
     pub async fn release(&self, ticket: Ticket) -> Result<(), ClaimError> {
-        let op = Op::Release(ticket.token);
-        settle(ticket, op).await
+        let op = ClaimOp::Release(ticket.token);
+        ticket.settle(op).await
     }
 
     /// Notes that a request was sent and its end is not known.
@@ -275,38 +357,34 @@
     ///
     /// Any [`ClaimError`]: the claim may still count as running for a time.
     pub async fn settle_unknown(&self, ticket: Ticket) -> Result<(), ClaimError> {
-        let op = Op::Settle(ticket.token, ClaimState::Unknown);
-        settle(ticket, op).await
-    }
-
-    fn actor(&self, id: ClaimId) -> Result<&Address<ShardActor>, ClaimError> {
-        let shard = usize::from(id.shard(self.limits.shards));
-        self.shards.get(shard).context(StoppedSnafu)
+        let op = ClaimOp::Settle(ticket.token, ClaimState::Unknown);
+        ticket.settle(op).await
     }
 }
 
-/// Settles a ticket. The operation goes on when the future is dropped.
-async fn settle(mut ticket: Ticket, what: Op) -> Result<(), ClaimError> {
-    let answer = ticket.end(what).context(StoppedSnafu)?;
-    match answer.await.map_err(|_| ClaimError::Stopped)? {
-        Answer::Done => Ok(()),
+/// What a `begin` that claimed nothing found.
+fn found(answer: ClaimAnswer) -> Result<Begun, ClaimError> {
+    match answer {
+        ClaimAnswer::Answered(recorded) => Ok(Begun::Answered(recorded)),
+        ClaimAnswer::Running => Ok(Begun::Running),
+        ClaimAnswer::Unknown => Ok(Begun::Unknown),
+        ClaimAnswer::Mismatch => Ok(Begun::Mismatch),
         other => Err(failure(&other)),
     }
 }
 
-fn failure(answer: &Answer) -> ClaimError {
+fn failure(answer: &ClaimAnswer) -> ClaimError {
     match answer {
-        Answer::Full => ClaimError::Full,
-        Answer::Busy => ClaimError::Busy,
-        Answer::Lost => ClaimError::Lost,
+        ClaimAnswer::Full => ClaimError::Full,
+        ClaimAnswer::Busy => ClaimError::Busy,
+        ClaimAnswer::Lost => ClaimError::Lost,
         _ => ClaimError::Unavailable,
     }
 }
 
-struct Ask {
-    id: ClaimId,
-    what: Op,
-    reply: oneshot::Sender<Answer>,
+struct Asked {
+    call: ClaimCall,
+    reply: oneshot::Sender<ClaimAnswer>,
 }
 
 /// Owner of one shard's writer.
@@ -316,7 +394,7 @@
     clock: Clock,
     writer: Writer,
     next: OpId,
-    replies: HashMap<OpId, oneshot::Sender<Answer>>,
+    replies: HashMap<OpId, oneshot::Sender<ClaimAnswer>>,
     wake: Option<Moment>,
 }
 
@@ -384,7 +462,7 @@
 fn read_end(end: Result<Option<(Version, String)>, ()>) -> ReadEnd {
     match end {
         Ok(None) => ReadEnd::Absent,
-        Ok(Some((version, value))) => match Shard::decode(&value) {
+        Ok(Some((version, value))) => match ClaimShard::decode(&value) {
             Ok(shard) => ReadEnd::Found(version, shard),
             Err(error) => {
                 warn!(%error, "unreadable claim object");
@@ -395,14 +473,14 @@
     }
 }
 
-impl Handler<Ask> for ShardActor {
+impl Handler<Asked> for ShardActor {
     type Return = ();
 
-    async fn handle(&mut self, ask: Ask, ctx: &mut Context<Self>) {
+    async fn handle(&mut self, ask: Asked, ctx: &mut Context<Self>) {
         let op = self.next;
         self.next += 1;
         self.replies.insert(op, ask.reply);
-        self.on(Event::Asked(op, ask.id, ask.what), ctx.mailbox());
+        self.on(Event::Asked(op, ask.call), ctx.mailbox());
     }
 }
 
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -67,11 +67,11 @@
 pub use cell::{Cell, CellInput, CellOutput};
 pub use cell_status::{AccountStatus, CellStatus, Counts, EndpointStatus};
 pub use claim::{
-    BODY_BYTES, Claim, ClaimId, ClaimState, HexError, MEDIA_BYTES, Recorded, Shard, ShardError,
-    Token,
+    BODY_BYTES, Claim, ClaimAnswer, ClaimCall, ClaimId, ClaimOp, ClaimShard, ClaimShardError,
+    ClaimState, ClaimWish, HexError, MEDIA_BYTES, Recorded, Token,
 };
 pub use claim_shard::{ClaimLimits, WriteEnd};
-pub use claims::{Begun, ClaimBook, ClaimError, ClaimObjects, Ticket};
+pub use claims::{Begun, ClaimBook, ClaimError, ClaimObjects, ClaimRoute, Ticket};
 pub use config::{Account, Centre, Class, Config, Endpoint, Kind, Repeat, Route, Service};
 pub use dispatch::{
     Census, Counter, Dispatch, Ending, EndpointState, Grant, Handover, Offer, Phase, Refusal,
--- a/cornelstand/tests/claims.rs
+++ b/cornelstand/tests/claims.rs
@@ -5,17 +5,25 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use std::sync::Arc;
+
 use cornelstand::{
-    AccountName, Begun, ClaimBook, ClaimError, ClaimLimits, Clock, Fingerprint, Recorded,
-    RequestId, Ticket,
+    AccountName, Begun, ClaimBook, ClaimError, ClaimLimits, ClaimRoute, Clock, Fingerprint,
+    Recorded, RequestId, Ticket,
 };
 use fakes::{FakeStore, StoreFault};
+use futures::FutureExt;
 use rstest::rstest;
 
 const PRINT: Fingerprint = Fingerprint(7);
 
 fn book(store: &FakeStore) -> ClaimBook {
-    ClaimBook::start(&store.objects(), Clock::start(), ClaimLimits::default())
+    ClaimBook::start(
+        &store.objects(),
+        Clock::start(),
+        ClaimLimits::default(),
+        None,
+    )
 }
 
 async fn begin(book: &ClaimBook, key: &str) -> Result<Begun, ClaimError> {
@@ -140,7 +148,7 @@
         shards: 1,
         ..ClaimLimits::default()
     };
-    let book = ClaimBook::start(&store.objects(), Clock::start(), limits);
+    let book = ClaimBook::start(&store.objects(), Clock::start(), limits, None);
     drop(fresh(&book, "k").await);
     tokio::time::sleep(Duration::from_secs(1)).await;
     let (reads, writes) = store.calls();
@@ -148,3 +156,86 @@
     book.record(ticket, answer()).await.unwrap();
     assert_eq!(store.calls(), (reads, writes + 2));
 }
+
+/// How a message to the writer of a shard goes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Link {
+    Whole,
+    AnswerLost,
+    Cut,
+    Silent,
+    /// The message arrives after the sender has given it up.
+    Late,
+}
+
+fn route(writer: &ClaimBook, link: Link) -> ClaimRoute {
+    let writer = writer.clone();
+    Arc::new(move |_, call| {
+        let (writer, call) = (writer.clone(), call.clone());
+        let carried = async move {
+            match link {
+                Link::Cut => None,
+                Link::Silent => std::future::pending().await,
+                Link::Late => {
+                    tokio::spawn(async move {
+                        tokio::time::sleep(Duration::from_secs(20)).await;
+                        writer.serve(call).await
+                    });
+                    None
+                }
+                Link::Whole => writer.serve(call).await.ok(),
+                Link::AnswerLost => {
+                    drop(writer.serve(call).await);
+                    None
+                }
+            }
+        };
+        Some(carried.boxed())
+    })
+}
+
+fn routed(store: &FakeStore, writer: &ClaimBook, link: Link) -> ClaimBook {
+    let route = Some(route(writer, link));
+    ClaimBook::start(
+        &store.objects(),
+        Clock::start(),
+        ClaimLimits::default(),
+        route,
+    )
+}
+
+#[rstest]
+#[case::whole(Link::Whole)]
+#[case::answer_lost(Link::AnswerLost)]
+#[case::cut(Link::Cut)]
+#[case::silent(Link::Silent)]
+#[case::late(Link::Late)]
+#[tokio::test(start_paused = true)]
+async fn a_claim_holds_whatever_happens_to_the_link_to_its_writer(#[case] link: Link) {
+    let store = FakeStore::default();
+    let writer = book(&store);
+    let entry = routed(&store, &writer, link);
+    let ticket = fresh(&entry, "k").await;
+    assert!(begin(&writer, "k").await.unwrap().is_running());
+    assert!(begin(&entry, "k").await.unwrap().is_running());
+    entry.record(ticket, answer()).await.unwrap();
+    tokio::time::sleep(Duration::from_mins(1)).await;
+    assert!(begin(&writer, "k").await.unwrap().is_answered());
+    assert!(begin(&book(&store), "k").await.unwrap().is_answered());
+}
+
+#[rstest]
+#[case::answer_lost(Link::AnswerLost)]
+#[case::late(Link::Late)]
+#[tokio::test(start_paused = true)]
+async fn a_refused_begin_with_late_copies_leaves_no_claim(#[case] link: Link) {
+    let store = FakeStore::default();
+    let writer = book(&store);
+    let entry = routed(&store, &writer, link);
+    let holder = book(&store);
+    let ticket = fresh(&holder, "k").await;
+    assert!(begin(&entry, "k").await.unwrap().is_running());
+    holder.release(ticket).await.unwrap();
+    tokio::time::sleep(Duration::from_mins(1)).await;
+    drop(fresh(&holder, "k").await);
+}
