--- a/cornelstand/src/claims.rs
+++ b/cornelstand/src/claims.rs
@@ -249,16 +249,8 @@
 
 impl ClaimBook {
     /// Starts the actors of all shards on the current runtime.
-    ///
-    /// With a `route`, one instance writes each shard in the ordinary case, so that claims of all
-    /// instances share its writes.
     #[must_use]
-    pub fn start(
-        objects: &ClaimObjects,
-        clock: Clock,
-        limits: ClaimLimits,
-        route: Option<ClaimRoute>,
-    ) -> Self {
+    pub fn start(objects: &ClaimObjects, clock: Clock, limits: ClaimLimits) -> Self {
         let actors = (0..limits.shards.max(1))
             .map(|index| {
                 let actor = ShardActor::new(index, objects.clone(), clock, limits);
@@ -268,11 +260,28 @@
         let shards = Arc::new(Shards {
             limits,
             actors,
-            route,
+            route: None,
         });
         Self { clock, shards }
     }
 
+    /// The same claims with a route to other instances.
+    ///
+    /// One instance then writes each shard in the ordinary case, so that the claims of all
+    /// instances share its writes.
+    #[must_use]
+    pub fn with_route(&self, route: ClaimRoute) -> Self {
+        let shards = Shards {
+            limits: self.shards.limits,
+            actors: self.shards.actors.clone(),
+            route: Some(route),
+        };
+        Self {
+            clock: self.clock,
+            shards: Arc::new(shards),
+        }
+    }
+
     /// Carries out an operation that another instance has routed here.
     ///
     /// # Errors
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -28,6 +28,8 @@
 mod claim_shard;
 mod claims;
 mod config;
+mod containment;
+mod deliver;
 mod dispatch;
 mod dispatcher;
 mod endpoint;
@@ -48,12 +50,14 @@
 mod path;
 mod problem;
 mod publish;
+mod refusal;
 mod relay;
 mod retry;
 mod rules;
 mod shard;
 mod sse;
 mod store;
+mod suspect;
 mod timeline;
 mod tombs;
 mod unique;
@@ -73,6 +77,7 @@
 pub use claim_shard::{ClaimLimits, WriteEnd};
 pub use claims::{Begun, ClaimBook, ClaimError, ClaimObjects, ClaimRoute, Ticket};
 pub use config::{Account, Centre, Class, Config, Endpoint, Kind, Repeat, Route, Service};
+pub use containment::SpreadCall;
 pub use dispatch::{
     Census, Counter, Dispatch, Ending, EndpointState, Grant, Handover, Offer, Phase, Refusal,
     Reply, Report, Running,
@@ -105,10 +110,10 @@
 };
 pub use note::{Action, Digest, Items, Names, Note, NoteError, NoteProblem, Reason, Row, plan};
 pub use path::{CallPath, PathError, split_path};
-pub use problem::{PROBLEM_TYPE, Problem, ProblemKind};
 pub use publish::{Acceptance, HEAD_NAME, Known, PublishError, accept, collect, fetch};
 pub use retry::{RetryBudgets, RetryPermit};
 pub use shard::{Accepted, Head, ShardRef};
 pub use sse::{EVENT_BYTES, Scanner, SseError};
 pub use store::{Condition, Listing, Object, ObjectKind, Store, StoreError, VALUE_BYTES, Version};
+pub use suspect::{Crash, MAX_CRASHES, Standing, Suspects, Suspicion, Trial, TrialPhase};
 pub use timeline::{Event, Stamp, Timeline, Topic, merge};
--- a/cornelstand/src/problem.rs
+++ b/cornelstand/src/problem.rs
@@ -15,12 +15,12 @@
 use crate::name::RequestId;
 
 /// Media type of a problem document.
-pub const PROBLEM_TYPE: &str = "application/problem+json";
+pub(crate) const PROBLEM_TYPE: &str = "application/problem+json";
 
 /// What kind of problem it is.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
-pub enum ProblemKind {
+pub(crate) enum ProblemKind {
     /// A header is malformed.
     #[display("malformed header")]
     BadHeader,
@@ -79,8 +79,7 @@
 
 impl ProblemKind {
     /// Status of the answer.
-    #[must_use]
-    pub fn status(self) -> StatusCode {
+    pub(crate) fn status(self) -> StatusCode {
         match self {
             Self::BadHeader | Self::BadPath | Self::BodyIncomplete | Self::KeyRequired => {
                 StatusCode::BAD_REQUEST
@@ -107,15 +106,15 @@
 
 /// A refusal.
 #[derive(Debug)]
-pub struct Problem {
+pub(crate) struct Problem {
     /// Kind of problem.
-    pub kind: ProblemKind,
+    pub(crate) kind: ProblemKind,
     /// What the caller may conclude.
-    pub verdict: Verdict,
+    pub(crate) verdict: Verdict,
     /// What happened, for people.
-    pub detail: String,
+    pub(crate) detail: String,
     /// Time after which to try again, where waiting helps.
-    pub retry: Option<Duration>,
+    pub(crate) retry: Option<Duration>,
 }
 
 #[derive(Serialize)]
@@ -130,8 +129,7 @@
 
 impl Problem {
     /// A problem that waiting does not help.
-    #[must_use]
-    pub fn new(kind: ProblemKind, verdict: Verdict, detail: impl Into<String>) -> Self {
+    pub(crate) fn new(kind: ProblemKind, verdict: Verdict, detail: impl Into<String>) -> Self {
         Self {
             kind,
             verdict,
@@ -141,15 +139,13 @@
     }
 
     /// Says when to try again.
-    #[must_use]
-    pub fn retry_after(mut self, wait: Duration) -> Self {
+    pub(crate) fn retry_after(mut self, wait: Duration) -> Self {
         self.retry = Some(wait);
         self
     }
 
     /// The answer to `request`.
-    #[must_use]
-    pub fn into_answer(self, request: RequestId) -> http::Response<Vec<u8>> {
+    pub(crate) fn answer(&self, request: RequestId) -> http::Response<Vec<u8>> {
         let document = Document {
             r#type: format!("urn:cornelstand:problem:{}", self.kind.slug()),
             title: self.kind.to_string(),
--- a/cornelstand/tests/claims.rs
+++ b/cornelstand/tests/claims.rs
@@ -18,12 +18,7 @@
 const PRINT: Fingerprint = Fingerprint(7);
 
 fn book(store: &FakeStore) -> ClaimBook {
-    ClaimBook::start(
-        &store.objects(),
-        Clock::start(),
-        ClaimLimits::default(),
-        None,
-    )
+    ClaimBook::start(&store.objects(), Clock::start(), ClaimLimits::default())
 }
 
 async fn begin(book: &ClaimBook, key: &str) -> Result<Begun, ClaimError> {
@@ -148,7 +143,7 @@
         shards: 1,
         ..ClaimLimits::default()
     };
-    let book = ClaimBook::start(&store.objects(), Clock::start(), limits, None);
+    let book = ClaimBook::start(&store.objects(), Clock::start(), limits);
     drop(fresh(&book, "k").await);
     tokio::time::sleep(Duration::from_secs(1)).await;
     let (reads, writes) = store.calls();
@@ -195,13 +190,7 @@
 }
 
 fn routed(store: &FakeStore, writer: &ClaimBook, link: Link) -> ClaimBook {
-    let route = Some(route(writer, link));
-    ClaimBook::start(
-        &store.objects(),
-        Clock::start(),
-        ClaimLimits::default(),
-        route,
-    )
+    book(store).with_route(route(writer, link))
 }
 
 #[rstest]
