Show the fault matrix with the real dispatcher, long and repeatable requests

The matrix now runs the real dispatcher between two instances, and three kinds of request: once, once with a long answer, and idempotent.

--- a/cornelstand/src/call.rs
+++ b/cornelstand/src/call.rs
@@ -141,7 +141,14 @@
             Err(Gone) => return self.leave(ready, caller).await,
         };
         self.record("granted", grant.endpoint.as_str());
-        let flight = Flight::begin(self, grant);
+        let crossed = grant.attempt != ready.attempt();
+        let attempt = ready.attempt();
+        let flight = Flight::begin(self, Grant { attempt, ..grant });
+        if crossed {
+            flight.end(Ending::NotSent);
+            self.count_retry("crossed");
+            return Step::Again(ready.next(), caller);
+        }
         if self.is_claim_late() {
             flight.end(Ending::NotSent);
             return self.give_up(caller, refusal::claim_late(ready)).await;
--- a/cornelstand/tests/faults/caller.rs
+++ b/cornelstand/tests/faults/caller.rs
@@ -9,12 +9,21 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
-use crate::plan::Step;
+use crate::plan::{Call, Step};
 use crate::world::{Act, Node, World};
 
 pub(crate) const KEY: &str = "counter-key";
 pub(crate) const BODY: &str = "gel 201, 6 sheets, tonight, St. Luke's";
 
+/// Filling of a long answer, which is passed on while it comes.
+const FILLING: usize = 100_000;
+
+/// The endpoint's answer to `body`.
+pub(crate) fn answer_to(body: &str, long: bool) -> String {
+    let filling = if long { FILLING } else { 0 };
+    format!("done: {body}{}", ".".repeat(filling))
+}
+
 /// What a caller has heard.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Heard {
@@ -23,13 +32,21 @@
     /// A whole answer of the endpoint that it is overloaded.
     Overloaded,
     /// A refusal, with its outcome and the identity of the request.
-    Refused(String, Option<RequestId>),
+    Refused(Refused),
     /// The connection ended before the answer was whole.
     Nothing,
 }
 
+/// A refusal.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Refused {
+    pub(crate) outcome: String,
+    pub(crate) kind: String,
+    pub(crate) request: Option<RequestId>,
+}
+
 /// Sends the request through the instance at `address` and waits for the answer.
-pub(crate) async fn call(world: &Arc<World>, node: Node, address: SocketAddr) -> Heard {
+pub(crate) async fn call(world: &Arc<World>, kind: Call, node: Node, address: SocketAddr) -> Heard {
     let gone = async {
         if node == Node::A {
             world.caller_gone.notified().await;
@@ -38,18 +55,25 @@
         }
     };
     tokio::select! {
-        heard = exchange(world, node, address) => heard.unwrap_or(Heard::Nothing),
+        biased;
+        heard = exchange(world, kind, node, address) => heard.unwrap_or(Heard::Nothing),
         () = gone => Heard::Nothing,
         () = world.death(node) => Heard::Nothing,
     }
 }
 
-async fn exchange(world: &Arc<World>, node: Node, address: SocketAddr) -> Option<Heard> {
+async fn exchange(
+    world: &Arc<World>,
+    kind: Call,
+    node: Node,
+    address: SocketAddr,
+) -> Option<Heard> {
     let mut stream = TcpStream::connect(address).await.ok()?;
     step(world, Step::Accepted, node).await?;
     let head = format!(
-        "POST /app/orders HTTP/1.1\r\nhost: fleet\r\nauthorization: Bearer {KEY}\r\n\
+        "POST {} HTTP/1.1\r\nhost: fleet\r\nauthorization: Bearer {KEY}\r\n\
          idempotency-key: order-17\r\ncontent-length: {}\r\n\r\n",
+        kind.path(),
         BODY.len(),
     );
     stream.write_all(head.as_bytes()).await.ok()?;
@@ -103,7 +127,12 @@
     let problem: serde_json::Value = serde_json::from_str(&body).ok()?;
     let outcome = problem["outcome"].as_str()?.to_owned();
     let request = value("x-request-id").and_then(|id| u128::from_str_radix(&id, 16).ok());
-    Some(Heard::Refused(outcome, request.map(RequestId)))
+    let kind = problem["type"].as_str()?.rsplit(':').next()?.to_owned();
+    Some(Heard::Refused(Refused {
+        outcome,
+        kind,
+        request: request.map(RequestId),
+    }))
 }
 
 async fn more(stream: &mut TcpStream, read: &mut Vec<u8>) -> Option<()> {
--- a/cornelstand/tests/claims.rs
+++ b/cornelstand/tests/faults/claims.rs
@@ -1,17 +1,15 @@
 //! Claims of requests that may not be repeated, over a store that fails.
 
-mod fakes;
-
 use std::time::Duration;
 
 use bytes::Bytes;
 use std::sync::Arc;
 
+use crate::fakes::{FakeStore, StoreFault};
 use cornelstand::{
     AccountName, Begun, ClaimBook, ClaimError, ClaimLimits, ClaimRoute, Clock, Fingerprint,
     Recorded, RequestId, Ticket,
 };
-use fakes::{FakeStore, StoreFault};
 use futures::FutureExt;
 use rstest::rstest;
 
--- a/cornelstand/tests/faults/endpoint.rs
+++ b/cornelstand/tests/faults/endpoint.rs
@@ -15,8 +15,8 @@
 /// How long the endpoint's address refuses connections after a crash.
 const RESTART: Duration = Duration::from_millis(200);
 
-/// Starts the endpoint for the requests of `node`.
-pub(crate) fn start(world: Arc<World>, node: Node, listener: TcpListener) {
+/// Starts an endpoint.
+pub(crate) fn start(world: Arc<World>, listener: TcpListener) {
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         let mut listener = Some(listener);
@@ -25,7 +25,7 @@
                 Some(open) => open,
                 None => bind(address),
             };
-            serve(&world, node, open).await;
+            serve(&world, open).await;
             sleep(RESTART).await;
         }
     });
@@ -39,7 +39,7 @@
 }
 
 /// Serves until the endpoint crashes.
-async fn serve(world: &Arc<World>, node: Node, listener: TcpListener) {
+async fn serve(world: &Arc<World>, listener: TcpListener) {
     let mut boot = world.boot.subscribe();
     let now = *boot.borrow_and_update();
     let mut refusals = world.refusals.subscribe();
@@ -52,9 +52,8 @@
                 tokio::spawn(async move {
                     let mut boot = world.boot.subscribe();
                     tokio::select! {
-                        () = exchange(&world, node, stream) => {}
+                        () = exchange(&world, stream) => {}
                         _ = boot.wait_for(|b| *b != now) => {}
-                        () = world.death(node) => {}
                     }
                 });
             }
@@ -64,10 +63,10 @@
     }
 }
 
-async fn exchange(world: &Arc<World>, node: Node, mut stream: TcpStream) {
+async fn exchange(world: &Arc<World>, mut stream: TcpStream) {
     let mut io = Exchange {
         world,
-        node,
+        node: Node::B,
         stream: &mut stream,
     };
     // An error ends the connection, as it does at a real endpoint.
@@ -106,6 +105,22 @@
             .next()
             .and_then(|t| u128::from_str_radix(t, 16).ok());
         let request = RequestId(request.ok_or(Ended)?);
+        self.node = self.world.node(request);
+        let (world, node) = (self.world.clone(), self.node);
+        tokio::select! {
+            ended = self.serve(&attempt, request, read, end) => ended,
+            () = world.death(node) => Err(Ended),
+        }
+    }
+
+    async fn serve(
+        &mut self,
+        attempt: &str,
+        request: RequestId,
+        mut read: Vec<u8>,
+        end: usize,
+    ) -> Result<(), Ended> {
+        let head = String::from_utf8_lossy(&read[..end]).to_lowercase();
         self.world
             .seen
             .lock()
@@ -130,12 +145,12 @@
             .or_default()
             .runs += 1;
         let act = self.step(Step::Sent).await?;
-        let body = String::from_utf8_lossy(&read[end..]).into_owned();
-        self.answer(&attempt, &body, act).await
+        let body = String::from_utf8_lossy(&read[end..]);
+        let body = crate::caller::answer_to(&body, head.contains("/long"));
+        self.answer(attempt, &body, act).await
     }
 
     async fn answer(&mut self, attempt: &str, body: &str, act: Act) -> Result<(), Ended> {
-        let body = format!("done: {body}");
         let boot = *self.world.boot.borrow();
         let act = match self.step(Step::FirstByte).await? {
             Act::Go => act,
--- a/cornelstand/tests/faults/instance.rs
+++ b/cornelstand/tests/faults/instance.rs
@@ -5,19 +5,20 @@
 use std::time::Duration;
 
 use cornelstand::{
-    CellId, ClaimBook, ClaimLimits, ClaimObjects, Clock, Dispatch, Entry, EntryLimits,
-    EntryMetrics, EntryParts, Epoch, Grant, InstanceName, Offer, Refusal, Reply, Timeline,
-    WriteEnd,
+    Ask, AttemptId, CellId, ClaimBook, ClaimLimits, ClaimObjects, Clock, Dispatch, Dispatcher,
+    Entry, EntryLimits, EntryMetrics, EntryParts, InstanceName, Offer, Reply, Report, Tell,
+    Timeline, Withdraw, WriteEnd,
 };
 use futures::FutureExt;
 use tokio::net::TcpListener;
 use tokio::time::sleep;
+use xtra::Address;
 
 use crate::plan::Step;
 use crate::world::{Act, Node, World};
 
-/// Time that a refused caller or dispatcher waits.
-const RETRY: Duration = Duration::from_secs(1);
+/// Time after which a lost message to the dispatcher is sent again.
+const RESEND: Duration = Duration::from_millis(100);
 
 fn entry_limits() -> EntryLimits {
     EntryLimits {
@@ -25,7 +26,7 @@
         replay_bytes: 8,
         first_ms: 2_000,
         idle_ms: 1_000,
-        deadline_ms: 5_000,
+        deadline_ms: 20_000,
         ..EntryLimits::default()
     }
 }
@@ -35,7 +36,7 @@
         shards: 1,
         gap: Duration::from_millis(5),
         patience: Duration::from_secs(1),
-        window: Duration::from_secs(30),
+        window: Duration::from_secs(10),
         ..ClaimLimits::default()
     }
 }
@@ -66,10 +67,7 @@
     Dispatch {
         offer: Arc::new(move |offer| grant(offers.clone(), node, offer).boxed()),
         report: Arc::new(move |report| {
-            let world = reports.clone();
-            if report.phase.is_ended() {
-                tokio::spawn(async move { world.reach(Step::Reported, node).await });
-            }
+            tokio::spawn(tell(reports.clone(), node, report));
         }),
         pick: Arc::new(|service| {
             let service = service.clone();
@@ -78,23 +76,39 @@
     }
 }
 
-/// Grants the endpoint of the instance, if the configuration has it.
+/// Takes an offer back that nobody waits for any more.
+struct Waiting<'a> {
+    cell: &'a Address<Dispatcher>,
+    attempt: Option<AttemptId>,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if let Some(attempt) = self.attempt {
+            let cell = self.cell.clone();
+            tokio::spawn(async move { cell.send(Withdraw(attempt)).await });
+        }
+    }
+}
+
+/// Offers a request to the real dispatcher over a link that may fail, as often as it takes.
 async fn grant(world: Arc<World>, node: Node, offer: Offer) -> Reply {
     world.alive_or_stuck(node).await;
-    pass(world.reach(Step::Queued, node).await).await?;
-    let name = endpoint_name(node);
-    let known = world.config.borrow().endpoints.contains_key(name);
-    if !known || offer.avoid.iter().any(|e| e.as_str() == name) {
-        return Err(Refusal::NoEndpoint { retry: RETRY });
-    }
-    let mut grant = Grant {
-        attempt: offer.attempt,
-        endpoint: name.into(),
-        cell: offer.cell,
-        epoch: Epoch(1),
-        charged: 10,
+    let attempt = offer.attempt;
+    world.nodes.lock().unwrap().insert(attempt.request, node);
+    let cell = world.cell();
+    let mut waiting = Waiting {
+        cell: &cell,
+        attempt: Some(attempt),
+    };
+    lost(world.reach(Step::Queued, node).await).await;
+    let grant = ask(&world, &cell, &offer).await?;
+    let act = world.reach(Step::Granted, node).await;
+    lost(act).await;
+    let mut grant = match act {
+        Act::Cut | Act::Silent | Act::Repeat => ask(&world, &cell, &offer).await?,
+        _ => grant,
     };
-    let act = pass(world.reach(Step::Granted, node).await).await?;
     if act == Act::Cross {
         grant.attempt.request.0 ^= 1;
     }
@@ -107,21 +121,41 @@
         _ => {}
     }
     world.alive_or_stuck(node).await;
+    waiting.attempt = None;
     Ok(grant)
 }
 
-async fn pass(act: Act) -> Result<Act, Refusal> {
-    match act {
-        Act::Cut => Err(Refusal::NotOwner(None)),
-        Act::Silent => std::future::pending().await,
-        act => Ok(act),
+async fn ask(world: &World, cell: &Address<Dispatcher>, offer: &Offer) -> Reply {
+    let reply = cell.send(Ask(offer.clone())).await.unwrap();
+    if world.is_repeating() {
+        // The copy replaces the one who waits, as a sender's second try does.
+        let again = cell.send(Ask(offer.clone())).await.unwrap();
+        drop(reply);
+        return again.await.unwrap();
     }
+    reply.await.unwrap()
 }
 
-pub(crate) fn endpoint_name(node: Node) -> &'static str {
-    match node {
-        Node::A => "for-a",
-        Node::B => "for-b",
+/// Reports to the dispatcher until the report is received.
+async fn tell(world: Arc<World>, node: Node, report: Report) {
+    world.alive_or_stuck(node).await;
+    if report.phase.is_ended() {
+        let act = world.reach(Step::Reported, node).await;
+        lost(act).await;
+        if act == Act::Repeat {
+            drop(world.cell().send(Tell(vec![report.clone()])).await);
+        }
+    }
+    world.alive_or_stuck(node).await;
+    drop(world.cell().send(Tell(vec![report])).await);
+}
+
+/// Waits until a lost message is sent again.
+async fn lost(act: Act) {
+    match act {
+        Act::Cut => sleep(RESEND).await,
+        Act::Silent => sleep(RESEND * 10).await,
+        _ => {}
     }
 }
 
--- a/cornelstand/tests/faults/plan.rs
+++ b/cornelstand/tests/faults/plan.rs
@@ -132,10 +132,12 @@
 ];
 
 /// Why a cell is not run, if it is not.
-pub(crate) fn gap(step: Step, fault: Fault) -> Option<&'static str> {
+pub(crate) fn gap(call: Call, step: Step, fault: Fault) -> Option<&'static str> {
+    if call == Call::Idempotent && step.link() == Link::Store {
+        return Some("nothing is claimed");
+    }
     match (fault, step.link()) {
         (Fault::MessageRepeated, Link::Caller | Link::Endpoint) => Some("TCP repeats no byte"),
-        (Fault::MessageRepeated, Link::Dispatcher) => Some("the cell's tests repeat offers"),
         (Fault::MessageCrossed, Link::Caller | Link::Store) => Some("one exchange a connection"),
         (Fault::MessageCrossed, Link::Dispatcher) if step != Step::Granted => {
             Some("only a grant can be crossed")
@@ -148,3 +150,29 @@
         _ => None,
     }
 }
+
+/// Kind of the request.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub(crate) enum Call {
+    /// It may not be repeated.
+    #[display("once")]
+    Once,
+    /// It may not be repeated, and its answer is longer than is held or kept.
+    #[display("once, long answer")]
+    Long,
+    /// It may be repeated.
+    #[display("idempotent")]
+    Idempotent,
+}
+
+pub(crate) const CALLS: [Call; 3] = [Call::Once, Call::Long, Call::Idempotent];
+
+impl Call {
+    pub(crate) fn path(self) -> &'static str {
+        match self {
+            Self::Once => "/app/orders/short",
+            Self::Long => "/app/orders/long",
+            Self::Idempotent => "/app/stock",
+        }
+    }
+}
--- a/cornelstand/tests/faults/world.rs
+++ b/cornelstand/tests/faults/world.rs
@@ -4,17 +4,23 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use cornelstand::{Config, RequestId};
+use cornelstand::{
+    Cell, CellId, Clock, Config, Configure, Dispatcher, EntryGone, Epoch, Moment, Part, RequestId,
+    SetLease, Tenure, Timeline,
+};
 use tokio::sync::{Notify, watch};
 use tokio::time::sleep;
+use xtra::Address;
 
 use crate::fakes::{FakeStore, StoreFault};
 use crate::plan::{Fault, Link, Step};
 
-/// Longer than the window in which a claimed request may be sent.
-pub(crate) const PAUSE: Duration = Duration::from_secs(40);
+/// Longer than the window in which a claimed request may be sent, shorter than its deadline.
+pub(crate) const PAUSE: Duration = Duration::from_secs(15);
 /// Shorter than every deadline.
 const SLOW: Duration = Duration::from_millis(300);
+/// Time in which a caller's end reaches the instance.
+const MOMENT: Duration = Duration::from_millis(5);
 /// How long the store, an endpoint or its place in the configuration is away.
 const AWAY: Duration = Duration::from_millis(1_500);
 
@@ -61,6 +67,10 @@
     pub(crate) mute: Mutex<bool>,
     /// The endpoint answers that it is overloaded.
     pub(crate) cold: Mutex<bool>,
+    /// The instance that holds each request.
+    pub(crate) nodes: Mutex<HashMap<RequestId, Node>>,
+    cell: Address<Dispatcher>,
+    repeating: Mutex<bool>,
     armed: Mutex<Option<(Step, Fault, u32)>>,
     pub(crate) fired: Mutex<u32>,
     pub(crate) seen: Mutex<HashMap<RequestId, Seen>>,
@@ -68,10 +78,14 @@
 
 impl World {
     pub(crate) fn new(config: Config, step: Step, fault: Fault) -> Arc<Self> {
+        let config = Arc::new(config);
         let times = if fault == Fault::CutTwice { 2 } else { 1 };
         Arc::new(Self {
             store: FakeStore::default(),
-            config: watch::Sender::new(Arc::new(config)),
+            cell: cell(&config),
+            config: watch::Sender::new(config),
+            nodes: Mutex::default(),
+            repeating: Mutex::default(),
             caller_gone: Notify::new(),
             resend: Notify::new(),
             dead: watch::Sender::new(false),
@@ -91,9 +105,18 @@
             return Act::Go;
         };
         *self.fired.lock().unwrap() += 1;
+        if matches!(step, Step::Reported | Step::Recorded) {
+            // The answer that is on its way to the caller comes first.
+            sleep(MOMENT).await;
+        }
         match fault {
             Fault::InstanceKilled => {
                 self.dead.send_replace(true);
+                let cell = self.cell();
+                tokio::spawn(async move {
+                    sleep(AWAY).await;
+                    cell.send(EntryGone("a".into())).await
+                });
                 Act::Silent
             }
             Fault::InstancePaused => {
@@ -106,7 +129,10 @@
                 sleep(SLOW).await;
                 Act::Go
             }
-            Fault::MessageRepeated => Act::Repeat,
+            Fault::MessageRepeated => {
+                *self.repeating.lock().unwrap() = step == Step::Queued;
+                Act::Repeat
+            }
             Fault::MessageCrossed => Act::Cross,
             Fault::StoreDown => self.store_fails(StoreFault::Down),
             Fault::StoreSlow => self.store_fails(StoreFault::Slow(SLOW)),
@@ -130,14 +156,12 @@
                 let mut without = (*whole).clone();
                 without.endpoints.clear();
                 let without = Arc::new(without);
-                self.for_a_time(
-                    move |w| drop(w.config.send_replace(without)),
-                    move |w| drop(w.config.send_replace(whole)),
-                );
+                self.for_a_time(move |w| w.configure(without), move |w| w.configure(whole));
                 Act::Go
             }
             Fault::CallerGone => {
                 self.caller_gone.notify_one();
+                sleep(MOMENT).await;
                 Act::Go
             }
             Fault::CallerResends => {
@@ -148,6 +172,29 @@
         }
     }
 
+    /// The real dispatcher.
+    pub(crate) fn cell(&self) -> Address<Dispatcher> {
+        self.cell.clone()
+    }
+
+    /// Tells once whether the present offer is sent twice.
+    pub(crate) fn is_repeating(&self) -> bool {
+        std::mem::take(&mut self.repeating.lock().unwrap())
+    }
+
+    /// The instance that holds `request`.
+    pub(crate) fn node(&self, request: RequestId) -> Node {
+        let nodes = self.nodes.lock().unwrap();
+        nodes.get(&request).copied().unwrap_or(Node::B)
+    }
+
+    /// Puts a configuration in force at both instances and at the dispatcher.
+    fn configure(&self, config: Arc<Config>) {
+        self.config.send_replace(config.clone());
+        let cell = self.cell();
+        tokio::spawn(async move { cell.send(Configure(config)).await });
+    }
+
     fn due(&self, step: Step, node: Node) -> Option<Fault> {
         let mut armed = self.armed.lock().unwrap();
         let (at, fault, left) = (*armed)?;
@@ -201,3 +248,21 @@
         let _ = dead.wait_for(|dead| *dead).await;
     }
 }
+
+/// The dispatcher of the only cell, with its lease for good.
+fn cell(config: &Arc<Config>) -> Address<Dispatcher> {
+    let clock = Clock::start();
+    let service = "app".into();
+    let id = CellId { service, index: 0 };
+    let cell = Cell::new(id, Epoch(1), config.clone(), clock.now());
+    let dispatcher = Dispatcher::spawn(cell, clock, Timeline::new("a".into(), 100));
+    let tenure = Tenure {
+        epoch: Epoch(1),
+        part: Part::Full,
+        until: Moment(u64::MAX),
+        after: None,
+    };
+    let leased = dispatcher.clone();
+    tokio::spawn(async move { leased.send(SetLease(tenure)).await });
+    dispatcher
+}
