--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -117,11 +117,11 @@
 pub use cell_message::{CellInput, CellOutput};
 pub use cell_status::{AccountStatus, CellStatus, Counts, EndpointStatus};
 pub use claim::{
-    BODY_BYTES, Claim, ClaimId, ClaimState, HexError, MEDIA_BYTES, Recorded, Shard, ShardError,
-    Token,
+    BODY_BYTES, Claim, ClaimAnswer, ClaimCall, ClaimId, ClaimOp, ClaimShard, ClaimShardError,
+    ClaimState, ClaimWish, HexError, MEDIA_BYTES, Recorded, Token,
 };
 pub use claim_shard::{ClaimLimits, WriteEnd};
-pub use claims::{Begun, ClaimBook, ClaimError, ClaimObjects, Ticket};
+pub use claims::{Begun, ClaimBook, ClaimError, ClaimObjects, ClaimRoute, Ticket};
 pub use command::{KEY_FILE_VARIABLE, command};
 pub use config::{Account, Centre, Class, Config, Endpoint, Kind, Repeat, Route, Service};
 pub use containment::SpreadCall;
@@ -180,7 +180,6 @@
 #[cfg(feature = "demo")]
 pub use outside::{Fake, Outside, Reading, Replica, SAMPLE, Sample, Sampler};
 pub use path::{CallPath, PathError, split_path};
-pub use problem::{PROBLEM_TYPE, Problem, ProblemKind};
 #[cfg(feature = "demo")]
 pub use promise::{OUT_WITHIN, Promise, answer_promises, centre_promise};
 pub use publish::{Acceptance, HEAD_NAME, Known, PublishError, accept, collect, fetch};
