--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -180,6 +180,7 @@
 #[cfg(feature = "demo")]
 pub use outside::{Fake, Outside, Reading, Replica, SAMPLE, Sample, Sampler};
 pub use path::{CallPath, PathError, split_path};
+pub use problem::{PROBLEM_TYPE, Problem, ProblemKind};
 #[cfg(feature = "demo")]
 pub use promise::{OUT_WITHIN, Promise, answer_promises, centre_promise};
 pub use publish::{Acceptance, HEAD_NAME, Known, PublishError, accept, collect, fetch};
