--- a/cornelstand/src/cell.rs
+++ b/cornelstand/src/cell.rs
@@ -15,6 +15,7 @@
 use crate::config::Config;
 use crate::dispatch::{Ending, Grant, Offer, Phase, Refusal, Report};
 use crate::endpoint::{EndpointModel, Load, Sight};
+use crate::exchange::{Exchange, Totals};
 use crate::fair::{FairQueue, Waiting, arrival};
 use crate::lease::{Part, Tenure};
 use crate::moment::Moment;
@@ -26,6 +27,9 @@
 /// Batch work may hold this many quarters of the slots while interactive work waits.
 const BATCH_QUARTERS: u32 = 3;
 
+/// Time after a handover in which waiting requests come back to the next owner.
+const COMEBACK: Duration = Duration::from_secs(5);
+
 /// Shortest time after which a refused caller is asked to come back.
 const RETRY_FIRST: Duration = Duration::from_secs(1);
 
@@ -49,6 +53,7 @@
     /// Time of the latest input.
     latest: Moment,
     pub(crate) counts: Counts,
+    exchange: Exchange,
 }
 
 impl Cell {
@@ -75,6 +80,7 @@
             recovered: now,
             latest: now,
             counts: Counts::default(),
+            exchange: Exchange::default(),
         };
         cell.place_endpoints();
         cell
@@ -83,6 +89,9 @@
     /// Takes in one input and appends its effects to `out`.
     pub fn handle(&mut self, now: Moment, input: CellInput, out: &mut Vec<CellOutput>) {
         self.latest = now;
+        if now >= self.recovered.after(COMEBACK) {
+            self.queue.forget_restored();
+        }
         match input {
             CellInput::Offer(offer) => self.offer(now, offer, out),
             CellInput::Withdraw(attempt) => self.withdraw(attempt, out),
@@ -91,13 +100,15 @@
             CellInput::Leaving(names) => self.leaving(&names),
             CellInput::Configure(config) => self.configure(config, out),
             CellInput::Lease(tenure) => self.tenure = tenure,
-            CellInput::Census(census) => self.census(now, census),
+            CellInput::Census(census) => self.census(census),
             CellInput::Recover { entries } => self.recover(now, entries),
             CellInput::EntryGone(entry) => self.entry_gone(now, &entry, out),
+            CellInput::Totals(totals) => self.hear(now, totals),
             CellInput::Tick => {}
         }
         self.expire(now, out);
         self.grant(now, out);
+        self.tell(now, out);
         self.show(out);
     }
 
@@ -110,7 +121,9 @@
             .endpoints
             .values()
             .filter_map(EndpointModel::doubt_ends);
-        let due = probes.chain(doubts).chain([deadline, self.tenure.until]);
+        let told = self.has_peers().then(|| self.exchange.due());
+        let due = probes.chain(doubts).chain(told);
+        let due = due.chain([deadline, self.tenure.until]);
         due.filter(|at| *at > self.latest).min()
     }
 
@@ -139,7 +152,7 @@
         let endpoints = self.endpoints.iter().map(|(name, model)| EndpointStatus {
             endpoint: name.clone(),
             state: model.state(),
-            limit: part.map_or(0, |p| p.of(model.bears())),
+            limit: part.map_or(0, |p| p.of(model.limit(self.latest))),
             running: model.running(),
             boot: model.boot(),
         });
@@ -229,13 +242,13 @@
         let Some(active) = closed else { return };
         self.queue.finish(active.account, active.charged, 0);
         if let Some(model) = self.endpoints.get_mut(&active.endpoint) {
-            model.stop();
+            model.stop(active.granted, attempt);
         }
         self.counts.ended += 1;
     }
 
     fn report(&mut self, now: Moment, report: &Report) {
-        if !self.active.contains(report.attempt) && !self.learn(now, report) {
+        if !self.active.contains(report.attempt) && !self.learn(report) {
             return;
         }
         match report.phase {
@@ -384,7 +397,7 @@
     fn start(&mut self, now: Moment, attempt: AttemptId, endpoint: EndpointName) -> Option<Grant> {
         let (waiting, charged) = self.queue.serve(now, attempt)?;
         let model = self.endpoints.get_mut(&endpoint)?;
-        model.start(now);
+        model.start(now, attempt);
         let active = Active {
             account: waiting.account,
             class: waiting.class,
@@ -410,6 +423,31 @@
         }
     }
 
+    fn has_peers(&self) -> bool {
+        let service = self.config.services.get(&self.id.service);
+        service.is_some_and(|s| s.cells > 1)
+    }
+
+    fn tell(&mut self, now: Moment, out: &mut Vec<CellOutput>) {
+        if !self.has_peers() {
+            return;
+        }
+        let accounts = self.exchange.tell(now, &self.queue);
+        if !accounts.is_empty() {
+            out.push(CellOutput::Tell(Totals {
+                cell: self.id.clone(),
+                epoch: self.epoch,
+                accounts,
+            }));
+        }
+    }
+
+    fn hear(&mut self, now: Moment, totals: Totals) {
+        if totals.cell.service == self.id.service && totals.cell != self.id {
+            self.exchange.hear(now, totals, &mut self.queue);
+        }
+    }
+
     fn show(&mut self, out: &mut Vec<CellOutput>) {
         for (name, model) in &mut self.endpoints {
             if let Some(state) = model.changed() {
@@ -422,6 +460,8 @@
 
 fn sight<'a>(active: &'a Active, report: &Report) -> Sight<'a> {
     Sight {
+        attempt: report.attempt,
+        granted: active.granted,
         generation: active.generation,
         entry: active.entry.as_ref(),
         boot: report.boot,
--- a/cornelstand/src/fair.rs
+++ b/cornelstand/src/fair.rs
@@ -4,10 +4,10 @@
 //! the backlogged account with the lowest counter; inside an account interactive requests go
 //! before batch ones, each in order of arrival. The cost of a request is known at its end only:
 //! an estimate is charged on the grant and corrected by progress reports and the outcome. An
-//! account that turns backlogged starts no lower than the lowest counter of the backlogged, so
-//! that no credit is saved up. `docs/design/fairness.md` states the bound on the service gap.
+//! account that turns backlogged starts no lower than the lowest counter of the backlogged has
+//! been, so that no credit is saved up. `docs/design/fairness.md` states the bound on the service gap.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
 use crate::config::Class;
@@ -44,6 +44,8 @@
     name: AccountName,
     share: u32,
     service: u64,
+    /// Service that this cell gave, modulo 2^64.
+    given: u64,
     turn: u64,
     average: u64,
     running: u32,
@@ -92,8 +94,11 @@
     urgent: BTreeSet<Rank>,
     waiting: HashMap<AttemptId, Waiting>,
     deadlines: BTreeSet<(Moment, AttemptId)>,
-    /// Counter that a newly backlogged account starts from when no other is backlogged.
+    /// Highest that the lowest counter of the backlogged has been, from which an account that
+    /// turns backlogged starts. Refunds lower counters, but not this.
     floor: u64,
+    /// Accounts whose counters an earlier owner left, until they turn backlogged here.
+    restored: HashSet<AccountId>,
     turns: u64,
     estimate: u64,
 }
@@ -108,6 +113,7 @@
             waiting: HashMap::new(),
             deadlines: BTreeSet::new(),
             floor: 0,
+            restored: HashSet::new(),
             turns: 0,
             estimate: estimate.clamp(1, COST_LIMIT),
         }
@@ -124,6 +130,7 @@
             name: name.clone(),
             share: share.max(1),
             service: 0,
+            given: 0,
             turn: 0,
             average: self.estimate,
             running: 0,
@@ -141,15 +148,22 @@
         self.rank(id);
     }
 
-    /// Sets the counter and the average of an account, as an earlier owner left them.
+    /// Sets the counter and the average of an account, as an earlier owner left them. It keeps the
+    /// counter when its requests come back.
     pub(crate) fn restore(&mut self, id: AccountId, service: u64, average: u64) {
         self.unrank(id);
         let account = self.at_mut(id);
         account.service = service;
         account.average = average.clamp(1, COST_LIMIT);
+        self.restored.insert(id);
         self.rank(id);
     }
 
+    /// Treats accounts that have not come back since [`Self::restore`] as idle.
+    pub(crate) fn forget_restored(&mut self) {
+        self.restored.clear();
+    }
+
     pub(crate) fn set_floor(&mut self, floor: u64) {
         self.floor = floor;
     }
@@ -192,10 +206,10 @@
     pub(crate) fn push(&mut self, attempt: AttemptId, waiting: Waiting) {
         let id = waiting.account;
         self.unrank(id);
-        if self.waiting_of(id) == 0 {
-            let least = self.least();
+        if self.waiting_of(id) == 0 && !self.restored.remove(&id) {
+            let floor = self.floor;
             let account = self.at_mut(id);
-            account.service = account.service.max(least);
+            account.service = account.service.max(floor);
         }
         let place = (waiting.arrival, attempt);
         self.line(id, waiting.class).insert(place);
@@ -210,12 +224,13 @@
         let id = waiting.account;
         self.deadlines.remove(&(waiting.deadline, attempt));
         self.unrank(id);
-        self.line(id, waiting.class)
-            .remove(&(waiting.arrival, attempt));
-        self.rank(id);
-        if self.backlogged.is_empty() {
-            self.floor = self.floor.max(self.at(id).service);
+        let line = self.line(id, waiting.class);
+        line.remove(&(waiting.arrival, attempt));
+        if line.is_empty() {
+            // A set that was emptied keeps its root node, which idle accounts would pay for.
+            *line = BTreeSet::new();
         }
+        self.rank(id);
         Some(waiting)
     }
 
@@ -279,9 +294,31 @@
         let paid = units(from, account.share);
         let due = units(to, account.share);
         account.service = account.service.saturating_add(due).saturating_sub(paid);
+        account.given = account.given.wrapping_add(due).wrapping_sub(paid);
         self.rank(id);
     }
 
+    /// Adds service that another cell gave to the account.
+    pub(crate) fn shift(&mut self, id: AccountId, service: i64) {
+        self.unrank(id);
+        let account = self.at_mut(id);
+        account.service = account.service.saturating_add_signed(service);
+        self.rank(id);
+    }
+
+    /// Service that this cell gave to the account, modulo 2^64.
+    pub(crate) fn given(&self, id: AccountId) -> u64 {
+        self.at(id).given
+    }
+
+    pub(crate) fn find(&self, name: &AccountName) -> Option<AccountId> {
+        self.ids.get(name).copied()
+    }
+
+    pub(crate) fn backlogged(&self) -> impl Iterator<Item = AccountId> + '_ {
+        self.backlogged.iter().map(|rank| rank.id)
+    }
+
     /// Counts a request as ended, with `charged` replaced by its real cost.
     pub(crate) fn finish(&mut self, id: AccountId, charged: u64, cost: u64) {
         let account = self.at_mut(id);
@@ -327,9 +364,9 @@
         (0..u32::try_from(self.accounts.len()).unwrap_or(u32::MAX)).map(AccountId)
     }
 
-    /// Lowest counter of the backlogged accounts.
-    pub(crate) fn least(&self) -> u64 {
-        self.backlogged.first().map_or(self.floor, |r| r.service)
+    /// Counter that an account that turns backlogged starts from.
+    pub(crate) fn floor(&self) -> u64 {
+        self.floor
     }
 
     fn at(&self, id: AccountId) -> &Account {
@@ -373,6 +410,8 @@
         if !self.at(id).interactive.is_empty() {
             self.urgent.insert(rank);
         }
+        let least = self.backlogged.first().map_or(0, |r| r.service);
+        self.floor = self.floor.max(least);
     }
 }
 
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -18,6 +18,7 @@
 //! ```
 
 mod active;
+mod admit;
 mod agent;
 mod answers;
 mod attempt;
@@ -48,7 +49,9 @@
 mod dispatcher;
 mod endpoint;
 mod entry;
+mod entry_core;
 mod entry_metrics;
+mod exchange;
 mod fair;
 #[cfg(feature = "demo")]
 mod figures;
@@ -57,6 +60,7 @@
 mod flight;
 mod gossip;
 mod handshake;
+mod head;
 mod headers;
 mod holdings;
 mod instance;
@@ -113,11 +117,11 @@
 pub use cell_message::{CellInput, CellOutput};
 pub use cell_status::{AccountStatus, CellStatus, Counts, EndpointStatus};
 pub use claim::{
-    BODY_BYTES, Claim, ClaimId, ClaimState, HexError, MEDIA_BYTES, Recorded, Shard, ShardError,
-    Token,
+    BODY_BYTES, Claim, ClaimAnswer, ClaimCall, ClaimId, ClaimOp, ClaimShard, ClaimShardError,
+    ClaimState, ClaimWish, HexError, MEDIA_BYTES, Recorded, Token,
 };
 pub use claim_shard::{ClaimLimits, WriteEnd};
-pub use claims::{Begun, ClaimBook, ClaimError, ClaimObjects, Ticket};
+pub use claims::{Begun, ClaimBook, ClaimError, ClaimObjects, ClaimRoute, Ticket};
 pub use command::{KEY_FILE_VARIABLE, command};
 pub use config::{Account, Centre, Class, Config, Endpoint, Kind, Repeat, Route, Service};
 pub use containment::SpreadCall;
@@ -132,12 +136,13 @@
     Reply, Report, Running,
 };
 pub use dispatcher::{
-    Ask, Configure, Dispatcher, EntryGone, HandOver, Inspect, Learn, Recover, SetLease, SetLeaving,
-    Tell, Withdraw,
+    Ask, Configure, Dispatcher, EntryGone, HandOver, Hear, Inspect, Learn, Publish, Recover,
+    SetLease, SetLeaving, Tell, Withdraw,
 };
 pub use endpoint::{Load, State};
 pub use entry::{Entry, EntryLimits, EntryParts};
 pub use entry_metrics::EntryMetrics;
+pub use exchange::{Total, Totals};
 #[cfg(feature = "demo")]
 pub use figures::{Span, WINDOW, fairness_gap, gained, service_per_share, utilisation, whole};
 #[cfg(feature = "demo")]
