Let interactive calls pass batch work whenever they wait

Cause: interactive calls passed batch work only once it held three quarters of the slots, a rule with a count of its own. Change: they pass it always, within the patience of four average calls of the batch account that bounds the gap; the count is gone. Keeping two slots free of batch work overflowed the batch account's queue of 256.

--- a/cornelstand/src/active.rs
+++ b/cornelstand/src/active.rs
@@ -28,7 +28,6 @@
 #[derive(Debug, Default)]
 pub(crate) struct ActiveSet {
     all: HashMap<AttemptId, Active>,
-    batch: u32,
     tombs: Tombs,
 }
 
@@ -37,11 +36,6 @@
         self.all.len()
     }
 
-    /// Batch attempts that run.
-    pub(crate) fn batch(&self) -> u32 {
-        self.batch
-    }
-
     pub(crate) fn get(&self, attempt: AttemptId) -> Option<&Active> {
         self.all.get(&attempt)
     }
@@ -60,16 +54,13 @@
     }
 
     pub(crate) fn insert(&mut self, attempt: AttemptId, active: Active) {
-        self.batch += u32::from(active.class.is_batch());
         self.all.insert(attempt, active);
     }
 
     /// Marks an attempt as ended and takes it out, if it runs.
     pub(crate) fn close(&mut self, attempt: AttemptId) -> Option<Active> {
         self.tombs.insert(attempt);
-        let active = self.all.remove(&attempt)?;
-        self.batch -= u32::from(active.class.is_batch());
-        Some(active)
+        self.all.remove(&attempt)
     }
 
     /// The attempts that `entry` runs.
--- a/cornelstand/src/cell.rs
+++ b/cornelstand/src/cell.rs
@@ -24,9 +24,6 @@
 /// Cost of a call of a service that is not configured.
 const DEFAULT_ESTIMATE: u64 = 100;
 
-/// Batch work may hold this many quarters of the slots while interactive work waits.
-const BATCH_QUARTERS: u32 = 3;
-
 /// Time after a handover in which waiting requests come back to the next owner.
 const COMEBACK: Duration = Duration::from_secs(5);
 
@@ -368,9 +365,7 @@
         if self.queue.is_empty() {
             return;
         }
-        let slots: u32 = self.endpoints.values().map(|m| part.of(m.bears())).sum();
-        let batch_limit = (slots * BATCH_QUARTERS).div_ceil(4);
-        while let Some(attempt) = self.queue.next(self.active.batch() >= batch_limit) {
+        while let Some(attempt) = self.queue.next() {
             let Some(endpoint) = self.pick(now, part, attempt) else {
                 return;
             };
--- a/cornelstand/src/fair.rs
+++ b/cornelstand/src/fair.rs
@@ -236,16 +236,16 @@
 
     /// The request to serve next.
     ///
-    /// With `hold_batch`, interactive requests pass batch work of accounts that lag behind by no
-    /// more than [`PATIENCE`] of their average calls.
-    pub(crate) fn next(&self, hold_batch: bool) -> Option<AttemptId> {
+    /// Interactive requests pass batch work of an account that lags behind by no more than
+    /// [`PATIENCE`] of its average calls.
+    pub(crate) fn next(&self) -> Option<AttemptId> {
         let first = self.backlogged.first()?;
         let account = self.at(first.id);
         if let Some((_, attempt)) = account.interactive.first() {
             return Some(*attempt);
         }
-        let urgent = self.urgent.first().filter(|_| hold_batch);
         let slack = units(PATIENCE * account.average, account.share);
+        let urgent = self.urgent.first();
         let account = urgent
             .filter(|u| u.service <= first.service.saturating_add(slack))
             .map_or(account, |u| self.at(u.id));
--- a/cornelstand/tests/decide/main.rs
+++ b/cornelstand/tests/decide/main.rs
@@ -8,3 +8,4 @@
 mod make;
 mod properties;
 mod takeover;
+mod ways;
--- /dev/null
+++ b/cornelstand/tests/decide/ways.rs
@@ -0,0 +1,76 @@
+//! Waits of interactive calls beside a flood of long batch work.
+
+use cornelstand::Class;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::driver::{Driver, Job, Plan};
+use crate::make::flat;
+
+/// Time until the last burst.
+const SPAN_MS: u64 = 60_000;
+
+const SEED: u64 = 4;
+
+fn job(at: u64, account: usize, class: Class, cost: u64) -> Job {
+    Job {
+        at,
+        account,
+        class,
+        cost,
+        hint: None,
+        cancel: None,
+        lost: false,
+        twice: false,
+    }
+}
+
+/// Account `a1` sends six calls of 20 ms each second. With `flood`, `a0` always has batch calls of
+/// 300 to 900 ms waiting, and interactive calls of 100 ms too if `mixed`.
+fn plan(flood: bool, mixed: bool) -> Plan {
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let mut jobs = Vec::new();
+    for at in (1000..SPAN_MS).step_by(1000) {
+        let at = at + rng.random_range(0..600);
+        jobs.extend((0..6).map(|_| job(at, 1, Class::Interactive, 20)));
+    }
+    if flood {
+        let batch = (0..SPAN_MS).step_by(if mixed { 140 } else { 70 });
+        jobs.extend(batch.map(|at| job(at, 0, Class::Batch, rng.random_range(300..900))));
+    }
+    if mixed {
+        let calls = (0..SPAN_MS).step_by(25);
+        jobs.extend(calls.map(|at| job(at, 0, Class::Interactive, 100)));
+    }
+    Plan {
+        shares: vec![1, 1],
+        sizes: vec![flat(4), flat(4)],
+        jobs,
+        restarts: Vec::new(),
+        lag: 0,
+    }
+}
+
+/// Waits of `a1` at the median, at 95 % and at most, in milliseconds.
+fn waits(plan: Plan) -> String {
+    let own: Vec<bool> = plan.jobs.iter().map(|j| j.account == 1).collect();
+    let outcome = Driver::new(plan).run();
+    let waits = outcome.waits.into_iter().filter(|(job, _)| own[*job]);
+    let mut waits: Vec<u64> = waits.map(|(_, wait)| wait).collect();
+    waits.sort_unstable();
+    let at = |percent: usize| waits[(waits.len() - 1) * percent / 100];
+    assert_eq!(outcome.idle, 0);
+    assert!(outcome.gap_percent <= 100);
+    format!("{} {} {}", at(50), at(95), at(100))
+}
+
+#[test]
+fn interactive_calls_wait_for_the_next_slots_only() {
+    let lines = [(false, false), (true, false), (true, true)]
+        .map(|(flood, mixed)| format!("{flood} {mixed}: {}", waits(plan(flood, mixed))));
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    false false: 0 0 0
+    true false: 84 229 363
+    true true: 63 105 140
+    ");
+}
