Find a restarted endpoint sooner and measure its ramp

Cause: the backoff of probes made an endpoint wait up to as long again as it had been away, and a suspect endpoint got single probes until a whole answer came. Change: a load report of a new boot lets the next probe start at once, a reply that shows the boot ends the suspicion, probes are at most 10 s apart.

--- a/cornelstand/src/cell.rs
+++ b/cornelstand/src/cell.rs
@@ -265,7 +265,7 @@
         }
         let sight = sight(active, report);
         if let Some(model) = self.endpoints.get_mut(&active.endpoint) {
-            model.sight(now, sight);
+            model.progress(now, sight);
         }
     }
 
--- a/cornelstand/src/endpoint.rs
+++ b/cornelstand/src/endpoint.rs
@@ -302,7 +302,14 @@
     }
 
     /// Takes in what a running attempt showed.
-    pub(crate) fn sight(&mut self, now: Moment, sight: Sight<'_>) {
+    pub(crate) fn progress(&mut self, now: Moment, sight: Sight<'_>) {
+        self.sight(now, sight);
+        if sight.boot.is_some() && sight.generation == self.generation {
+            self.probe.clear();
+        }
+    }
+
+    fn sight(&mut self, now: Moment, sight: Sight<'_>) {
         let Some(boot) = sight.boot else { return };
         if self.boot != Some(boot) && self.retired.contains(&boot) {
             self.revive(now, boot, sight.generation);
@@ -350,6 +357,9 @@
             self.cut();
         }
         let known = self.load.filter(|(boot, _)| *boot == load.boot);
+        if known.is_none() && self.boot.is_none() {
+            self.probe.hasten(now);
+        }
         let answers = known.map_or(0, |(_, answers)| answers);
         self.load = Some((load.boot, load.answers.max(answers)));
     }
--- a/cornelstand/src/probe.rs
+++ b/cornelstand/src/probe.rs
@@ -15,7 +15,7 @@
 const PROBE_FIRST: Duration = Duration::from_millis(500);
 
 /// Longest time between probes of a suspect endpoint.
-const PROBE_LAST: Duration = Duration::from_secs(30);
+const PROBE_LAST: Duration = Duration::from_secs(10);
 
 /// Bad outcomes since the latest answer.
 #[derive(Debug)]
@@ -47,12 +47,17 @@
         self.due
     }
 
-    /// Takes in an answer.
+    /// Takes in a sign that the endpoint works.
     pub(crate) fn clear(&mut self) {
         self.strikes = 0;
         self.backoff = PROBE_FIRST;
     }
 
+    /// Lets the next probe start now, because the endpoint has restarted.
+    pub(crate) fn hasten(&mut self, now: Moment) {
+        self.due = self.due.min(now);
+    }
+
     /// Counts a bad outcome, but not at once another of the same entry, whose own network may be
     /// the cause.
     pub(crate) fn strike(&mut self, now: Moment, entry: Option<&InstanceName>) {
--- a/cornelstand/tests/decide/driver.rs
+++ b/cornelstand/tests/decide/driver.rs
@@ -100,6 +100,8 @@
     up: bool,
     answers: u32,
     running: Vec<usize>,
+    /// First request of the boot, until the engine is full.
+    began: Option<u64>,
 }
 
 impl Engine {
@@ -126,6 +128,8 @@
     pub(crate) waits: BTreeMap<usize, u64>,
     /// Largest gap between the counters of two backlogged accounts over its bound, in percent.
     pub(crate) gap_percent: u64,
+    /// Time from the first request of a boot until the engine was full with its warm number.
+    pub(crate) ramps: Vec<u64>,
     /// Time and engine of each request above what the engine bore.
     pub(crate) excess: Vec<(u64, usize)>,
     /// Times that work waited beside a slot that the cell held to be free.
@@ -161,6 +165,7 @@
             up: true,
             answers: 0,
             running: Vec::new(),
+            began: None,
         });
         let mut driver = Self {
             cell: cell(&config),
@@ -342,6 +347,7 @@
         engine.boot += 1;
         engine.answers = 0;
         engine.up = false;
+        engine.began = None;
         let broken = std::mem::take(&mut engine.running);
         self.push(self.now + DOWN_MS, Step::Up(engine_index));
         for job in broken {
@@ -404,6 +410,13 @@
         if running > engine.bears() {
             self.out.excess.push((self.now, number));
         }
+        if running == 1 && engine.answers == 0 {
+            engine.began = Some(self.now);
+        }
+        if running == engine.size.warm {
+            let began = engine.began.take();
+            self.out.ramps.extend(began.map(|began| self.now - began));
+        }
         let boot = engine.boot;
         let cost = self.plan.jobs[job].cost;
         self.open.insert(job, self.now);
--- a/cornelstand/tests/decide/endpoints.rs
+++ b/cornelstand/tests/decide/endpoints.rs
@@ -260,7 +260,7 @@
 fn an_endpoint_that_cannot_be_reached_is_probed_with_backoff() {
     let mut bed = Bed::new();
     let mut probes = Vec::new();
-    while bed.now < 20_000 {
+    loop {
         while !bed.running.is_empty() {
             let start = bed.now;
             bed.end(0, Ending::NotSent);
@@ -269,11 +269,16 @@
             }
             bed.now += 100;
         }
+        if bed.now > 17_000 {
+            break;
+        }
         let due = bed.cell.timer().expect("a probe is due");
         bed.now = due.0 / 1000;
         bed.send(CellInput::Tick);
     }
     insta::assert_snapshot!(format!("{probes:?}"), @"[806, 907, 1308, 2309, 4310, 8311, 16312]");
+    bed.load(2, 0, 0);
+    assert_eq!(bed.running.len(), 1, "the endpoint has restarted");
     bed.end(0, Ending::Answered);
     assert_eq!(bed.limit().0, State::Warming);
 }
--- a/cornelstand/tests/decide/ways.rs
+++ b/cornelstand/tests/decide/ways.rs
@@ -1,11 +1,11 @@
-//! Waits of interactive calls beside a flood of long batch work.
+//! Waits beside a flood of long batch work, and the ramp of an engine after a restart.
 
 use cornelstand::Class;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::driver::{Driver, Job, Plan};
-use crate::make::flat;
+use crate::make::{Size, flat};
 
 /// Time until the last burst.
 const SPAN_MS: u64 = 60_000;
@@ -74,3 +74,44 @@
     true true: 63 105 140
     ");
 }
+
+/// Time until an engine is full that gets a request of `cost` whenever it bears one more.
+fn fastest_ramp(size: Size, cost: u64) -> u64 {
+    let mut ends: Vec<u64> = vec![cost; size.cold as usize];
+    let mut answers = 0;
+    loop {
+        ends.sort_unstable();
+        let now = ends.remove(0);
+        answers += 1;
+        let gained = (size.warm - size.cold) * answers.min(size.ramp) / size.ramp;
+        ends.resize((size.cold + gained) as usize, now + cost);
+        if ends.len() == size.warm as usize {
+            return now;
+        }
+    }
+}
+
+#[test]
+fn a_restarted_engine_is_full_again_within_a_tenth_of_the_fastest_ramp() {
+    const COST: u64 = 100;
+    let size = Size {
+        cold: 2,
+        warm: 10,
+        ramp: 40,
+    };
+    let job = |at| job(at, usize::from(at % 20 == 0), Class::Interactive, COST);
+    let plan = Plan {
+        shares: vec![1, 1],
+        sizes: vec![size],
+        jobs: (0..12_000).step_by(10).map(job).collect(),
+        restarts: vec![(5000, 0)],
+        lag: 1000,
+    };
+    let outcome = Driver::new(plan).run();
+    let fastest = fastest_ramp(size, COST);
+    assert_eq!(outcome.excess, []);
+    assert_eq!(outcome.ramps.len(), 2);
+    for ramp in outcome.ramps {
+        assert!(ramp * 10 <= fastest * 11, "{ramp} ms, fastest {fastest} ms");
+    }
+}
