Give back grants that nobody waits for

Cause: a grant whose asker had gone, because its connection broke while it waited, held its slot until the entry withdrew it. Change: the actor gives such a grant back to the cell at no charge, and the attempt may be offered again. Load polling has a test over HTTP.

--- a/cornelstand/src/active.rs
+++ b/cornelstand/src/active.rs
@@ -63,6 +63,11 @@
         self.all.remove(&attempt)
     }
 
+    /// Takes out an attempt that never started, so that it may be granted again.
+    pub(crate) fn take_back(&mut self, attempt: AttemptId) -> Option<Active> {
+        self.all.remove(&attempt)
+    }
+
     /// The attempts that `entry` runs.
     pub(crate) fn of_entry(&self, entry: &InstanceName) -> Vec<AttemptId> {
         let all = self.all.iter();
--- a/cornelstand/src/cell.rs
+++ b/cornelstand/src/cell.rs
@@ -92,6 +92,10 @@
         match input {
             CellInput::Offer(offer) => self.offer(now, offer, out),
             CellInput::Withdraw(attempt) => self.withdraw(attempt, out),
+            CellInput::Undelivered(attempt) => {
+                let active = self.active.take_back(attempt);
+                self.free_unused(attempt, active);
+            }
             CellInput::Report(report) => self.report(now, &report),
             CellInput::Load { endpoint, load } => self.load(now, &endpoint, load),
             CellInput::Leaving(names) => self.leaving(&names),
@@ -236,7 +240,12 @@
             self.refuse(attempt, Refusal::Cancelled, out);
         }
         // The grant crossed the withdrawal, so the entry never runs the attempt.
-        let Some(active) = closed else { return };
+        self.free_unused(attempt, closed);
+    }
+
+    /// Frees the slot of a granted attempt that no entry runs, at no charge.
+    fn free_unused(&mut self, attempt: AttemptId, active: Option<Active>) {
+        let Some(active) = active else { return };
         self.queue.finish(active.account, active.charged, 0);
         if let Some(model) = self.endpoints.get_mut(&active.endpoint) {
             model.stop(active.granted, attempt);
--- a/cornelstand/src/cell_message.rs
+++ b/cornelstand/src/cell_message.rs
@@ -17,6 +17,8 @@
     Offer(Offer),
     /// An entry takes an offer back.
     Withdraw(AttemptId),
+    /// A grant found nobody who waits for it. The attempt may be offered again.
+    Undelivered(AttemptId),
     /// An entry tells how a granted attempt goes.
     Report(Report),
     /// An endpoint reported its load.
--- a/cornelstand/src/dispatcher.rs
+++ b/cornelstand/src/dispatcher.rs
@@ -146,10 +146,16 @@
     }
 
     fn handle(&mut self, input: CellInput) {
-        let Some(cell) = &mut self.cell else { return };
-        cell.handle(self.clock.now(), input, &mut self.out);
-        let due = cell.timer();
-        self.carry_out();
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            let Some(cell) = &mut self.cell else { return };
+            cell.handle(self.clock.now(), input, &mut self.out);
+            for output in std::mem::take(&mut self.out) {
+                let undelivered = self.carry_out(output);
+                inputs.extend(undelivered.map(CellInput::Undelivered));
+            }
+        }
+        let due = self.cell.as_ref().and_then(Cell::timer);
         self.timer.send_if_modified(|t| {
             let changed = *t != due;
             *t = due;
@@ -157,29 +163,34 @@
         });
     }
 
-    fn carry_out(&mut self) {
-        for output in std::mem::take(&mut self.out) {
-            match output {
-                CellOutput::Grant(grant) => self.reply(grant.attempt, Ok(grant)),
-                CellOutput::Refuse { attempt, refusal } => self.reply(attempt, Err(refusal)),
-                CellOutput::Tell(totals) => {
-                    // Later totals make up for any that are dropped.
-                    self.totals.as_ref().map(|peers| peers.try_send(totals));
-                }
-                CellOutput::Changed { endpoint, state } => {
-                    let state = state.to_string();
-                    self.timeline
-                        .record(Topic::Endpoint, &state, endpoint.as_str(), None);
-                }
+    /// Carries out one effect. Returns the attempt of a grant that nobody waits for.
+    fn carry_out(&mut self, output: CellOutput) -> Option<AttemptId> {
+        match output {
+            CellOutput::Grant(grant) => {
+                let attempt = grant.attempt;
+                let delivered = self.reply(attempt, Ok(grant));
+                return (!delivered).then_some(attempt);
+            }
+            CellOutput::Refuse { attempt, refusal } => {
+                self.reply(attempt, Err(refusal));
+            }
+            CellOutput::Tell(totals) => {
+                // Later totals make up for any that are dropped.
+                self.totals.as_ref().map(|peers| peers.try_send(totals));
+            }
+            CellOutput::Changed { endpoint, state } => {
+                let state = state.to_string();
+                self.timeline
+                    .record(Topic::Endpoint, &state, endpoint.as_str(), None);
             }
         }
+        None
     }
 
-    /// Gives the reply to whoever waits for it. Who does not wait any more has withdrawn.
-    fn reply(&mut self, attempt: AttemptId, reply: Reply) {
-        if let Some(sender) = self.replies.remove(&attempt) {
-            drop(sender.send(reply));
-        }
+    /// Gives the reply to whoever waits for it, and tells whether anybody does.
+    fn reply(&mut self, attempt: AttemptId, reply: Reply) -> bool {
+        let sender = self.replies.remove(&attempt);
+        sender.is_some_and(|s| s.send(reply).is_ok())
     }
 }
 
--- a/cornelstand/tests/decide/actor.rs
+++ b/cornelstand/tests/decide/actor.rs
@@ -1,20 +1,25 @@
 //! The actor around a cell, in paused time.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use cornelstand::{
-    Ask, Clock, Dispatcher, Ending, Epoch, HandOver, Inspect, Offer, Part, Refusal, Reply,
-    SetLease, Tell, Tenure, Timeline, Withdraw,
+    Ask, BootId, Clock, Config, Dispatcher, Ending, Epoch, HandOver, Inspect, Offer, Part, Phase,
+    Refusal, Reply, Report, SetLease, Tell, Tenure, Timeline, Withdraw,
 };
 use tokio::sync::oneshot::Receiver;
 use xtra::Address;
 
-use crate::make::{attempt, config, ended, flat, offer};
+use crate::make::{Size, attempt, config, ended, flat, offer};
+use warp::Filter;
 
 /// A dispatcher of one slot that owns its cell for ten seconds.
 async fn start() -> Address<Dispatcher> {
+    start_with(config(&[1], &[flat(1)])).await
+}
+
+async fn start_with(config: Arc<Config>) -> Address<Dispatcher> {
     let clock = Clock::start();
-    let config = config(&[1], &[flat(1)]);
     let cell = cornelstand::Cell::new(crate::make::cell_id(), Epoch(2), config, clock.now());
     let timeline = Timeline::new("i0".into(), 10);
     let dispatcher = Dispatcher::spawn(cell, clock, timeline);
@@ -76,6 +81,56 @@
     );
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_grant_that_nobody_waits_for_is_passed_on_and_may_be_asked_for_again() {
+    let dispatcher = start().await;
+    let first = ask(&dispatcher, 1, 60).await;
+    let grant = first.await.expect("a reply").expect("a grant");
+    drop(ask(&dispatcher, 2, 60).await);
+    let third = ask(&dispatcher, 3, 60).await;
+    let reports = vec![ended(&grant, "a0", 10, Ending::Answered)];
+    dispatcher.send(Tell(reports)).await.expect("it runs");
+    let grant = third.await.expect("a reply").expect("a grant");
+    let second = ask(&dispatcher, 2, 60).await;
+    let reports = vec![ended(&grant, "a0", 10, Ending::Answered)];
+    dispatcher.send(Tell(reports)).await.expect("it runs");
+    assert!(second.await.expect("a reply").is_ok());
+}
+
+#[tokio::test]
+async fn load_reports_are_polled() {
+    let load = r#"{ "boot": 7, "running": 1, "waiting": 0, "answers": 100 }"#;
+    let filter = warp::path!("load").map(move || load);
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(warp::serve(filter).incoming(listener).run());
+
+    let size = Size {
+        cold: 1,
+        warm: 8,
+        ramp: 50,
+    };
+    let mut config = (*config(&[1], &[size])).clone();
+    for endpoint in config.endpoints.values_mut() {
+        endpoint.address = address;
+    }
+    let dispatcher = start_with(config.into()).await;
+    let first = ask(&dispatcher, 1, 60).await;
+    let grant = first.await.expect("a reply").expect("a grant");
+    let report = Report {
+        boot: Some(BootId(7)),
+        phase: Phase::Running,
+        ..ended(&grant, "a0", 1, Ending::Answered)
+    };
+    dispatcher.send(Tell(vec![report])).await.expect("it runs");
+    let second = ask(&dispatcher, 2, 60).await;
+    assert!(
+        second.await.expect("a reply").is_ok(),
+        "the report counts 100 answers"
+    );
+}
+
 #[tokio::test(start_paused = true)]
 async fn after_a_handover_the_next_owner_is_named() {
     let dispatcher = start().await;
