Check service by share over any ten seconds

Cause: the target of 1.05 had no check in the pure runs. Change: a run of four accounts with unequal shares and costs, all backlogged, compares what the engines ran in every window of 10 s.

--- a/cornelstand/tests/decide/driver.rs
+++ b/cornelstand/tests/decide/driver.rs
@@ -134,6 +134,10 @@
     pub(crate) excess: Vec<(u64, usize)>,
     /// Times that work waited beside a slot that the cell held to be free.
     pub(crate) idle: u32,
+    /// Jobs refused because their queue was full.
+    pub(crate) full: usize,
+    /// Account, start and end of what engines ran.
+    pub(crate) spans: Vec<(usize, u64, u64)>,
     /// When the last job ended.
     pub(crate) end: u64,
     /// Status at the end.
@@ -294,10 +298,12 @@
     }
 
     fn finish(&mut self, job: usize, boot: u64) {
-        if self.open.remove(&job).is_none() {
+        let Some(start) = self.open.remove(&job) else {
             return;
-        }
+        };
         self.leave(job);
+        let account = self.plan.jobs[job].account;
+        self.out.spans.push((account, start, self.now));
         let engine = self.engines.iter_mut().find(|e| e.boot == boot);
         engine.expect("an engine of that boot").answers += 1;
         let cost = self.plan.jobs[job].cost;
@@ -376,7 +382,7 @@
         for output in out {
             match output {
                 CellOutput::Grant(grant) => self.grant(grant),
-                CellOutput::Refuse { refusal, .. } => assert_eq!(refusal, Refusal::Cancelled),
+                CellOutput::Refuse { refusal, .. } => self.refuse(&refusal),
                 CellOutput::Changed { .. } | CellOutput::Tell(_) => {}
             }
         }
@@ -391,6 +397,14 @@
         self.check();
     }
 
+    fn refuse(&mut self, refusal: &Refusal) {
+        if let Refusal::QueueFull { .. } = refusal {
+            self.out.full += 1;
+        } else {
+            assert_eq!(*refusal, Refusal::Cancelled);
+        }
+    }
+
     fn grant(&mut self, grant: Grant) {
         let job = usize::try_from(grant.attempt.request.0).expect("a job");
         let number: usize = grant.endpoint.as_str()[1..].parse().expect("a number");
--- a/cornelstand/tests/decide/ways.rs
+++ b/cornelstand/tests/decide/ways.rs
@@ -59,7 +59,7 @@
     let mut waits: Vec<u64> = waits.map(|(_, wait)| wait).collect();
     waits.sort_unstable();
     let at = |percent: usize| waits[(waits.len() - 1) * percent / 100];
-    assert_eq!(outcome.idle, 0);
+    assert_eq!((outcome.idle, outcome.full), (0, 0));
     assert!(outcome.gap_percent <= 100);
     format!("{} {} {}", at(50), at(95), at(100))
 }
@@ -115,3 +115,52 @@
         assert!(ramp * 10 <= fastest * 11, "{ramp} ms, fastest {fastest} ms");
     }
 }
+
+/// Largest over smallest service by share, in thousandths, over all windows of 10 s in the steady
+/// state.
+fn worst_ratio(shares: &[u32], spans: &[(usize, u64, u64)], until: u64) -> u64 {
+    const WINDOW_MS: u64 = 10_000;
+    let service = |account: usize, from: u64| {
+        let own = spans.iter().filter(|(a, ..)| *a == account);
+        let inside = own.map(|(_, start, end)| {
+            let end = (*end).min(from + WINDOW_MS);
+            end.saturating_sub((*start).max(from))
+        });
+        inside.sum::<u64>() * 1_000_000 / u64::from(shares[account])
+    };
+    let ratio = |from: u64| {
+        let services = (0..shares.len()).map(|a| service(a, from));
+        let services: Vec<u64> = services.collect();
+        let most = services.iter().max().copied().unwrap_or(0);
+        let least = services.iter().min().copied().unwrap_or(0);
+        most * 1000 / least.max(1)
+    };
+    let starts = (WINDOW_MS..until - WINDOW_MS).step_by(500);
+    starts.map(ratio).max().unwrap_or(0)
+}
+
+#[test]
+fn service_by_share_is_within_a_twentieth_over_any_ten_seconds() {
+    const SHARES: [u32; 4] = [4, 2, 1, 1];
+    const COSTS: [u64; 4] = [50, 150, 250, 400];
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let mut jobs = Vec::new();
+    for (account, cost) in COSTS.iter().enumerate() {
+        // An eighth more than the account's share of 32 slots.
+        let gap = 8 * cost * 8 / (32 * 9 * u64::from(SHARES[account]));
+        for at in (0..30_000).step_by(usize::try_from(gap.max(1)).expect("small")) {
+            let cost = rng.random_range(cost / 2..cost * 3 / 2);
+            jobs.push(job(at, account, Class::Interactive, cost));
+        }
+    }
+    let plan = Plan {
+        shares: SHARES.to_vec(),
+        sizes: vec![flat(8); 4],
+        jobs,
+        restarts: Vec::new(),
+        lag: 0,
+    };
+    let outcome = Driver::new(plan).run();
+    let ratio = worst_ratio(&SHARES, &outcome.spans, 30_000);
+    assert!(ratio <= 1050, "{ratio} thousandths");
+}
