Hold a slow upload against the caller, not the endpoint

A body that its caller sent too slowly ended the attempt as a silent endpoint, which costs the endpoint part of its limit. The body knows now whether the endpoint waits for the caller's bytes; such an attempt ends as cancelled and the caller hears that its body is incomplete.

Before: ending silent, 504.

--- a/cornelstand/src/body.rs
+++ b/cornelstand/src/body.rs
@@ -5,6 +5,7 @@
 //! streamed and can be sent once.
 
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -62,7 +63,15 @@
 pub(crate) struct StreamBody {
     ahead: Bytes,
     rest: Arc<Mutex<Option<Rest>>>,
-    fault: Arc<OnceLock<BodyError>>,
+    progress: Arc<Progress>,
+}
+
+/// How the passing on of a body goes.
+#[derive(Debug, Default)]
+struct Progress {
+    /// The endpoint waits for the caller's next bytes.
+    awaits: AtomicBool,
+    fault: OnceLock<BodyError>,
 }
 
 impl std::fmt::Debug for StreamBody {
@@ -93,7 +102,7 @@
         Ok(Self::Stream(StreamBody {
             ahead,
             rest: Arc::new(Mutex::new(Some(rest))),
-            fault: Arc::default(),
+            progress: Arc::default(),
         }))
     }
 
@@ -122,7 +131,15 @@
     pub(crate) fn fault(&self) -> Option<BodyError> {
         match self {
             Self::Whole(_) => None,
-            Self::Stream(s) => s.fault.get().copied(),
+            Self::Stream(s) => s.progress.fault.get().copied(),
+        }
+    }
+
+    /// Tells whether the endpoint waits for the caller's next bytes.
+    pub(crate) fn is_awaited(&self) -> bool {
+        match self {
+            Self::Whole(_) => false,
+            Self::Stream(s) => s.progress.awaits.load(Ordering::Relaxed),
         }
     }
 
@@ -139,19 +156,22 @@
 impl StreamBody {
     fn upload(&self) -> impl Stream<Item = Result<Bytes, BodyError>> + Send + 'static {
         let source = self.rest.clone();
-        let fault = self.fault.clone();
+        let progress = self.progress.clone();
         let ahead = Some(self.ahead.clone());
-        let state = (ahead, None::<Rest>, source, fault);
-        futures::stream::unfold(state, |(ahead, rest, source, fault)| async move {
+        let state = (ahead, None::<Rest>, source, progress);
+        futures::stream::unfold(state, |(ahead, rest, source, progress)| async move {
             let mut rest = rest.or_else(|| lock(&source).take())?;
             if let Some(ahead) = ahead {
-                return Some((Ok(ahead), (None, Some(rest), source, fault)));
+                return Some((Ok(ahead), (None, Some(rest), source, progress)));
             }
-            let next = futures::StreamExt::next(&mut rest).await?;
+            progress.awaits.store(true, Ordering::Relaxed);
+            let next = futures::StreamExt::next(&mut rest).await;
+            progress.awaits.store(false, Ordering::Relaxed);
+            let next = next?;
             if let Err(e) = &next {
-                let _ = fault.set(*e);
+                let _ = progress.fault.set(*e);
             }
-            Some((next, (None, Some(rest), source, fault)))
+            Some((next, (None, Some(rest), source, progress)))
         })
     }
 }
--- a/cornelstand/src/call.rs
+++ b/cornelstand/src/call.rs
@@ -17,7 +17,7 @@
 use tokio::time::sleep;
 
 use crate::attempt::{Loss, NotRun, Ready, Sent, Unsent, Verdict};
-use crate::body::CallBody;
+use crate::body::{BodyError, CallBody};
 use crate::caller::{Caller, Gone};
 use crate::claim::Recorded;
 use crate::claims::{Begun, Ticket};
@@ -320,20 +320,18 @@
 
     /// A sent attempt has no answer: tries again if that is allowed.
     pub(crate) async fn lost(&mut self, sent: Sent, loss: Loss, leg: Leg, caller: Caller) -> Step {
-        self.note_loss(loss, &leg);
-        self.avoid(&leg.flight);
-        let Leg { flight, address } = leg;
         let attempt = sent.lost(loss);
-        if let Some(fault) = self.body.fault() {
-            flight.cancel(address);
+        if let Some(fault) = self.upload_fault(loss) {
+            leg.flight.cancel(leg.address);
             let problem = refusal::body_broke(attempt, fault);
             return self.give_up(caller, problem).await;
         }
-        let leg = Leg { flight, address };
+        self.note_loss(loss, &leg);
+        self.avoid(&leg.flight);
         if loss.is_broken() {
             self.examine(&leg).await;
         }
-        let flight = leg.flight;
+        let Leg { flight, address } = leg;
         if !self.is_claimed() && self.core.clock.now() >= self.deadline {
             flight.cancel(address);
             return self.give_up(caller, refusal::late(attempt)).await;
@@ -346,6 +344,13 @@
         self.give_up(caller, refusal::lost(attempt, loss)).await
     }
 
+    /// What the caller's body has to do with a loss.
+    fn upload_fault(&self, loss: Loss) -> Option<BodyError> {
+        let is_slow = loss.is_silent() && self.body.is_awaited();
+        let slow = is_slow.then_some(BodyError::Slow);
+        self.body.fault().or(slow)
+    }
+
     /// The caller has gone while nothing runs.
     async fn leave(&mut self, ready: Ready, caller: Caller) -> Step {
         let open = caller.leave();
--- a/cornelstand/tests/entry/connections.rs
+++ b/cornelstand/tests/entry/connections.rs
@@ -193,3 +193,43 @@
     }
     next.abort();
 }
+
+#[rstest]
+#[case::slower_than_the_idle_deadline(100, 30_000)]
+#[case::slower_than_the_first_byte(30_000, 100)]
+#[tokio::test]
+async fn a_slow_upload_is_not_held_against_the_endpoint(#[case] idle: u64, #[case] first: u64) {
+    let limits = EntryLimits {
+        idle_ms: idle,
+        first_ms: first,
+        body_ms: 30_000,
+        ..limits()
+    };
+    let fleet = Fleet::start(&[echo().await], limits).await;
+    let head = format!(
+        "POST /app/stock HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
+         content-length: 9000\r\n\r\n{}",
+        "z".repeat(1_500)
+    );
+    let answer = exchange(fleet.address, head.as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    assert!(answer.contains("\"outcome\":\"unknown\""), "{answer}");
+    assert_eq!(fleet.endings(), [cornelstand::Ending::Cancelled]);
+}
+
+#[tokio::test]
+async fn a_stopping_entry_ends_the_open_exchanges() {
+    let fleet = Fleet::start(&[long_answer(1 << 20).await], EntryLimits::default()).await;
+    let mut running = fleet.get("/app/stock").send().await.unwrap();
+    let idle = TcpStream::connect(fleet.address).await.unwrap();
+    let address = fleet.address;
+    let served = fleet.stop();
+    let mut bytes = 0;
+    while let Some(piece) = running.chunk().await.unwrap() {
+        bytes += piece.len();
+    }
+    assert_eq!(bytes, 1 << 20);
+    timeout(LONG, served).await.unwrap().unwrap();
+    TcpStream::connect(address).await.unwrap_err();
+    drop(idle);
+}
--- a/cornelstand/tests/entry/fleet.rs
+++ b/cornelstand/tests/entry/fleet.rs
@@ -21,6 +21,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch};
+use tokio::task::JoinHandle;
 use warp::Filter;
 
 /// An address that nothing listens at.
@@ -128,7 +129,8 @@
     pub(crate) peers: Peers,
     pub(crate) reports: Arc<Mutex<Vec<Report>>>,
     pub(crate) config: watch::Sender<Arc<Config>>,
-    _stop: oneshot::Sender<()>,
+    served: JoinHandle<()>,
+    stop: oneshot::Sender<()>,
 }
 
 impl Fleet {
@@ -184,7 +186,7 @@
         let address = listener.local_addr().unwrap();
         let (stop, stopped) = oneshot::channel::<()>();
         let serving = entry.clone();
-        tokio::spawn(async move {
+        let served = tokio::spawn(async move {
             serving
                 .serve(listener, async move { drop(stopped.await) })
                 .await;
@@ -195,10 +197,17 @@
             peers,
             reports,
             config,
-            _stop: stop,
+            served,
+            stop,
         }
     }
 
+    /// Asks the entry to stop and returns what ends when it has.
+    pub(crate) fn stop(self) -> JoinHandle<()> {
+        self.stop.send(()).unwrap();
+        self.served
+    }
+
     pub(crate) fn url(&self, path: &str) -> String {
         format!("http://{}{path}", self.address)
     }
--- a/cornelstand/tests/entry/main.rs
+++ b/cornelstand/tests/entry/main.rs
@@ -6,5 +6,6 @@
 mod fleet;
 mod orders;
 mod parsers;
+mod problems;
 mod streams;
 mod suspects;
