Ask about long answers in one piece without replacing the pool

Every answer in one piece that took more than three seconds made the entry ask the engine for its stream and replace the endpoint's connections, although nothing was wrong. The pool is replaced only when a silent connection was found, and the wait is a limit of the entry, probe_ms.

Before: a pool replaced for each long answer.

--- a/cornelstand/src/entry.rs
+++ b/cornelstand/src/entry.rs
@@ -49,6 +49,8 @@
     pub buffer_bytes: usize,
     /// Milliseconds from sending to the first byte of the answer.
     pub first_ms: u64,
+    /// Milliseconds without a head after which a model engine is asked whether it has the request.
+    pub probe_ms: u64,
     /// Milliseconds between two pieces of a body or answer, on either side.
     pub idle_ms: u64,
     /// Milliseconds until the answer begins, where the caller states no deadline.
@@ -67,6 +69,7 @@
             replay_bytes: 256 * 1024,
             buffer_bytes: 64 << 20,
             first_ms: 60_000,
+            probe_ms: 3_000,
             idle_ms: 20_000,
             deadline_ms: 300_000,
             connections: 2_048,
@@ -79,6 +82,10 @@
         Duration::from_millis(self.first_ms)
     }
 
+    pub(crate) fn probe(&self) -> Duration {
+        Duration::from_millis(self.probe_ms)
+    }
+
     pub(crate) fn idle(&self) -> Duration {
         Duration::from_millis(self.idle_ms)
     }
--- a/cornelstand/src/head.rs
+++ b/cornelstand/src/head.rs
@@ -17,9 +17,6 @@
 use crate::relay::{Origin, Resumed};
 use crate::upstream::Upcall;
 
-/// Wait for the head after which an engine is asked whether it knows the stream.
-const PROBE: Duration = Duration::from_secs(3);
-
 /// Why there is no head.
 pub(crate) enum HeadError {
     /// No connection was made.
@@ -49,7 +46,7 @@
             other => return other,
         };
         match origin.resume(0).await {
-            Resumed::Stream(answer) => Ok(answer),
+            Resumed::Stream(answer) => Ok(self.picked_up(answer, origin)),
             Resumed::Unknown | Resumed::Failed => Err(HeadError::Lost(loss)),
         }
     }
@@ -65,10 +62,12 @@
         if self.kind == Kind::Model {
             tokio::select! {
                 reply = &mut send => return head_of(reply),
-                () = sleep(PROBE) => {}
+                () = sleep(self.core.limits.probe()) => {}
             }
             match origin.resume(0).await {
-                Resumed::Stream(answer) if self.is_resumable() => return Ok(answer),
+                Resumed::Stream(answer) if self.is_resumable() => {
+                    return Ok(self.picked_up(answer, origin));
+                }
                 Resumed::Unknown => return Err(HeadError::Lost(Loss::Silent)),
                 Resumed::Stream(_) | Resumed::Failed => {}
             }
@@ -76,6 +75,12 @@
         head_of(send.await)
     }
 
+    /// The engine has the stream, and the connection that it was asked on did not bring it.
+    fn picked_up(&self, answer: Response, origin: &Origin) -> Response {
+        self.core.replace_pool(origin.address);
+        answer
+    }
+
     /// Tells whether the answer is a stream that the engine can give again.
     fn is_resumable(&self) -> bool {
         let CallBody::Whole(body) = &self.body else {
--- a/cornelstand/src/relay.rs
+++ b/cornelstand/src/relay.rs
@@ -141,6 +141,9 @@
             *resumes += 1;
             scanner.rewind();
             let chunks = scanner.chunks();
+            if loss.is_silent() {
+                self.origin.core.replace_pool(self.origin.address);
+            }
             self.stream = match self.origin.resume(chunks).await {
                 Resumed::Stream(answer) => answer.bytes_stream().boxed(),
                 Resumed::Unknown | Resumed::Failed => return Err(loss),
@@ -162,7 +165,6 @@
 impl Origin {
     /// Asks on a new connection for the rest of the stream after `chunks` of it.
     pub(crate) async fn resume(&self, chunks: u64) -> Resumed {
-        self.core.replace_pool(self.address);
         let upstreams = &self.core.upstreams;
         let request = upstreams.resume(self.address, self.attempt, chunks);
         let resumed = match tokio::time::timeout(RESUME, request).await {
--- a/cornelstand/tests/entry/streams.rs
+++ b/cornelstand/tests/entry/streams.rs
@@ -104,7 +104,7 @@
 async fn a_connection_that_went_silent_is_not_used_again() {
     let engine = engine();
     let limits = EntryLimits {
-        first_ms: 300,
+        probe_ms: 300,
         ..EntryLimits::default()
     };
     let fleet = Fleet::start(&[engine.address()], limits).await;
@@ -181,3 +181,24 @@
     let crashes: u64 = engines.iter().map(|e| e.counts().crashes).sum();
     assert_eq!(crashes, 2);
 }
+
+#[tokio::test]
+async fn a_long_answer_in_one_piece_is_waited_for() {
+    let engine = engine();
+    let limits = EntryLimits {
+        probe_ms: 50,
+        ..EntryLimits::default()
+    };
+    let fleet = Fleet::start(&[engine.address()], limits).await;
+    let body = serde_json::json!({
+        "model": "stitch",
+        "max_tokens": 250,
+        "messages": [{ "role": "user", "content": "five zips" }],
+    });
+    let answer = fleet.post("/model/v1/chat/completions").json(&body).send();
+    let answer: serde_json::Value = answer.await.unwrap().json().await.unwrap();
+    assert_eq!(answer["usage"]["completion_tokens"], 250);
+    assert_eq!((engine.counts().runs, engine.counts().resumed), (1, 1));
+    let cost = fleet.reports.lock().unwrap().last().unwrap().cost;
+    assert_eq!(answer["usage"]["total_tokens"], cost);
+}
