--- a/cornelstand/tests/entry/connections.rs
+++ b/cornelstand/tests/entry/connections.rs
@@ -233,3 +233,15 @@
     TcpStream::connect(address).await.unwrap_err();
     drop(idle);
 }
+
+#[tokio::test]
+async fn long_bodies_pass_both_ways_as_they_are() {
+    use warp::Filter;
+    let mirror = warp::body::bytes().map(|body: bytes::Bytes| body.to_vec());
+    let mirror = crate::fleet::endpoint(mirror).await;
+    let fleet = Fleet::start(&[mirror], EntryLimits::default()).await;
+    let body: Vec<u8> = (0..8_u32 << 20).map(|i| (i % 251) as u8).collect();
+    let answer = fleet.post("/app/stock").body(body.clone()).send();
+    let answer = answer.await.unwrap().bytes().await.unwrap();
+    assert!(answer == body);
+}
--- a/cornelstand/tests/entry/fleet.rs
+++ b/cornelstand/tests/entry/fleet.rs
@@ -26,6 +26,7 @@
 
 /// An address that nothing listens at.
 pub(crate) const UNREACHABLE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+pub(crate) const OTHER_KEY: &str = "ndege-desk-key";
 pub(crate) const KEY: &str = "tessel-counter-key";
 
 pub(crate) fn route(prefix: &str, repeat: Repeat) -> Route {
@@ -49,13 +50,16 @@
 }
 
 pub(crate) fn config(endpoints: &[SocketAddr]) -> Config {
-    let account = Account {
+    let account = |key| Account {
         share: 1,
-        keys: vec![key_hash(KEY)],
+        keys: vec![key_hash(key)],
         queue: 16,
     };
     let mut config = Config {
-        accounts: BTreeMap::from([(AccountName::from("tessel"), account)]),
+        accounts: BTreeMap::from([
+            (AccountName::from("tessel"), account(KEY)),
+            (AccountName::from("ndege"), account(OTHER_KEY)),
+        ]),
         services: BTreeMap::from([
             (ServiceName::from("app"), service(Kind::Plain)),
             (ServiceName::from("model"), service(Kind::Model)),
--- a/cornelstand/tests/entry/orders.rs
+++ b/cornelstand/tests/entry/orders.rs
@@ -5,7 +5,7 @@
 use cornelstand::EntryLimits;
 use stand_ins::{ObjectFaults, Outage, PlainFaults};
 
-use crate::fleet::{Fleet, echo, order, plain, problem, refusing, store};
+use crate::fleet::{Fleet, OTHER_KEY, echo, order, plain, problem, refusing, store};
 
 #[tokio::test]
 async fn an_order_sent_again_through_another_entry_gets_the_recorded_answer() {
@@ -104,3 +104,21 @@
     assert_eq!(again.headers()["idempotent-replayed"], "true");
     assert_eq!(app.runs().keys["gel-1"], 1);
 }
+
+#[tokio::test]
+async fn an_idempotency_key_of_one_account_finds_no_order_of_another() {
+    let (store, app) = (store(), plain(PlainFaults::default()));
+    let limits = EntryLimits::default();
+    let fleet = Fleet::on_store(&[app.address()], limits, Some(store.address())).await;
+    let own = order(&fleet, "gel-1", "lee 201").send().await.unwrap();
+    assert_eq!(own.status(), 200);
+    fleet.idle().await;
+    let other = reqwest::Client::new().post(fleet.url("/app/orders/gel"));
+    let other = other
+        .bearer_auth(OTHER_KEY)
+        .header("idempotency-key", "gel-1");
+    let other = other.body("lee 201").send().await.unwrap();
+    assert_eq!(other.status(), 200);
+    assert!(!other.headers().contains_key("idempotent-replayed"));
+    assert_eq!(app.runs().keys["gel-1"], 2);
+}
