Do not use a grant that spans a pause of the process

An entry that was stopped for a time went on with the grant in its hands, although its slot may have been given to others and its data centre taken out meanwhile. A ticker shows gaps of a second and more; a grant whose offer began before such a gap is reported as not sent and asked for again.

Before: the grant was used.

--- a/cornelstand/src/call.rs
+++ b/cornelstand/src/call.rs
@@ -158,6 +158,7 @@
             }
             Err(Gone) => return self.leave(ready, caller).await,
         }
+        let pauses = self.core.pauses.count();
         let grant = match self.offer(&ready, &mut caller).await {
             Ok(Ok(grant)) => grant,
             Ok(Err(no)) => return self.give_up(caller, refusal::refused(ready, &no)).await,
@@ -165,6 +166,11 @@
         };
         self.record("granted", grant.endpoint.as_str());
         let flight = Flight::begin(self, grant);
+        if self.core.pauses.has_paused(pauses, self.core.clock.now()) {
+            flight.end(Ending::NotSent);
+            self.count_retry("paused");
+            return Step::Again(ready.next(), caller);
+        }
         if self.is_claim_late() {
             flight.end(Ending::NotSent);
             return self.give_up(caller, refusal::claim_late(ready)).await;
--- a/cornelstand/src/entry.rs
+++ b/cornelstand/src/entry.rs
@@ -157,8 +157,14 @@
         let handle = move |request| handle(core.clone(), request);
         let limits = self.core.limits.connection();
         let open = self.core.metrics.connections.clone();
-        listener::serve(listener, limits, open, handle, shutdown).await;
-        self.core.idle().await;
+        let serve = async {
+            listener::serve(listener, limits, open, handle, shutdown).await;
+            self.core.idle().await;
+        };
+        tokio::select! {
+            () = serve => {}
+            () = self.core.watch_pauses() => {}
+        }
     }
 
     /// Refuses new requests from now on. Those accepted go on.
--- a/cornelstand/src/entry_core.rs
+++ b/cornelstand/src/entry_core.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::auth::KeyIndex;
 use crate::claims::ClaimBook;
@@ -19,6 +19,7 @@
 use crate::ledger::Ledger;
 use crate::moment::Clock;
 use crate::name::{AttemptId, BootId, EndpointName, InstanceName};
+use crate::pause::{PauseWatch, TICK};
 use crate::retry::RetryBudgets;
 use crate::suspect::Suspects;
 use crate::timeline::{Timeline, Topic};
@@ -39,6 +40,7 @@
     pub(crate) limits: EntryLimits,
     pub(crate) ledger: Ledger,
     pub(crate) upstreams: Upstreams,
+    pub(crate) pauses: PauseWatch,
     config: watch::Receiver<Arc<Config>>,
     view: Mutex<View>,
     budgets: Mutex<RetryBudgets>,
@@ -71,6 +73,7 @@
             limits: parts.limits,
             ledger: Ledger::default(),
             upstreams: Upstreams::new(),
+            pauses: PauseWatch::new(parts.clock.now()),
             config: parts.config,
             view: Mutex::default(),
             budgets: Mutex::default(),
@@ -83,6 +86,19 @@
         }
     }
 
+    /// Watches for pauses of the process, without end.
+    pub(crate) async fn watch_pauses(&self) {
+        self.pauses.tick(self.clock.now());
+        loop {
+            sleep(TICK).await;
+            if self.pauses.tick(self.clock.now()) {
+                let name = self.name.as_str();
+                self.metrics.pauses.inc();
+                self.timeline.record(Topic::Process, "paused", name, None);
+            }
+        }
+    }
+
     /// Refuses new requests from now on.
     pub(crate) fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
--- a/cornelstand/src/entry_metrics.rs
+++ b/cornelstand/src/entry_metrics.rs
@@ -11,7 +11,7 @@
     pub(crate) refusals: IntCounterVec,
     /// Attempts by how they ended.
     pub(crate) attempts: IntCounterVec,
-    /// Further attempts by reason: `withdrawn`, `unconnected`, `lost` or `overloaded`.
+    /// Further attempts by reason: `withdrawn`, `paused`, `unconnected`, `lost` or `overloaded`.
     pub(crate) retries: IntCounterVec,
     /// Retries of lost attempts that the budgets did not allow.
     pub(crate) unbudgeted: IntCounter,
@@ -25,6 +25,8 @@
     pub(crate) foreign: IntCounter,
     /// Pools of connections replaced.
     pub(crate) pools: IntCounter,
+    /// Pauses of the process.
+    pub(crate) pauses: IntCounter,
     /// Requests accepted and not ended.
     pub(crate) open: IntGauge,
     /// Requests that wait for an endpoint.
@@ -81,6 +83,7 @@
                 "entry_pools_replaced_total",
                 "Pools of connections replaced",
             )?,
+            pauses: counter("entry_pauses_total", "Pauses of the process")?,
             open: gauge("entry_requests_open", "Requests accepted and not ended")?,
             waiting: gauge("entry_requests_waiting", "Requests waiting for an endpoint")?,
             connections: gauge("entry_connections", "Connections of callers")?,
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -51,6 +51,7 @@
 mod name;
 mod note;
 mod path;
+mod pause;
 mod problem;
 mod publish;
 mod refusal;
--- a/cornelstand/tests/entry/answers.rs
+++ b/cornelstand/tests/entry/answers.rs
@@ -9,7 +9,9 @@
 use rstest::rstest;
 use warp::Filter;
 
-use crate::fleet::{Fleet, KEY, WHOLE, config, echo, endpoint, problem, raw, refusing, store};
+use crate::fleet::{
+    Fleet, KEY, WHOLE, config, echo, endpoint, grant, problem, raw, refusing, store,
+};
 
 #[tokio::test]
 async fn an_answer_comes_whole_with_the_request_identity() {
@@ -214,3 +216,29 @@
     let (status, problem) = problem(refused.await.unwrap()).await;
     assert_eq!((status, &problem["outcome"]), (504, &"not-run".into()));
 }
+
+#[rstest]
+#[case::paused(15_000, &[Ending::NotSent, Ending::Answered])]
+#[case::short_of_a_pause(800, &[Ending::Answered])]
+#[tokio::test(start_paused = true)]
+async fn a_grant_that_spans_a_pause_of_the_process_is_not_used(
+    #[case] millis: u64,
+    #[case] endings: &[Ending],
+) {
+    let endpoints = [raw(WHOLE).await];
+    let (sender, receiver) = tokio::sync::watch::channel(Arc::new(config(&endpoints)));
+    let fleet = Fleet::with(sender, EntryLimits::default(), None, move |offer| {
+        let receiver = receiver.clone();
+        Box::pin(async move {
+            let reply = grant(&receiver.borrow(), offer.clone());
+            if offer.attempt.number == 0 {
+                tokio::time::advance(Duration::from_millis(millis)).await;
+            }
+            reply
+        })
+    })
+    .await;
+    let answer = fleet.get("/app/stock").send().await.unwrap();
+    assert_eq!(answer.text().await.unwrap(), "whole");
+    assert_eq!(fleet.endings(), endings);
+}
