Carry out the command line

Cause: the daemon and its operator commands had a definition but no code behind it. Change: serve with a planned stop on SIGTERM and a count on a second signal, check, note plan, apply, status and show, status, timeline, load, completions and demo; tables by default, JSON on request, exit codes for failure, conflict and lateness.

--- a/cornelstand/src/demo_table.rs
+++ b/cornelstand/src/demo_table.rs
@@ -1,9 +1,10 @@
 //! Tables of a demonstration.
 
-use comfy_table::{Table, presets};
+use comfy_table::Table;
 
 use crate::demo::DemoResult;
 use crate::load_result::{AccountResult, Quantiles};
+use crate::tables::{table, time};
 
 /// Prints the result.
 pub(crate) fn print(result: &DemoResult) {
@@ -12,13 +13,6 @@
     println!("\n{}", promises(result));
 }
 
-fn table(header: &[&str]) -> Table {
-    let mut table = Table::new();
-    table.load_style(presets::UTF8_BORDERS_ONLY);
-    table.set_header(header);
-    table
-}
-
 /// A row for each account: waits are those of its interactive model calls.
 fn accounts(result: &DemoResult) -> Table {
     let mut table = table(&[
@@ -56,11 +50,6 @@
     source.map_or_else(Quantiles::default, |s| s.wait)
 }
 
-fn time(micros: u64) -> String {
-    let millis = std::time::Duration::from_micros(micros).as_secs_f64() * 1_000.0;
-    format!("{millis:.0} ms")
-}
-
 fn totals(result: &DemoResult) -> Table {
     let mut table = table(&["figure", "value"]);
     let counts = result.load.counts();
--- a/cornelstand/src/instance.rs
+++ b/cornelstand/src/instance.rs
@@ -199,6 +199,12 @@
         self.parts.entry.running()
     }
 
+    /// A call that tells how many requests of callers would be cut by a stop at once.
+    pub fn request_count(&self) -> impl Fn() -> usize + use<> {
+        let entry = self.parts.entry.clone();
+        move || entry.running()
+    }
+
     /// Stops without cutting a request and tells how many were cut when the time ran out.
     ///
     /// The instance is not ready first, then hands its cells over, lets every answer end and
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -32,6 +32,7 @@
 mod claim;
 mod claim_shard;
 mod claims;
+mod client;
 mod codec;
 mod command;
 mod config;
@@ -94,12 +95,14 @@
 mod retry;
 mod route;
 mod rules;
+mod run;
 mod settings;
 mod shard;
 mod sse;
 mod status;
 mod store;
 mod suspect;
+mod tables;
 mod takeover;
 mod timeline;
 mod tombs;
@@ -123,6 +126,7 @@
 };
 pub use claim_shard::{ClaimLimits, WriteEnd};
 pub use claims::{Begun, ClaimBook, ClaimError, ClaimObjects, ClaimRoute, Ticket};
+pub use client::{ClientError, OperatorClient, operator_key};
 pub use command::{KEY_FILE_VARIABLE, command};
 pub use config::{Account, Centre, Class, Config, Endpoint, Kind, Repeat, Route, Service};
 pub use containment::SpreadCall;
@@ -186,6 +190,7 @@
 pub use promise::{OUT_WITHIN, Promise, answer_promises, centre_promise};
 pub use publish::{Acceptance, HEAD_NAME, Known, PublishError, accept, collect, fetch};
 pub use retry::{RetryBudgets, RetryPermit};
+pub use run::{RunError, run};
 pub use settings::{
     FLEET_KEY_CHARS, Keys, Limits, Listen, Log, LogFormat, Peer, Place, Platform, SETTINGS_BYTES,
     Settings, SettingsError, Times, is_hash,
@@ -195,5 +200,6 @@
 pub use status::{InstanceStatus, MemberStatus, OwnerStatus, Readiness, TrafficStatus};
 pub use store::{Condition, Listing, Object, ObjectKind, Store, StoreError, VALUE_BYTES, Version};
 pub use suspect::{Crash, MAX_CRASHES, Standing, Suspects, Suspicion, Trial, TrialPhase};
+pub use tables::{fleet_tables, load_table, note_table, revision_table};
 pub use timeline::{Event, Stamp, Timeline, Topic, merge};
 pub use trace::{trace_json, trace_page};
--- a/cornelstand/src/main.rs
+++ b/cornelstand/src/main.rs
@@ -1,3 +1,8 @@
 //! Parses the command line and starts the daemon.
 
-fn main() {}
+use std::process::ExitCode;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    cornelstand::run().await
+}
--- /dev/null
+++ b/cornelstand/src/run.rs
@@ -0,0 +1,380 @@
+//! Carries out the command line.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::ArgMatches;
+use clap_complete::Shell;
+use serde::Serialize;
+use snafu::{ResultExt, Snafu};
+use tokio::signal::unix::{SignalKind, signal};
+use tracing_subscriber::EnvFilter;
+
+use crate::client::{ClientError, OperatorClient, operator_key};
+use crate::command::command;
+use crate::config::Config;
+use crate::instance::{Instance, StartError};
+use crate::load::run_load;
+use crate::load_plan::Workload;
+use crate::note::Note;
+use crate::settings::{Log, LogFormat, Settings, SettingsError, parse_json};
+use crate::tables::{fleet_tables, load_table, note_table, revision_table};
+use crate::trace::{trace_json, trace_page};
+
+/// Exit code of a command that failed.
+const FAILED: u8 = 1;
+/// Exit code of a conflict with another operator.
+const CONFLICT: u8 = 3;
+/// Exit code if no answer came or a revision is not in force in time.
+const LATE: u8 = 4;
+
+/// Error of a command.
+#[derive(Debug, Snafu)]
+pub enum RunError {
+    /// A file cannot be read or written.
+    #[snafu(display("{}: {source}", path.display()))]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// Error of the system.
+        source: std::io::Error,
+    },
+    /// A file is not valid.
+    #[snafu(display("{}: {reason}", path.display()))]
+    Invalid {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong, with its place.
+        reason: String,
+    },
+    /// The instance cannot start.
+    #[snafu(display("{source}"))]
+    Start {
+        /// Error of the instance.
+        source: StartError,
+    },
+    /// A call to an instance failed.
+    #[snafu(display("{source}"))]
+    Client {
+        /// Error of the call.
+        source: ClientError,
+    },
+    /// The logs or signals cannot be set up.
+    #[snafu(display("cannot set up the process: {reason}"))]
+    Process {
+        /// What is wrong.
+        reason: String,
+    },
+    /// The demonstration failed.
+    #[cfg(feature = "demo")]
+    #[snafu(display("{source}"))]
+    Demo {
+        /// Error of the demonstration.
+        source: crate::demo::DemoError,
+    },
+    /// Some of the files are not valid; each has been named.
+    #[snafu(display("{count} of the files are not valid"))]
+    Unchecked {
+        /// Number of files that are not valid.
+        count: usize,
+    },
+    /// A promise was broken.
+    #[snafu(display("a promise was broken"))]
+    Broken,
+}
+
+impl RunError {
+    fn code(&self) -> u8 {
+        match self {
+            Self::Client { source } => match source {
+                ClientError::Refused { status, .. } if status.as_u16() == 409 => CONFLICT,
+                ClientError::NoAnswer { .. } | ClientError::NotInForce { .. } => LATE,
+                _ => FAILED,
+            },
+            _ => FAILED,
+        }
+    }
+}
+
+/// Reads the process's arguments and carries them out.
+pub async fn run() -> ExitCode {
+    match carry_out(&command().get_matches()).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("cornelstand: {error}");
+            ExitCode::from(error.code())
+        }
+    }
+}
+
+async fn carry_out(matches: &ArgMatches) -> Result<(), RunError> {
+    match matches.subcommand() {
+        Some(("serve", args)) => serve(args).await,
+        Some(("check", args)) => check(args),
+        Some(("note", args)) => note(args).await,
+        Some(("status", args)) => status(args).await,
+        Some(("timeline", args)) => timeline(args).await,
+        Some(("load", args)) => load(args).await,
+        Some(("completions", args)) => {
+            completions(args);
+            Ok(())
+        }
+        #[cfg(feature = "demo")]
+        Some(("demo", args)) => demo(args).await,
+        _ => Ok(()),
+    }
+}
+
+async fn serve(args: &ArgMatches) -> Result<(), RunError> {
+    let path = path(args, "settings").unwrap_or_default();
+    let settings = Settings::parse(&read(&path)?).map_err(|e| invalid(&path, &e))?;
+    start_logs(&settings.log)?;
+    let instance = Instance::start(settings).await.context(StartSnafu)?;
+    let mut term = signal(SignalKind::terminate()).map_err(|e| process(&e))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| process(&e))?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    let count = instance.request_count();
+    let again = async {
+        loop {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            let requests = count();
+            tracing::warn!(requests, "draining; SIGKILL now would cut these requests");
+        }
+    };
+    tokio::select! {
+        cut = instance.drain() => {
+            if cut > 0 {
+                tracing::error!(cut, "requests were cut at the end of the drain time");
+            }
+        }
+        () = again => {}
+    }
+    Ok(())
+}
+
+fn check(args: &ArgMatches) -> Result<(), RunError> {
+    let files = args.get_many::<PathBuf>("files").into_iter().flatten();
+    let mut rows = Vec::new();
+    for path in files {
+        rows.push(Checked {
+            file: path.display().to_string(),
+            error: check_file(&read(path)?).err().map(|e| e.to_string()),
+        });
+    }
+    if args.get_flag("json") {
+        print_json(&rows);
+    } else {
+        for row in &rows {
+            println!("{}: {}", row.file, row.error.as_deref().unwrap_or("ok"));
+        }
+    }
+    let count = rows.iter().filter(|r| r.error.is_some()).count();
+    if count > 0 {
+        return UncheckedSnafu { count }.fail();
+    }
+    Ok(())
+}
+
+/// Result of checking one file.
+#[derive(Serialize)]
+struct Checked {
+    file: String,
+    error: Option<String>,
+}
+
+/// Checks settings, a note or a declared state, whichever the keys of `text` tell.
+fn check_file(text: &str) -> Result<(), Box<dyn std::error::Error>> {
+    let keys: serde_json::Map<String, serde_json::Value> = parse_json(text)?;
+    if keys.contains_key("base") {
+        Note::parse(text)?;
+    } else if keys.contains_key("instance") {
+        Settings::parse(text)?;
+    } else {
+        parse_json::<Config>(text)?;
+    }
+    Ok(())
+}
+
+async fn note(args: &ArgMatches) -> Result<(), RunError> {
+    match args.subcommand() {
+        Some(("plan", args)) => plan(args).await,
+        Some(("apply", args)) => apply(args).await,
+        Some(("status", args)) => {
+            let members = client(args)?.revisions().await.context(ClientSnafu)?;
+            show(args, &members, || revision_table(&members));
+            Ok(())
+        }
+        Some(("show", args)) => {
+            let config = client(args)?.config().await.context(ClientSnafu)?;
+            print_json(&config);
+            Ok(())
+        }
+        _ => Ok(()),
+    }
+}
+
+async fn plan(args: &ArgMatches) -> Result<(), RunError> {
+    let file = path(args, "file").unwrap_or_default();
+    let note = client(args)?.plan(read(&file)?).await;
+    let note = note.context(ClientSnafu)?;
+    if let Some(out) = path(args, "out") {
+        write(
+            &out,
+            &serde_json::to_string_pretty(&note).unwrap_or_default(),
+        )?;
+    }
+    show(args, &note, || note_table(&note));
+    Ok(())
+}
+
+async fn apply(args: &ArgMatches) -> Result<(), RunError> {
+    let file = path(args, "file").unwrap_or_default();
+    let client = client(args)?;
+    let acceptance = client.apply(read(&file)?).await.context(ClientSnafu)?;
+    let revision = acceptance.revision;
+    show(args, &acceptance, || {
+        let again = if acceptance.repeated { " already" } else { "" };
+        format!("accepted{again} as revision {revision}")
+    });
+    if let Some(seconds) = args.get_one::<u64>("wait") {
+        let wait = Duration::from_secs(*seconds);
+        client.wait_for(revision, wait).await.context(ClientSnafu)?;
+        eprintln!("in force everywhere");
+    }
+    Ok(())
+}
+
+async fn status(args: &ArgMatches) -> Result<(), RunError> {
+    let fleet = client(args)?.fleet().await.context(ClientSnafu)?;
+    show(args, &fleet, || fleet_tables(&fleet));
+    Ok(())
+}
+
+async fn timeline(args: &ArgMatches) -> Result<(), RunError> {
+    let events = client(args)?.timeline().await.context(ClientSnafu)?;
+    if let Some(out) = path(args, "html") {
+        write(&out, &trace_page(&events))?;
+    }
+    if let Some(out) = path(args, "trace") {
+        write(&out, &trace_json(&events))?;
+    }
+    show(args, &events, || format!("{} events", events.len()));
+    Ok(())
+}
+
+async fn load(args: &ArgMatches) -> Result<(), RunError> {
+    let file = path(args, "workload").unwrap_or_default();
+    let workload: Workload = parse_json(&read(&file)?).map_err(|e| invalid(&file, &e))?;
+    if workload.instances.is_empty() {
+        let reason = "instances: names none".to_owned();
+        return InvalidSnafu { path: file, reason }.fail();
+    }
+    let result = run_load(&workload, None).await;
+    if let Some(out) = path(args, "out") {
+        write(
+            &out,
+            &serde_json::to_string_pretty(&result).unwrap_or_default(),
+        )?;
+    }
+    show(args, &result, || load_table(&result));
+    Ok(())
+}
+
+fn completions(args: &ArgMatches) {
+    let shell = args.get_one::<String>("shell").map(String::as_str);
+    let shell = match shell {
+        Some("elvish") => Shell::Elvish,
+        Some("fish") => Shell::Fish,
+        Some("powershell") => Shell::PowerShell,
+        Some("zsh") => Shell::Zsh,
+        _ => Shell::Bash,
+    };
+    let name = "cornelstand";
+    clap_complete::generate(shell, &mut command(), name, &mut std::io::stdout());
+}
+
+#[cfg(feature = "demo")]
+async fn demo(args: &ArgMatches) -> Result<(), RunError> {
+    let options = crate::demo::DemoOptions {
+        seconds: args.get_one("seconds").copied().unwrap_or_default(),
+        seed: args.get_one("seed").copied().unwrap_or_default(),
+        json: path(args, "json"),
+        timeline: path(args, "timeline"),
+        hold: args.get_flag("hold"),
+    };
+    let is_kept = crate::demo::run_demo(&options).await.context(DemoSnafu)?;
+    if !is_kept {
+        return BrokenSnafu.fail();
+    }
+    Ok(())
+}
+
+fn client(args: &ArgMatches) -> Result<OperatorClient, RunError> {
+    let file = path(args, "key-file");
+    let key = operator_key(file.as_deref()).context(ClientSnafu)?;
+    let default = ([127, 0, 0, 1], 8081).into();
+    let address = args.get_one("at").copied().unwrap_or(default);
+    Ok(OperatorClient::new(address, key))
+}
+
+fn start_logs(log: &Log) -> Result<(), RunError> {
+    let filter = EnvFilter::try_new(&log.level).map_err(|e| process(&e))?;
+    let logs = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr);
+    let started = match log.format {
+        LogFormat::Text => logs.try_init(),
+        LogFormat::Json => logs.json().try_init(),
+    };
+    started.map_err(|e| RunError::Process {
+        reason: e.to_string(),
+    })
+}
+
+fn path(args: &ArgMatches, name: &str) -> Option<PathBuf> {
+    args.get_one::<PathBuf>(name).cloned()
+}
+
+fn read(path: &Path) -> Result<String, RunError> {
+    std::fs::read_to_string(path).context(FileSnafu { path })
+}
+
+fn write(path: &Path, text: &str) -> Result<(), RunError> {
+    std::fs::write(path, text).context(FileSnafu { path })
+}
+
+fn invalid(path: &Path, error: &SettingsError) -> RunError {
+    RunError::Invalid {
+        path: path.to_path_buf(),
+        reason: error.to_string(),
+    }
+}
+
+fn process(error: &dyn std::error::Error) -> RunError {
+    RunError::Process {
+        reason: error.to_string(),
+    }
+}
+
+/// Prints `value` as JSON if asked for, else as `text` gives it.
+fn show<T: Serialize>(args: &ArgMatches, value: &T, text: impl FnOnce() -> String) {
+    if args.get_flag("json") {
+        print_json(value);
+    } else {
+        println!("{}", text());
+    }
+}
+
+fn print_json<T: Serialize>(value: &T) {
+    println!(
+        "{}",
+        serde_json::to_string_pretty(value).unwrap_or_default()
+    );
+}
