--- a/cornelstand/src/lease.rs
+++ b/cornelstand/src/lease.rs
@@ -13,42 +13,18 @@
 use derive_more::{Display, IsVariant};
 use serde::{Deserialize, Serialize};
 
+use crate::cell::Part;
 use crate::moment::Moment;
 use crate::name::{CellId, Epoch, Incarnation, InstanceName};
 use crate::store::{Condition, Version};
 
-/// Part of every endpoint's limit that an owner may use.
-#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, IsVariant, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Part {
-    /// The whole limit.
-    Full,
-    /// Half of the limit, rounded up.
-    Kept,
-    /// Half of the limit, rounded down.
-    Provisional,
-}
-
-impl Part {
-    /// The part of `limit`.
-    #[must_use]
-    pub fn of(self, limit: u32) -> u32 {
-        match self {
-            Self::Full => limit,
-            Self::Kept => limit.div_ceil(2),
-            Self::Provisional => limit / 2,
-        }
-    }
-
-    /// The part that consists of the given halves.
-    #[must_use]
-    pub fn from_halves(kept: bool, spare: bool) -> Option<Self> {
-        match (kept, spare) {
-            (true, true) => Some(Self::Full),
-            (true, false) => Some(Self::Kept),
-            (false, true) => Some(Self::Provisional),
-            (false, false) => None,
-        }
+/// The part of a limit that consists of the given halves.
+pub(crate) fn part_of(kept: bool, spare: bool) -> Option<Part> {
+    match (kept, spare) {
+        (true, true) => Some(Part::Full),
+        (true, false) => Some(Part::Kept),
+        (false, true) => Some(Part::Provisional),
+        (false, false) => None,
     }
 }
 
