--- a/cornelstand/src/keeper.rs
+++ b/cornelstand/src/keeper.rs
@@ -9,7 +9,7 @@
 
 use crate::lease::{
     Borrow, BorrowReply, Holder, Lease, LeaseEffect, LeaseInput, LeaseTiming, LeaseView, Tenure,
-    part_of,
+    Yield, part_of,
 };
 use crate::moment::Moment;
 use crate::name::{CellId, Epoch, InstanceName};
@@ -36,6 +36,7 @@
     due: Moment,
     until: Moment,
     claim: Option<(Epoch, InstanceName)>,
+    heard: Option<Moment>,
     acting: Option<Epoch>,
     told: Option<Tenure>,
     lent: Option<Loan>,
@@ -44,6 +45,8 @@
     offered: Option<(InstanceName, Version)>,
     gone: BTreeMap<Holder, Moment>,
     asked: Option<Moment>,
+    number: u64,
+    returned: Moment,
     is_blind: bool,
     is_stale: bool,
     drain: Drain,
@@ -60,6 +63,7 @@
 #[derive(Clone, Debug)]
 struct Loan {
     to: Holder,
+    number: u64,
     until: Moment,
 }
 
@@ -88,6 +92,7 @@
             due: Moment::default(),
             until: Moment::default(),
             claim: None,
+            heard: None,
             acting: None,
             told: None,
             lent: None,
@@ -96,6 +101,8 @@
             offered: None,
             gone: BTreeMap::new(),
             asked: None,
+            number: 0,
+            returned: Moment::default(),
             is_blind: false,
             is_stale: false,
             drain: Drain::No,
@@ -130,6 +137,8 @@
 
     /// Takes in `input` and adds what is to be done to `out`.
     pub fn handle(&mut self, now: Moment, input: LeaseInput, out: &mut Vec<LeaseEffect>) {
+        self.heard = self.heard.or(Some(now));
+        let is_fresh = matches!(input, LeaseInput::Stored(_) | LeaseInput::Read(_));
         match input {
             LeaseInput::Tick => {}
             LeaseInput::Stored(version) => self.stored(now, version),
@@ -138,13 +147,21 @@
             LeaseInput::Unknown => self.unknown(now),
             LeaseInput::Read(object) => self.read(now, object),
             LeaseInput::View(view) => self.see(now, view),
-            LeaseInput::Claim { epoch, owner } => self.hear(now, epoch, &owner),
+            LeaseInput::Claim { epoch, owner } => {
+                self.hear(now, epoch, &owner);
+                if epoch == self.highest() {
+                    self.heard = Some(now);
+                }
+            }
             LeaseInput::Reply { from, sent, reply } => self.replied(now, from, sent, reply),
             LeaseInput::Drain => self.start_drain(),
-            LeaseInput::HandedOver => self.handed_over(now),
-            LeaseInput::TakeOver { epoch } => self.take_over(now, epoch),
+            LeaseInput::HandedOver => self.handed_over(now, out),
+            LeaseInput::TakeOver(word) => self.take_over(now, &word),
         }
         self.act(now);
+        if is_fresh && self.is_urgent(now) {
+            self.due = now;
+        }
         self.tell(now, out);
         self.hand_over(out);
         self.ask(now, out);
@@ -163,6 +180,9 @@
         if borrow.epoch < self.highest() {
             return self.refusal();
         }
+        if borrow.version > self.version() {
+            self.learn(now, borrow.version, borrow.lease.clone());
+        }
         self.hear(now, borrow.epoch, &borrow.from.name);
         if self.acting.is_some() || !self.may_lend(now, &borrow.from) {
             self.tell(now, out);
@@ -170,6 +190,7 @@
         }
         self.lent = Some(Loan {
             to: borrow.from.clone(),
+            number: borrow.number,
             until: now.after(borrow.span + self.timing.margin),
         });
         let free = self.gives_up(borrow);
@@ -256,6 +277,7 @@
 
     fn replied(&mut self, now: Moment, from: Holder, sent: Moment, reply: BorrowReply) {
         match reply {
+            BorrowReply::Lent { .. } if sent <= self.returned => {}
             BorrowReply::Lent { free } => {
                 let until = sent.after(self.timing.loan);
                 let known = self.loans.entry(from.clone()).or_default();
@@ -275,22 +297,37 @@
         }
     }
 
-    fn handed_over(&mut self, now: Moment) {
-        if self.drain == Drain::Moving {
-            self.drain = Drain::Moved;
-            self.acting = None;
-            self.due = now;
+    /// Stops to act, returns what was borrowed and says so to the next owner.
+    fn handed_over(&mut self, now: Moment, out: &mut Vec<LeaseEffect>) {
+        if self.drain != Drain::Moving {
+            return;
+        }
+        let epoch = self.acting.take();
+        self.drain = Drain::Moved;
+        self.due = now;
+        self.loans.clear();
+        self.returned = now;
+        if let (Some(epoch), Some(to)) = (epoch, self.target.clone()) {
+            let word = Yield {
+                cell: self.cell.clone(),
+                from: self.me.clone(),
+                epoch,
+                number: self.number,
+            };
+            out.push(LeaseEffect::Yield { to, word });
         }
     }
 
-    fn take_over(&mut self, now: Moment, epoch: Epoch) {
-        if epoch < self.highest() {
-            return;
+    fn take_over(&mut self, now: Moment, word: &Yield) {
+        let is_returned = |l: &Loan| l.to == word.from && l.number <= word.number;
+        if self.lent.as_ref().is_some_and(is_returned) {
+            self.lent = None;
+        }
+        if word.epoch >= self.highest() {
+            self.yielded = Some(word.epoch);
+            self.is_stale = true;
+            self.due = now;
         }
-        self.yielded = Some(epoch);
-        self.lent = None;
-        self.is_stale = true;
-        self.due = now;
     }
 
     fn stored(&mut self, now: Moment, version: Version) {
@@ -306,7 +343,9 @@
         }
         self.is_blind = false;
         self.asked = None;
-        self.learn(now, version, lease);
+        if version > self.version() {
+            self.learn(now, version, lease);
+        }
     }
 
     fn read(&mut self, now: Moment, object: Option<(Version, Lease)>) {
@@ -498,6 +537,7 @@
             return;
         }
         self.asked = Some(now);
+        self.number += 1;
         let spare = Some(&lease.spare).filter(|s| **s != lease.kept);
         for to in std::iter::once(&lease.kept).chain(spare) {
             if *to == self.me || self.gone.contains_key(to) {
@@ -507,12 +547,14 @@
                 cell: self.cell.clone(),
                 from: self.me.clone(),
                 epoch,
+                lease: lease.clone(),
                 version: *version,
                 span: self.timing.loan,
+                number: self.number,
             };
             out.push(LeaseEffect::Borrow {
                 to: to.clone(),
-                borrow,
+                borrow: Box::new(borrow),
                 sent: now,
             });
         }
@@ -545,6 +587,17 @@
         });
     }
 
+    /// Whether the next write does more than to renew the lease.
+    fn is_urgent(&self, now: Moment) -> bool {
+        let Some(next) = self.next_write(now) else {
+            return false;
+        };
+        self.lease().is_none_or(|lease| {
+            let order = |l: &Lease| (l.epoch, l.owner.clone(), l.kept.clone(), l.spare.clone());
+            order(lease) != order(&next)
+        })
+    }
+
     fn condition(&self) -> Condition {
         let version = self.object.as_ref().map(|(version, _)| *version);
         version.map_or(Condition::Absent, Condition::Match)
@@ -559,7 +612,7 @@
         if is_owner && self.drain == Drain::Moved {
             return self.target.as_ref().map(|to| self.passed_on(lease, to));
         }
-        if is_owner && self.acting.is_some() {
+        if is_owner && (self.acting.is_some() || self.may_resume(now)) {
             return Some(self.renewed(now, lease));
         }
         if !is_owner && self.may_take(now, lease) {
@@ -592,6 +645,12 @@
         Epoch((highest.0 / EPOCH_STEP + 1) * EPOCH_STEP)
     }
 
+    /// Whether an owner that yielded to its heir may act again: the heir no longer borrows.
+    fn may_resume(&self, now: Moment) -> bool {
+        let is_idle = !self.is_lent(now) && self.offered.is_none();
+        is_idle && self.drain == Drain::No && !self.is_blind
+    }
+
     /// Whether this instance may take the lease from a lost owner.
     fn may_take(&self, now: Moment, lease: &Lease) -> bool {
         if !self.is_ranked() || self.drain != Drain::No {
@@ -604,8 +663,15 @@
             return is_over;
         }
         let is_heir = lease.spare == self.me;
-        let is_next = is_heir || (self.is_lost(&lease.spare) && self.is_first(lease));
-        is_over && is_next && self.is_lost(&lease.owner)
+        let is_lost = |holder| self.is_lost(holder) || self.is_quiet(now);
+        let is_next = is_heir || (is_lost(&lease.spare) && self.is_first(lease));
+        is_over && is_next && is_lost(&lease.owner)
+    }
+
+    /// Whether nobody has acted for the cell for long, as far as this instance hears.
+    fn is_quiet(&self, now: Moment) -> bool {
+        let wait = 2 * self.timing.length;
+        self.heard.is_some_and(|heard| now >= heard.after(wait))
     }
 
     /// Whether this instance is the best candidate besides the holders.
@@ -676,6 +742,6 @@
         if lease.is_holder(&self.me) || lease.owner == self.me {
             return self.acting != Some(lease.epoch) && !self.is_lent(now);
         }
-        self.is_lost(&lease.owner) && self.is_first(lease)
+        (self.is_lost(&lease.owner) || self.is_quiet(now)) && self.is_first(lease)
     }
 }
--- a/cornelstand/src/lease.rs
+++ b/cornelstand/src/lease.rs
@@ -135,10 +135,14 @@
     pub from: Holder,
     /// Its epoch.
     pub epoch: Epoch,
-    /// Version of the lease object that it knows.
+    /// The lease as the asker knows it, so that the holder needs not read it.
+    pub lease: Lease,
+    /// Version of `lease`.
     pub version: Version,
     /// Time for which it asks.
     pub span: Duration,
+    /// Counts the asker's requests.
+    pub number: u64,
 }
 
 /// Reply to a [`Borrow`].
@@ -159,6 +163,20 @@
     },
 }
 
+/// Word of a former owner that it has stopped and returns what it borrowed.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Yield {
+    /// The cell.
+    pub cell: CellId,
+    /// The former owner.
+    pub from: Holder,
+    /// Its last epoch.
+    pub epoch: Epoch,
+    /// Number of its last [`Borrow`].
+    pub number: u64,
+}
+
 /// What the membership tells about the candidates of a cell.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct LeaseView {
@@ -208,10 +226,7 @@
     /// The cell's state has moved to the instance named in [`LeaseEffect::HandOver`], or cannot.
     HandedOver,
     /// The former owner has moved the cell's state here and stopped.
-    TakeOver {
-        /// Its last epoch.
-        epoch: Epoch,
-    },
+    TakeOver(Yield),
 }
 
 /// Effect that the shell around the lease machine carries out.
@@ -231,7 +246,7 @@
         /// The holder.
         to: Holder,
         /// The request.
-        borrow: Borrow,
+        borrow: Box<Borrow>,
         /// Moment to return with the reply.
         sent: Moment,
     },
@@ -246,4 +261,11 @@
         /// The next owner.
         to: Holder,
     },
+    /// Tell the next owner that this instance has stopped.
+    Yield {
+        /// The next owner.
+        to: Holder,
+        /// The message.
+        word: Yield,
+    },
 }
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -95,6 +95,7 @@
 pub use keeper::Keeper;
 pub use lease::{
     Borrow, BorrowReply, Holder, Lease, LeaseEffect, LeaseInput, LeaseTiming, LeaseView, Tenure,
+    Yield,
 };
 pub use member::{MemberInput, MemberOutput, MemberTiming, Members};
 pub use moment::{Clock, Moment, micros};
--- /dev/null
+++ b/cornelstand/tests/agree/main.rs
@@ -0,0 +1,4 @@
+//! Leases, membership and the configuration over several instances.
+
+mod lease;
+mod ring;
