--- a/cornelstand/src/keeper.rs
+++ b/cornelstand/src/keeper.rs
@@ -8,8 +8,8 @@
 use std::collections::BTreeMap;
 
 use crate::lease::{
-    Borrow, BorrowReply, Holder, Lease, LeaseEffect, LeaseInput, LeaseTiming, LeaseView, Tenure,
-    Yield, part_of,
+    Borrow, BorrowReply, Holder, Lease, LeaseEffect, LeaseInput, LeaseTiming, LeaseView, Part,
+    Tenure, Yield,
 };
 use crate::moment::Moment;
 use crate::name::{CellId, Epoch, InstanceName};
@@ -472,7 +472,7 @@
         let (_, lease) = self.object.as_ref()?;
         let kept = self.use_of(now, &lease.kept, |l| &l.kept);
         let spare = self.use_of(now, &lease.spare, |l| &l.spare);
-        let part = part_of(kept.is_some(), spare.is_some())?;
+        let part = Part::from_halves(kept.is_some(), spare.is_some())?;
         let ends = [kept, spare].into_iter().flatten();
         let until = ends.min().unwrap_or_default();
         let is_own = |end: Option<Moment>| end == Some(FOREVER);
@@ -480,7 +480,7 @@
             epoch,
             part,
             until,
-            after: part_of(is_own(kept), is_own(spare)),
+            after: Part::from_halves(is_own(kept), is_own(spare)),
         })
     }
 
