--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -94,8 +94,8 @@
 };
 pub use keeper::Keeper;
 pub use lease::{
-    Borrow, BorrowReply, Holder, Lease, LeaseEffect, LeaseInput, LeaseTiming, LeaseView, Tenure,
-    Yield,
+    Borrow, BorrowReply, Holder, Lease, LeaseEffect, LeaseInput, LeaseTiming, LeaseView, Part,
+    Tenure, Yield,
 };
 pub use member::{MemberInput, MemberOutput, MemberTiming, Members};
 pub use moment::{Clock, Moment, micros};
