Add the actors for membership, leases and revisions

Cause: the machines need shells that carry out their effects. Change: Fleet runs the gossip and publishes the membership; Steward runs the lease machines of all cells; keep_revisions watches the store on three instances, pulls notes from peers on the others, and is ready once the store or a peer has confirmed a revision. Before: a shard whose answers were lost four times was not accepted; the tries are now bounded by 16.

--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -34,6 +34,7 @@
 mod entry;
 mod entry_metrics;
 mod fair;
+mod fleet;
 mod flight;
 mod gossip;
 mod headers;
@@ -50,9 +51,11 @@
 mod publish;
 mod relay;
 mod retry;
+mod revisions;
 mod rules;
 mod shard;
 mod sse;
+mod steward;
 mod store;
 mod timeline;
 mod tombs;
@@ -84,6 +87,10 @@
 pub use endpoint::{Load, State};
 pub use entry::{Entry, EntryLimits, EntryParts};
 pub use entry_metrics::EntryMetrics;
+pub use fleet::{
+    AddSeeds, AnswerGossip, ClaimCell, EndMembership, ExtendGossip, Fleet, FleetParts,
+    KnowRevision, LeaveFleet, PutInForce,
+};
 pub use gossip::{
     CellClaim, Extension, ExtensionTopic, GOSSIP_CELLS, GOSSIP_EXTRA, GOSSIP_MEMBERS, Gossip,
     Member, MemberState, Seed,
@@ -108,7 +115,11 @@
 pub use problem::{PROBLEM_TYPE, Problem, ProblemKind};
 pub use publish::{Acceptance, HEAD_NAME, Known, PublishError, accept, collect, fetch};
 pub use retry::{RetryBudgets, RetryPermit};
+pub use revisions::{ConfigUpdate, InForce, RevisionParts, WATCHERS, keep_revisions};
 pub use shard::{Accepted, Head, ShardRef};
 pub use sse::{EVENT_BYTES, Scanner, SseError};
+pub use steward::{
+    CellChange, DrainCells, LendCell, ListCells, MovedCell, Steward, StewardParts, TakeOverCell,
+};
 pub use store::{Condition, Listing, Object, ObjectKind, Store, StoreError, VALUE_BYTES, Version};
 pub use timeline::{Event, Stamp, Timeline, Topic, merge};
--- a/cornelstand/src/member.rs
+++ b/cornelstand/src/member.rs
@@ -152,6 +152,7 @@
     table: BTreeMap<InstanceName, Known>,
     cells: BTreeMap<CellId, Told<CellClaim>>,
     known: Revision,
+    generation: u64,
     seeds: Vec<Seed>,
     listed: Listed,
     extra: Vec<Extension>,
@@ -214,6 +215,7 @@
             table: BTreeMap::new(),
             cells: BTreeMap::new(),
             known: Revision::default(),
+            generation: 0,
             seeds: Vec::new(),
             listed: Listed::default(),
             extra: Vec::new(),
@@ -224,6 +226,7 @@
 
     /// Takes in `input` and adds what follows to `out`.
     pub fn handle(&mut self, now: Moment, input: MemberInput, out: &mut Vec<MemberOutput>) {
+        let before = out.len();
         match input {
             MemberInput::Tick { stamp } => self.tick(now, stamp, out),
             MemberInput::Received { gossip, stamp } => {
@@ -244,6 +247,20 @@
             MemberInput::Leave => self.say(MemberState::Leaving),
             MemberInput::Left => self.say(MemberState::Left),
         }
+        let is_change = |o: &MemberOutput| matches!(o, MemberOutput::Changed(_));
+        self.generation += u64::from(out[before..].iter().any(is_change));
+    }
+
+    /// Rises whenever a member or the proof of its end changes.
+    #[must_use]
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// The durations.
+    #[must_use]
+    pub fn timing(&self) -> &MemberTiming {
+        &self.timing
     }
 
     /// This instance.
@@ -341,6 +358,7 @@
 
     fn say(&mut self, state: MemberState) {
         self.me.state = self.me.state.max(state);
+        self.generation += 1;
         self.me.count += 1;
     }
 
@@ -519,6 +537,7 @@
     fn list(&mut self, now: Moment, seeds: Vec<Seed>, is_complete: bool) {
         if is_complete {
             self.listed.take_in(now, &seeds);
+            self.generation += 1;
         }
         if !seeds.is_empty() {
             self.seeds = seeds;
--- a/cornelstand/src/publish.rs
+++ b/cornelstand/src/publish.rs
@@ -26,6 +26,9 @@
 /// Tries to settle a conditional update whose answer was lost.
 const TRIES: usize = 8;
 
+/// Tries to write a shard; a lost answer costs two.
+const SHARD_TRIES: usize = 2 * TRIES;
+
 /// Notes that the head remembers.
 const KEPT_NOTES: usize = 64;
 
@@ -374,10 +377,10 @@
                     version,
                 });
             }
-            Err(StoreError::Conflict { present }) if tries < TRIES => {
+            Err(StoreError::Conflict { present }) if tries < SHARD_TRIES => {
                 condition = present.map_or(Condition::Absent, Condition::Match);
             }
-            Err(StoreError::Unknown { .. }) if tries < TRIES => {}
+            Err(StoreError::Unknown { .. }) if tries < SHARD_TRIES => {}
             Err(error) => return Err(error),
         }
     }
--- /dev/null
+++ b/cornelstand/src/steward.rs
@@ -0,0 +1,423 @@
+//! The actor around the lease machines of all cells.
+//!
+//! One actor serves all cells of the configuration. It gives each machine the time, the
+//! membership and the results of its calls, and tells the dispatchers what they may use. Views
+//! are computed anew only when a member or the configuration has changed.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use tokio::sync::watch;
+use tokio::time::{MissedTickBehavior, interval};
+use xtra::WeakAddress;
+use xtra::prelude::*;
+
+use crate::config::Config;
+use crate::fleet::{ClaimCell, Fleet};
+use crate::keeper::Keeper;
+use crate::lease::{
+    Borrow, BorrowReply, Holder, Lease, LeaseEffect, LeaseInput, LeaseTiming, Tenure, Yield,
+};
+use crate::member::Members;
+use crate::moment::{Clock, Moment};
+use crate::name::{CellId, Epoch, Revision};
+use crate::store::{Condition, ObjectKind, Store, StoreError};
+use crate::timeline::{Timeline, Topic};
+
+/// Messages that may wait for the actor.
+const MAILBOX: usize = 1024;
+
+/// Time between two ticks of the machines.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Time between two claims of an owned cell towards the peers.
+const CLAIM: Duration = Duration::from_secs(2);
+
+type BorrowCall = dyn Fn(Holder, Borrow) -> BoxFuture<'static, Option<BorrowReply>> + Send + Sync;
+type YieldCall = dyn Fn(Holder, Yield) -> BoxFuture<'static, ()> + Send + Sync;
+type TellCall = dyn Fn(CellId, CellChange) + Send + Sync;
+type DelayCall = dyn Fn(&CellId) -> u32 + Send + Sync;
+
+/// What the dispatcher of a cell has to know. After `HandOver` the state is to be moved and
+/// [`MovedCell`] sent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CellChange {
+    /// This instance acts as owner from now on.
+    Gained(Tenure),
+    /// What it may use has changed.
+    Renewed(Tenure),
+    /// This instance does not act as owner any more.
+    Lost,
+    /// The queue and counters are to be moved to this instance.
+    HandOver(Holder),
+}
+
+/// What the leases need from the outside.
+#[derive(Clone)]
+pub struct StewardParts {
+    /// The store.
+    pub store: Store,
+    /// Asks a holder for its half; `None` if it does not answer.
+    pub borrow: Arc<BorrowCall>,
+    /// Tells the next owner that this instance has stopped.
+    pub word: Arc<YieldCall>,
+    /// Tells the cell's dispatcher.
+    pub tell: Arc<TellCall>,
+    /// Expected wait of a new request at a cell that this instance owns, in milliseconds.
+    pub delay: Arc<DelayCall>,
+    /// The membership.
+    pub members: watch::Receiver<Arc<Members>>,
+    /// Where claims go.
+    pub fleet: Address<Fleet>,
+    /// The configuration in force.
+    pub config: watch::Receiver<Arc<Config>>,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Where changes of owners are recorded.
+    pub timeline: Timeline,
+}
+
+/// Answers an acting owner that asks for this instance's half, `None` for an unknown cell.
+#[derive(Debug)]
+pub struct LendCell(pub Borrow);
+
+/// Takes in the word of a former owner.
+#[derive(Debug)]
+pub struct TakeOverCell(pub Yield);
+
+/// Tells that a cell's state has moved to the instance named in [`CellChange::HandOver`], or
+/// cannot.
+#[derive(Debug)]
+pub struct MovedCell(pub CellId);
+
+/// Gives all cells away, because the instance is about to stop.
+#[derive(Debug)]
+pub struct DrainCells;
+
+/// Asks for the cells that this instance acts for.
+#[derive(Debug)]
+pub struct ListCells;
+
+struct Tick;
+
+struct Done(CellId, LeaseInput);
+
+/// The leases of this instance.
+pub struct Steward {
+    me: Holder,
+    timing: LeaseTiming,
+    parts: StewardParts,
+    keepers: BTreeMap<CellId, Kept>,
+    revision: Revision,
+    is_draining: bool,
+    itself: Option<WeakAddress<Self>>,
+}
+
+struct Kept {
+    keeper: Keeper,
+    /// Generation of the membership and lease that the machine last saw.
+    seen: Option<(u64, Option<Lease>)>,
+    heard: Option<(Epoch, u32)>,
+    claimed: Option<Moment>,
+}
+
+impl Steward {
+    /// Starts the actor on the current runtime. It ends when the last address is dropped.
+    #[must_use]
+    pub fn spawn(me: Holder, timing: LeaseTiming, parts: StewardParts) -> Address<Self> {
+        let steward = Self {
+            me,
+            timing,
+            parts,
+            keepers: BTreeMap::new(),
+            revision: Revision::default(),
+            is_draining: false,
+            itself: None,
+        };
+        let address = xtra::spawn_tokio(steward, Mailbox::bounded(MAILBOX));
+        tokio::spawn(tick(address.downgrade()));
+        address
+    }
+
+    /// Adds machines for new cells and drops those of cells that are configured no more.
+    fn configure(&mut self, config: &Config) {
+        if config.revision == self.revision {
+            return;
+        }
+        self.revision = config.revision;
+        let cells: Vec<CellId> = config.cells().collect();
+        let gone = self.keepers.extract_if(.., |cell, _| !cells.contains(cell));
+        for (cell, kept) in gone {
+            if kept.keeper.tenure().is_some() {
+                (self.parts.tell)(cell, CellChange::Lost);
+            }
+        }
+        for cell in cells {
+            let keeper = || Keeper::new(self.me.clone(), cell.clone(), self.timing);
+            let kept = self.keepers.entry(cell.clone()).or_insert_with(|| Kept {
+                keeper: keeper(),
+                seen: None,
+                heard: None,
+                claimed: None,
+            });
+            kept.seen = None;
+        }
+    }
+
+    fn tick(&mut self) {
+        let config = self.parts.config.borrow().clone();
+        self.configure(&config);
+        let members = self.parts.members.borrow().clone();
+        let cells: Vec<CellId> = self.keepers.keys().cloned().collect();
+        for cell in cells {
+            self.look(&cell, &members, &config);
+            self.claim(&cell);
+            self.input(&cell, LeaseInput::Tick);
+        }
+    }
+
+    /// Gives a machine what is new in the membership.
+    fn look(&mut self, cell: &CellId, members: &Members, config: &Config) {
+        let Some(kept) = self.keepers.get_mut(cell) else {
+            return;
+        };
+        let lease = kept.keeper.lease();
+        let is_seen = kept
+            .seen
+            .as_ref()
+            .is_some_and(|(g, l)| *g == members.generation() && l.as_ref() == lease);
+        let mut inputs = Vec::new();
+        if !is_seen {
+            let view = members.lease_view(cell, config, lease);
+            kept.seen = Some((members.generation(), lease.cloned()));
+            inputs.push(LeaseInput::View(view));
+        }
+        let claim = members.owner(cell).filter(|c| c.owner != self.me.name);
+        if let Some(claim) = claim.filter(|c| kept.heard != Some((c.epoch, c.count))) {
+            kept.heard = Some((claim.epoch, claim.count));
+            inputs.push(LeaseInput::Claim {
+                epoch: claim.epoch,
+                owner: claim.owner.clone(),
+            });
+        }
+        if self.is_draining {
+            inputs.push(LeaseInput::Drain);
+        }
+        for input in inputs {
+            self.input(cell, input);
+        }
+    }
+
+    /// Repeats the claim of an owned cell towards the peers.
+    fn claim(&mut self, cell: &CellId) {
+        let now = self.parts.clock.now();
+        let Some(kept) = self.keepers.get_mut(cell) else {
+            return;
+        };
+        let Some(tenure) = kept.keeper.tenure() else {
+            kept.claimed = None;
+            return;
+        };
+        if kept.claimed.is_some_and(|c| now < c.after(CLAIM)) {
+            return;
+        }
+        kept.claimed = Some(now);
+        let claim = ClaimCell {
+            cell: cell.clone(),
+            epoch: tenure.epoch,
+            delay: (self.parts.delay)(cell),
+        };
+        let fleet = self.parts.fleet.clone();
+        tokio::spawn(async move { fleet.send(claim).await });
+    }
+
+    fn input(&mut self, cell: &CellId, input: LeaseInput) {
+        let mut out = Vec::new();
+        if let Some(kept) = self.keepers.get_mut(cell) {
+            kept.keeper.handle(self.parts.clock.now(), input, &mut out);
+        }
+        self.carry_out(cell, out);
+    }
+
+    fn carry_out(&mut self, cell: &CellId, out: Vec<LeaseEffect>) {
+        for effect in out {
+            match effect {
+                LeaseEffect::Gained(tenure) => {
+                    if let Some(kept) = self.keepers.get_mut(cell) {
+                        kept.claimed = None;
+                    }
+                    self.change(cell, "gained", CellChange::Gained(tenure));
+                    self.claim(cell);
+                }
+                LeaseEffect::Renewed(tenure) => {
+                    (self.parts.tell)(cell.clone(), CellChange::Renewed(tenure));
+                }
+                LeaseEffect::Lost => self.change(cell, "lost", CellChange::Lost),
+                LeaseEffect::HandOver { to } => {
+                    self.change(cell, "hands over", CellChange::HandOver(to));
+                }
+                LeaseEffect::Read => self.run(cell, read(self.parts.store.clone(), cell.clone())),
+                LeaseEffect::Write { condition, lease } => {
+                    self.run(cell, write(self.parts.store.clone(), condition, *lease));
+                }
+                LeaseEffect::Borrow { to, borrow, sent } => {
+                    let asked = (self.parts.borrow)(to.clone(), *borrow);
+                    self.run(cell, async move {
+                        let reply = asked.await?;
+                        Some(LeaseInput::Reply {
+                            from: to,
+                            sent,
+                            reply,
+                        })
+                    });
+                }
+                LeaseEffect::Yield { to, word } => {
+                    tokio::spawn((self.parts.word)(to, word));
+                }
+            }
+        }
+    }
+
+    fn change(&self, cell: &CellId, what: &str, change: CellChange) {
+        let subject = cell.to_string();
+        self.parts
+            .timeline
+            .record(Topic::Cell, what, &subject, None);
+        (self.parts.tell)(cell.clone(), change);
+    }
+
+    /// Runs a call and returns its result to the machine.
+    fn run(&self, cell: &CellId, work: impl Future<Output = Option<LeaseInput>> + Send + 'static) {
+        let Some(steward) = self.itself.as_ref().and_then(WeakAddress::try_upgrade) else {
+            return;
+        };
+        let cell = cell.clone();
+        tokio::spawn(async move {
+            if let Some(input) = work.await {
+                let _ = steward.send(Done(cell, input)).await;
+            }
+        });
+    }
+}
+
+async fn read(store: Store, cell: CellId) -> Option<LeaseInput> {
+    let object = store.get(ObjectKind::Lease, &Lease::name(&cell)).await;
+    Some(match object {
+        Ok(None) => LeaseInput::Read(None),
+        Ok(Some(object)) => {
+            let text = object.value.unwrap_or_default();
+            match serde_json::from_str(&text) {
+                Ok(lease) => LeaseInput::Read(Some((object.version, lease))),
+                Err(error) => {
+                    tracing::error!(%cell, %error, "the lease object is damaged");
+                    LeaseInput::Unreachable
+                }
+            }
+        }
+        Err(_) => LeaseInput::Unreachable,
+    })
+}
+
+async fn write(store: Store, condition: Condition, lease: Lease) -> Option<LeaseInput> {
+    let name = Lease::name(&lease.cell);
+    let text = serde_json::to_string(&lease).ok()?;
+    let result = store.put(ObjectKind::Lease, &name, condition, text).await;
+    Some(match result {
+        Ok(version) => LeaseInput::Stored(version),
+        Err(StoreError::Conflict { .. }) => LeaseInput::Conflict,
+        Err(StoreError::Unknown { .. } | StoreError::Malformed { .. }) => LeaseInput::Unknown,
+        Err(_) => LeaseInput::Unreachable,
+    })
+}
+
+async fn tick(steward: WeakAddress<Steward>) {
+    let mut beat = interval(TICK);
+    beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        beat.tick().await;
+        if steward.send(Tick).await.is_err() {
+            return;
+        }
+    }
+}
+
+impl Actor for Steward {
+    type Stop = ();
+
+    async fn started(&mut self, mailbox: &Mailbox<Self>) -> Result<(), Self::Stop> {
+        self.itself = Some(mailbox.address());
+        Ok(())
+    }
+
+    async fn stopped(self) -> Self::Stop {}
+}
+
+impl Handler<Tick> for Steward {
+    type Return = ();
+
+    async fn handle(&mut self, _: Tick, _: &mut Context<Self>) {
+        self.tick();
+    }
+}
+
+impl Handler<Done> for Steward {
+    type Return = ();
+
+    async fn handle(&mut self, Done(cell, input): Done, _: &mut Context<Self>) {
+        self.input(&cell, input);
+    }
+}
+
+impl Handler<LendCell> for Steward {
+    type Return = Option<BorrowReply>;
+
+    async fn handle(
+        &mut self,
+        LendCell(borrow): LendCell,
+        _: &mut Context<Self>,
+    ) -> Option<BorrowReply> {
+        let mut out = Vec::new();
+        let kept = self.keepers.get_mut(&borrow.cell)?;
+        let reply = kept.keeper.lend(self.parts.clock.now(), &borrow, &mut out);
+        self.carry_out(&borrow.cell, out);
+        Some(reply)
+    }
+}
+
+impl Handler<TakeOverCell> for Steward {
+    type Return = ();
+
+    async fn handle(&mut self, TakeOverCell(word): TakeOverCell, _: &mut Context<Self>) {
+        let cell = word.cell.clone();
+        self.input(&cell, LeaseInput::TakeOver(word));
+    }
+}
+
+impl Handler<MovedCell> for Steward {
+    type Return = ();
+
+    async fn handle(&mut self, MovedCell(cell): MovedCell, _: &mut Context<Self>) {
+        self.input(&cell, LeaseInput::HandedOver);
+    }
+}
+
+impl Handler<DrainCells> for Steward {
+    type Return = ();
+
+    async fn handle(&mut self, _: DrainCells, _: &mut Context<Self>) {
+        self.is_draining = true;
+        self.tick();
+    }
+}
+
+impl Handler<ListCells> for Steward {
+    type Return = Vec<(CellId, Tenure)>;
+
+    async fn handle(&mut self, _: ListCells, _: &mut Context<Self>) -> Vec<(CellId, Tenure)> {
+        let held = self.keepers.iter();
+        held.filter_map(|(cell, kept)| Some((cell.clone(), kept.keeper.tenure()?)))
+            .collect()
+    }
+}
--- a/cornelstand/tests/agree/main.rs
+++ b/cornelstand/tests/agree/main.rs
@@ -1,4 +1,6 @@
 //! Leases, membership and the configuration over several instances.
 
 mod lease;
+mod publish;
 mod ring;
+mod shells;
