Ask silent members again before they are taken for dead

Cause: with one exchange in twenty lost, 40 instances declared hundreds of deaths in 300 s: one silence made a suspect, and its refutation came too late among the other news. Change: a member is suspect after two silences in a row, silent members are asked again each period, and a message tells the receiver first what is held against it.

--- a/cornelstand/src/member.rs
+++ b/cornelstand/src/member.rs
@@ -29,6 +29,12 @@
 /// Peers that an instance starts an exchange with in each period.
 const FANOUT: usize = 2;
 
+/// Exchanges in a row that a member leaves without reply until it is suspect.
+const MISSES: u32 = 2;
+
+/// Members that did not reply and are asked again in each period.
+const ASKED_AGAIN: usize = 2;
+
 /// Entries of the walk over everything known in one message.
 const WALK: usize = 3;
 
@@ -163,6 +169,8 @@
 #[derive(Clone, Debug)]
 struct Known {
     member: Member,
+    /// Exchanges in a row that it did not answer.
+    misses: u32,
     since: Moment,
     tellings: u32,
 }
@@ -198,6 +206,14 @@
     }
 }
 
+impl Known {
+    /// Whether it has to be asked again, because it did not reply or others say so.
+    fn is_silent(&self) -> bool {
+        let is_missed = self.misses > 0 && self.member.state.is_live();
+        self.member.state.is_suspect() || is_missed
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Told<T> {
     item: T,
@@ -230,8 +246,10 @@
         match input {
             MemberInput::Tick { stamp } => self.tick(now, stamp, out),
             MemberInput::Received { gossip, stamp } => {
+                let peer = gossip.from.address;
                 self.take_in(now, *gossip, out);
-                out.push(MemberOutput::Reply(Box::new(self.message(stamp))));
+                let reply = self.message(stamp, peer);
+                out.push(MemberOutput::Reply(Box::new(reply)));
             }
             MemberInput::Answered(gossip) => self.take_in(now, *gossip, out),
             MemberInput::Silent(address) => self.suspect(now, address, out),
@@ -367,7 +385,7 @@
         for address in self.peers() {
             out.push(MemberOutput::Exchange {
                 address,
-                gossip: Box::new(self.message(stamp)),
+                gossip: Box::new(self.message(stamp, address)),
             });
         }
     }
@@ -380,6 +398,11 @@
         });
         let running: Vec<SocketAddr> = running.map(|k| k.member.address).collect();
         let mut peers: Vec<SocketAddr> = running.sample(&mut self.rng, FANOUT).copied().collect();
+        let silent = self.table.values().filter(|k| k.is_silent());
+        let silent = silent.map(|k| k.member.address);
+        peers.extend(silent.sample(&mut self.rng, ASKED_AGAIN));
+        peers.sort_unstable();
+        peers.dedup();
         let is_own = |a: &SocketAddr| *a == self.me.address;
         let dead = self.table.values().filter(|k| k.member.state.is_dead());
         let dead = dead.map(|k| k.member.address);
@@ -425,7 +448,9 @@
             .values_mut()
             .find(|k| k.member.address == address);
         let Some(known) = known else { return };
-        if matches!(known.member.state, MemberState::Live | MemberState::Leaving) {
+        known.misses += 1;
+        let is_well = matches!(known.member.state, MemberState::Live | MemberState::Leaving);
+        if is_well && known.misses >= MISSES {
             known.member.state = MemberState::Suspect;
             known.since = now;
             known.tellings = tellings;
@@ -435,7 +460,7 @@
 
     fn take_in(&mut self, now: Moment, gossip: Gossip, out: &mut Vec<MemberOutput>) {
         let peer = gossip.from.name.clone();
-        self.answer(&gossip.from);
+        self.heard(&gossip.from);
         self.merge(now, gossip.from, out);
         for member in gossip.members.into_iter().take(GOSSIP_MEMBERS) {
             self.merge(now, member, out);
@@ -455,13 +480,10 @@
         }
     }
 
-    /// Lets a peer that is taken for lost learn of it with the next message, so that it refutes.
-    fn answer(&mut self, peer: &Member) {
-        let tellings = self.tellings();
-        let known = self.table.get_mut(&peer.name);
-        let is_lost = |m: &Member| m.state.is_suspect() || m.state.is_dead();
-        if let Some(known) = known.filter(|k| is_lost(&k.member)) {
-            known.tellings = tellings;
+    /// Notes that a peer was heard.
+    fn heard(&mut self, peer: &Member) {
+        if let Some(known) = self.table.get_mut(&peer.name) {
+            known.misses = 0;
         }
     }
 
@@ -487,6 +509,7 @@
         let name = member.name.clone();
         let known = Known {
             member,
+            misses: 0,
             since,
             tellings,
         };
@@ -544,24 +567,28 @@
         }
     }
 
-    fn message(&mut self, stamp: Stamp) -> Gossip {
+    fn message(&mut self, stamp: Stamp, to: SocketAddr) -> Gossip {
         Gossip {
             from: self.me.clone(),
             stamp,
             known: self.known,
-            members: self.news(),
+            members: self.news(to),
             cells: self.cell_news(),
             extra: self.extra.clone(),
         }
     }
 
     /// News of members, and the next few of the walk over all of them.
-    fn news(&mut self) -> Vec<Member> {
+    ///
+    /// What is held against the receiver goes first, so that it can refute with its reply.
+    fn news(&mut self, to: SocketAddr) -> Vec<Member> {
+        let is_accused = |m: &&Member| m.address == to && !m.state.is_live();
+        let all = self.table.values().map(|k| &k.member);
+        let mut members: Vec<Member> = all.filter(is_accused).take(1).cloned().collect();
         let mut news: Vec<&mut Known> =
             self.table.values_mut().filter(|k| k.tellings > 0).collect();
         news.sort_by_key(|k| std::cmp::Reverse(k.tellings));
-        let mut members = Vec::new();
-        for known in news.into_iter().take(GOSSIP_MEMBERS - WALK) {
+        for known in news.into_iter().take(GOSSIP_MEMBERS - WALK - 1) {
             known.tellings -= 1;
             members.push(known.member.clone());
         }
--- a/cornelstand/tests/agree/main.rs
+++ b/cornelstand/tests/agree/main.rs
@@ -1,6 +1,9 @@
 //! Leases, membership and the configuration over several instances.
 
+mod figures;
 mod lease;
+mod member;
 mod publish;
 mod ring;
 mod shells;
+mod swarm;
