Measure the gossip and tell newcomers more in one message

Cause: 400 instances started at once needed 133 s to know one another, as a message carried 12 members.

--- a/cornelstand/src/gossip.rs
+++ b/cornelstand/src/gossip.rs
@@ -13,7 +13,7 @@
 use crate::timeline::Stamp;
 
 /// Most members in one message.
-pub const GOSSIP_MEMBERS: usize = 12;
+pub const GOSSIP_MEMBERS: usize = 36;
 
 /// Most cells in one message.
 pub const GOSSIP_CELLS: usize = 8;
@@ -31,6 +31,8 @@
     pub stamp: Stamp,
     /// Highest accepted revision that the sender knows of.
     pub known: Revision,
+    /// Number of members that the sender knows of.
+    pub size: u32,
     /// News and a part of what the sender knows of members.
     pub members: Vec<Member>,
     /// Owners of cells.
--- a/cornelstand/src/member.rs
+++ b/cornelstand/src/member.rs
@@ -246,9 +246,12 @@
         match input {
             MemberInput::Tick { stamp } => self.tick(now, stamp, out),
             MemberInput::Received { gossip, stamp } => {
-                let peer = gossip.from.address;
+                let (peer, size) = (gossip.from.address, gossip.size);
                 self.take_in(now, *gossip, out);
-                let reply = self.message(stamp, peer);
+                let mut reply = self.message(stamp, peer);
+                if size < self.size() {
+                    self.fill(&mut reply.members);
+                }
                 out.push(MemberOutput::Reply(Box::new(reply)));
             }
             MemberInput::Answered(gossip) => self.take_in(now, *gossip, out),
@@ -572,6 +575,7 @@
             from: self.me.clone(),
             stamp,
             known: self.known,
+            size: self.size(),
             members: self.news(to),
             cells: self.cell_news(),
             extra: self.extra.clone(),
@@ -592,14 +596,29 @@
             known.tellings -= 1;
             members.push(known.member.clone());
         }
+        self.walk_on(&mut members, WALK);
+        members
+    }
+
+    /// Fills a message to a peer that knows of fewer members with more of the walk.
+    fn fill(&mut self, members: &mut Vec<Member>) {
+        let room = GOSSIP_MEMBERS.saturating_sub(members.len());
+        self.walk_on(members, room);
+    }
+
+    /// Adds the next members of the walk, starting anew after the last.
+    fn walk_on(&mut self, members: &mut Vec<Member>, count: usize) {
         let after = self.walk.take();
         let later = self.table.iter();
         let later = later.filter(|(name, _)| after.as_ref().is_none_or(|a| *name > a));
-        for (name, known) in later.take(WALK) {
+        for (name, known) in later.take(count) {
             self.walk = Some(name.clone());
             members.push(known.member.clone());
         }
-        members
+    }
+
+    fn size(&self) -> u32 {
+        u32::try_from(self.table.len()).unwrap_or(u32::MAX)
     }
 
     fn cell_news(&mut self) -> Vec<CellClaim> {
--- a/cornelstand/tests/agree/lease.rs
+++ b/cornelstand/tests/agree/lease.rs
@@ -22,7 +22,7 @@
     }
 }
 
-fn run(ring: &mut Ring, steps: u64) {
+pub(crate) fn run(ring: &mut Ring, steps: u64) {
     for step in 0..steps {
         if step % 10 == 0 {
             views(ring);
--- a/cornelstand/tests/agree/main.rs
+++ b/cornelstand/tests/agree/main.rs
@@ -3,6 +3,7 @@
 mod figures;
 mod lease;
 mod member;
+mod net;
 mod publish;
 mod ring;
 mod shells;
--- a/cornelstand/tests/agree/member.rs
+++ b/cornelstand/tests/agree/member.rs
@@ -210,6 +210,7 @@
         from: members.me().clone(),
         stamp: Stamp::default(),
         known: Revision(0),
+        size: 0,
         members: Vec::new(),
         cells: Vec::new(),
         extra: Vec::new(),
--- /dev/null
+++ b/cornelstand/tests/agree/net.rs
@@ -0,0 +1,140 @@
+//! The actors of several instances in one process, reached by calls in place of sockets.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use cornelstand::{
+    AnswerGossip, Borrow, CellChange, CellId, Clock, Fleet, FleetParts, Gossip, Holder, InForce,
+    Incarnation, LeaseTiming, LendCell, Member, MemberState, MemberTiming, Members, Revision,
+    RevisionParts, Seed, Steward, StewardParts, Store, TakeOverCell, Timeline, Yield,
+    keep_revisions,
+};
+use tokio::sync::watch;
+use xtra::prelude::*;
+
+/// Where the actors of the instances can be reached.
+#[derive(Clone, Default)]
+pub(crate) struct Net(Arc<Mutex<BTreeMap<SocketAddr, Peer>>>);
+
+#[derive(Clone)]
+pub(crate) struct Peer {
+    pub(crate) fleet: Address<Fleet>,
+    pub(crate) steward: Address<Steward>,
+    pub(crate) in_force: InForce,
+}
+
+impl Net {
+    fn peer(&self, address: SocketAddr) -> Option<Peer> {
+        self.0.lock().expect("a lock").get(&address).cloned()
+    }
+}
+
+pub(crate) struct Instance {
+    pub(crate) peer: Peer,
+    pub(crate) members: watch::Receiver<Arc<Members>>,
+}
+
+fn member(index: u16) -> Member {
+    Member {
+        name: format!("i{index}").as_str().into(),
+        address: address(index),
+        centre: "a".into(),
+        incarnation: Incarnation(u64::from(index) + 1),
+        count: 0,
+        state: MemberState::Live,
+        revision: Revision(0),
+    }
+}
+
+fn address(index: u16) -> SocketAddr {
+    ([127, 0, 0, 1], 9000 + index).into()
+}
+
+pub(crate) fn start(
+    index: u16,
+    count: u16,
+    period: Duration,
+    net: &Net,
+    store: &Store,
+) -> Instance {
+    let me = member(index);
+    let holder = me.holder();
+    let clock = Clock::start();
+    let timeline = Timeline::new(me.name.clone(), 100);
+    let timing = MemberTiming {
+        period,
+        ..MemberTiming::default()
+    };
+    let exchange = net.clone();
+    let seeds: Vec<Seed> = (0..count)
+        .map(|i| Seed {
+            name: Some(member(i).name),
+            address: address(i),
+            leaving: false,
+        })
+        .collect();
+    let parts = FleetParts {
+        exchange: Arc::new(move |to: SocketAddr, gossip: Gossip| {
+            let peer = exchange.peer(to);
+            Box::pin(async move { peer?.fleet.send(AnswerGossip(gossip)).await.ok()? })
+        }),
+        list: Arc::new(move || {
+            let seeds = seeds.clone();
+            Box::pin(async move { Some(seeds) })
+        }),
+        extra: Arc::new(|_, _| ()),
+        clock,
+        timeline: timeline.clone(),
+    };
+    let (fleet, members) = Fleet::spawn(Members::new(me, timing, u64::from(index)), parts);
+    let pull = net.clone();
+    let in_force = keep_revisions(RevisionParts {
+        store: store.clone(),
+        pull: Arc::new(move |peer: Member, after| {
+            let peer = pull.peer(peer.address);
+            Box::pin(async move { peer?.in_force.update(after) })
+        }),
+        members: members.clone(),
+        fleet: fleet.clone(),
+        timeline: timeline.clone(),
+    });
+    let (borrow, word) = (net.clone(), net.clone());
+    let steward = Steward::spawn(
+        holder,
+        LeaseTiming::default(),
+        StewardParts {
+            store: store.clone(),
+            borrow: Arc::new(move |to: Holder, request: Borrow| {
+                let peer = borrow.peer(to.address);
+                Box::pin(async move { peer?.steward.send(LendCell(request)).await.ok()? })
+            }),
+            word: Arc::new(move |to: Holder, message: Yield| {
+                let peer = word.peer(to.address);
+                Box::pin(async move {
+                    if let Some(peer) = peer {
+                        let _ = peer.steward.send(TakeOverCell(message)).await;
+                    }
+                })
+            }),
+            tell: Arc::new(|_: CellId, _: CellChange| ()),
+            delay: Arc::new(|_| 0),
+            members: members.clone(),
+            fleet: fleet.clone(),
+            config: in_force.config(),
+            clock,
+            timeline,
+        },
+    );
+    let peer = Peer {
+        fleet,
+        steward,
+        in_force,
+    };
+    net.0
+        .lock()
+        .expect("a lock")
+        .insert(address(index), peer.clone());
+    Instance { peer, members }
+}
