--- a/cornelstand/src/link.rs
+++ b/cornelstand/src/link.rs
@@ -25,13 +25,13 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::codec::Postcard;
-use crate::config::Config;
 use crate::dispatch::{Census, Handover, Offer, Reply, Report};
 use crate::gossip::Gossip;
 use crate::handshake::{self, HandshakeError};
-use crate::lease::{Borrow, BorrowReply};
+use crate::lease::{Borrow, BorrowReply, Yield};
 use crate::meter::{Metered, Traffic};
 use crate::name::{AttemptId, CellId, Epoch, InstanceName, Revision};
+use crate::revisions::ConfigUpdate;
 use crate::status::InstanceStatus;
 use crate::suspect::Suspicion;
 use crate::timeline::{Event, Stamp};
@@ -95,10 +95,12 @@
     async fn gossip(gossip: Gossip) -> Option<Gossip>;
     /// Asks for the use of a half of a cell's limits.
     async fn borrow(borrow: Borrow) -> Option<BorrowReply>;
+    /// Tells the next owner of a cell that its former owner has stopped.
+    async fn yield_cell(word: Yield);
     /// Tells of a suspect request and asks what is known of it.
     async fn suspect(suspicion: Suspicion) -> Option<Suspicion>;
-    /// Asks for a configuration newer than `known`.
-    async fn config(known: Revision) -> Option<Config>;
+    /// Asks for what leads from revision `known` to the present one.
+    async fn config(known: Revision) -> Option<ConfigUpdate>;
     /// Asks for the events of the time line.
     async fn events() -> Vec<Event>;
     /// Asks for the state of the instance.
@@ -118,8 +120,9 @@
     pub(crate) hand_over: Call<Handover, bool>,
     pub(crate) gossip: Call<Gossip, Option<Gossip>>,
     pub(crate) borrow: Call<Borrow, Option<BorrowReply>>,
+    pub(crate) yield_cell: Call<Yield, ()>,
     pub(crate) suspect: Call<Suspicion, Option<Suspicion>>,
-    pub(crate) config: Call<Revision, Option<Config>>,
+    pub(crate) config: Call<Revision, Option<ConfigUpdate>>,
     pub(crate) events: Arc<dyn Fn() -> Vec<Event> + Send + Sync>,
     pub(crate) status: Call<(), InstanceStatus>,
 }
@@ -157,11 +160,15 @@
         (self.borrow)(borrow).await
     }
 
+    async fn yield_cell(self, _: Context, word: Yield) {
+        (self.yield_cell)(word).await;
+    }
+
     async fn suspect(self, _: Context, suspicion: Suspicion) -> Option<Suspicion> {
         (self.suspect)(suspicion).await
     }
 
-    async fn config(self, _: Context, known: Revision) -> Option<Config> {
+    async fn config(self, _: Context, known: Revision) -> Option<ConfigUpdate> {
         (self.config)(known).await
     }
 
