Let offers leave the queue when their askers have gone

Cause: an offer whose asker's connection broke kept its place in the queue, and counted against the account's bound, until its grant. Change: the actor looks once a second for askers that have gone and forgets their offers; an attempt that is asked for again in the meantime keeps its place.

--- a/cornelstand/src/cell.rs
+++ b/cornelstand/src/cell.rs
@@ -92,10 +92,7 @@
         match input {
             CellInput::Offer(offer) => self.offer(now, offer, out),
             CellInput::Withdraw(attempt) => self.withdraw(attempt, out),
-            CellInput::Undelivered(attempt) => {
-                let active = self.active.take_back(attempt);
-                self.free_unused(attempt, active);
-            }
+            CellInput::Undelivered(attempt) => self.take_back(attempt),
             CellInput::Report(report) => self.report(now, &report),
             CellInput::Load { endpoint, load } => self.load(now, &endpoint, load),
             CellInput::Leaving(names) => self.leaving(&names),
@@ -243,6 +240,15 @@
         self.free_unused(attempt, closed);
     }
 
+    /// Forgets an attempt that nobody waits for at the moment.
+    fn take_back(&mut self, attempt: AttemptId) {
+        if self.queue.remove(attempt).is_some() {
+            self.counts.cancelled += 1;
+        }
+        let active = self.active.take_back(attempt);
+        self.free_unused(attempt, active);
+    }
+
     /// Frees the slot of a granted attempt that no entry runs, at no charge.
     fn free_unused(&mut self, attempt: AttemptId, active: Option<Active>) {
         let Some(active) = active else { return };
--- a/cornelstand/src/cell_message.rs
+++ b/cornelstand/src/cell_message.rs
@@ -17,7 +17,7 @@
     Offer(Offer),
     /// An entry takes an offer back.
     Withdraw(AttemptId),
-    /// A grant found nobody who waits for it. The attempt may be offered again.
+    /// Nobody waits for a grant, given or still to come. The attempt may be offered again.
     Undelivered(AttemptId),
     /// An entry tells how a granted attempt goes.
     Report(Report),
--- a/cornelstand/src/dispatcher.rs
+++ b/cornelstand/src/dispatcher.rs
@@ -102,7 +102,7 @@
     load: Load,
 }
 
-/// Asks for the endpoints to poll.
+/// Asks for the endpoints to poll, once every [`POLL`].
 struct Polled;
 
 /// Owner of one cell.
@@ -163,6 +163,16 @@
         });
     }
 
+    /// Forgets waiting offers whose askers have gone without withdrawing them.
+    fn sweep(&mut self) {
+        let gone = self.replies.iter().filter(|(_, s)| s.is_closed());
+        let gone: Vec<AttemptId> = gone.map(|(attempt, _)| *attempt).collect();
+        for attempt in gone {
+            self.replies.remove(&attempt);
+            self.handle(CellInput::Undelivered(attempt));
+        }
+    }
+
     /// Carries out one effect. Returns the attempt of a grant that nobody waits for.
     fn carry_out(&mut self, output: CellOutput) -> Option<AttemptId> {
         match output {
@@ -260,6 +270,7 @@
     type Return = Vec<(EndpointName, SocketAddr)>;
 
     async fn handle(&mut self, _: Polled, _: &mut Context<Self>) -> Self::Return {
+        self.sweep();
         let cell = self.cell.iter();
         let polled = cell.flat_map(|c| c.polled().map(|(name, at)| (name.clone(), at)));
         polled.collect()
--- a/cornelstand/tests/decide/actor.rs
+++ b/cornelstand/tests/decide/actor.rs
@@ -97,6 +97,21 @@
     assert!(second.await.expect("a reply").is_ok());
 }
 
+#[tokio::test(start_paused = true)]
+async fn an_offer_whose_asker_has_gone_leaves_the_queue() {
+    let dispatcher = start().await;
+    let first = ask(&dispatcher, 1, 60).await;
+    assert!(first.await.expect("a reply").is_ok());
+    drop(ask(&dispatcher, 2, 60).await);
+    let again = ask(&dispatcher, 3, 60).await;
+    drop(again);
+    let kept = ask(&dispatcher, 3, 60).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let status = dispatcher.send(Inspect).await.expect("it runs");
+    assert_eq!(status.expect("a status").waiting, 1);
+    drop(kept);
+}
+
 #[tokio::test]
 async fn load_reports_are_polled() {
     let load = r#"{ "boot": 7, "running": 1, "waiting": 0, "answers": 100 }"#;
