Count an answer once over a change of owner

Cause: a property test with changes of owner found two requests at an engine that bore one: an outcome that the earlier owner had counted came again and was counted once more by the next, as that did not know the attempt. Change: after a handover only the attempts in it are known, and reports about others of its epoch or an earlier one are dropped. A handover also names the entries that have still to report and what may run unseen, so that a doubt survives it. The handover type has two more fields.

--- a/cornelstand/src/active.rs
+++ b/cornelstand/src/active.rs
@@ -82,6 +82,13 @@
         u32::try_from(settled.count()).unwrap_or(u32::MAX)
     }
 
+    /// Counts the attempts at `endpoint` of which no entry is known.
+    pub(crate) fn without_entry(&self, endpoint: &EndpointName) -> u32 {
+        let at = self.all.values().filter(|a| a.endpoint == *endpoint);
+        let count = at.filter(|a| a.entry.is_none()).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
     /// The attempts by the entry that runs them.
     pub(crate) fn censuses(&self, cell: &CellId, queue: &FairQueue) -> Vec<Census> {
         let mut entries: BTreeMap<InstanceName, Vec<Running>> = BTreeMap::new();
--- a/cornelstand/src/cell.rs
+++ b/cornelstand/src/cell.rs
@@ -44,11 +44,13 @@
     pub(crate) endpoints: BTreeMap<EndpointName, EndpointModel>,
     pub(crate) active: ActiveSet,
     pub(crate) unreported: BTreeSet<InstanceName>,
+    /// Latest epoch of which every attempt that may run is known.
+    pub(crate) complete: Epoch,
     /// Whether an entry went without reporting what it ran.
     pub(crate) lost: bool,
     pub(crate) recovered: Moment,
     /// Time of the latest input.
-    latest: Moment,
+    pub(crate) latest: Moment,
     pub(crate) counts: Counts,
     exchange: Exchange,
 }
@@ -73,6 +75,7 @@
             endpoints: BTreeMap::new(),
             active: ActiveSet::default(),
             unreported: BTreeSet::new(),
+            complete: Epoch::default(),
             lost: false,
             recovered: now,
             latest: now,
--- a/cornelstand/src/dispatch.rs
+++ b/cornelstand/src/dispatch.rs
@@ -178,6 +178,8 @@
     pub running: Vec<Census>,
     /// What is known of each endpoint.
     pub endpoints: Vec<EndpointState>,
+    /// Entries that have still to report what they run for an earlier owner.
+    pub unreported: Vec<InstanceName>,
 }
 
 /// Service counter of one account.
@@ -200,6 +202,8 @@
     pub boot: Option<BootId>,
     /// Answers since that boot.
     pub answers: u32,
+    /// Requests that may run there though no entry follows them.
+    pub unseen: u32,
 }
 
 /// Reply to an offer.
--- a/cornelstand/src/endpoint.rs
+++ b/cornelstand/src/endpoint.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::Endpoint;
-use crate::dispatch::Ending;
+use crate::dispatch::{Ending, EndpointState};
 use crate::moment::Moment;
 use crate::name::{AttemptId, BootId, InstanceName};
 use crate::probe::Probe;
@@ -180,10 +180,11 @@
     }
 
     /// Takes over what an earlier owner had learned.
-    pub(crate) fn restore(&mut self, now: Moment, boot: Option<BootId>, answers: u32) {
+    pub(crate) fn restore(&mut self, now: Moment, known: &EndpointState) {
+        self.haunt(now, known.unseen);
         self.proof = now;
-        self.boot = boot;
-        self.answers = answers;
+        self.boot = known.boot;
+        self.answers = known.answers;
     }
 
     pub(crate) fn boot(&self) -> Option<BootId> {
@@ -388,7 +389,7 @@
         }
         self.risen = now;
         if let Foreign::AtMost(most) = &mut self.foreign {
-            *most += count;
+            *most = most.saturating_add(count);
         }
     }
 
--- a/cornelstand/src/takeover.rs
+++ b/cornelstand/src/takeover.rs
@@ -14,8 +14,9 @@
 use crate::cell_message::CellOutput;
 use crate::config::{Class, Config};
 use crate::dispatch::{Census, Counter, EndpointState, Handover, Refusal, Report, Running};
+use crate::endpoint::EndpointModel;
 use crate::moment::Moment;
-use crate::name::{AttemptId, Epoch, InstanceName};
+use crate::name::{AttemptId, EndpointName, Epoch, InstanceName};
 
 impl Cell {
     /// A cell that goes on where its earlier owner stopped.
@@ -31,7 +32,7 @@
         cell.queue.set_floor(floor.unwrap_or(0));
         for known in &handover.endpoints {
             if let Some(model) = cell.endpoints.get_mut(&known.endpoint) {
-                model.restore(now, known.boot, known.answers);
+                model.restore(now, known);
             }
         }
         for census in handover.running {
@@ -39,6 +40,11 @@
                 cell.adopt(running, Some(census.entry.clone()), false);
             }
         }
+        if handover.unreported.is_empty() {
+            cell.complete = handover.epoch;
+        } else {
+            cell.recover(now, handover.unreported.into_iter().collect());
+        }
         cell
     }
 
@@ -56,19 +62,28 @@
             endpoint: name.clone(),
             boot: model.boot(),
             answers: model.answers(),
+            unseen: self.unseen(name, model),
         });
         Handover {
             counters,
             running: self.active.censuses(&self.id, &self.queue),
             endpoints: endpoints.collect(),
+            unreported: self.unreported.into_iter().collect(),
             cell: self.id,
             epoch: self.epoch,
         }
     }
 
+    /// Requests that may run at an endpoint and that the next owner cannot follow.
+    fn unseen(&self, name: &EndpointName, model: &EndpointModel) -> u32 {
+        let foreign = model.foreign(self.latest).unwrap_or(u32::MAX);
+        foreign.saturating_add(self.active.without_entry(name))
+    }
+
     /// Takes in an attempt that an earlier owner granted, and tells whether it is one.
     pub(crate) fn learn(&mut self, report: &Report) -> bool {
-        let foreign = report.epoch < self.epoch && !self.active.has_ended(report.attempt);
+        let earlier = report.epoch > self.complete && report.epoch < self.epoch;
+        let foreign = earlier && !self.active.has_ended(report.attempt);
         if foreign {
             let running = Running {
                 attempt: report.attempt,
--- a/cornelstand/tests/decide/ways.rs
+++ b/cornelstand/tests/decide/ways.rs
@@ -48,6 +48,7 @@
         jobs,
         restarts: Vec::new(),
         lag: 0,
+        takeovers: Vec::new(),
     }
 }
 
@@ -106,6 +107,7 @@
         jobs: (0..12_000).step_by(10).map(job).collect(),
         restarts: vec![(5000, 0)],
         lag: 1000,
+        takeovers: Vec::new(),
     };
     let outcome = Driver::new(plan).run();
     let fastest = fastest_ramp(size, COST);
@@ -159,6 +161,7 @@
         jobs,
         restarts: Vec::new(),
         lag: 0,
+        takeovers: Vec::new(),
     };
     let outcome = Driver::new(plan).run();
     let ratio = worst_ratio(&SHARES, &outcome.spans, 30_000);
