--- a/cornelstand/src/cell.rs
+++ b/cornelstand/src/cell.rs
@@ -44,11 +44,13 @@
     pub(crate) endpoints: BTreeMap<EndpointName, EndpointModel>,
     pub(crate) active: ActiveSet,
     pub(crate) unreported: BTreeSet<InstanceName>,
+    /// Latest epoch of which every attempt that may run is known.
+    pub(crate) complete: Epoch,
     /// Whether an entry went without reporting what it ran.
     pub(crate) lost: bool,
     pub(crate) recovered: Moment,
     /// Time of the latest input.
-    latest: Moment,
+    pub(crate) latest: Moment,
     pub(crate) counts: Counts,
     exchange: Exchange,
 }
@@ -73,6 +75,7 @@
             endpoints: BTreeMap::new(),
             active: ActiveSet::default(),
             unreported: BTreeSet::new(),
+            complete: Epoch::default(),
             lost: false,
             recovered: now,
             latest: now,
@@ -92,10 +95,7 @@
         match input {
             CellInput::Offer(offer) => self.offer(now, offer, out),
             CellInput::Withdraw(attempt) => self.withdraw(attempt, out),
-            CellInput::Undelivered(attempt) => {
-                let active = self.active.take_back(attempt);
-                self.free_unused(attempt, active);
-            }
+            CellInput::Undelivered(attempt) => self.take_back(attempt),
             CellInput::Report(report) => self.report(now, &report),
             CellInput::Load { endpoint, load } => self.load(now, &endpoint, load),
             CellInput::Leaving(names) => self.leaving(&names),
@@ -243,6 +243,15 @@
         self.free_unused(attempt, closed);
     }
 
+    /// Forgets an attempt that nobody waits for at the moment.
+    fn take_back(&mut self, attempt: AttemptId) {
+        if self.queue.remove(attempt).is_some() {
+            self.counts.cancelled += 1;
+        }
+        let active = self.active.take_back(attempt);
+        self.free_unused(attempt, active);
+    }
+
     /// Frees the slot of a granted attempt that no entry runs, at no charge.
     fn free_unused(&mut self, attempt: AttemptId, active: Option<Active>) {
         let Some(active) = active else { return };
