--- a/cornelstand/src/call.rs
+++ b/cornelstand/src/call.rs
@@ -165,7 +165,14 @@
             Err(Gone) => return self.leave(ready, caller).await,
         };
         self.record("granted", grant.endpoint.as_str());
-        let flight = Flight::begin(self, grant);
+        let is_crossed = grant.attempt != ready.attempt();
+        let attempt = ready.attempt();
+        let flight = Flight::begin(self, Grant { attempt, ..grant });
+        if is_crossed {
+            flight.end(Ending::NotSent);
+            self.count_retry("crossed");
+            return Step::Again(ready.next(), caller);
+        }
         if self.core.pauses.has_paused(pauses, self.core.clock.now()) {
             flight.end(Ending::NotSent);
             self.count_retry("paused");
--- a/cornelstand/src/entry.rs
+++ b/cornelstand/src/entry.rs
@@ -33,7 +33,7 @@
 
 /// Limits of an entry.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(default, deny_unknown_fields)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct EntryLimits {
     /// Milliseconds until a request's header is complete, also on an unused connection.
     pub header_ms: u64,
