--- a/cornelstand/src/settings.rs
+++ b/cornelstand/src/settings.rs
@@ -315,6 +315,7 @@
         ("entry.header-ms", entry.header_ms, 100, 600_000),
         ("entry.body-ms", entry.body_ms, 100, 3_600_000),
         ("entry.first-ms", entry.first_ms, 100, 3_600_000),
+        ("entry.probe-ms", entry.probe_ms, 100, 3_600_000),
         ("entry.idle-ms", entry.idle_ms, 100, 3_600_000),
         ("entry.deadline-ms", entry.deadline_ms, 100, 86_400_000),
         ("entry.body-bytes", entry.body_bytes, 0, 1 << 32),
@@ -326,6 +327,12 @@
     let range = [
         ("entry.header-bytes", entry.header_bytes, 1 << 10, 1 << 20),
         ("entry.replay-bytes", entry.replay_bytes, 0, 64 << 20),
+        (
+            "entry.buffer-bytes",
+            entry.buffer_bytes,
+            entry.replay_bytes,
+            1 << 32,
+        ),
         ("entry.connections", entry.connections, 1, 1 << 20),
     ];
     for (field, value, least, most) in range {
