Test that an endpoint sees the path that its rule was looked up for

The rule goes by the decoded path and the HTTP client writes paths in its own way; a difference between them could give an order the rule of a lookup.

--- a/cornelstand/tests/entry/parsers.rs
+++ b/cornelstand/tests/entry/parsers.rs
@@ -199,3 +199,19 @@
     let pushed = (0..1_000).position(|_| scanner.push(&piece).is_err());
     assert_eq!(pushed, Some(EVENT_BYTES / piece.len()));
 }
+
+#[test]
+fn an_endpoint_sees_the_path_that_the_rule_was_looked_up_for() {
+    run("/app/[!-~]{0,24}", |path| {
+        let Ok(uri) = path.parse::<http::Uri>() else {
+            return Ok(());
+        };
+        if let Ok(split) = split_path(uri.path()) {
+            let url = format!("http://127.0.0.1:1{}", split.raw);
+            let url = reqwest::Url::parse(&url).unwrap();
+            let seen = format!("/app{}", url.path());
+            prop_assert_eq!(split_path(&seen).unwrap().plain, split.plain);
+        }
+        Ok(())
+    });
+}
