Ask for the rest of a cut stream again when it cannot be had at once

One failed request for the rest of a cut stream ended it, also when the endpoint was only out of reach for a moment. The entry asks up to three times with growing pauses now; an engine that does not know the stream, or refuses connections, ends it at once.

Before: cut after one failed request.

--- a/cornelstand/src/entry_metrics.rs
+++ b/cornelstand/src/entry_metrics.rs
@@ -17,7 +17,7 @@
     pub(crate) unbudgeted: IntCounter,
     /// Claims by how they were settled: `recorded`, `released`, `unknown` or `unsettled`.
     pub(crate) claims: IntCounterVec,
-    /// Streams resumed, by result: `resumed`, `unknown` or `failed`.
+    /// Streams resumed, by result: `resumed`, `unknown`, `down` or `failed`.
     pub(crate) resumes: IntCounterVec,
     /// Attempts lost because the endpoint crashed.
     pub(crate) crashes: IntCounter,
--- a/cornelstand/src/head.rs
+++ b/cornelstand/src/head.rs
@@ -47,7 +47,7 @@
         };
         match origin.resume(0).await {
             Resumed::Stream(answer) => Ok(self.picked_up(answer, origin)),
-            Resumed::Unknown | Resumed::Failed => Err(HeadError::Lost(loss)),
+            Resumed::Unknown | Resumed::Down | Resumed::Failed => Err(HeadError::Lost(loss)),
         }
     }
 
@@ -69,7 +69,7 @@
                     return Ok(self.picked_up(answer, origin));
                 }
                 Resumed::Unknown => return Err(HeadError::Lost(Loss::Silent)),
-                Resumed::Stream(_) | Resumed::Failed => {}
+                Resumed::Stream(_) | Resumed::Down | Resumed::Failed => {}
             }
         }
         head_of(send.await)
--- a/cornelstand/src/relay.rs
+++ b/cornelstand/src/relay.rs
@@ -24,6 +24,8 @@
 const RESUMES: u32 = 3;
 /// Most bytes of a whole answer that are kept to find its usage.
 const USAGE_BYTES: usize = 256 * 1024;
+/// Pause before a stream is asked for once more, growing with each time.
+const PAUSE: Duration = Duration::from_millis(100);
 /// Longest wait for an engine to take up a stream again.
 const RESUME: Duration = Duration::from_secs(2);
 /// Longest wait for the end of a stream after its last event.
@@ -114,41 +116,53 @@
 
     async fn next_events(&mut self, wait: Duration) -> Result<Option<Bytes>, Loss> {
         loop {
-            let Form::Events { scanner, resumes } = &mut self.form else {
-                return Ok(None);
-            };
-            if scanner.is_done() {
-                drain(&mut self.stream).await;
-                return Ok(None);
+            match self.pull_events(wait).await {
+                Err(loss) => self.resume(loss).await?,
+                events => return events,
             }
-            let loss = match pull(&mut self.stream, wait).await {
-                Ok(Some(bytes)) => {
-                    let Ok(events) = scanner.push(&bytes) else {
-                        return Err(Loss::Broken);
-                    };
-                    if !events.is_empty() {
-                        *resumes = 0;
-                        return Ok(Some(events));
-                    }
-                    continue;
-                }
-                Ok(None) => Loss::Broken,
-                Err(loss) => loss,
-            };
-            if *resumes == RESUMES {
-                return Err(loss);
+        }
+    }
+
+    /// The next whole events of the present stream.
+    async fn pull_events(&mut self, wait: Duration) -> Result<Option<Bytes>, Loss> {
+        let Form::Events { scanner, resumes } = &mut self.form else {
+            return Ok(None);
+        };
+        if scanner.is_done() {
+            drain(&mut self.stream).await;
+            return Ok(None);
+        }
+        loop {
+            let bytes = pull(&mut self.stream, wait).await?.ok_or(Loss::Broken)?;
+            let events = scanner.push(&bytes).map_err(|_| Loss::Broken)?;
+            if !events.is_empty() {
+                *resumes = 0;
+                return Ok(Some(events));
             }
+        }
+    }
+
+    /// Takes the stream up again after its last whole event.
+    async fn resume(&mut self, loss: Loss) -> Result<(), Loss> {
+        let Form::Events { scanner, resumes } = &mut self.form else {
+            return Err(loss);
+        };
+        scanner.rewind();
+        if loss.is_silent() {
+            self.origin.core.replace_pool(self.origin.address);
+        }
+        while *resumes < RESUMES {
             *resumes += 1;
-            scanner.rewind();
-            let chunks = scanner.chunks();
-            if loss.is_silent() {
-                self.origin.core.replace_pool(self.origin.address);
+            match self.origin.resume(scanner.chunks()).await {
+                Resumed::Stream(answer) => {
+                    self.stream = answer.bytes_stream().boxed();
+                    return Ok(());
+                }
+                Resumed::Unknown | Resumed::Down => return Err(loss),
+                Resumed::Failed => tokio::time::sleep(PAUSE * *resumes).await,
             }
-            self.stream = match self.origin.resume(chunks).await {
-                Resumed::Stream(answer) => answer.bytes_stream().boxed(),
-                Resumed::Unknown | Resumed::Failed => return Err(loss),
-            };
         }
+        Err(loss)
     }
 }
 
@@ -158,6 +172,8 @@
     Stream(Response),
     /// It does not know the stream.
     Unknown,
+    /// It refuses connections.
+    Down,
     /// It cannot be asked.
     Failed,
 }
@@ -169,11 +185,13 @@
         let request = upstreams.resume(self.address, self.attempt, chunks);
         let resumed = match tokio::time::timeout(RESUME, request).await {
             Ok(Ok(answer)) => self.resumed(answer),
+            Ok(Err(error)) if error.is_connect() && !error.is_timeout() => Resumed::Down,
             Ok(Err(_)) | Err(_) => Resumed::Failed,
         };
         let result = match &resumed {
             Resumed::Stream(_) => "resumed",
             Resumed::Unknown => "unknown",
+            Resumed::Down => "down",
             Resumed::Failed => "failed",
         };
         let counter = &self.core.metrics.resumes;
--- a/cornelstand/tests/entry/fleet.rs
+++ b/cornelstand/tests/entry/fleet.rs
@@ -293,10 +293,17 @@
 
 /// An endpoint that answers every connection with the same bytes and closes it.
 pub(crate) async fn raw(answer: &'static str) -> SocketAddr {
+    script(vec![answer]).await
+}
+
+/// An endpoint that answers connection after connection with the next of `answers`, all from the
+/// last one on with that, and closes them.
+pub(crate) async fn script(answers: Vec<&'static str>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
-        loop {
+        for at in 0.. {
+            let answer = answers[answers.len().min(at + 1) - 1];
             let (mut stream, _) = listener.accept().await.unwrap();
             let mut request = [0; 4096];
             let _ = stream.read(&mut request).await;
--- a/cornelstand/tests/entry/streams.rs
+++ b/cornelstand/tests/entry/streams.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use cornelstand::{Ending, EntryLimits};
+use rstest::rstest;
 use stand_ins::Engine;
 
-use crate::fleet::{Fleet, chat, engine, has_usage, problem};
+use crate::fleet::{Fleet, chat, engine, has_usage, problem, script};
 
 #[tokio::test]
 async fn a_stream_comes_whole_and_costs_its_usage() {
@@ -202,3 +203,31 @@
     let cost = fleet.reports.lock().unwrap().last().unwrap().cost;
     assert_eq!(answer["usage"]["total_tokens"], cost);
 }
+
+#[rstest]
+#[case::cut_between_events("", true)]
+#[case::cut_inside_an_event("data: {\"tok", true)]
+#[case::never_resumed("", false)]
+#[tokio::test]
+async fn a_cut_stream_is_resumed_even_if_not_at_once(#[case] half: &str, #[case] resumes: bool) {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+        connection: close\r\n\r\n";
+    let first = format!("{HEAD}data: 1\n\ndata: 2\n\n{half}").leak();
+    let rest = format!("{HEAD}data: 3\n\ndata: [DONE]\n\n").leak();
+    let answers = if resumes {
+        vec![first, "", "HTTP/1.1 200", rest]
+    } else {
+        vec![first, ""]
+    };
+    let fleet = Fleet::start(&[script(answers).await], EntryLimits::default()).await;
+    let answer = chat(&fleet, "five zips", 3).send().await.unwrap();
+    let text = answer.text().await.ok();
+    let whole = "data: 1\n\ndata: 2\n\ndata: 3\n\ndata: [DONE]\n\n".to_owned();
+    assert_eq!(text, resumes.then_some(whole));
+    let ending = if resumes {
+        Ending::Answered
+    } else {
+        Ending::Broken
+    };
+    assert_eq!(fleet.endings(), [ending]);
+}
