--- a/cornelstand/src/call.rs
+++ b/cornelstand/src/call.rs
@@ -165,10 +165,10 @@
             Err(Gone) => return self.leave(ready, caller).await,
         };
         self.record("granted", grant.endpoint.as_str());
-        let crossed = grant.attempt != ready.attempt();
+        let is_crossed = grant.attempt != ready.attempt();
         let attempt = ready.attempt();
         let flight = Flight::begin(self, Grant { attempt, ..grant });
-        if crossed {
+        if is_crossed {
             flight.end(Ending::NotSent);
             self.count_retry("crossed");
             return Step::Again(ready.next(), caller);
