--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -114,47 +114,78 @@
 mod unique;
 mod upstream;
 
-pub use attempt::{Answering, ConnectError, Loss, Lost, NotRun, Outcome, Ready, Resend, Sending, Sent, Unsent, Verdict};
+pub use attempt::{
+    Answering, ConnectError, Loss, Lost, NotRun, Outcome, Ready, Resend, Sending, Sent, Unsent,
+    Verdict,
+};
 pub use auth::{KeyIndex, key_hash};
-pub use cell::{Cell};
+pub use cell::Cell;
 pub use cell_message::{CellInput, CellOutput};
 pub use cell_status::{AccountStatus, CellStatus, Counts, EndpointStatus};
-pub use claim::{BODY_BYTES, Claim, ClaimAnswer, ClaimCall, ClaimId, ClaimOp, ClaimShard, ClaimShardError, ClaimState, ClaimWish, HexError, MEDIA_BYTES, Recorded, Token};
+pub use claim::{
+    BODY_BYTES, Claim, ClaimAnswer, ClaimCall, ClaimId, ClaimOp, ClaimShard, ClaimShardError,
+    ClaimState, ClaimWish, HexError, MEDIA_BYTES, Recorded, Token,
+};
 pub use claim_shard::{ClaimLimits, WriteEnd};
 pub use claims::{Begun, ClaimBook, ClaimError, ClaimObjects, ClaimRoute, Ticket};
 pub use client::{ClientError, OperatorClient, operator_key};
 pub use command::{KEY_FILE_VARIABLE, command};
 pub use config::{Account, Centre, Class, Config, Endpoint, Kind, Repeat, Route, Service};
-pub use containment::{SpreadCall};
+pub use containment::SpreadCall;
 #[cfg(feature = "demo")]
 pub use demo::{DemoError, DemoOptions, DemoResult, LEAST_SECONDS, run_demo};
 #[cfg(feature = "demo")]
-pub use deployment::{AccountSize, BATCH_CHAT, CHAT, Deployment, LOOKUP, ORDER, PLAIN_CALL, ServiceSize};
-pub use dispatch::{Census, Counter, Dispatch, Ending, EndpointState, Grant, Handover, Offer, Phase, Refusal, Reply, Report, Running};
-pub use dispatcher::{Ask, Configure, Dispatcher, EntryGone, HandOver, Hear, Inspect, Learn, Publish, Recover, SetLease, SetLeaving, Tell, Withdraw};
+pub use deployment::{
+    AccountSize, BATCH_CHAT, CHAT, Deployment, LOOKUP, ORDER, PLAIN_CALL, ServiceSize,
+};
+pub use dispatch::{
+    Census, Counter, Dispatch, Ending, EndpointState, Grant, Handover, Offer, Phase, Refusal,
+    Reply, Report, Running,
+};
+pub use dispatcher::{
+    Ask, Configure, Dispatcher, EntryGone, HandOver, Hear, Inspect, Learn, Publish, Recover,
+    SetLease, SetLeaving, Tell, Withdraw,
+};
 pub use endpoint::{Load, State};
 pub use entry::{Entry, EntryLimits, EntryParts};
-pub use entry_metrics::{EntryMetrics};
+pub use entry_metrics::EntryMetrics;
 pub use exchange::{Total, Totals};
 #[cfg(feature = "demo")]
 pub use figures::{Span, WINDOW, fairness_gap, gained, service_per_share, utilisation, whole};
 #[cfg(feature = "demo")]
 pub use fleet::{FLEET_THREADS, Fleet, FleetError, OPERATOR_KEY};
-pub use gossip::{CellClaim, Extension, ExtensionTopic, GOSSIP_CELLS, GOSSIP_EXTRA, GOSSIP_MEMBERS, Gossip, Member, MemberState, Seed};
+pub use gossip::{
+    CellClaim, Extension, ExtensionTopic, GOSSIP_CELLS, GOSSIP_EXTRA, GOSSIP_MEMBERS, Gossip,
+    Member, MemberState, Seed,
+};
 pub use handshake::{HELLO_BYTES, HELLO_TIME, HandshakeError, PROTOCOL};
-pub use headers::{ACCOUNT_KEY_BYTES, HeaderError, IDEMPOTENCY_KEY_BYTES, MAX_DEADLINE, MAX_HINT, Wishes, bearer_key};
+pub use headers::{
+    ACCOUNT_KEY_BYTES, HeaderError, IDEMPOTENCY_KEY_BYTES, MAX_DEADLINE, MAX_HINT, Wishes,
+    bearer_key,
+};
 pub use instance::{Addresses, Instance, StartError};
-pub use keeper::{Keeper};
-pub use lease::{Borrow, BorrowReply, Holder, Lease, LeaseEffect, LeaseInput, LeaseTiming, LeaseView, Part, Tenure, Yield};
+pub use keeper::Keeper;
+pub use lease::{
+    Borrow, BorrowReply, Holder, Lease, LeaseEffect, LeaseInput, LeaseTiming, LeaseView, Part,
+    Tenure, Yield,
+};
 pub use load::{run_load, run_load_through};
-pub use load_call::{Check};
+pub use load_call::Check;
 pub use load_plan::{AccountLoad, Arrival, CallKind, Source, Through, Workload};
-pub use load_result::{AccountResult, BUCKET, LoadResult, Outcomes, Quantiles, Refused, SourceResult};
+pub use load_result::{
+    AccountResult, BUCKET, LoadResult, Outcomes, Quantiles, Refused, SourceResult,
+};
 pub use member::{MemberInput, MemberOutput, MemberTiming, Members};
-pub use membership::{AddSeeds, AnswerGossip, ClaimCell, EndMembership, ExtendGossip, KnowRevision, LeaveFleet, Membership, MembershipParts, PutInForce};
-pub use meter::{Traffic};
+pub use membership::{
+    AddSeeds, AnswerGossip, ClaimCell, EndMembership, ExtendGossip, KnowRevision, LeaveFleet,
+    Membership, MembershipParts, PutInForce,
+};
+pub use meter::Traffic;
 pub use moment::{Clock, Moment, micros};
-pub use name::{AccountName, AttemptId, BootId, CellId, CentreName, EndpointName, Epoch, Fingerprint, Incarnation, InstanceName, NAME_BYTES, RequestId, Revision, ServiceName, is_name};
+pub use name::{
+    AccountName, AttemptId, BootId, CellId, CentreName, EndpointName, Epoch, Fingerprint,
+    Incarnation, InstanceName, NAME_BYTES, RequestId, Revision, ServiceName, is_name,
+};
 pub use note::{Action, Digest, Items, Names, Note, NoteError, NoteProblem, Reason, Row, plan};
 pub use operator::{NOTE_BYTES, OperatorError};
 #[cfg(feature = "demo")]
@@ -167,11 +198,16 @@
 pub use retry::{RetryBudgets, RetryPermit};
 pub use revisions::{ConfigUpdate, InForce, RevisionParts, WATCHERS, keep_revisions};
 pub use run::{RunError, run};
-pub use settings::{FLEET_KEY_CHARS, Keys, Limits, Listen, Log, LogFormat, Peer, Place, Platform, SETTINGS_BYTES, Settings, SettingsError, Times, is_hash};
+pub use settings::{
+    FLEET_KEY_CHARS, Keys, Limits, Listen, Log, LogFormat, Peer, Place, Platform, SETTINGS_BYTES,
+    Settings, SettingsError, Times, is_hash,
+};
 pub use shard::{Accepted, Head, ShardRef};
 pub use sse::{EVENT_BYTES, Scanner, SseError};
 pub use status::{InstanceStatus, MemberStatus, OwnerStatus, Readiness, TrafficStatus};
-pub use steward::{CellChange, DrainCells, LendCell, ListCells, MovedCell, Steward, StewardParts, TakeOverCell};
+pub use steward::{
+    CellChange, DrainCells, LendCell, ListCells, MovedCell, Steward, StewardParts, TakeOverCell,
+};
 pub use store::{Condition, Listing, Object, ObjectKind, Store, StoreError, VALUE_BYTES, Version};
 pub use suspect::{Crash, MAX_CRASHES, Standing, Suspects, Suspicion, Trial, TrialPhase};
 pub use tables::{fleet_tables, load_table, note_table, revision_table};
