Move settled claims out of a shard into objects that never change

A shard's object is rewritten with every batch and held all claims, so at 540 claims a second it would have been full in under a minute and every batch rewrote hundreds of kilobytes; long answers that came at once could make a value that the store refuses for ever. Settled claims now go to segments above 64 KiB, by the same conditional write, and the operations of one write are bounded.

--- a/cornelstand/src/claim.rs
+++ b/cornelstand/src/claim.rs
@@ -17,6 +17,7 @@
 use sha2::{Digest, Sha256};
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 
+use crate::claim_segment::SegmentRef;
 use crate::name::{AccountName, Fingerprint, RequestId};
 use crate::store::VALUE_BYTES;
 
@@ -249,6 +250,9 @@
     pub claims: BTreeMap<ClaimId, Claim>,
     /// Tokens given up, with the change that did so. A copy of their `begin` claims nothing.
     pub released: BTreeMap<Token, u64>,
+    /// Objects that hold the other settled claims, oldest first.
+    #[serde(default)]
+    pub segments: Vec<SegmentRef>,
 }
 
 /// Error of reading a claim object.
@@ -350,6 +354,17 @@
         self.released.insert(token, take(&mut self.next));
     }
 
+    /// Replaces `claims` by `segment`, as far as they are still here.
+    pub(crate) fn replace(&mut self, claims: &BTreeMap<ClaimId, Claim>, segment: SegmentRef) {
+        let before = self.claims.len();
+        self.claims
+            .retain(|id, claim| claims.get(id) != Some(claim));
+        if self.claims.len() < before {
+            self.segments.push(segment);
+            take(&mut self.next);
+        }
+    }
+
     /// Removes what was not changed since the changes of `limits`.
     pub(crate) fn expire(&mut self, limits: Expiry) {
         self.claims.retain(|_, claim| {
@@ -357,6 +372,7 @@
             claim.change >= if open { limits.open } else { limits.settled }
         });
         self.released.retain(|_, change| *change >= limits.released);
+        self.segments.retain(|s| s.next > limits.settled);
     }
 }
 
@@ -390,6 +406,16 @@
     Release(Token),
 }
 
+impl ClaimOp {
+    /// The `begin` that it belongs to.
+    pub(crate) fn token(&self) -> Token {
+        match self {
+            Self::Begin(wish) => wish.token,
+            Self::Settle(token, _) | Self::Release(token) => *token,
+        }
+    }
+}
+
 /// One operation on one claim, as instances send it to one another.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ClaimCall {
--- a/cornelstand/src/claim_shard.rs
+++ b/cornelstand/src/claim_shard.rs
@@ -15,14 +15,22 @@
 
 use derive_more::IsVariant;
 
-use crate::claim::{Claim, ClaimAnswer, ClaimCall, ClaimOp, ClaimShard, ClaimState, Expiry, Token};
+use crate::claim::{
+    Claim, ClaimAnswer, ClaimCall, ClaimOp, ClaimShard, ClaimState, ClaimWish, Expiry,
+};
+use crate::claim_segment::{SegmentRef, Segments};
 use crate::moment::Moment;
-use crate::name::Fingerprint;
 use crate::store::{Condition, VALUE_BYTES, Version};
 
 /// Size of a shard above which it takes no new claims, in bytes. The rest is for settlements.
 const CLAIM_BYTES: usize = VALUE_BYTES / 4 * 3;
 
+/// Bytes that the operations of one write may add to a shard.
+const BATCH_BYTES: usize = VALUE_BYTES / 8;
+
+/// Bytes of a claim without its answer.
+const CLAIM_SIZE: usize = 512;
+
 /// Times that are kept of what was seen, for each expiry span.
 const SAMPLES: u32 = 8;
 
@@ -47,6 +55,8 @@
     pub orphan: Duration,
     /// Most operations that wait at one shard, and most in one write.
     pub queue: usize,
+    /// Size of a shard's object above which settled claims are moved out of it, in bytes.
+    pub spill: usize,
 }
 
 impl Default for ClaimLimits {
@@ -61,6 +71,7 @@
             keep: Duration::from_hours(1),
             orphan: Duration::from_hours(24),
             queue: 1024,
+            spill: 64 << 10,
         }
     }
 }
@@ -95,6 +106,10 @@
     Asked(OpId, ClaimCall),
     Read(ReadEnd),
     Written(WriteEnd),
+    /// The claims of a segment, `None` if they could not be read.
+    Segment(SegmentRef, Option<ClaimShard>),
+    /// The end of a write of a new segment.
+    Stored(SegmentRef, WriteEnd),
     Tick,
 }
 
@@ -103,6 +118,10 @@
 pub(crate) enum Effect {
     Read,
     Write(Condition, String),
+    ReadSegment(SegmentRef),
+    WriteSegment(SegmentRef, String),
+    /// Nothing refers to the segment any more.
+    DropSegment(SegmentRef),
     Reply(OpId, ClaimAnswer),
     Wake(Moment),
 }
@@ -115,6 +134,8 @@
     until: Moment,
     /// The store was read since the operation came.
     confirmed: bool,
+    /// The claim of the key, if a segment holds it.
+    found: Option<Claim>,
     /// A write that may still take effect contains the operation.
     exposed: bool,
     answer: Option<ClaimAnswer>,
@@ -142,6 +163,7 @@
     step: Step,
     ready: Moment,
     ages: Ages,
+    segments: Segments,
 }
 
 impl Writer {
@@ -153,6 +175,7 @@
             step: Step::Idle,
             ready: Moment::default(),
             ages: Ages::default(),
+            segments: Segments::default(),
         }
     }
 
@@ -161,8 +184,10 @@
         let mut effects = Vec::new();
         match event {
             Event::Asked(op, call) => self.asked(now, op, call, &mut effects),
-            Event::Read(end) => self.read(now, end),
+            Event::Read(end) => self.read(now, end, &mut effects),
             Event::Written(end) => self.written(now, end, &mut effects),
+            Event::Segment(segment, found) => self.segment(now, segment, found),
+            Event::Stored(segment, end) => self.segments.stored(segment, end.is_written()),
             Event::Tick => {}
         }
         self.give_up(now, &mut effects);
@@ -187,12 +212,13 @@
             call,
             until: now.after(patience),
             confirmed: false,
+            found: None,
             exposed: false,
             answer: None,
         });
     }
 
-    fn read(&mut self, now: Moment, end: ReadEnd) {
+    fn read(&mut self, now: Moment, end: ReadEnd, out: &mut Vec<Effect>) {
         self.step = Step::Idle;
         let (condition, shard) = match end {
             ReadEnd::Absent => (Condition::Absent, ClaimShard::default()),
@@ -202,19 +228,52 @@
                 return;
             }
         };
+        self.hold(now, condition, shard, out);
+    }
+
+    /// Takes `shard` as what the store holds.
+    fn hold(
+        &mut self,
+        now: Moment,
+        condition: Condition,
+        shard: ClaimShard,
+        out: &mut Vec<Effect>,
+    ) {
         self.ages.see(now, shard.next, &self.limits);
+        let useless = self.segments.follow(&shard);
+        out.extend(useless.map(Effect::DropSegment));
         self.cached = Some(Cached { condition, shard });
     }
 
+    fn segment(&mut self, now: Moment, segment: SegmentRef, found: Option<ClaimShard>) {
+        self.step = Step::Idle;
+        let Some(found) = found else {
+            // Another writer may have dropped the segment.
+            self.cached = None;
+            self.pause(now);
+            return;
+        };
+        self.segments.load(segment, &found.claims);
+        for pending in &mut self.queue {
+            if let Some(claim) = found.claims.get(&pending.call.claim) {
+                pending.found = Some(claim.clone());
+            }
+        }
+    }
+
     fn written(&mut self, now: Moment, end: WriteEnd, out: &mut Vec<Effect>) {
         let Step::Writing(shard) = std::mem::replace(&mut self.step, Step::Idle) else {
             return;
         };
         match end {
             WriteEnd::Written(version) => {
-                self.ages.see(now, shard.next, &self.limits);
-                let condition = Condition::Match(version);
-                self.cached = Some(Cached { condition, shard });
+                let before = self.cached.take().map(|c| c.shard.segments);
+                let gone = before.into_iter().flatten();
+                out.extend(
+                    gone.filter(|s| !shard.segments.contains(s))
+                        .map(Effect::DropSegment),
+                );
+                self.hold(now, Condition::Match(version), shard, out);
                 self.reply(out);
             }
             WriteEnd::Conflict => self.cached = None,
@@ -285,21 +344,48 @@
             open: self.ages.before(now, self.limits.orphan),
             released: self.ages.before(now, self.limits.settle),
         });
-        let dated = self.ages.before(now, self.limits.run);
-        if !self.apply(&mut shard, dated, false) {
-            self.start_read(out);
+        self.segments.apply(&mut shard);
+        if let Some(segment) = self.segments.missing(&shard) {
+            self.step = Step::Reading;
+            out.push(Effect::ReadSegment(segment));
             return;
         }
+        let dated = self.ages.before(now, self.limits.run);
+        match self.apply(&mut shard, dated, false) {
+            Applied::Whole => {}
+            Applied::Stale => {
+                self.start_read(out);
+                return;
+            }
+            Applied::Elsewhere(segment) => {
+                self.step = Step::Reading;
+                out.push(Effect::ReadSegment(segment));
+                return;
+            }
+        }
         if self.is_unchanged(&shard) {
             self.reply(out);
             return;
         }
         let value = self.encode(&mut shard, dated);
+        self.spill(value.len(), out);
         self.step = Step::Writing(shard);
         self.ready = now.after(self.limits.gap);
         out.push(Effect::Write(condition, value));
     }
 
+    /// Begins to move settled claims out of a shard that has grown to `bytes`.
+    fn spill(&mut self, bytes: usize, out: &mut Vec<Effect>) {
+        let (Some(cached), Some(first)) = (&self.cached, self.queue.front()) else {
+            return;
+        };
+        if bytes <= self.limits.spill {
+            return;
+        }
+        let begun = self.segments.begin(&cached.shard, first.call.op.token());
+        out.extend(begun.map(|(segment, value)| Effect::WriteSegment(segment, value)));
+    }
+
     fn start_read(&mut self, out: &mut Vec<Effect>) {
         self.cached = None;
         for pending in &mut self.queue {
@@ -316,38 +402,48 @@
             .is_some_and(|c| c.shard.next == shard.next)
     }
 
-    /// Applies the queued operations. Tells whether the cached value was fresh enough for that.
-    fn apply(&mut self, shard: &mut ClaimShard, dated: u64, full: bool) -> bool {
+    /// Applies the queued operations, as many as go into one write.
+    fn apply(&mut self, shard: &mut ClaimShard, dated: u64, full: bool) -> Applied {
+        let mut bytes = 0;
         for pending in self.queue.iter_mut().take(self.limits.queue) {
+            bytes += size(&pending.call.op);
+            if bytes > BATCH_BYTES {
+                break;
+            }
+            let id = pending.call.claim;
+            let segment = self.segments.find(id, shard);
             let answer = match &pending.call.op {
-                ClaimOp::Begin(_) if full && !shard.claims.contains_key(&pending.call.claim) => {
-                    ClaimAnswer::Full
-                }
                 ClaimOp::Begin(wish) if shard.released.contains_key(&wish.token) => {
                     ClaimAnswer::Lost
                 }
-                ClaimOp::Begin(wish) => {
-                    let held = shard.claim(pending.call.claim, *wish);
-                    let foreign = held.token != wish.token;
-                    if foreign && held.state.is_open() && !pending.confirmed {
-                        return false;
+                ClaimOp::Begin(wish) => match (segment, &pending.found) {
+                    (Some(_), Some(held)) => verdict(held, *wish, dated),
+                    (Some(segment), None) => return Applied::Elsewhere(segment),
+                    (None, _) if full && !shard.claims.contains_key(&id) => ClaimAnswer::Full,
+                    (None, _) => {
+                        let held = shard.claim(id, *wish);
+                        let foreign = held.token != wish.token;
+                        if foreign && held.state.is_open() && !pending.confirmed {
+                            return Applied::Stale;
+                        }
+                        verdict(held, *wish, dated)
+                    }
+                },
+                ClaimOp::Settle(token, state) => {
+                    if shard.settle(id, *token, state) || segment.is_some() {
+                        ClaimAnswer::Done
+                    } else {
+                        ClaimAnswer::Lost
                     }
-                    verdict(held, wish.token, wish.fingerprint, dated)
-                }
-                ClaimOp::Settle(token, state)
-                    if shard.settle(pending.call.claim, *token, state) =>
-                {
-                    ClaimAnswer::Done
                 }
-                ClaimOp::Settle(..) => ClaimAnswer::Lost,
                 ClaimOp::Release(token) => {
-                    shard.release(pending.call.claim, *token);
+                    shard.release(id, *token);
                     ClaimAnswer::Done
                 }
             };
             pending.answer = Some(answer);
         }
-        true
+        Applied::Whole
     }
 
     /// The value of `shard`, without its new claims if it has grown too large for them.
@@ -377,11 +473,31 @@
     }
 }
 
-fn verdict(held: &Claim, token: Token, fingerprint: Fingerprint, dated: u64) -> ClaimAnswer {
-    if held.token == token {
+/// How far the queued operations could be applied.
+enum Applied {
+    Whole,
+    /// An answer needs a newer value.
+    Stale,
+    /// An answer needs a claim of this segment.
+    Elsewhere(SegmentRef),
+}
+
+/// Bytes that an operation may add to a shard, roughly.
+fn size(op: &ClaimOp) -> usize {
+    match op {
+        ClaimOp::Settle(_, ClaimState::Recorded(recorded)) => {
+            // A body that is not text takes two digits a byte, a control character six.
+            CLAIM_SIZE + 6 * recorded.body.as_ref().map_or(0, bytes::Bytes::len)
+        }
+        _ => CLAIM_SIZE,
+    }
+}
+
+fn verdict(held: &Claim, wish: ClaimWish, dated: u64) -> ClaimAnswer {
+    if held.token == wish.token {
         return ClaimAnswer::Fresh;
     }
-    if held.fingerprint != fingerprint {
+    if held.fingerprint != wish.fingerprint {
         return ClaimAnswer::Mismatch;
     }
     match &held.state {
--- a/cornelstand/src/claim_shard/tests.rs
+++ b/cornelstand/src/claim_shard/tests.rs
@@ -13,8 +13,8 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
 
 use super::*;
-use crate::claim::{ClaimId, ClaimWish, Recorded};
-use crate::name::{AccountName, RequestId};
+use crate::claim::{ClaimId, Recorded, Token};
+use crate::name::{AccountName, Fingerprint, RequestId};
 
 const NODES: usize = 3;
 const KEYS: usize = 2;
@@ -32,6 +32,7 @@
         keep: Duration::from_millis(300),
         orphan: Duration::from_millis(600),
         queue: 16,
+        spill: 200,
     }
 }
 
@@ -130,6 +131,8 @@
 struct Call {
     node: usize,
     life: u32,
+    /// The segment that it is about, `None` for the shard.
+    segment: Option<SegmentRef>,
     /// `None` for a read.
     write: Option<(Condition, String)>,
 }
@@ -161,6 +164,7 @@
     nodes: Vec<Writer>,
     lives: Vec<u32>,
     value: Option<(Version, String)>,
+    segments: HashMap<SegmentRef, String>,
     version: u64,
     calls: Vec<Call>,
     ghosts: Vec<Call>,
@@ -190,6 +194,7 @@
             nodes: (0..NODES).map(|_| Writer::new(limits())).collect(),
             lives: vec![0; NODES],
             value: None,
+            segments: HashMap::new(),
             version: 0,
             calls: Vec::new(),
             ghosts: Vec::new(),
@@ -208,18 +213,17 @@
         let clock = self.clock(node);
         let effects = self.nodes[node].on(clock, event);
         for effect in effects {
-            let life = self.lives[node];
             match effect {
-                Effect::Read => self.calls.push(Call {
-                    node,
-                    life,
-                    write: None,
-                }),
-                Effect::Write(condition, value) => self.calls.push(Call {
-                    node,
-                    life,
-                    write: Some((condition, value)),
-                }),
+                Effect::Read => self.call_store(node, None, None),
+                Effect::Write(condition, value) => {
+                    self.call_store(node, None, Some((condition, value)));
+                }
+                Effect::ReadSegment(segment) => self.call_store(node, Some(segment), None),
+                Effect::WriteSegment(segment, value) => {
+                    let write = Some((Condition::Absent, value));
+                    self.call_store(node, Some(segment), write);
+                }
+                Effect::DropSegment(segment) => drop(self.segments.remove(&segment)),
                 Effect::Reply(op, answer) => self.reply(op, answer)?,
                 Effect::Wake(_) => {}
             }
@@ -227,6 +231,21 @@
         Ok(())
     }
 
+    fn call_store(
+        &mut self,
+        node: usize,
+        segment: Option<SegmentRef>,
+        write: Option<(Condition, String)>,
+    ) {
+        let life = self.lives[node];
+        self.calls.push(Call {
+            node,
+            life,
+            segment,
+            write,
+        });
+    }
+
     fn ask(&mut self, node: usize, begin: usize, op: ClaimOp) -> Checked {
         let number = self.next;
         self.next += 1;
@@ -342,7 +361,19 @@
         self.ask(node, begin, op)
     }
 
-    fn write(&mut self, condition: Condition, value: &str) -> WriteEnd {
+    fn write(
+        &mut self,
+        segment: Option<SegmentRef>,
+        condition: Condition,
+        value: &str,
+    ) -> WriteEnd {
+        if let Some(segment) = segment {
+            if self.segments.contains_key(&segment) {
+                return WriteEnd::Conflict;
+            }
+            self.segments.insert(segment, value.to_owned());
+            return WriteEnd::Written(Version(0));
+        }
         let present = self.value.as_ref().map(|(version, _)| *version);
         let holds = match condition {
             Condition::Absent => present.is_none(),
@@ -369,22 +400,34 @@
 
     fn call(&mut self, call: &Call, end: CallEnd) -> Checked {
         let event = match &call.write {
-            None => Event::Read(match end {
-                CallEnd::Answered | CallEnd::Repeated => self.read(),
-                _ => ReadEnd::Failed,
-            }),
+            None => {
+                let answered = matches!(end, CallEnd::Answered | CallEnd::Repeated);
+                match call.segment {
+                    Some(segment) => {
+                        let value = self.segments.get(&segment).filter(|_| answered);
+                        let claims = value.map(|v| ClaimShard::decode(v).expect("a segment"));
+                        Event::Segment(segment, claims)
+                    }
+                    None if answered => Event::Read(self.read()),
+                    None => Event::Read(ReadEnd::Failed),
+                }
+            }
             Some((condition, value)) => {
                 let effective =
                     !matches!(end, CallEnd::CallLost | CallEnd::Down | CallEnd::Delayed);
-                let written = effective.then(|| self.write(*condition, value));
+                let written = effective.then(|| self.write(call.segment, *condition, value));
                 if matches!(end, CallEnd::Delayed | CallEnd::Repeated) {
                     self.ghosts.push(call.clone());
                 }
-                Event::Written(match end {
+                let ended = match end {
                     CallEnd::Answered | CallEnd::Repeated => written.unwrap_or(WriteEnd::Unknown),
                     CallEnd::Down => WriteEnd::NotWritten,
                     CallEnd::AnswerLost | CallEnd::CallLost | CallEnd::Delayed => WriteEnd::Unknown,
-                })
+                };
+                match call.segment {
+                    Some(segment) => Event::Stored(segment, ended),
+                    None => Event::Written(ended),
+                }
             }
         };
         if self.lives[call.node] == call.life {
@@ -438,7 +481,7 @@
                 if let Some(index) = pick(&self.ghosts, ghost)
                     && let Some((condition, value)) = self.ghosts[index].write.clone()
                 {
-                    self.write(condition, &value);
+                    self.write(self.ghosts[index].segment, condition, &value);
                 }
                 Ok(())
             }
@@ -495,7 +538,7 @@
         failure_persistence: None,
         ..Config::default()
     };
-    let (runs, refusals) = (Cell::new(0), Cell::new(0));
+    let (runs, refusals, segments) = (Cell::new(0), Cell::new(0), Cell::new(0));
     let mut runner = TestRunner::new_with_rng(config, rng);
     let result = runner.run(&vec(action(), 1..60), |actions| {
         let mut world = World::new();
@@ -506,13 +549,17 @@
         let count = |f: fn(&History) -> bool| world.begins.iter().filter(|h| f(h)).count();
         runs.set(runs.get() + count(|h| h.sent.is_some()));
         refusals.set(refusals.get() + count(|h| h.refused));
+        segments.set(segments.get() + world.segments.len());
         Ok(())
     });
     result.unwrap_or_else(|e| panic!("{e}"));
     insta::assert_snapshot!(
-        format!("{SCHEDULES} schedules, {} runs, {} refusals", runs.get(), refusals.get()),
-        @"10000 schedules, 3762 runs, 19478 refusals"
-    );
+            format!("{SCHEDULES} schedules, {} runs, {} refusals, {} segments",
+    runs.get(),
+    refusals.get(),
+    segments.get()),
+            @"10000 schedules, 3757 runs, 19473 refusals, 1763 segments"
+        );
 }
 
 fn asked(op: OpId, what: ClaimOp) -> Event {
@@ -651,3 +698,35 @@
     };
     assert_eq!(heard(&mut writer, time), [(9, answer)]);
 }
+
+#[test]
+fn a_claim_in_a_segment_is_found_by_a_writer_that_did_not_make_it() {
+    let segment = SegmentRef {
+        token: Token(5),
+        next: 2,
+    };
+    let held = Claim {
+        token: Token(1),
+        fingerprint: Fingerprint(1),
+        request: RequestId(1),
+        change: 1,
+        state: ClaimState::Recorded(recorded(1)),
+    };
+    let claims = [(id(0), held)].into();
+    let moved = ClaimShard {
+        next: 2,
+        claims,
+        ..ClaimShard::default()
+    };
+    let shard = ClaimShard {
+        next: 3,
+        segments: vec![segment],
+        ..ClaimShard::default()
+    };
+    let mut writer = Writer::new(limits());
+    writer.on(START, begin(9));
+    let effects = writer.on(START, Event::Read(ReadEnd::Found(Version(1), shard)));
+    assert_eq!(effects[0], Effect::ReadSegment(segment));
+    let effects = writer.on(START, Event::Segment(segment, Some(moved)));
+    assert_eq!(replies(&effects), [(9, ClaimAnswer::Answered(recorded(1)))]);
+}
--- a/cornelstand/src/claims.rs
+++ b/cornelstand/src/claims.rs
@@ -22,6 +22,7 @@
 use crate::claim::{
     ClaimAnswer, ClaimCall, ClaimId, ClaimOp, ClaimShard, ClaimState, ClaimWish, Recorded, Token,
 };
+use crate::claim_segment::SegmentRef;
 use crate::claim_shard::{ClaimLimits, Effect, Event, OpId, ReadEnd, WriteEnd, Writer};
 use crate::moment::{Clock, Moment};
 use crate::name::{AccountName, Fingerprint, RequestId};
@@ -51,25 +52,29 @@
 
 type GetCall =
     dyn Fn(&str) -> BoxFuture<'static, Result<Option<(Version, String)>, ()>> + Send + Sync;
+type DeleteCall = dyn Fn(&str) -> BoxFuture<'static, ()> + Send + Sync;
 type PutCall = dyn Fn(&str, Condition, String) -> BoxFuture<'static, WriteEnd> + Send + Sync;
 
-/// The two calls to the object API that claims need, on objects of kind `claim`.
+/// The calls to the object API that claims need, on objects of kind `claim`.
 #[derive(Clone)]
 pub struct ClaimObjects {
     /// Reads an object by name, `None` if it does not exist, an error if no answer came.
     pub get: Arc<GetCall>,
     /// Writes an object by name under a condition.
     pub put: Arc<PutCall>,
+    /// Deletes an object that never changes, once. Nothing depends on it but the store's room.
+    pub delete: Arc<DeleteCall>,
 }
 
 impl From<Store> for ClaimObjects {
     fn from(store: Store) -> Self {
-        let reader = store.clone();
+        let (reader, deleter) = (store.clone(), store.clone());
         Self {
             get: Arc::new(move |name| get(reader.clone(), name.to_owned()).boxed()),
             put: Arc::new(move |name, condition, value| {
                 put(store.clone(), name.to_owned(), condition, value).boxed()
             }),
+            delete: Arc::new(move |name| delete(deleter.clone(), name.to_owned()).boxed()),
         }
     }
 }
@@ -79,6 +84,13 @@
     Ok(object.and_then(|o| Some((o.version, o.value?))))
 }
 
+async fn delete(store: Store, name: String) {
+    if let Ok(Some(object)) = store.get(ObjectKind::Claim, &name).await {
+        // An object that stays takes room, and no more than that.
+        let _ = store.delete(ObjectKind::Claim, &name, object.version).await;
+    }
+}
+
 async fn put(store: Store, name: String, condition: Condition, value: String) -> WriteEnd {
     match store.put(ObjectKind::Claim, &name, condition, value).await {
         Ok(version) => WriteEnd::Written(version),
@@ -426,6 +438,10 @@
         }
     }
 
+    fn segment_name(&self, segment: SegmentRef) -> String {
+        format!("{}-{segment}", self.name)
+    }
+
     fn on(&mut self, event: Event, mailbox: &Mailbox<Self>) {
         let effects = self.writer.on(self.clock.now(), event);
         for effect in effects {
@@ -450,6 +466,25 @@
                 let call = (self.objects.put)(&self.name, condition, value);
                 spawn(actor, call.map(Event::Written));
             }
+            Effect::ReadSegment(segment) => {
+                let call = (self.objects.get)(&self.segment_name(segment));
+                let claims = |end| match read_end(end) {
+                    ReadEnd::Found(_, claims) => Some(claims),
+                    ReadEnd::Absent | ReadEnd::Failed => None,
+                };
+                spawn(
+                    actor,
+                    call.map(move |end| Event::Segment(segment, claims(end))),
+                );
+            }
+            Effect::WriteSegment(segment, value) => {
+                let name = self.segment_name(segment);
+                let call = (self.objects.put)(&name, Condition::Absent, value);
+                spawn(actor, call.map(move |end| Event::Stored(segment, end)));
+            }
+            Effect::DropSegment(segment) => {
+                tokio::spawn((self.objects.delete)(&self.segment_name(segment)));
+            }
             Effect::Wake(at) if self.wake.is_none_or(|set| at < set) => {
                 self.wake = Some(at);
                 let sleep = sleep_until(self.clock.instant(at));
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -25,6 +25,7 @@
 mod cell;
 mod cell_status;
 mod claim;
+mod claim_segment;
 mod claim_shard;
 mod claims;
 mod config;
@@ -74,6 +75,7 @@
     BODY_BYTES, Claim, ClaimAnswer, ClaimCall, ClaimId, ClaimOp, ClaimShard, ClaimShardError,
     ClaimState, ClaimWish, HexError, MEDIA_BYTES, Recorded, Token,
 };
+pub use claim_segment::SegmentRef;
 pub use claim_shard::{ClaimLimits, WriteEnd};
 pub use claims::{Begun, ClaimBook, ClaimError, ClaimObjects, ClaimRoute, Ticket};
 pub use config::{Account, Centre, Class, Config, Endpoint, Kind, Repeat, Route, Service};
--- a/cornelstand/tests/faults/claims.rs
+++ b/cornelstand/tests/faults/claims.rs
@@ -7,12 +7,22 @@
 
 use crate::fakes::{FakeStore, StoreFault};
 use cornelstand::{
-    AccountName, Begun, ClaimBook, ClaimError, ClaimLimits, ClaimRoute, Clock, Fingerprint,
-    Recorded, RequestId, Ticket,
+    AccountName, BODY_BYTES, Begun, ClaimBook, ClaimError, ClaimLimits, ClaimRoute, Clock,
+    Fingerprint, Recorded, RequestId, Ticket, VALUE_BYTES,
 };
 use futures::FutureExt;
 use rstest::rstest;
 
+/// A book with one shard that moves settled claims out early.
+fn small_book(store: &FakeStore) -> ClaimBook {
+    let limits = ClaimLimits {
+        shards: 1,
+        spill: 4096,
+        ..ClaimLimits::default()
+    };
+    ClaimBook::start(&store.objects(), Clock::start(), limits)
+}
+
 const PRINT: Fingerprint = Fingerprint(7);
 
 fn book(store: &FakeStore) -> ClaimBook {
@@ -226,3 +236,59 @@
     tokio::time::sleep(Duration::from_mins(1)).await;
     drop(fresh(&holder, "k").await);
 }
+
+#[tokio::test(start_paused = true)]
+async fn answers_in_segments_are_found_and_the_shard_stays_small() {
+    let store = FakeStore::default();
+    let book = small_book(&store);
+    for number in 0..100 {
+        let ticket = fresh(&book, &format!("k{number}")).await;
+        book.record(ticket, answer()).await.unwrap();
+    }
+    let sizes = store.sizes();
+    assert!(sizes.len() > 3, "{sizes:?}");
+    assert!(sizes["1-0"] < 3 * 4096, "{sizes:?}");
+    let other = small_book(&store);
+    for number in 0..100 {
+        let key = format!("k{number}");
+        for book in [&book, &other] {
+            assert!(begin(book, &key).await.unwrap().is_answered());
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn segments_are_dropped_when_their_claims_have_expired() {
+    let store = FakeStore::default();
+    let book = small_book(&store);
+    for round in 0..3 {
+        for number in 0..50 {
+            let ticket = fresh(&book, &format!("k{number}")).await;
+            book.record(ticket, answer()).await.unwrap();
+        }
+        assert!(
+            store.sizes().len() < 12,
+            "round {round}: {:?}",
+            store.sizes()
+        );
+        tokio::time::sleep(ClaimLimits::default().keep * 2).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn long_answers_that_come_at_once_are_all_kept() {
+    let store = FakeStore::default();
+    let book = small_book(&store);
+    let mut tickets = Vec::new();
+    for number in 0..200 {
+        tickets.push(fresh(&book, &format!("k{number}")).await);
+    }
+    // A control character takes six bytes in JSON.
+    let long = Recorded::new(200, "text/plain", &Bytes::from(vec![1; BODY_BYTES]));
+    let records = tickets.into_iter().map(|t| book.record(t, long.clone()));
+    for done in futures::future::join_all(records).await {
+        done.unwrap();
+    }
+    let largest = store.sizes().into_values().max();
+    assert!(largest <= Some(VALUE_BYTES), "{largest:?}");
+}
--- a/cornelstand/tests/faults/fakes.rs
+++ b/cornelstand/tests/faults/fakes.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use cornelstand::{ClaimObjects, Condition, Version, WriteEnd};
+use cornelstand::{ClaimObjects, Condition, VALUE_BYTES, Version, WriteEnd};
 use futures::FutureExt;
 use tokio::time::sleep;
 
@@ -62,10 +62,18 @@
         (state.reads, state.writes)
     }
 
+    /// Sizes of the objects, by name.
+    pub(crate) fn sizes(&self) -> BTreeMap<String, usize> {
+        let state = self.state.lock().unwrap();
+        let size = |(name, (_, value)): (&String, &(Version, String))| (name.clone(), value.len());
+        state.objects.iter().map(size).collect()
+    }
+
     /// The claim objects as a book uses them.
     pub(crate) fn objects(&self) -> ClaimObjects {
-        let (reader, writer) = (self.clone(), self.clone());
+        let (reader, writer, deleter) = (self.clone(), self.clone(), self.clone());
         ClaimObjects {
+            delete: Arc::new(move |name| deleter.clone().delete(name.to_owned()).boxed()),
             get: Arc::new(move |name| reader.clone().get(name.to_owned()).boxed()),
             put: Arc::new(move |name, condition, value| {
                 writer
@@ -76,6 +84,11 @@
         }
     }
 
+    async fn delete(self, name: String) {
+        sleep(STORE_TIME).await;
+        self.state.lock().unwrap().objects.remove(&name);
+    }
+
     async fn get(self, name: String) -> Result<Option<(Version, String)>, ()> {
         let fault = self.next(|s| s.reads += 1);
         match fault {
@@ -140,6 +153,9 @@
         if !holds {
             return WriteEnd::Conflict;
         }
+        if value.len() > VALUE_BYTES {
+            return WriteEnd::NotWritten;
+        }
         state.version += 1;
         let version = Version(state.version);
         state.objects.insert(name.to_owned(), (version, value));
--- a/cornelstand/tests/faults/instance.rs
+++ b/cornelstand/tests/faults/instance.rs
@@ -164,6 +164,7 @@
     let (reader, get) = (world.clone(), inner.get);
     let (writer, put) = (world.clone(), inner.put);
     ClaimObjects {
+        delete: inner.delete,
         get: Arc::new(move |name| {
             let world = reader.clone();
             let read = get(name);
