--- a/cornelstand/src/call.rs
+++ b/cornelstand/src/call.rs
@@ -13,8 +13,10 @@
 use http::header::{CONTENT_LENGTH, HeaderValue};
 use http::{HeaderMap, Method, StatusCode};
 use reqwest::Response;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::sleep;
 
-use crate::attempt::{ConnectError, Loss, NotRun, Ready, Sent, Unsent, Verdict};
+use crate::attempt::{Loss, NotRun, Ready, Sent, Unsent, Verdict};
 use crate::body::CallBody;
 use crate::caller::{Caller, Gone};
 use crate::claim::Recorded;
@@ -23,8 +25,10 @@
 use crate::containment::{Clearance, TrialGuard};
 use crate::deliver::{Head, Leg};
 use crate::dispatch::{Ending, Grant, Offer, Refusal, Reply};
-use crate::entry::Core;
+use crate::entry_core::Core;
 use crate::flight::Flight;
+use crate::head::HeadError;
+use crate::headers::DEADLINE_MS;
 use crate::moment::Moment;
 use crate::name::{AccountName, EndpointName, Fingerprint, RequestId, ServiceName};
 use crate::problem::Problem;
@@ -34,8 +38,10 @@
 use crate::timeline::Topic;
 use crate::upstream::{Upcall, boot_of, is_foreign};
 
-/// Most attempts of a request, those that were not sent included.
-const ATTEMPTS: u32 = 8;
+/// Pause before the third attempt.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Times that the pause is doubled at most.
+const MAX_DOUBLINGS: u32 = 5;
 
 /// A request on its way.
 pub(crate) struct Call {
@@ -53,6 +59,8 @@
     /// Length of the body as the caller stated it.
     pub(crate) length: Option<u64>,
     pub(crate) body: CallBody,
+    /// Room for the body, held as long as it is.
+    pub(crate) _room: OwnedSemaphorePermit,
     /// Idempotency key.
     pub(crate) key: Option<String>,
     /// The claim, from its success until it is settled.
@@ -77,10 +85,14 @@
 impl Call {
     /// Carries the request out.
     pub(crate) async fn run(mut self, unsent: Unsent, caller: Caller) {
+        self.record("accepted", self.service.as_str());
         self.core.budgets().earn(&self.account, &self.service);
         let mut step = self.claim(unsent, caller).await;
-        while let Step::Again(ready, caller) = step {
-            step = self.attempt(ready, caller).await;
+        while let Step::Again(ready, mut caller) = step {
+            step = match self.pause(&ready, &mut caller).await {
+                Ok(()) => self.attempt(ready, caller).await,
+                Err(Gone) => self.leave(ready, caller).await,
+            };
             self.trial = None;
         }
     }
@@ -122,10 +134,21 @@
         Step::Done
     }
 
-    async fn attempt(&mut self, ready: Ready, mut caller: Caller) -> Step {
-        if ready.attempt().number >= ATTEMPTS {
-            return self.give_up(caller, refusal::unreachable(ready)).await;
+    /// Waits before an attempt that is not the first or second, so that a grant that cannot be
+    /// used is not asked for again and again while the dispatcher does not know better.
+    async fn pause(&self, ready: &Ready, caller: &mut Caller) -> Result<(), Gone> {
+        let Some(doublings) = ready.attempt().number.checked_sub(2) else {
+            return Ok(());
+        };
+        let left = self.deadline.since(self.core.clock.now());
+        let pause = PAUSE.saturating_mul(1 << doublings.min(MAX_DOUBLINGS));
+        tokio::select! {
+            () = sleep(pause.min(left)) => Ok(()),
+            () = caller.gone() => Err(Gone),
         }
+    }
+
+    async fn attempt(&mut self, ready: Ready, mut caller: Caller) -> Step {
         match self.clearance(&mut caller).await {
             Ok(Clearance::Go) => {}
             Ok(Clearance::Refused(left)) => return self.contain(ready, caller, left).await,
@@ -153,7 +176,10 @@
             flight.end(Ending::NotSent);
             return self.give_up(caller, refusal::claim_late(ready)).await;
         }
-        let Some(address) = self.address(flight.grant()) else {
+        let usable = self
+            .address(flight.grant())
+            .filter(|_| self.place_trial(&flight));
+        let Some(address) = usable else {
             self.avoid(&flight);
             flight.end(Ending::NotSent);
             self.count_retry("withdrawn");
@@ -181,17 +207,26 @@
             hint: self.hint,
             waited: now.since(self.arrived),
             left,
-            avoid: self.avoid.clone(),
+            avoid: self.avoided(),
             prefix: self.prefix,
         };
         let _waiting = Waiting::new(&self.core);
         tokio::select! {
             reply = (self.core.dispatch.offer)(offer) => Ok(reply),
-            () = tokio::time::sleep(left) => Ok(Err(Refusal::Deadline)),
+            () = sleep(left) => Ok(Err(Refusal::Deadline)),
             () = caller.gone() => Err(Gone),
         }
     }
 
+    /// Endpoints that another one is to be granted for, if possible.
+    fn avoided(&self) -> Vec<EndpointName> {
+        let mut avoided = self.avoid.clone();
+        if self.trial.is_some() {
+            avoided.extend(self.core.trials().iter().cloned());
+        }
+        avoided
+    }
+
     /// Address of the granted endpoint, unless the entry's own configuration withdraws it.
     fn address(&self, grant: &Grant) -> Option<SocketAddr> {
         let config = self.core.config();
@@ -210,61 +245,77 @@
         let upcall = self.upcall(&ready, address);
         flight.sent(self.core.clock.now());
         let wait = self.first_wait(&flight);
+        let origin = Origin {
+            core: self.core.clone(),
+            address,
+            attempt: ready.attempt(),
+        };
         let sending = ready.send();
         let reply = tokio::select! {
-            reply = tokio::time::timeout(wait, self.core.upstreams.send(upcall)) => reply,
+            reply = self.head(upcall, &origin, wait) => reply,
             () = caller.gone(), if !self.is_claimed() => {
                 flight.cancel(address);
                 caller.leave();
                 return Step::Done;
             }
         };
-        let loss = match reply.map(|r| r.map_err(ConnectError::prove)) {
-            Ok(Ok(answer)) => {
+        match reply {
+            Ok(answer) => {
                 flight.head(boot_of(answer.headers()));
                 let leg = Leg { flight, address };
-                return self.answer(sending.sent(), leg, answer, caller).await;
+                self.answer(sending.sent(), leg, origin, answer, caller)
+                    .await
             }
-            Ok(Err(Ok(proof))) => {
+            Err(HeadError::Unconnected(proof)) => {
                 self.avoid(&flight);
                 flight.end(Ending::Broken);
                 self.count_retry("unconnected");
-                return Step::Again(sending.unconnected(&proof), caller);
+                Step::Again(sending.unconnected(&proof), caller)
             }
-            Ok(Err(Err(_))) => Loss::Broken,
-            Err(_) => Loss::Silent,
-        };
-        let leg = Leg { flight, address };
-        self.lost(sending.sent(), loss, leg, caller).await
+            Err(HeadError::Lost(loss)) => {
+                let leg = Leg { flight, address };
+                self.lost(sending.sent(), loss, leg, caller).await
+            }
+        }
     }
 
-    async fn answer(&mut self, sent: Sent, leg: Leg, answer: Response, caller: Caller) -> Step {
+    async fn answer(
+        &mut self,
+        sent: Sent,
+        leg: Leg,
+        origin: Origin,
+        answer: Response,
+        caller: Caller,
+    ) -> Step {
         let status = answer.status();
         let headers = answer.headers().clone();
-        let attempt = leg.flight.grant().attempt;
-        if is_foreign(&headers, attempt) {
+        if is_foreign(&headers, origin.attempt) {
             self.core.metrics.foreign.inc();
             self.core.replace_pool(leg.address);
             return self.lost(sent, Loss::Broken, leg, caller).await;
         }
-        if self.is_overload(status)
-            && let Some(permit) = self.permit()
-        {
-            self.avoid(&leg.flight);
-            leg.flight.end(Ending::Overloaded);
-            self.count_retry("overloaded");
-            return Step::Again(sent.lost(Loss::Failed).retry(permit), caller);
+        if self.is_overload(status) && self.repeat.is_idempotent() {
+            match self.permit() {
+                Some(permit) => {
+                    self.avoid(&leg.flight);
+                    leg.flight.end(Ending::Overloaded);
+                    self.count_retry("overloaded");
+                    return Step::Again(sent.lost(Loss::Failed).retry(permit), caller);
+                }
+                None if self.kind == Kind::Model => {
+                    leg.flight.end(Ending::Overloaded);
+                    let problem = refusal::overloaded(sent.lost(Loss::Failed));
+                    return self.give_up(caller, problem).await;
+                }
+                // The answer of a plain service passes as it is.
+                None => {}
+            }
         }
         let model = self.kind == Kind::Model;
         let events = model && is_events(&headers);
         if !events && !has_end(&self.method, status, &headers) {
             return self.lost(sent, Loss::Broken, leg, caller).await;
         }
-        let origin = Origin {
-            core: self.core.clone(),
-            address: leg.address,
-            attempt,
-        };
         let source = Source::new(origin, answer, model);
         let head = Head {
             status,
@@ -365,8 +416,8 @@
 
     /// Tells whether the claim is too old for the request to be sent.
     fn is_claim_late(&self) -> bool {
-        let now = self.core.clock.now();
-        self.ticket.as_ref().is_some_and(|t| !t.is_sendable(now))
+        let claims = &self.core.claims;
+        self.ticket.as_ref().is_some_and(|t| !claims.is_sendable(t))
     }
 
     /// Permission to send the request once more, if it can be.
@@ -398,6 +449,9 @@
         if let (true, Some(length)) = (self.body.is_stream(), self.length) {
             headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
         }
+        let left = self.deadline.since(self.core.clock.now());
+        let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        headers.insert(DEADLINE_MS, HeaderValue::from(millis));
         Upcall {
             address,
             attempt: ready.attempt(),
--- a/cornelstand/src/problem.rs
+++ b/cornelstand/src/problem.rs
@@ -15,12 +15,12 @@
 use crate::name::RequestId;
 
 /// Media type of a problem document.
-pub(crate) const PROBLEM_TYPE: &str = "application/problem+json";
+pub const PROBLEM_TYPE: &str = "application/problem+json";
 
 /// What kind of problem it is.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
-pub(crate) enum ProblemKind {
+pub enum ProblemKind {
     /// A header is malformed.
     #[display("malformed header")]
     BadHeader,
@@ -79,7 +79,8 @@
 
 impl ProblemKind {
     /// Status of the answer.
-    pub(crate) fn status(self) -> StatusCode {
+    #[must_use]
+    pub fn status(self) -> StatusCode {
         match self {
             Self::BadHeader | Self::BadPath | Self::BodyIncomplete | Self::KeyRequired => {
                 StatusCode::BAD_REQUEST
@@ -106,15 +107,15 @@
 
 /// A refusal.
 #[derive(Debug)]
-pub(crate) struct Problem {
+pub struct Problem {
     /// Kind of problem.
-    pub(crate) kind: ProblemKind,
+    pub kind: ProblemKind,
     /// What the caller may conclude.
-    pub(crate) verdict: Verdict,
+    pub verdict: Verdict,
     /// What happened, for people.
-    pub(crate) detail: String,
+    pub detail: String,
     /// Time after which to try again, where waiting helps.
-    pub(crate) retry: Option<Duration>,
+    pub retry: Option<Duration>,
 }
 
 #[derive(Serialize)]
@@ -129,7 +130,8 @@
 
 impl Problem {
     /// A problem that waiting does not help.
-    pub(crate) fn new(kind: ProblemKind, verdict: Verdict, detail: impl Into<String>) -> Self {
+    #[must_use]
+    pub fn new(kind: ProblemKind, verdict: Verdict, detail: impl Into<String>) -> Self {
         Self {
             kind,
             verdict,
@@ -139,13 +141,15 @@
     }
 
     /// Says when to try again.
-    pub(crate) fn retry_after(mut self, wait: Duration) -> Self {
+    #[must_use]
+    pub fn retry_after(mut self, wait: Duration) -> Self {
         self.retry = Some(wait);
         self
     }
 
     /// The answer to `request`.
-    pub(crate) fn answer(&self, request: RequestId) -> http::Response<Vec<u8>> {
+    #[must_use]
+    pub fn answer(&self, request: RequestId) -> http::Response<Vec<u8>> {
         let document = Document {
             r#type: format!("urn:cornelstand:problem:{}", self.kind.slug()),
             title: self.kind.to_string(),
