Let one instance of the fleet write each claim shard

The live member that a rendezvous hash puts first now writes a shard, and the others send it their operations over the fleet link; without an answer within a second they write it themselves, which the versions keep safe.

--- a/cornelstand/src/answers.rs
+++ b/cornelstand/src/answers.rs
@@ -58,6 +58,7 @@
             }),
             borrow: answer!(|parts, borrow| parts.agent.send(Lend(borrow)).await.ok().flatten()),
             suspect: answer!(|parts, suspicion| parts.entry.exchange(suspicion)),
+            claim: answer!(|parts, call| parts.claims.serve(call).await.ok()),
             config: answer!(|parts, known| {
                 let config = parts.updater.config.borrow().clone();
                 (config.revision > known).then(|| (*config).clone())
--- a/cornelstand/src/instance.rs
+++ b/cornelstand/src/instance.rs
@@ -16,6 +16,7 @@
 use xtra::Address;
 
 use crate::agent::{Agent, AgentParts, Farewell, Leave, Listed, News};
+use crate::claim_route::claim_route;
 use crate::claim_shard::ClaimLimits;
 use crate::claims::{ClaimBook, ClaimObjects};
 use crate::config::Config;
@@ -95,6 +96,7 @@
 pub(crate) struct Parts {
     pub(crate) me: Member,
     pub(crate) entry: Entry,
+    pub(crate) claims: ClaimBook,
     pub(crate) holdings: Holdings,
     pub(crate) agent: Address<Agent>,
     pub(crate) view: FleetView,
@@ -326,6 +328,8 @@
     let directory = directory(settings, &view, config_out.clone());
     let router = Router::new(directory, links.clone(), holdings.clone());
     let objects = ClaimObjects::from(store.clone());
+    let claims = ClaimBook::start(&objects, clock, ClaimLimits::default());
+    let claims = claims.with_route(claim_route(&settings.instance, &view, &links));
     let entry = Entry::new(EntryParts {
         name: settings.instance.clone(),
         dispatch: router.dispatch(),
@@ -335,11 +339,12 @@
         metrics: EntryMetrics::new(&registry).context(MetricsSnafu)?,
         limits: settings.entry,
         spread: spread(&settings.instance, &view, &links),
-        claims: ClaimBook::start(&objects, clock, ClaimLimits::default()),
+        claims: claims.clone(),
     });
     let parts = Parts {
         me,
         entry,
+        claims,
         holdings,
         agent,
         view,
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -30,6 +30,7 @@
 mod cell_message;
 mod cell_status;
 mod claim;
+mod claim_route;
 mod claim_segment;
 mod claim_shard;
 mod claims;
--- a/cornelstand/src/link.rs
+++ b/cornelstand/src/link.rs
@@ -24,6 +24,7 @@
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+use crate::claim::{ClaimAnswer, ClaimCall};
 use crate::codec::Postcard;
 use crate::config::Config;
 use crate::dispatch::{Census, Handover, Offer, Reply, Report};
@@ -97,6 +98,8 @@
     async fn borrow(borrow: Borrow) -> Option<BorrowReply>;
     /// Tells of a suspect request and asks what is known of it.
     async fn suspect(suspicion: Suspicion) -> Option<Suspicion>;
+    /// Carries out an operation on a claim shard that the receiver writes.
+    async fn claim(call: ClaimCall) -> Option<ClaimAnswer>;
     /// Asks for a configuration newer than `known`.
     async fn config(known: Revision) -> Option<Config>;
     /// Asks for the events of the time line.
@@ -119,6 +122,7 @@
     pub(crate) gossip: Call<Gossip, Option<Gossip>>,
     pub(crate) borrow: Call<Borrow, Option<BorrowReply>>,
     pub(crate) suspect: Call<Suspicion, Option<Suspicion>>,
+    pub(crate) claim: Call<ClaimCall, Option<ClaimAnswer>>,
     pub(crate) config: Call<Revision, Option<Config>>,
     pub(crate) events: Arc<dyn Fn() -> Vec<Event> + Send + Sync>,
     pub(crate) status: Call<(), InstanceStatus>,
@@ -161,6 +165,10 @@
         (self.suspect)(suspicion).await
     }
 
+    async fn claim(self, _: Context, call: ClaimCall) -> Option<ClaimAnswer> {
+        (self.claim)(call).await
+    }
+
     async fn config(self, _: Context, known: Revision) -> Option<Config> {
         (self.config)(known).await
     }
--- a/cornelstand/src/member.rs
+++ b/cornelstand/src/member.rs
@@ -588,7 +588,8 @@
     }
 }
 
-fn weight(key: &str, name: &InstanceName) -> u64 {
+/// Weight of an instance for `key`; the one with the greatest comes first.
+pub(crate) fn weight(key: &str, name: &InstanceName) -> u64 {
     xxh3_64(format!("{key}\n{name}").as_bytes())
 }
 
