Feed hostile input to the settings and the handshake

Settings get 2,000 arbitrary and damaged texts and one beyond their bound, the handshake 1,000 sequences of bytes and frames longer than a hello; claims and their answers survive the frames of the link. No fault was found.

--- a/cornelstand/examples/claim_cost.rs
+++ b/cornelstand/examples/claim_cost.rs
@@ -26,6 +26,8 @@
 const LINK_TIME: Duration = Duration::from_micros(1_500);
 /// Instances that claim.
 const INSTANCES: usize = 40;
+/// Shards of the claims.
+const SHARDS: u16 = 16;
 /// Length of each run.
 const RUN: Duration = Duration::from_secs(10);
 /// Time that a request runs between its claim and its record.
@@ -46,6 +48,7 @@
 
 struct Outcome {
     calls: u64,
+    shard: usize,
     requests: u64,
     refused: u64,
     begin: Histogram<u64>,
@@ -63,6 +66,7 @@
         "store calls",
         "calls/s",
         "calls/request",
+        "largest shard KB",
         "begin p50 ms",
         "begin p95 ms",
         "record p50 ms",
@@ -88,6 +92,7 @@
         outcome.calls.to_string(),
         format!("{:.0}", ratio(outcome.calls, RUN.as_secs())),
         format!("{:.2}", ratio(outcome.calls, outcome.requests)),
+        outcome.shard.div_ceil(1_024).to_string(),
         millis(&outcome.begin, 0.5),
         millis(&outcome.begin, 0.95),
         millis(&outcome.record, 0.5),
@@ -117,6 +122,7 @@
     let books = books(way, &store);
     let mut outcome = Outcome {
         calls: 0,
+        shard: 0,
         requests: 0,
         refused: 0,
         begin: Histogram::new(3)?,
@@ -147,6 +153,9 @@
         }
     }
     outcome.calls = store.calls();
+    let names = (0..SHARDS).map(|i| format!("{SHARDS}-{i}"));
+    let values = names.filter_map(|name| api.value("claim", &name));
+    outcome.shard = values.map(|v| v.len()).max().unwrap_or(0);
     api.stop();
     Ok(outcome)
 }
@@ -156,7 +165,10 @@
 }
 
 fn books(way: Way, store: &Store) -> Vec<ClaimBook> {
-    let limits = ClaimLimits::default();
+    let limits = ClaimLimits {
+        shards: SHARDS,
+        ..ClaimLimits::default()
+    };
     let objects = store.clone().into();
     let books: Vec<ClaimBook> = (0..INSTANCES)
         .map(|_| ClaimBook::start(&objects, Clock::start(), limits))
--- a/cornelstand/src/handshake.rs
+++ b/cornelstand/src/handshake.rs
@@ -225,3 +225,6 @@
         .context(ConnectionSnafu)?;
     postcard::from_bytes(&frame).context(MalformedSnafu)
 }
+
+#[cfg(test)]
+mod tests;
--- a/cornelstand/tests/decoders.rs
+++ b/cornelstand/tests/decoders.rs
@@ -4,9 +4,10 @@
 
 use bytes::Bytes;
 use cornelstand::{
-    ACCOUNT_KEY_BYTES, BODY_BYTES, ClaimCall, ClaimShard, Config, EVENT_BYTES, Gossip,
-    IDEMPOTENCY_KEY_BYTES, MAX_DEADLINE, MAX_HINT, MEDIA_BYTES, Note, Offer, Recorded, Report,
-    Scanner, VALUE_BYTES, Wishes, bearer_key, split_path,
+    ACCOUNT_KEY_BYTES, BODY_BYTES, ClaimAnswer, ClaimCall, ClaimOp, ClaimShard, ClaimState, Config,
+    EVENT_BYTES, Gossip, IDEMPOTENCY_KEY_BYTES, MAX_DEADLINE, MAX_HINT, MEDIA_BYTES, Note, Offer,
+    Recorded, Report, SETTINGS_BYTES, Scanner, Settings, Token, VALUE_BYTES, Wishes, bearer_key,
+    split_path,
 };
 use http::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
 use proptest::collection::vec;
@@ -165,6 +166,24 @@
     });
 }
 
+const SETTINGS: &str = r#"{ "instance": "north-0", "centre": "dock-a", // comment
+    "listen": { "callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "fleet": "127.0.0.1:0" },
+    "platform": { "objects": "127.0.0.1:1", "instances": "127.0.0.1:2" },
+    "keys": { "fleet": "a fleet key of some length", "operator":
+        "0000000000000000000000000000000000000000000000000000000000000000" } }"#;
+
+#[test]
+fn settings() {
+    assert!(Settings::parse(SETTINGS).is_ok());
+    check(&prop_oneof![bytes(), damaged(SETTINGS)], |bytes| {
+        let text = String::from_utf8_lossy(&bytes);
+        let _ = Settings::parse(&text);
+        Ok(())
+    });
+    let padded = format!("{SETTINGS}{}", " ".repeat(SETTINGS_BYTES));
+    assert!(Settings::parse(&padded).is_err());
+}
+
 const SHARD: &str = r#"{"next":3,"claims":{"0000000000000000000000000000000a":{"token":
     "0000000000000000000000000000000b","fingerprint":5,"request":
     "0000000000000000000000000000000c","change":1,"state":{"recorded":{"status":201,"media":
@@ -246,6 +265,23 @@
     frames::<ClaimCall>();
 }
 
+#[test]
+fn claims_survive_the_link() {
+    let (claim, _) = ClaimShard::decode(SHARD)
+        .unwrap()
+        .claims
+        .pop_first()
+        .unwrap();
+    let recorded = Recorded::new(201, "text/plain", &Bytes::from_static(b"\xff\x00"));
+    let op = ClaimOp::Settle(Token(7), ClaimState::Recorded(recorded.clone()));
+    let call = ClaimCall { claim, op };
+    let frame = postcard::to_stdvec(&call).unwrap();
+    assert_eq!(postcard::from_bytes::<ClaimCall>(&frame).unwrap(), call);
+    let answer = ClaimAnswer::Answered(recorded);
+    let frame = postcard::to_stdvec(&answer).unwrap();
+    assert_eq!(postcard::from_bytes::<ClaimAnswer>(&frame).unwrap(), answer);
+}
+
 #[test]
 fn frames_of_gossip() {
     frames::<Gossip>();
@@ -254,6 +290,7 @@
 #[rstest]
 #[case::note(|text: &str| Note::parse(text).is_err())]
 #[case::claims(|text: &str| ClaimShard::decode(text).is_err())]
+#[case::settings(|text: &str| Settings::parse(text).is_err())]
 #[case::config(|text: &str| serde_json::from_str::<Config>(text).is_err())]
 fn deep_nesting_is_refused(#[case] is_refused: fn(&str) -> bool) {
     for open in ["[", "{\"a\":", "{a:[", "/*"] {
