--- a/cornelstand/src/answers.rs
+++ b/cornelstand/src/answers.rs
@@ -71,6 +71,7 @@
                 parts.steward.send(TakeOverCell(word)).await.ok();
             }),
             suspect: answer!(|parts, suspicion| parts.entry.exchange(suspicion)),
+            claim: answer!(|parts, call| parts.claims.serve(call).await.ok()),
             config: answer!(|parts, known| parts.in_force.update(known)),
             events: Arc::new(move || events.events()),
             status: answer!(|parts, ()| parts.status().await),
--- a/cornelstand/src/instance.rs
+++ b/cornelstand/src/instance.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, sleep};
 use xtra::Address;
 
+use crate::claim_route::claim_route;
 use crate::claim_shard::ClaimLimits;
 use crate::claims::{ClaimBook, ClaimObjects};
 use crate::config::Config;
@@ -98,6 +99,7 @@
 pub(crate) struct Parts {
     pub(crate) me: Member,
     pub(crate) entry: Entry,
+    pub(crate) claims: ClaimBook,
     pub(crate) holdings: Holdings,
     pub(crate) membership: Address<Membership>,
     pub(crate) members: watch::Receiver<Arc<Members>>,
@@ -347,6 +349,8 @@
     let directory = directory(&members, declared_out.clone());
     let router = Router::new(directory, links.clone(), holdings.clone());
     let objects = ClaimObjects::from(store.clone());
+    let claims = ClaimBook::start(&objects, clock, ClaimLimits::default());
+    let claims = claims.with_route(claim_route(&members, &links));
     let entry = Entry::new(EntryParts {
         name: settings.instance.clone(),
         dispatch: router.dispatch(),
@@ -356,7 +360,7 @@
         metrics: EntryMetrics::new(&registry).context(MetricsSnafu)?,
         limits: settings.entry,
         spread: spread(&links, &members),
-        claims: ClaimBook::start(&objects, clock, ClaimLimits::default()),
+        claims: claims.clone(),
     });
     let ownership = Ownership {
         holdings: holdings.clone(),
@@ -373,6 +377,7 @@
     let parts = Parts {
         me,
         entry,
+        claims,
         holdings,
         membership,
         members,
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -29,6 +29,8 @@
 mod cell_message;
 mod cell_status;
 mod claim;
+mod claim_route;
+mod claim_segment;
 mod claim_shard;
 mod claims;
 mod client;
@@ -126,6 +128,7 @@
     BODY_BYTES, Claim, ClaimAnswer, ClaimCall, ClaimId, ClaimOp, ClaimShard, ClaimShardError,
     ClaimState, ClaimWish, HexError, MEDIA_BYTES, Recorded, Token,
 };
+pub use claim_segment::SegmentRef;
 pub use claim_shard::{ClaimLimits, WriteEnd};
 pub use claims::{Begun, ClaimBook, ClaimError, ClaimObjects, ClaimRoute, Ticket};
 pub use client::{ClientError, OperatorClient, operator_key};
--- a/cornelstand/src/link.rs
+++ b/cornelstand/src/link.rs
@@ -24,6 +24,7 @@
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+use crate::claim::{ClaimAnswer, ClaimCall};
 use crate::codec::Postcard;
 use crate::dispatch::{Census, Handover, Offer, Reply, Report};
 use crate::gossip::Gossip;
@@ -99,6 +100,8 @@
     async fn yield_cell(word: Yield);
     /// Tells of a suspect request and asks what is known of it.
     async fn suspect(suspicion: Suspicion) -> Option<Suspicion>;
+    /// Carries out an operation on a claim shard that the receiver writes.
+    async fn claim(call: ClaimCall) -> Option<ClaimAnswer>;
     /// Asks for what leads from revision `known` to the present one.
     async fn config(known: Revision) -> Option<ConfigUpdate>;
     /// Asks for the events of the time line.
@@ -122,6 +125,7 @@
     pub(crate) borrow: Call<Borrow, Option<BorrowReply>>,
     pub(crate) yield_cell: Call<Yield, ()>,
     pub(crate) suspect: Call<Suspicion, Option<Suspicion>>,
+    pub(crate) claim: Call<ClaimCall, Option<ClaimAnswer>>,
     pub(crate) config: Call<Revision, Option<ConfigUpdate>>,
     pub(crate) events: Arc<dyn Fn() -> Vec<Event> + Send + Sync>,
     pub(crate) status: Call<(), InstanceStatus>,
@@ -168,6 +172,10 @@
         (self.suspect)(suspicion).await
     }
 
+    async fn claim(self, _: Context, call: ClaimCall) -> Option<ClaimAnswer> {
+        (self.claim)(call).await
+    }
+
     async fn config(self, _: Context, known: Revision) -> Option<ConfigUpdate> {
         (self.config)(known).await
     }
