--- a/cornelstand/src/fleet.rs
+++ b/cornelstand/src/fleet.rs
@@ -10,7 +10,7 @@
 
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use snafu::{ResultExt, Snafu};
+use snafu::{OptionExt, ResultExt, Snafu};
 use stand_ins::{InstanceState, Listed};
 use tokio::runtime::{Builder, Runtime};
 use tokio::task::JoinError;
@@ -35,6 +35,8 @@
 const THREADS: usize = 4;
 /// Longest wait until an instance is ready.
 const READY: Duration = Duration::from_secs(30);
+/// Time between looks at the owners of the cells.
+const PAUSE: Duration = Duration::from_millis(50);
 /// Longest wait for an answer to an operator.
 const OPERATOR: Duration = Duration::from_secs(30);
 
@@ -61,6 +63,9 @@
         /// The instance.
         name: InstanceName,
     },
+    /// A cell has no owner in time.
+    #[snafu(display("a cell has no owner in time"))]
+    Unowned,
     /// A task panicked.
     #[snafu(display("a task of the fleet failed"))]
     Task {
@@ -132,6 +137,8 @@
         for place in 0..fleet.members.len() {
             fleet.wait_ready(place).await?;
         }
+        let owned = tokio::time::timeout(READY, fleet.wait_owned()).await;
+        owned.ok().context(UnownedSnafu)?;
         Ok(fleet)
     }
 
@@ -313,6 +320,18 @@
             .ok_or_else(|| FleetError::NotReady { name: name.clone() })
     }
 
+    /// Waits until every instance knows the owner of every cell.
+    async fn wait_owned(&self) {
+        let cells = self.config.cells().count();
+        loop {
+            let status = self.status().await;
+            if status.iter().all(|s| s.owners.len() >= cells) {
+                return;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
     fn list(&self, name: &str, address: SocketAddr, state: InstanceState) {
         self.outside.instances.put(Listed {
             name: name.to_owned(),
