--- a/cornelstand/src/call.rs
+++ b/cornelstand/src/call.rs
@@ -17,7 +17,7 @@
 use tokio::time::sleep;
 
 use crate::attempt::{Loss, NotRun, Ready, Sent, Unsent, Verdict};
-use crate::body::CallBody;
+use crate::body::{BodyError, CallBody};
 use crate::caller::{Caller, Gone};
 use crate::claim::Recorded;
 use crate::claims::{Begun, Ticket};
@@ -158,6 +158,7 @@
             }
             Err(Gone) => return self.leave(ready, caller).await,
         }
+        let pauses = self.core.pauses.count();
         let grant = match self.offer(&ready, &mut caller).await {
             Ok(Ok(grant)) => grant,
             Ok(Err(no)) => return self.give_up(caller, refusal::refused(ready, &no)).await,
@@ -172,6 +173,11 @@
             self.count_retry("crossed");
             return Step::Again(ready.next(), caller);
         }
+        if self.core.pauses.has_paused(pauses, self.core.clock.now()) {
+            flight.end(Ending::NotSent);
+            self.count_retry("paused");
+            return Step::Again(ready.next(), caller);
+        }
         if self.is_claim_late() {
             flight.end(Ending::NotSent);
             return self.give_up(caller, refusal::claim_late(ready)).await;
@@ -327,20 +333,18 @@
 
     /// A sent attempt has no answer: tries again if that is allowed.
     pub(crate) async fn lost(&mut self, sent: Sent, loss: Loss, leg: Leg, caller: Caller) -> Step {
-        self.note_loss(loss, &leg);
-        self.avoid(&leg.flight);
-        let Leg { flight, address } = leg;
         let attempt = sent.lost(loss);
-        if let Some(fault) = self.body.fault() {
-            flight.cancel(address);
+        if let Some(fault) = self.upload_fault(loss) {
+            leg.flight.cancel(leg.address);
             let problem = refusal::body_broke(attempt, fault);
             return self.give_up(caller, problem).await;
         }
-        let leg = Leg { flight, address };
+        self.note_loss(loss, &leg);
+        self.avoid(&leg.flight);
         if loss.is_broken() {
             self.examine(&leg).await;
         }
-        let flight = leg.flight;
+        let Leg { flight, address } = leg;
         if !self.is_claimed() && self.core.clock.now() >= self.deadline {
             flight.cancel(address);
             return self.give_up(caller, refusal::late(attempt)).await;
@@ -353,6 +357,13 @@
         self.give_up(caller, refusal::lost(attempt, loss)).await
     }
 
+    /// What the caller's body has to do with a loss.
+    fn upload_fault(&self, loss: Loss) -> Option<BodyError> {
+        let is_slow = loss.is_silent() && self.body.is_awaited();
+        let slow = is_slow.then_some(BodyError::Slow);
+        self.body.fault().or(slow)
+    }
+
     /// The caller has gone while nothing runs.
     async fn leave(&mut self, ready: Ready, caller: Caller) -> Step {
         let open = caller.leave();
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -82,6 +82,7 @@
 #[cfg(feature = "demo")]
 mod outside;
 mod path;
+mod pause;
 mod platform;
 mod probe;
 mod problem;
--- a/cornelstand/tests/entry/fleet.rs
+++ b/cornelstand/tests/entry/fleet.rs
@@ -21,10 +21,12 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch};
+use tokio::task::JoinHandle;
 use warp::Filter;
 
 /// An address that nothing listens at.
 pub(crate) const UNREACHABLE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+pub(crate) const OTHER_KEY: &str = "ndege-desk-key";
 pub(crate) const KEY: &str = "tessel-counter-key";
 
 pub(crate) fn route(prefix: &str, repeat: Repeat) -> Route {
@@ -48,13 +50,16 @@
 }
 
 pub(crate) fn config(endpoints: &[SocketAddr]) -> Config {
-    let account = Account {
+    let account = |key| Account {
         share: 1,
-        keys: vec![key_hash(KEY)],
+        keys: vec![key_hash(key)],
         queue: 16,
     };
     let mut config = Config {
-        accounts: BTreeMap::from([(AccountName::from("tessel"), account)]),
+        accounts: BTreeMap::from([
+            (AccountName::from("tessel"), account(KEY)),
+            (AccountName::from("ndege"), account(OTHER_KEY)),
+        ]),
         services: BTreeMap::from([
             (ServiceName::from("app"), service(Kind::Plain)),
             (ServiceName::from("model"), service(Kind::Model)),
@@ -128,7 +133,8 @@
     pub(crate) peers: Peers,
     pub(crate) reports: Arc<Mutex<Vec<Report>>>,
     pub(crate) config: watch::Sender<Arc<Config>>,
-    _stop: oneshot::Sender<()>,
+    served: JoinHandle<()>,
+    stop: oneshot::Sender<()>,
 }
 
 impl Fleet {
@@ -184,7 +190,7 @@
         let address = listener.local_addr().unwrap();
         let (stop, stopped) = oneshot::channel::<()>();
         let serving = entry.clone();
-        tokio::spawn(async move {
+        let served = tokio::spawn(async move {
             serving
                 .serve(listener, async move { drop(stopped.await) })
                 .await;
@@ -195,10 +201,17 @@
             peers,
             reports,
             config,
-            _stop: stop,
+            served,
+            stop,
         }
     }
 
+    /// Asks the entry to stop and returns what ends when it has.
+    pub(crate) fn stop(self) -> JoinHandle<()> {
+        self.stop.send(()).unwrap();
+        self.served
+    }
+
     pub(crate) fn url(&self, path: &str) -> String {
         format!("http://{}{path}", self.address)
     }
