--- a/cornelstand/tests/settings.rs
+++ b/cornelstand/tests/settings.rs
@@ -1,6 +1,6 @@
-//! Settings: examples are accepted, mistakes are named with their place.
+//! Settings and first notes: examples are accepted, mistakes are named with their place.
 
-use cornelstand::Settings;
+use cornelstand::{Config, Note, Settings};
 use rstest::rstest;
 
 const GOOD: &str = r#"{
@@ -39,6 +39,18 @@
     insta::assert_snapshot!(case, error.to_string());
 }
 
+#[rstest]
+#[case("examples/tessel-note.json5", 23)]
+#[case("examples/ndege-note.json5", 14)]
+fn accepts_the_first_notes(#[case] file: &str, #[case] endpoints: usize) {
+    let path = format!("{}/../{file}", env!("CARGO_MANIFEST_DIR"));
+    let text = std::fs::read_to_string(path).expect("the example exists");
+    let note = Note::parse(&text).expect("the example is valid");
+    let config = note.apply(&Config::default()).expect("it is consistent");
+    assert_eq!(config.endpoints.len(), endpoints);
+    assert_eq!(config.accounts.len(), 15);
+}
+
 #[rstest]
 #[case("examples/tessel-north-coast.json5")]
 #[case("examples/ndege-ke-nairobi.json5")]
