Take no handover as a sign that an endpoint lives

The driver ended a restart early if another fell into it. Change: a handed-over boot has still to show; an engine is up a full restart time after its latest restart.

--- a/cornelstand/src/endpoint.rs
+++ b/cornelstand/src/endpoint.rs
@@ -179,10 +179,9 @@
         self.leaving = leaving;
     }
 
-    /// Takes over what an earlier owner had learned.
+    /// Takes over what an earlier owner had learned. The boot has still to show.
     pub(crate) fn restore(&mut self, now: Moment, known: &EndpointState) {
         self.haunt(now, known.unseen);
-        self.proof = now;
         self.boot = known.boot;
         self.answers = known.answers;
     }
--- a/cornelstand/tests/decide/driver.rs
+++ b/cornelstand/tests/decide/driver.rs
@@ -88,7 +88,7 @@
     Progress(usize, u64),
     Finish(usize, u64),
     Deliver(usize, Arrival),
-    Up(usize),
+    Up(usize, u64),
     Restart(usize),
     Sample(usize),
     Loaded(usize, (u64, u32, u32)),
@@ -247,7 +247,10 @@
             Step::Progress(job, cost) => self.progress(job, cost),
             Step::Finish(job, boot) => self.finish(job, boot),
             Step::Deliver(job, arrival) => self.deliver(job, arrival),
-            Step::Up(engine) => self.engines[engine].up = true,
+            Step::Up(engine, boot) => {
+                let engine = &mut self.engines[engine];
+                engine.up |= engine.boot == boot;
+            }
             Step::Restart(engine) => self.restart(engine),
             Step::Sample(engine) => self.sample(engine),
             Step::Loaded(engine, (boot, running, answers)) => {
@@ -416,14 +419,15 @@
     }
 
     fn restart(&mut self, engine: usize) {
-        let engine_index = engine;
-        let engine = &mut self.engines[engine];
+        let index = engine;
+        let engine = &mut self.engines[index];
         engine.boot += 1;
         engine.answers = 0;
         engine.up = false;
         engine.began = None;
         let broken = std::mem::take(&mut engine.running);
-        self.push(self.now + DOWN_MS, Step::Up(engine_index));
+        let boot = engine.boot;
+        self.push(self.now + DOWN_MS, Step::Up(index, boot));
         for job in broken {
             if let Some(start) = self.open.remove(&job) {
                 self.outcome(job, self.now - start, None, BROKEN);
