Raise no limit by an answer that may have been counted before

Change: the answer of an attempt that is known by a report only is charged and freed, but does not count as an answer of the boot.

--- a/cornelstand/src/endpoint.rs
+++ b/cornelstand/src/endpoint.rs
@@ -406,7 +406,10 @@
     }
 
     fn answered(&mut self, sight: Sight<'_>) {
-        if sight.boot.is_some() && sight.boot == self.boot {
+        // Without an entry, only an earlier owner's attempt was reported, whose answer that owner
+        // may have counted.
+        let followed = sight.entry.is_some();
+        if followed && sight.boot.is_some() && sight.boot == self.boot {
             self.answers = self.answers.saturating_add(1);
         }
         self.probe.clear();
