--- a/cornelstand/src/endpoint.rs
+++ b/cornelstand/src/endpoint.rs
@@ -179,10 +179,9 @@
         self.leaving = leaving;
     }
 
-    /// Takes over what an earlier owner had learned.
+    /// Takes over what an earlier owner had learned. The boot has still to show.
     pub(crate) fn restore(&mut self, now: Moment, known: &EndpointState) {
         self.haunt(now, known.unseen);
-        self.proof = now;
         self.boot = known.boot;
         self.answers = known.answers;
     }
@@ -407,7 +406,10 @@
     }
 
     fn answered(&mut self, sight: Sight<'_>) {
-        if sight.boot.is_some() && sight.boot == self.boot {
+        // Without an entry, only an earlier owner's attempt was reported, whose answer that owner
+        // may have counted.
+        let followed = sight.entry.is_some();
+        if followed && sight.boot.is_some() && sight.boot == self.boot {
             self.answers = self.answers.saturating_add(1);
         }
         self.probe.clear();
