--- a/cornelstand/src/claim.rs
+++ b/cornelstand/src/claim.rs
@@ -242,16 +242,18 @@
 /// Value of one claim object.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
-pub struct Shard {
+pub struct ClaimShard {
     /// Number of the next change.
     pub next: u64,
     /// The claims by identity.
     pub claims: BTreeMap<ClaimId, Claim>,
+    /// Tokens given up, with the change that did so. A copy of their `begin` claims nothing.
+    pub released: BTreeMap<Token, u64>,
 }
 
 /// Error of reading a claim object.
 #[derive(Debug, Snafu)]
-pub enum ShardError {
+pub enum ClaimShardError {
     /// Longer than the store holds.
     #[snafu(display("a claim object of {bytes} bytes is too long"))]
     Long {
@@ -264,6 +266,9 @@
         /// Where and why.
         source: serde_json::Error,
     },
+    /// A released token is newer than its shard.
+    #[snafu(display("a released token is newer than its shard"))]
+    Newer,
     /// A claim breaks a rule of its shard.
     #[snafu(display("claim {id} {what}"))]
     Invalid {
@@ -274,13 +279,13 @@
     },
 }
 
-impl Shard {
+impl ClaimShard {
     /// Reads the value of a claim object.
     ///
     /// # Errors
     ///
-    /// [`ShardError`] for anything that [`Shard::encode`] cannot have written.
-    pub fn decode(text: &str) -> Result<Self, ShardError> {
+    /// [`ClaimShardError`] for anything that [`ClaimShard::encode`] cannot have written.
+    pub fn decode(text: &str) -> Result<Self, ClaimShardError> {
         let bytes = text.len();
         ensure!(bytes <= VALUE_BYTES, LongSnafu { bytes });
         let shard: Self = serde_json::from_str(text).context(JsonSnafu)?;
@@ -292,6 +297,10 @@
             let what = "has a longer answer than is kept";
             ensure!(is_kept(&claim.state), InvalidSnafu { id, what });
         }
+        ensure!(
+            shard.released.values().all(|change| *change < shard.next),
+            NewerSnafu
+        );
         Ok(shard)
     }
 
@@ -306,7 +315,7 @@
     }
 
     /// Claims `id` unless it is claimed, and tells who holds it.
-    pub(crate) fn claim(&mut self, id: ClaimId, wish: Wish) -> &Claim {
+    pub(crate) fn claim(&mut self, id: ClaimId, wish: ClaimWish) -> &Claim {
         let next = &mut self.next;
         self.claims.entry(id).or_insert_with(|| Claim {
             token: wish.token,
@@ -329,30 +338,90 @@
         true
     }
 
-    /// Removes the open claim that `token` made.
+    /// Removes the open claim that `token` made, and keeps `token` from making one.
     pub(crate) fn release(&mut self, id: ClaimId, token: Token) {
+        if self.released.contains_key(&token) {
+            return;
+        }
         let own = |c: &Claim| c.token == token && c.state.is_open();
         if self.claims.get(&id).is_some_and(own) {
             self.claims.remove(&id);
-            take(&mut self.next);
         }
+        self.released.insert(token, take(&mut self.next));
     }
 
-    /// Removes settled claims unchanged since change `settled`, and open ones since `open`.
-    pub(crate) fn expire(&mut self, settled: u64, open: u64) {
+    /// Removes what was not changed since the changes of `limits`.
+    pub(crate) fn expire(&mut self, limits: Expiry) {
         self.claims.retain(|_, claim| {
-            let limit = if claim.state.is_open() { open } else { settled };
-            claim.change >= limit
+            let open = claim.state.is_open();
+            claim.change >= if open { limits.open } else { limits.settled }
         });
+        self.released.retain(|_, change| *change >= limits.released);
     }
 }
 
-/// What a `begin` asks for.
+/// Changes of a shard before which each kind of entry has expired.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct Wish {
-    pub(crate) token: Token,
-    pub(crate) fingerprint: Fingerprint,
-    pub(crate) request: RequestId,
+pub(crate) struct Expiry {
+    pub(crate) settled: u64,
+    pub(crate) open: u64,
+    pub(crate) released: u64,
+}
+
+/// What a `begin` asks for.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClaimWish {
+    /// Mark of the `begin`.
+    pub token: Token,
+    /// What is claimed.
+    pub fingerprint: Fingerprint,
+    /// The request.
+    pub request: RequestId,
+}
+
+/// What is asked of a shard. Each operation may arrive more than once and late.
+#[derive(Clone, Debug, Deserialize, Eq, IsVariant, PartialEq, Serialize)]
+pub enum ClaimOp {
+    /// Claim.
+    Begin(ClaimWish),
+    /// Keep the end of the request that the token claimed.
+    Settle(Token, ClaimState),
+    /// Give up what the token claimed or may yet claim.
+    Release(Token),
+}
+
+/// One operation on one claim, as instances send it to one another.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClaimCall {
+    /// The claim.
+    pub claim: ClaimId,
+    /// The operation.
+    pub op: ClaimOp,
+}
+
+/// Answer to an operation.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum ClaimAnswer {
+    /// The token holds the claim.
+    Fresh,
+    /// The request was answered before.
+    Answered(Recorded),
+    /// Another token holds the claim.
+    Running,
+    /// The end of the request is not known.
+    Unknown,
+    /// The claim is for another fingerprint.
+    Mismatch,
+    /// Settled or released.
+    Done,
+    /// The token holds no claim.
+    Lost,
+    /// The shard has no room.
+    Full,
+    /// Too many operations wait.
+    Busy,
+    /// The store gave no clear answer in time.
+    Unavailable,
 }
 
 fn take(next: &mut u64) -> u64 {
--- a/cornelstand/src/endpoint.rs
+++ b/cornelstand/src/endpoint.rs
@@ -6,6 +6,7 @@
 //! Each cut starts a generation; what attempts of an earlier generation tell cannot cut again.
 //! `docs/design/endpoints.md` has the reasons.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use derive_more::{Display, IsVariant};
@@ -14,7 +15,8 @@
 use crate::config::Endpoint;
 use crate::dispatch::Ending;
 use crate::moment::Moment;
-use crate::name::BootId;
+use crate::name::{AttemptId, BootId, InstanceName};
+use crate::probe::Probe;
 
 /// Oldest that a load report may be.
 pub(crate) const LOAD_LAG: Duration = Duration::from_secs(3);
@@ -22,14 +24,9 @@
 /// Longest that requests which nobody can follow are assumed to run without a load report.
 const DOUBT: Duration = Duration::from_mins(1);
 
-/// Bad outcomes without an answer between them that make an endpoint suspect.
-const STRIKES: u32 = 3;
-
-/// Shortest time between probes of a suspect endpoint.
-const PROBE_FIRST: Duration = Duration::from_millis(500);
-
-/// Longest time between probes of a suspect endpoint.
-const PROBE_LAST: Duration = Duration::from_secs(30);
+/// While attempts run: how long a boot counts as proven after it was seen, and age from which an
+/// attempt proves it. Less than a restart takes beyond the outcomes of what it cuts.
+const PROOF: Duration = Duration::from_millis(500);
 
 /// Boot identities that are remembered as ended.
 const RETIRED: usize = 8;
@@ -78,13 +75,27 @@
 
 /// What an attempt showed of its endpoint.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Sight {
+pub(crate) struct Sight<'a> {
+    pub(crate) attempt: AttemptId,
+    pub(crate) granted: Moment,
     /// Generation of the endpoint when the attempt was granted.
     pub(crate) generation: u32,
+    /// Who ran the attempt.
+    pub(crate) entry: Option<&'a InstanceName>,
     pub(crate) boot: Option<BootId>,
     pub(crate) first: Option<Duration>,
 }
 
+/// What was known of a boot.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    boot: BootId,
+    answers: u32,
+    load: Option<(BootId, u32)>,
+    confirm: bool,
+}
+
+/// Knowledge of one endpoint.
 #[derive(Debug)]
 pub(crate) struct EndpointModel {
     cold: u32,
@@ -93,10 +104,10 @@
     /// Boot that an answer has shown.
     boot: Option<BootId>,
     retired: Vec<BootId>,
-    /// Boot and answers before a broken connection, restored when the boot turns out to live on.
-    held: Option<(BootId, u32)>,
+    /// The boot before a broken connection, restored when it turns out to live on.
+    held: Option<Held>,
     generation: u32,
-    /// Answers since the boot or the latest cut.
+    /// Outcomes that are answers since the boot or the latest cut.
     answers: u32,
     /// Latest load report of a boot that has not ended.
     load: Option<(BootId, u32)>,
@@ -104,12 +115,15 @@
     confirm: bool,
     firsts: u32,
     first: Duration,
-    strikes: u32,
-    backoff: Duration,
-    probe: Moment,
+    /// When the boot was last seen.
+    proof: Moment,
+    /// Broken attempts since `held` was set.
+    broken: u32,
+    probe: Probe,
     leaving: bool,
     out: bool,
-    running: u32,
+    /// Running attempts, by the moment of their grant.
+    calls: BTreeSet<(Moment, AttemptId)>,
     foreign: Foreign,
     /// When `foreign` last rose; load reports say nothing of it until [`LOAD_LAG`] later.
     risen: Moment,
@@ -131,12 +145,12 @@
             confirm: true,
             firsts: 0,
             first: Duration::ZERO,
-            strikes: 0,
-            backoff: PROBE_FIRST,
-            probe: Moment::default(),
+            proof: Moment::default(),
+            broken: 0,
+            probe: Probe::new(),
             leaving: false,
             out: false,
-            running: 0,
+            calls: BTreeSet::new(),
             foreign: Foreign::AtMost(0),
             risen: Moment::default(),
             shown: State::Cold,
@@ -147,7 +161,11 @@
     }
 
     pub(crate) fn configure(&mut self, config: &Endpoint, out: bool) {
-        self.cold = config.cold;
+        self.cold = if config.ramp == 0 {
+            config.warm
+        } else {
+            config.cold
+        };
         self.warm = config.warm.max(config.cold);
         self.ramp = config.ramp;
         self.out = out;
@@ -162,7 +180,8 @@
     }
 
     /// Takes over what an earlier owner had learned.
-    pub(crate) fn restore(&mut self, boot: Option<BootId>, answers: u32) {
+    pub(crate) fn restore(&mut self, now: Moment, boot: Option<BootId>, answers: u32) {
+        self.proof = now;
         self.boot = boot;
         self.answers = answers;
     }
@@ -180,7 +199,7 @@
     }
 
     pub(crate) fn running(&self) -> u32 {
-        self.running
+        u32::try_from(self.calls.len()).unwrap_or(u32::MAX)
     }
 
     pub(crate) fn state(&self) -> State {
@@ -188,7 +207,7 @@
             State::Out
         } else if self.leaving {
             State::Leaving
-        } else if self.strikes >= STRIKES {
+        } else if self.probe.is_suspect() {
             State::Suspect
         } else if self.bears() >= self.warm {
             State::Warm
@@ -214,24 +233,34 @@
 
     /// Requests at once that the endpoint surely bears.
     pub(crate) fn bears(&self) -> u32 {
-        if self.answers >= self.ramp {
+        let answers = self.answers.max(self.reported());
+        if answers >= self.ramp {
             return self.warm;
         }
         let span = u64::from(self.warm - self.cold);
-        let gained = span * u64::from(self.answers) / u64::from(self.ramp);
+        let gained = span * u64::from(answers) / u64::from(self.ramp);
         self.cold + u32::try_from(gained).unwrap_or(0)
     }
 
+    /// Requests at once that may be granted. A boot that was not seen lately, and has no
+    /// connection that would have broken at a restart, counts as cold until it shows.
+    pub(crate) fn limit(&self, now: Moment) -> u32 {
+        let proved = self.calls.first().map_or(now <= self.proof, |(oldest, _)| {
+            now <= self.proof.after(PROOF) || oldest.after(PROOF) <= now
+        });
+        if proved { self.bears() } else { self.cold }
+    }
+
     /// Requests that may be granted now, where `part` takes the dispatcher's part of a limit.
     pub(crate) fn room(&self, now: Moment, part: impl Fn(u32) -> u32) -> u32 {
         let Some(foreign) = self.foreign(now) else {
             return 0;
         };
-        let limit = part(self.bears());
-        let free = limit.saturating_sub(self.running.saturating_add(foreign));
+        let limit = part(self.limit(now));
+        let free = limit.saturating_sub(self.running().saturating_add(foreign));
         match self.state() {
             State::Out | State::Leaving => 0,
-            State::Suspect if now < self.probe => 0,
+            State::Suspect if now < self.probe.due() => 0,
             State::Suspect => free.min(1),
             State::Cold | State::Warming | State::Warm => free,
         }
@@ -253,56 +282,52 @@
 
     /// When a suspect endpoint may be probed again.
     pub(crate) fn probe(&self) -> Option<Moment> {
-        self.state().is_suspect().then_some(self.probe)
+        self.state().is_suspect().then_some(self.probe.due())
     }
 
     /// Counts a grant.
-    pub(crate) fn start(&mut self, now: Moment) {
-        self.running += 1;
-        if self.strikes >= STRIKES {
-            self.delay_probe(now);
-        }
+    pub(crate) fn start(&mut self, now: Moment, attempt: AttemptId) {
+        self.calls.insert((now, attempt));
+        self.probe.start(now);
     }
 
     /// Counts an attempt that an earlier owner granted.
-    pub(crate) fn adopt(&mut self) {
-        self.running += 1;
+    pub(crate) fn adopt(&mut self, granted: Moment, attempt: AttemptId) {
+        self.calls.insert((granted, attempt));
     }
 
     /// Counts an end, whatever it was.
-    pub(crate) fn stop(&mut self) {
-        self.running = self.running.saturating_sub(1);
+    pub(crate) fn stop(&mut self, granted: Moment, attempt: AttemptId) {
+        self.calls.remove(&(granted, attempt));
     }
 
     /// Takes in what a running attempt showed.
-    pub(crate) fn sight(&mut self, sight: Sight) {
+    pub(crate) fn sight(&mut self, now: Moment, sight: Sight<'_>) {
         let Some(boot) = sight.boot else { return };
-        if self.boot == Some(boot) {
-            return;
+        if self.boot != Some(boot) && self.retired.contains(&boot) {
+            self.revive(now, boot, sight.generation);
+        } else if self.boot != Some(boot) {
+            self.adopt_boot(boot);
         }
-        if self.retired.contains(&boot) {
-            self.revive(boot, sight.generation);
-            return;
-        }
-        if self.boot.is_some() {
-            self.cut();
+        if self.boot == Some(boot) {
+            self.proof = now;
         }
-        self.boot = Some(boot);
-        self.held = None;
-        self.confirm_load();
     }
 
-    /// Takes in how an attempt ended.
-    pub(crate) fn ended(&mut self, now: Moment, sight: Sight, ending: Ending) {
-        self.sight(sight);
+    /// Takes in how a counted attempt ended.
+    pub(crate) fn ended(&mut self, now: Moment, sight: Sight<'_>, ending: Ending) {
+        self.stop(sight.granted, sight.attempt);
+        self.sight(now, sight);
         match ending {
             Ending::Answered => self.answered(sight),
             Ending::Cancelled | Ending::Failed => {}
-            Ending::NotSent | Ending::Silent => self.strike(now),
-            Ending::Overloaded => {
-                self.slump(sight.generation);
+            Ending::NotSent => self.probe.strike(now, sight.entry),
+            Ending::Silent => {
+                self.haunt(now, 1);
+                self.probe.strike(now, sight.entry);
             }
-            Ending::Broken => self.broken(now, sight.generation),
+            Ending::Overloaded => self.overloaded(now, sight),
+            Ending::Broken => self.broken(now, sight),
         }
     }
 
@@ -324,8 +349,9 @@
         if self.boot.is_some_and(|b| b != load.boot) {
             self.cut();
         }
-        self.load = Some((load.boot, load.answers));
-        self.confirm_load();
+        let known = self.load.filter(|(boot, _)| *boot == load.boot);
+        let answers = known.map_or(0, |(_, answers)| answers);
+        self.load = Some((load.boot, load.answers.max(answers)));
     }
 
     /// Assumes that requests unknown to the dispatcher may run.
@@ -340,20 +366,40 @@
     }
 
     /// Counts one known attempt as one that can no longer be followed.
-    pub(crate) fn orphan(&mut self, now: Moment) {
-        self.stop();
+    pub(crate) fn orphan(&mut self, now: Moment, granted: Moment, attempt: AttemptId) {
+        self.stop(granted, attempt);
+        self.haunt(now, 1);
+    }
+
+    /// Counts attempts that may still run although their connections are gone.
+    fn haunt(&mut self, now: Moment, count: u32) {
+        if count == 0 {
+            return;
+        }
         self.risen = now;
         if let Foreign::AtMost(most) = &mut self.foreign {
-            *most += 1;
+            *most += count;
         }
     }
 
-    fn answered(&mut self, sight: Sight) {
+    /// Takes a boot that was not seen before as the present one.
+    fn adopt_boot(&mut self, boot: BootId) {
+        if self.boot.is_some() {
+            self.cut();
+        }
+        self.boot = Some(boot);
+        self.held = None;
+        self.broken = 0;
+        if let Foreign::AtMost(most) = &mut self.foreign {
+            *most = 0;
+        }
+    }
+
+    fn answered(&mut self, sight: Sight<'_>) {
         if sight.boot.is_some() && sight.boot == self.boot {
             self.answers = self.answers.saturating_add(1);
         }
-        self.strikes = 0;
-        self.backoff = PROBE_FIRST;
+        self.probe.clear();
         if let Some(first) = sight.first {
             self.first_byte(first, sight.generation);
         }
@@ -373,14 +419,23 @@
         self.firsts = self.firsts.saturating_add(1);
     }
 
-    fn broken(&mut self, now: Moment, generation: u32) {
-        if generation != self.generation {
-            return;
+    fn broken(&mut self, now: Moment, sight: Sight<'_>) {
+        if sight.generation == self.generation {
+            let held = self.boot.map(|boot| self.hold(boot)).or(self.held);
+            self.cut();
+            self.held = held;
+            self.probe.strike(now, sight.entry);
+        }
+        if self.held.is_some() {
+            self.broken += 1;
+        }
+    }
+
+    fn overloaded(&mut self, now: Moment, sight: Sight<'_>) {
+        if sight.generation == self.generation {
+            self.slump(sight.generation);
+            self.probe.strike(now, sight.entry);
         }
-        let held = self.boot.map(|boot| (boot, self.answers)).or(self.held);
-        self.cut();
-        self.held = held;
-        self.strike(now);
     }
 
     /// Cuts the limit of a boot that goes on, so that only its own answers raise it again.
@@ -410,40 +465,37 @@
         self.retired.push(boot);
     }
 
+    fn hold(&self, boot: BootId) -> Held {
+        Held {
+            boot,
+            answers: self.answers,
+            load: self.load,
+            confirm: self.confirm,
+        }
+    }
+
     /// Restores the boot before a broken connection, if an attempt sent after that shows it.
-    fn revive(&mut self, boot: BootId, generation: u32) {
-        let Some((held, answers)) = self.held else {
-            return;
-        };
-        if held != boot || generation != self.generation {
+    fn revive(&mut self, now: Moment, boot: BootId, generation: u32) {
+        let Some(held) = self.held else { return };
+        if held.boot != boot || generation != self.generation {
             return;
         }
         self.held = None;
         self.retired.retain(|b| *b != boot);
         self.boot = Some(boot);
-        self.answers = answers;
-        self.confirm = false;
-    }
-
-    fn confirm_load(&mut self) {
-        let Some((boot, answers)) = self.load else {
-            return;
-        };
-        if self.confirm && self.boot == Some(boot) {
-            self.answers = self.answers.max(answers);
-        }
-    }
-
-    fn strike(&mut self, now: Moment) {
-        self.strikes = self.strikes.saturating_add(1);
-        if self.strikes == STRIKES {
-            self.delay_probe(now);
-        }
-    }
-
-    fn delay_probe(&mut self, now: Moment) {
-        self.probe = now.after(self.backoff);
-        self.backoff = (self.backoff * 2).min(PROBE_LAST);
+        self.answers = held.answers;
+        self.load = held.load;
+        self.confirm = held.confirm;
+        let broken = std::mem::take(&mut self.broken);
+        self.haunt(now, broken);
+    }
+
+    /// Answers of the present boot by its load reports. They may count the same answers as the
+    /// outcomes, so the two are never added up.
+    fn reported(&self) -> u32 {
+        let load = self.load.filter(|_| self.confirm);
+        load.filter(|(boot, _)| self.boot == Some(*boot))
+            .map_or(0, |(_, answers)| answers)
     }
 }
 
--- a/cornelstand/src/fleet.rs
+++ b/cornelstand/src/fleet.rs
@@ -1,260 +1,349 @@
-//! The actor around the membership: it sends, answers and publishes what is known.
+//! A fleet of instances in one process, before the stand-ins of a deployment.
 //!
-//! Everybody else reads the membership from a [`watch`] channel. Exchanges run in tasks of their
-//! own, so a silent peer holds nothing up.
+//! The instances run on a runtime of their own, so that their processor time can be told from
+//! that of callers and stand-ins. The first configuration and all changes go through release
+//! notes at the operators' address, as from outside.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::FutureExt;
 use futures::future::BoxFuture;
-use tokio::sync::watch;
-use tokio::time::{MissedTickBehavior, interval, timeout};
-use xtra::WeakAddress;
-use xtra::prelude::*;
-
-use crate::gossip::{Extension, Gossip, Seed};
-use crate::member::{MemberInput, MemberOutput, Members};
-use crate::moment::Clock;
-use crate::name::{CellId, Epoch, InstanceName, Revision};
-use crate::timeline::{Timeline, Topic};
-
-/// Messages that may wait for the actor.
-const MAILBOX: usize = 1024;
-
-/// Deadline of an exchange.
-const EXCHANGE: Duration = Duration::from_millis(900);
-
-/// Time between readings of the platform's instance list.
-const LIST: Duration = Duration::from_secs(3);
-
-type ExchangeCall = dyn Fn(SocketAddr, Gossip) -> BoxFuture<'static, Option<Gossip>> + Send + Sync;
-type ListCall = dyn Fn() -> BoxFuture<'static, Option<Vec<Seed>>> + Send + Sync;
-type ExtraCall = dyn Fn(InstanceName, Vec<Extension>) + Send + Sync;
-
-/// What the membership needs from the outside.
-#[derive(Clone)]
-pub struct FleetParts {
-    /// Exchanges messages with a peer, `None` if it does not answer.
-    pub exchange: Arc<ExchangeCall>,
-    /// Reads the platform's instance list, without endpoints; `None` if that fails.
-    pub list: Arc<ListCall>,
-    /// Takes in items of other modules from a peer.
-    pub extra: Arc<ExtraCall>,
-    /// Clock of the process.
-    pub clock: Clock,
-    /// Where changes of members and cells are recorded.
-    pub timeline: Timeline,
+use snafu::{ResultExt, Snafu};
+use stand_ins::{InstanceState, Listed};
+use tokio::runtime::{Builder, Runtime};
+use tokio::task::JoinError;
+
+use crate::auth::key_hash;
+use crate::config::Config;
+use crate::deployment::Deployment;
+use crate::instance::{Instance, StartError};
+use crate::name::{CentreName, InstanceName};
+use crate::note::{Note, plan};
+use crate::outside::Outside;
+
+use crate::entry::EntryLimits;
+use crate::settings::{Keys, Limits, Listen, Log, Peer, Platform, Settings, Times};
+use crate::status::InstanceStatus;
+
+/// Key of the operators of such a fleet.
+pub const OPERATOR_KEY: &str = "key-of-the-operators";
+/// Name of the threads that run the instances.
+pub const FLEET_THREADS: &str = "fleet";
+/// Threads that run the instances.
+const THREADS: usize = 4;
+/// Longest wait until an instance is ready.
+const READY: Duration = Duration::from_secs(30);
+/// Longest wait for an answer to an operator.
+const OPERATOR: Duration = Duration::from_secs(30);
+
+/// Error of a fleet in one process.
+#[derive(Debug, Snafu)]
+pub enum FleetError {
+    /// The runtime cannot be set up.
+    #[snafu(display("cannot start the fleet's threads"))]
+    Threads {
+        /// Error of the system.
+        source: std::io::Error,
+    },
+    /// An instance cannot start.
+    #[snafu(display("instance {name}: {source}"))]
+    Start {
+        /// The instance.
+        name: InstanceName,
+        /// Error of the instance.
+        source: StartError,
+    },
+    /// An instance is not ready in time.
+    #[snafu(display("instance {name} is not ready in time"))]
+    NotReady {
+        /// The instance.
+        name: InstanceName,
+    },
+    /// A task panicked.
+    #[snafu(display("a task of the fleet failed"))]
+    Task {
+        /// Error of the task.
+        source: JoinError,
+    },
+    /// No answer from an instance to an operator.
+    #[snafu(display("no answer to an operator"))]
+    Operator {
+        /// Error of the HTTP client.
+        source: reqwest::Error,
+    },
+    /// A note was refused.
+    #[snafu(display("note refused with {status}: {text}"))]
+    Note {
+        /// Status of the answer.
+        status: http::StatusCode,
+        /// Text of the answer.
+        text: String,
+    },
 }
 
-/// Answers an exchange that a peer started.
-#[derive(Debug)]
-pub struct AnswerGossip(pub Gossip);
-
-/// Gives addresses from the settings.
-#[derive(Debug)]
-pub struct AddSeeds(pub Vec<Seed>);
-
-/// Tells that this instance acts as owner of a cell, and the wait there in milliseconds.
-#[derive(Clone, Debug)]
-pub struct ClaimCell {
-    /// The cell.
-    pub cell: CellId,
-    /// Epoch of this instance.
-    pub epoch: Epoch,
-    /// Expected wait of a new request, in milliseconds.
-    pub delay: u32,
+/// A fleet in one process.
+pub struct Fleet {
+    outside: Arc<Outside>,
+    runtime: Option<Runtime>,
+    members: Vec<FleetMember>,
+    /// The configuration as the notes so far declare it.
+    config: Config,
+    http: reqwest::Client,
 }
 
-/// Tells that a revision is in force at this instance.
-#[derive(Debug)]
-pub struct PutInForce(pub Revision);
-
-/// Tells that a revision was accepted.
-#[derive(Debug)]
-pub struct KnowRevision(pub Revision);
-
-/// Replaces the items of other modules in messages to come.
-#[derive(Debug)]
-pub struct ExtendGossip(pub Vec<Extension>);
-
-/// Tells the peers that this instance is about to stop.
-#[derive(Debug)]
-pub struct LeaveFleet;
-
-/// Tells the peers that this instance has stopped all work.
-#[derive(Debug)]
-pub struct EndMembership;
+struct FleetMember {
+    settings: Settings,
+    instance: Option<Instance>,
+}
 
-struct Round;
+impl Fleet {
+    /// Starts the instances of `deployment` and puts its configuration in force by a note.
+    ///
+    /// # Errors
+    ///
+    /// Any [`FleetError`].
+    pub async fn start(deployment: &Deployment, outside: Arc<Outside>) -> Result<Self, FleetError> {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(THREADS)
+            .thread_name(FLEET_THREADS)
+            .enable_all()
+            .build()
+            .context(ThreadsSnafu)?;
+        let mut fleet = Self {
+            outside,
+            runtime: Some(runtime),
+            members: Vec::new(),
+            config: Config::default(),
+            http: client(),
+        };
+        for place in 0..deployment.instances {
+            let centre = &deployment.centres[place % deployment.centres.len()];
+            let settings = fleet.settings(place, centre);
+            fleet.members.push(FleetMember {
+                settings,
+                instance: None,
+            });
+            fleet.start_member(place).await?;
+        }
+        let declared = deployment.config(&fleet.outside.addresses());
+        fleet.declare("first configuration", declared).await?;
+        for place in 0..fleet.members.len() {
+            fleet.wait_ready(place).await?;
+        }
+        Ok(fleet)
+    }
 
-struct Replied(SocketAddr, Option<Gossip>);
+    /// Callers' addresses of the instances that run.
+    #[must_use]
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        let running = self.instances();
+        running.map(|i| i.addresses().callers).collect()
+    }
 
-struct Listed(Vec<Seed>);
+    /// Operators' addresses of the instances that run.
+    #[must_use]
+    pub fn operators(&self) -> Vec<SocketAddr> {
+        let running = self.instances();
+        running.map(|i| i.addresses().operators).collect()
+    }
 
-/// The membership of this instance.
-pub struct Fleet {
-    members: Members,
-    parts: FleetParts,
-    published: watch::Sender<Arc<Members>>,
-    itself: Option<WeakAddress<Self>>,
-}
+    /// The instances that run.
+    pub fn instances(&self) -> impl Iterator<Item = &Instance> {
+        self.members.iter().filter_map(|m| m.instance.as_ref())
+    }
 
-impl Fleet {
-    /// Starts the actor on the current runtime. It ends when the last address is dropped.
+    /// The configuration as the notes so far declare it.
     #[must_use]
-    pub fn spawn(
-        members: Members,
-        parts: FleetParts,
-    ) -> (Address<Self>, watch::Receiver<Arc<Members>>) {
-        let (published, receiver) = watch::channel(Arc::new(members.clone()));
-        let list = parts.list.clone();
-        let period = members.timing().period;
-        let fleet = Self {
-            members,
-            parts,
-            published,
-            itself: None,
-        };
-        let address = xtra::spawn_tokio(fleet, Mailbox::bounded(MAILBOX));
-        tokio::spawn(beat(address.downgrade(), period));
-        tokio::spawn(list_instances(address.downgrade(), list));
-        (address, receiver)
+    pub fn config(&self) -> &Config {
+        &self.config
     }
 
-    fn take_in(&mut self, input: MemberInput) -> Option<Gossip> {
-        let mut is_changed = !matches!(input, MemberInput::Tick { .. });
-        let mut out = Vec::new();
-        self.members.handle(self.parts.clock.now(), input, &mut out);
-        let mut reply = None;
-        for output in out {
-            is_changed |= !matches!(output, MemberOutput::Exchange { .. });
-            match output {
-                MemberOutput::Exchange { address, gossip } => self.exchange(address, *gossip),
-                MemberOutput::Reply(gossip) => reply = Some(*gossip),
-                MemberOutput::Extra { from, items } => (self.parts.extra)(from, items),
-                other => self.record(&other),
-            }
-        }
-        if is_changed {
-            self.published.send_replace(Arc::new(self.members.clone()));
+    /// Status of every instance that runs.
+    pub async fn status(&self) -> Vec<InstanceStatus> {
+        let mut all = Vec::new();
+        for instance in self.instances() {
+            all.push(instance.status().await);
         }
-        reply
+        all
     }
 
-    fn record(&self, output: &MemberOutput) {
-        let timeline = &self.parts.timeline;
-        match output {
-            MemberOutput::Changed(member) => {
-                let what = member.state.to_string();
-                timeline.record(Topic::Member, &what, member.name.as_str(), None);
-            }
-            MemberOutput::Revision { revision, .. } => {
-                timeline.record(Topic::Config, "heard of", &revision.to_string(), None);
-            }
-            MemberOutput::Displaced(incarnation) => {
-                let later = incarnation.to_string();
-                timeline.record(Topic::Member, "displaced", &later, None);
-                tracing::error!(%incarnation, "a later process has the name of this instance");
-            }
-            _ => {}
+    /// Takes a data centre out by a note, or brings it back.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError::Operator`] or [`FleetError::Note`].
+    pub async fn set_centre(&mut self, centre: &CentreName, out: bool) -> Result<(), FleetError> {
+        let mut declared = self.config.clone();
+        if let Some(centre) = declared.centres.get_mut(centre) {
+            centre.out = out;
         }
+        let what = if out { "take out" } else { "bring back" };
+        self.declare(&format!("{what} {centre}"), declared).await
     }
 
-    fn exchange(&self, address: SocketAddr, gossip: Gossip) {
-        let Some(fleet) = self.itself.as_ref().and_then(WeakAddress::try_upgrade) else {
-            return;
+    /// Puts `declared` in force by a note.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError::Operator`] or [`FleetError::Note`].
+    pub async fn declare(&mut self, title: &str, mut declared: Config) -> Result<(), FleetError> {
+        let note = plan(title, &declared, &self.config);
+        self.apply(&note).await?;
+        declared.revision.0 = note.base.0 + 1;
+        self.config = declared;
+        Ok(())
+    }
+
+    /// Drains an instance and starts it again at the same addresses with nothing in memory.
+    ///
+    /// Gives the number of requests that the planned stop cut.
+    ///
+    /// # Errors
+    ///
+    /// Any [`FleetError`].
+    pub async fn restart(&mut self, place: usize) -> Result<usize, FleetError> {
+        let Some(instance) = self.members[place].instance.take() else {
+            return Ok(0);
         };
-        let call = (self.parts.exchange)(address, gossip);
-        tokio::spawn(async move {
-            let reply = timeout(EXCHANGE, call).await.ok().flatten();
-            let _ = fleet.send(Replied(address, reply)).await;
-        });
+        let addresses = instance.addresses();
+        let name = self.members[place].settings.instance.as_str().to_owned();
+        self.list(&name, addresses.fleet, InstanceState::Leaving);
+        let cut = self.spawn(instance.drain()).await?;
+        self.outside.instances.remove(&name);
+        self.members[place].settings.listen = Listen {
+            callers: addresses.callers,
+            operators: addresses.operators,
+            fleet: addresses.fleet,
+        };
+        self.start_member(place).await?;
+        self.wait_ready(place).await?;
+        Ok(cut)
     }
-}
 
-async fn beat(fleet: WeakAddress<Fleet>, period: Duration) {
-    let mut beat = interval(period);
-    beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        beat.tick().await;
-        if fleet.send(Round).await.is_err() {
-            return;
+    /// Drains all instances together.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError::Task`].
+    pub async fn stop(mut self) -> Result<(), FleetError> {
+        let members = self.members.iter_mut();
+        let instances: Vec<Instance> = members.filter_map(|m| m.instance.take()).collect();
+        let drains: Vec<_> = instances
+            .into_iter()
+            .map(|i| self.spawn(i.drain()))
+            .collect();
+        for drain in drains {
+            drain.await?;
         }
+        Ok(())
     }
-}
 
-async fn list_instances(fleet: WeakAddress<Fleet>, list: Arc<ListCall>) {
-    let mut beat = interval(LIST);
-    beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    while fleet.is_connected() {
-        beat.tick().await;
-        if let Some(seeds) = list().await {
-            let _ = fleet.send(Listed(seeds)).await;
+    async fn apply(&self, note: &Note) -> Result<(), FleetError> {
+        let Some(at) = self.operators().first().copied() else {
+            return Ok(());
+        };
+        let request = self.http.post(format!("http://{at}/notes"));
+        let request = request.bearer_auth(OPERATOR_KEY).json(note);
+        let answer = request.send().await.context(OperatorSnafu)?;
+        let status = answer.status();
+        if status.is_success() {
+            return Ok(());
         }
+        let text = answer.text().await.context(OperatorSnafu)?;
+        NoteSnafu { status, text }.fail()
     }
-}
 
-impl Actor for Fleet {
-    type Stop = ();
+    fn settings(&self, place: usize, centre: &CentreName) -> Settings {
+        let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let seeds = self.members.iter().filter_map(|m| {
+            let address = m.instance.as_ref()?.addresses().fleet;
+            Some(Peer {
+                instance: m.settings.instance.clone(),
+                address,
+            })
+        });
+        Settings {
+            instance: format!("i{place}").as_str().into(),
+            centre: centre.clone(),
+            listen: Listen {
+                callers: free,
+                operators: free,
+                fleet: free,
+            },
+            platform: Platform {
+                objects: self.outside.objects.address(),
+                instances: self.outside.instances.address(),
+            },
+            keys: Keys {
+                fleet: "key-of-the-whole-fleet".to_owned(),
+                operator: key_hash(OPERATOR_KEY),
+            },
+            seeds: seeds.collect(),
+            times: Times::default(),
+            limits: Limits::default(),
+            entry: EntryLimits::default(),
+            log: Log::default(),
+        }
+    }
 
-    async fn started(&mut self, mailbox: &Mailbox<Self>) -> Result<(), Self::Stop> {
-        self.itself = Some(mailbox.address());
+    async fn start_member(&mut self, place: usize) -> Result<(), FleetError> {
+        let settings = self.members[place].settings.clone();
+        let name = settings.instance.clone();
+        let started = self.spawn(Instance::start(settings)).await?;
+        let instance = started.context(StartSnafu { name: name.clone() })?;
+        self.list(
+            name.as_str(),
+            instance.addresses().fleet,
+            InstanceState::Live,
+        );
+        self.members[place].instance = Some(instance);
         Ok(())
     }
 
-    async fn stopped(self) -> Self::Stop {}
-}
-
-impl Handler<AnswerGossip> for Fleet {
-    type Return = Option<Gossip>;
-
-    async fn handle(&mut self, message: AnswerGossip, _: &mut Context<Self>) -> Option<Gossip> {
-        self.parts.timeline.observe(message.0.stamp);
-        let stamp = self.parts.timeline.stamp();
-        let gossip = Box::new(message.0);
-        self.take_in(MemberInput::Received { gossip, stamp })
+    async fn wait_ready(&self, place: usize) -> Result<(), FleetError> {
+        let Some(instance) = &self.members[place].instance else {
+            return Ok(());
+        };
+        let ready = tokio::time::timeout(READY, instance.ready()).await;
+        let name = &self.members[place].settings.instance;
+        ready
+            .ok()
+            .ok_or_else(|| FleetError::NotReady { name: name.clone() })
     }
-}
 
-impl Handler<Replied> for Fleet {
-    type Return = ();
+    fn list(&self, name: &str, address: SocketAddr, state: InstanceState) {
+        self.outside.instances.put(Listed {
+            name: name.to_owned(),
+            address,
+            state,
+        });
+    }
 
-    async fn handle(&mut self, Replied(address, reply): Replied, _: &mut Context<Self>) {
-        let input = match reply {
-            Some(gossip) => {
-                self.parts.timeline.observe(gossip.stamp);
-                MemberInput::Answered(Box::new(gossip))
-            }
-            None => MemberInput::Silent(address),
-        };
-        self.take_in(input);
+    /// Runs a task on the fleet's threads.
+    fn spawn<F>(&self, task: F) -> BoxFuture<'static, Result<F::Output, FleetError>>
+    where
+        F: Future<Output: Send> + Send + 'static,
+    {
+        let runtime = self.runtime.as_ref().expect("it is taken on drop only");
+        let handle = runtime.spawn(task);
+        async move { handle.await.context(TaskSnafu) }.boxed()
     }
 }
 
-macro_rules! inputs {
-    ($($pattern:pat => $message:ty, $me:ident, $input:expr;)*) => {$(
-        impl Handler<$message> for Fleet {
-            type Return = ();
-
-            async fn handle(&mut self, $pattern: $message, _: &mut Context<Self>) {
-                let $me = &*self;
-                let input = $input;
-                self.take_in(input);
-            }
-        }
-    )*};
+fn client() -> reqwest::Client {
+    reqwest::Client::builder()
+        .no_proxy()
+        .timeout(OPERATOR)
+        .build()
+        .expect("an HTTP client without TLS needs no system resources")
 }
 
-inputs! {
-    Round => Round, me, MemberInput::Tick { stamp: me.parts.timeline.stamp() };
-    Listed(seeds) => Listed, _me, MemberInput::Seeds { seeds, is_complete: true };
-    AddSeeds(seeds) => AddSeeds, _me, MemberInput::Seeds { seeds, is_complete: false };
-    ClaimCell { cell, epoch, delay } => ClaimCell, _me,
-        MemberInput::Claim { cell, epoch, delay };
-    PutInForce(revision) => PutInForce, _me, MemberInput::InForce(revision);
-    KnowRevision(revision) => KnowRevision, _me, MemberInput::Known(revision);
-    ExtendGossip(items) => ExtendGossip, _me, MemberInput::Extend(items);
-    LeaveFleet => LeaveFleet, _me, MemberInput::Leave;
-    EndMembership => EndMembership, _me, MemberInput::Left;
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
 }
--- a/cornelstand/src/problem.rs
+++ b/cornelstand/src/problem.rs
@@ -149,7 +149,7 @@
 
     /// The answer to `request`.
     #[must_use]
-    pub fn into_answer(self, request: RequestId) -> http::Response<Vec<u8>> {
+    pub fn answer(&self, request: RequestId) -> http::Response<Vec<u8>> {
         let document = Document {
             r#type: format!("urn:cornelstand:problem:{}", self.kind.slug()),
             title: self.kind.to_string(),
