--- a/cornelstand/src/cell.rs
+++ b/cornelstand/src/cell.rs
@@ -24,9 +24,6 @@
 /// Cost of a call of a service that is not configured.
 const DEFAULT_ESTIMATE: u64 = 100;
 
-/// Batch work may hold this many quarters of the slots while interactive work waits.
-const BATCH_QUARTERS: u32 = 3;
-
 /// Time after a handover in which waiting requests come back to the next owner.
 const COMEBACK: Duration = Duration::from_secs(5);
 
@@ -95,6 +92,10 @@
         match input {
             CellInput::Offer(offer) => self.offer(now, offer, out),
             CellInput::Withdraw(attempt) => self.withdraw(attempt, out),
+            CellInput::Undelivered(attempt) => {
+                let active = self.active.take_back(attempt);
+                self.free_unused(attempt, active);
+            }
             CellInput::Report(report) => self.report(now, &report),
             CellInput::Load { endpoint, load } => self.load(now, &endpoint, load),
             CellInput::Leaving(names) => self.leaving(&names),
@@ -242,7 +243,12 @@
             self.refuse(attempt, Refusal::Cancelled, out);
         }
         // The grant crossed the withdrawal, so the entry never runs the attempt.
-        let Some(active) = closed else { return };
+        self.free_unused(attempt, closed);
+    }
+
+    /// Frees the slot of a granted attempt that no entry runs, at no charge.
+    fn free_unused(&mut self, attempt: AttemptId, active: Option<Active>) {
+        let Some(active) = active else { return };
         self.queue.finish(active.account, active.charged, 0);
         if let Some(model) = self.endpoints.get_mut(&active.endpoint) {
             model.stop(active.granted, attempt);
@@ -271,7 +277,7 @@
         }
         let sight = sight(active, report);
         if let Some(model) = self.endpoints.get_mut(&active.endpoint) {
-            model.sight(now, sight);
+            model.progress(now, sight);
         }
     }
 
@@ -371,9 +377,7 @@
         if self.queue.is_empty() {
             return;
         }
-        let slots: u32 = self.endpoints.values().map(|m| part.of(m.bears())).sum();
-        let batch_limit = (slots * BATCH_QUARTERS).div_ceil(4);
-        while let Some(attempt) = self.queue.next(self.active.batch() >= batch_limit) {
+        while let Some(attempt) = self.queue.next() {
             let Some(endpoint) = self.pick(now, part, attempt) else {
                 return;
             };
--- a/cornelstand/tests/decide/driver.rs
+++ b/cornelstand/tests/decide/driver.rs
@@ -100,6 +100,8 @@
     up: bool,
     answers: u32,
     running: Vec<usize>,
+    /// First request of the boot, until the engine is full.
+    began: Option<u64>,
 }
 
 impl Engine {
@@ -126,10 +128,16 @@
     pub(crate) waits: BTreeMap<usize, u64>,
     /// Largest gap between the counters of two backlogged accounts over its bound, in percent.
     pub(crate) gap_percent: u64,
+    /// Time from the first request of a boot until the engine was full with its warm number.
+    pub(crate) ramps: Vec<u64>,
     /// Time and engine of each request above what the engine bore.
     pub(crate) excess: Vec<(u64, usize)>,
     /// Times that work waited beside a slot that the cell held to be free.
     pub(crate) idle: u32,
+    /// Jobs refused because their queue was full.
+    pub(crate) full: usize,
+    /// Account, start and end of what engines ran.
+    pub(crate) spans: Vec<(usize, u64, u64)>,
     /// When the last job ended.
     pub(crate) end: u64,
     /// Status at the end.
@@ -161,6 +169,7 @@
             up: true,
             answers: 0,
             running: Vec::new(),
+            began: None,
         });
         let mut driver = Self {
             cell: cell(&config),
@@ -289,10 +298,12 @@
     }
 
     fn finish(&mut self, job: usize, boot: u64) {
-        if self.open.remove(&job).is_none() {
+        let Some(start) = self.open.remove(&job) else {
             return;
-        }
+        };
         self.leave(job);
+        let account = self.plan.jobs[job].account;
+        self.out.spans.push((account, start, self.now));
         let engine = self.engines.iter_mut().find(|e| e.boot == boot);
         engine.expect("an engine of that boot").answers += 1;
         let cost = self.plan.jobs[job].cost;
@@ -342,6 +353,7 @@
         engine.boot += 1;
         engine.answers = 0;
         engine.up = false;
+        engine.began = None;
         let broken = std::mem::take(&mut engine.running);
         self.push(self.now + DOWN_MS, Step::Up(engine_index));
         for job in broken {
@@ -370,7 +382,7 @@
         for output in out {
             match output {
                 CellOutput::Grant(grant) => self.grant(grant),
-                CellOutput::Refuse { refusal, .. } => assert_eq!(refusal, Refusal::Cancelled),
+                CellOutput::Refuse { refusal, .. } => self.refuse(&refusal),
                 CellOutput::Changed { .. } | CellOutput::Tell(_) => {}
             }
         }
@@ -385,6 +397,14 @@
         self.check();
     }
 
+    fn refuse(&mut self, refusal: &Refusal) {
+        if let Refusal::QueueFull { .. } = refusal {
+            self.out.full += 1;
+        } else {
+            assert_eq!(*refusal, Refusal::Cancelled);
+        }
+    }
+
     fn grant(&mut self, grant: Grant) {
         let job = usize::try_from(grant.attempt.request.0).expect("a job");
         let number: usize = grant.endpoint.as_str()[1..].parse().expect("a number");
@@ -404,6 +424,13 @@
         if running > engine.bears() {
             self.out.excess.push((self.now, number));
         }
+        if running == 1 && engine.answers == 0 {
+            engine.began = Some(self.now);
+        }
+        if running == engine.size.warm {
+            let began = engine.began.take();
+            self.out.ramps.extend(began.map(|began| self.now - began));
+        }
         let boot = engine.boot;
         let cost = self.plan.jobs[job].cost;
         self.open.insert(job, self.now);
