Pass notes instead of whole configurations to peers

Cause: a peer one revision behind pulled the whole configuration; with 25,000 accounts that is some megabytes a note and instance. And the revision in force at a member reached the status page only with a change of its state. Change: an instance keeps its last 64 steps as notes and gives those; a member's word on itself is passed to the view.

--- a/cornelstand/src/agent.rs
+++ b/cornelstand/src/agent.rs
@@ -206,6 +206,7 @@
                 }
                 MemberOutput::Reply(gossip) => reply = Some(*gossip),
                 MemberOutput::Changed(member) => self.changed(member).await,
+                MemberOutput::Told(member) => self.view.set_member(member),
                 MemberOutput::Cell(claim) => {
                     self.view.set_cell(claim.clone());
                     let input = LeaseInput::Claim {
--- a/cornelstand/src/answers.rs
+++ b/cornelstand/src/answers.rs
@@ -58,10 +58,7 @@
             }),
             borrow: answer!(|parts, borrow| parts.agent.send(Lend(borrow)).await.ok().flatten()),
             suspect: answer!(|parts, suspicion| parts.entry.exchange(suspicion)),
-            config: answer!(|parts, known| {
-                let config = parts.updater.config.borrow().clone();
-                (config.revision > known).then(|| (*config).clone())
-            }),
+            config: answer!(|parts, known| parts.updater.since(known)),
             events: Arc::new(move || events.events()),
             status: answer!(|parts, ()| parts.status().await),
         }
--- a/cornelstand/src/instance.rs
+++ b/cornelstand/src/instance.rs
@@ -328,6 +328,7 @@
         timeline: timeline.clone(),
         config,
         known: Arc::new(tokio::sync::Mutex::new(Known::default())),
+        trail: Arc::default(),
     };
     let directory = directory(settings, &view, config_out.clone());
     let router = Router::new(directory, links.clone(), holdings.clone());
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -107,6 +107,7 @@
 mod timeline;
 mod tombs;
 mod trace;
+mod trail;
 mod unique;
 mod updater;
 mod upstream;
@@ -203,3 +204,4 @@
 pub use tables::{fleet_tables, load_table, note_table, revision_table};
 pub use timeline::{Event, Stamp, Timeline, Topic, merge};
 pub use trace::{trace_json, trace_page};
+pub use trail::{ConfigUpdate, Trail};
--- a/cornelstand/src/link.rs
+++ b/cornelstand/src/link.rs
@@ -25,7 +25,6 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::codec::Postcard;
-use crate::config::Config;
 use crate::dispatch::{Census, Handover, Offer, Reply, Report};
 use crate::gossip::Gossip;
 use crate::handshake::{self, HandshakeError};
@@ -35,6 +34,7 @@
 use crate::status::InstanceStatus;
 use crate::suspect::Suspicion;
 use crate::timeline::{Event, Stamp};
+use crate::trail::ConfigUpdate;
 
 /// Heartbeats sent in the time after which a link counts as silent.
 const HEARTBEATS: u32 = 3;
@@ -99,8 +99,8 @@
     async fn borrow(borrow: Borrow) -> Option<BorrowReply>;
     /// Tells of a suspect request and asks what is known of it.
     async fn suspect(suspicion: Suspicion) -> Option<Suspicion>;
-    /// Asks for a configuration newer than `known`.
-    async fn config(known: Revision) -> Option<Config>;
+    /// Asks for what leads from revision `known` to a higher one.
+    async fn config(known: Revision) -> Option<ConfigUpdate>;
     /// Asks for the events of the time line.
     async fn events() -> Vec<Event>;
     /// Asks for the state of the instance.
@@ -122,7 +122,7 @@
     pub(crate) gossip: Call<Gossip, Option<Gossip>>,
     pub(crate) borrow: Call<Borrow, Option<BorrowReply>>,
     pub(crate) suspect: Call<Suspicion, Option<Suspicion>>,
-    pub(crate) config: Call<Revision, Option<Config>>,
+    pub(crate) config: Call<Revision, Option<ConfigUpdate>>,
     pub(crate) events: Arc<dyn Fn() -> Vec<Event> + Send + Sync>,
     pub(crate) status: Call<(), InstanceStatus>,
 }
@@ -168,7 +168,7 @@
         (self.suspect)(suspicion).await
     }
 
-    async fn config(self, _: Context, known: Revision) -> Option<Config> {
+    async fn config(self, _: Context, known: Revision) -> Option<ConfigUpdate> {
         (self.config)(known).await
     }
 
--- a/cornelstand/src/member.rs
+++ b/cornelstand/src/member.rs
@@ -129,6 +129,8 @@
     Reply(Box<Gossip>),
     /// A member has changed its state or process.
     Changed(Member),
+    /// A member has told more of itself, such as another revision in force.
+    Told(Member),
     /// A cell has another owner, epoch or delay.
     Cell(CellClaim),
     /// A peer knows of a higher revision than this instance did.
@@ -504,9 +506,11 @@
             (o.state, o.incarnation) != (member.state, member.incarnation)
                 || o.address != member.address
         });
-        if is_change {
-            out.push(MemberOutput::Changed(member.clone()));
-        }
+        out.push(if is_change {
+            MemberOutput::Changed(member.clone())
+        } else {
+            MemberOutput::Told(member.clone())
+        });
         let old = self.table.get(&member.name).map(|k| (k.since, k.tellings));
         let (since, tellings) = old.filter(|_| !is_change).unwrap_or((now, tellings));
         let name = member.name.clone();
--- a/cornelstand/src/updater.rs
+++ b/cornelstand/src/updater.rs
@@ -5,7 +5,7 @@
 //! and take it from the peer that told them, or from the store if that fails. A revision only
 //! ever rises.
 
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 use tokio::sync::{Mutex, watch};
@@ -16,12 +16,13 @@
 use crate::config::Config;
 use crate::gossip::MemberState;
 use crate::link::Links;
-use crate::name::InstanceName;
+use crate::name::{InstanceName, Revision};
 use crate::note::{Note, plan};
 use crate::publish::{Acceptance, Known, PublishError, accept, fetch};
 use crate::settings::{SettingsError, parse_json};
 use crate::store::{ObjectKind, Store};
 use crate::timeline::{Timeline, Topic};
+use crate::trail::{ConfigUpdate, Trail};
 use crate::view::FleetView;
 
 /// Instances that watch the store.
@@ -44,6 +45,7 @@
     pub(crate) timeline: Timeline,
     pub(crate) config: watch::Sender<Arc<Config>>,
     pub(crate) known: Arc<Mutex<Known>>,
+    pub(crate) trail: Arc<std::sync::Mutex<Trail>>,
 }
 
 impl Updater {
@@ -115,7 +117,11 @@
                 client.config(context, known).await
             });
         match call.await {
-            Ok(Some(config)) => {
+            Ok(Some(update)) => {
+                let present = self.config.borrow().clone();
+                let Some(config) = update.follow(&present) else {
+                    return false;
+                };
                 self.put_in_force(config).await;
                 true
             }
@@ -142,6 +148,7 @@
         let is_newer = self.config.send_if_modified(|present| {
             let is_newer = next.revision > present.revision;
             if is_newer {
+                self.trail().step(present, &next);
                 *present = next;
             }
             is_newer
@@ -157,6 +164,16 @@
         self.agent.send(InForce(config)).await.ok();
     }
 
+    /// What a peer with revision `after` needs to reach the one in force here.
+    pub(crate) fn since(&self, after: Revision) -> Option<ConfigUpdate> {
+        let config = self.config.borrow().clone();
+        self.trail().since(after, &config)
+    }
+
+    fn trail(&self) -> std::sync::MutexGuard<'_, Trail> {
+        self.trail.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn is_watcher(&self) -> bool {
         let members = self.view.members();
         let live = members.iter().filter(|m| m.state == MemberState::Live);
--- a/cornelstand/tests/agree/main.rs
+++ b/cornelstand/tests/agree/main.rs
@@ -6,3 +6,4 @@
 mod publish;
 mod ring;
 mod swarm;
+mod trail;
