Show the faults of a cell's ownership in a matrix

Cause: the matrix found that a planned stop by an owner cut off from the store left the cell without service for 21 s, one whose heir was killed for 20 s, and that a first candidate without the store kept a new cell unowned. Change: an heir whose owner has stopped acts when its last write is not seen after 500 ms; the first candidate watches a cell whose owner is leaving; the second candidate acts for the first after two lease lengths of quiet.

--- a/cornelstand/src/keeper.rs
+++ b/cornelstand/src/keeper.rs
@@ -6,6 +6,7 @@
 //! done until a higher version of the object is known.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::lease::{
     Borrow, BorrowReply, Holder, Lease, LeaseEffect, LeaseInput, LeaseTiming, LeaseView, Part,
@@ -18,6 +19,9 @@
 /// End of the use of an own half.
 const FOREVER: Moment = Moment(u64::MAX);
 
+/// Time for an owner's last write, which names the next owner, to be seen.
+const TRANSFER: Duration = Duration::from_millis(500);
+
 /// Distance of the epochs of two owners; the one between is the heir's.
 const EPOCH_STEP: u64 = 2;
 
@@ -51,7 +55,7 @@
     is_stale: bool,
     drain: Drain,
     target: Option<Holder>,
-    yielded: Option<Epoch>,
+    yielded: Option<(Epoch, Moment)>,
 }
 
 #[derive(Clone, Debug)]
@@ -324,7 +328,7 @@
             self.lent = None;
         }
         if word.epoch >= self.highest() {
-            self.yielded = Some(word.epoch);
+            self.yielded = Some((word.epoch, now));
             self.is_stale = true;
             self.due = now;
         }
@@ -442,8 +446,7 @@
         }
         let epoch = Epoch(lease.epoch.0 + 1);
         let is_heir = lease.spare == self.me && highest <= epoch;
-        let is_yielded = self.yielded == Some(lease.epoch) && self.is_blind;
-        let is_alone = self.is_lost(&lease.owner) || is_yielded;
+        let is_alone = self.is_lost(&lease.owner) || self.is_yielded(now, lease);
         if is_heir && is_alone && !self.is_lent(now) && self.drain == Drain::No {
             self.acting = Some(epoch);
             self.asked = None;
@@ -451,6 +454,14 @@
         }
     }
 
+    /// Whether the owner has stopped and its last write of the lease cannot be waited for.
+    fn is_yielded(&self, now: Moment, lease: &Lease) -> bool {
+        self.yielded.is_some_and(|(epoch, since)| {
+            let is_late = now >= since.after(TRANSFER);
+            epoch == lease.epoch && (is_late || self.is_blind)
+        })
+    }
+
     fn is_lent(&self, now: Moment) -> bool {
         self.lent.as_ref().is_some_and(|l| now < l.until)
     }
@@ -606,7 +617,7 @@
     /// The lease to write now, if any.
     fn next_write(&self, now: Moment) -> Option<Lease> {
         let Some((_, lease)) = &self.object else {
-            return self.may_create().then(|| self.first());
+            return self.may_create(now).then(|| self.first());
         };
         let is_owner = lease.owner == self.me;
         if is_owner && self.drain == Drain::Moved {
@@ -624,9 +635,8 @@
         None
     }
 
-    fn may_create(&self) -> bool {
-        let is_first = self.view.ranked.first() == Some(&self.me);
-        self.is_absent && is_first && self.drain == Drain::No
+    fn may_create(&self, now: Moment) -> bool {
+        self.is_absent && self.is_first(now, None) && self.drain == Drain::No
     }
 
     fn first(&self) -> Lease {
@@ -658,13 +668,14 @@
         }
         let wait = self.timing.length + self.timing.margin;
         let is_silent = self.unchanged.is_some_and(|since| now >= since.after(wait));
-        let is_over = is_silent || self.gone.contains_key(&lease.owner);
+        let is_over =
+            is_silent || self.gone.contains_key(&lease.owner) || self.is_yielded(now, lease);
         if self.acting.is_some() {
             return is_over;
         }
         let is_heir = lease.spare == self.me;
         let is_lost = |holder| self.is_lost(holder) || self.is_quiet(now);
-        let is_next = is_heir || (is_lost(&lease.spare) && self.is_first(lease));
+        let is_next = is_heir || (is_lost(&lease.spare) && self.is_first(now, Some(lease)));
         is_over && is_next && is_lost(&lease.owner)
     }
 
@@ -674,11 +685,13 @@
         self.heard.is_some_and(|heard| now >= heard.after(wait))
     }
 
-    /// Whether this instance is the best candidate besides the holders.
-    fn is_first(&self, lease: &Lease) -> bool {
-        let others = self.view.ranked.iter();
-        let mut others = others.filter(|h| **h != lease.owner && **h != lease.spare);
-        others.next() == Some(&self.me)
+    /// Whether this instance is the best candidate besides the holders, or the second best of a
+    /// cell that the best has left alone for long.
+    fn is_first(&self, now: Moment, lease: Option<&Lease>) -> bool {
+        let is_holder = |h: &&Holder| lease.is_some_and(|l| **h == l.owner || **h == l.spare);
+        let others = self.view.ranked.iter().filter(|h| !is_holder(h));
+        let count = 1 + usize::from(self.is_quiet(now));
+        others.take(count).any(|h| *h == self.me)
     }
 
     /// The lease of this instance as owner, with the halves that it may name itself or an heir
@@ -736,12 +749,13 @@
             return true;
         }
         let Some((_, lease)) = &self.object else {
-            let is_first = self.view.ranked.first() == Some(&self.me);
-            return is_first && self.drain == Drain::No;
+            return self.is_first(now, None) && self.drain == Drain::No;
         };
         if lease.is_holder(&self.me) || lease.owner == self.me {
             return self.acting != Some(lease.epoch) && !self.is_lent(now);
         }
-        (self.is_lost(&lease.owner) || self.is_quiet(now)) && self.is_first(lease)
+        let is_leaving = !self.view.ranked.contains(&lease.owner);
+        let is_open = is_leaving || self.is_lost(&lease.owner) || self.is_quiet(now);
+        is_open && self.is_first(now, Some(lease))
     }
 }
--- a/cornelstand/tests/agree/lease.rs
+++ b/cornelstand/tests/agree/lease.rs
@@ -8,11 +8,11 @@
 
 use crate::ring::{Fate, Ring};
 
-fn prompt() -> Fate {
+pub(crate) fn prompt() -> Fate {
     Fate::Arrive(0)
 }
 
-fn views(ring: &mut Ring) {
+pub(crate) fn views(ring: &mut Ring) {
     for index in 0..ring.nodes.len() {
         if ring.nodes[index].is_up && ring.nodes[index].paused_until <= ring.step {
             let view = ring.true_view(index);
@@ -255,7 +255,7 @@
     ring
 }
 
-fn heal(ring: &mut Ring) {
+pub(crate) fn heal(ring: &mut Ring) {
     ring.is_store_up = true;
     ring.is_list_up = true;
     ring.cut.clear();
--- a/cornelstand/tests/agree/main.rs
+++ b/cornelstand/tests/agree/main.rs
@@ -2,6 +2,7 @@
 
 mod figures;
 mod lease;
+mod matrix;
 mod member;
 mod publish;
 mod ring;
--- a/cornelstand/tests/agree/ring.rs
+++ b/cornelstand/tests/agree/ring.rs
@@ -322,7 +322,8 @@
     pub(crate) fn true_view(&self, index: usize) -> LeaseView {
         let reach = |i: &usize| self.nodes[*i].is_up && !self.is_cut(index, *i);
         let ranked = (0..self.nodes.len()).filter(reach);
-        let ranked = ranked.filter(|i| !self.nodes[*i].is_draining);
+        let is_well = |n: &Node| !n.is_draining && n.paused_until <= self.step;
+        let ranked = ranked.filter(|i| is_well(&self.nodes[*i]));
         let ranked: Vec<Holder> = ranked.map(|i| self.nodes[i].holder.clone()).collect();
         let is_lost = |h: &&Holder| {
             let at = self.nodes.iter().position(|n| n.holder == **h);
