--- a/cornelstand/src/cell.rs
+++ b/cornelstand/src/cell.rs
@@ -100,7 +100,10 @@
             CellInput::Load { endpoint, load } => self.load(now, &endpoint, load),
             CellInput::Leaving(names) => self.leaving(&names),
             CellInput::Configure(config) => self.configure(config, out),
-            CellInput::Lease(tenure) => self.tenure = tenure,
+            CellInput::Lease(tenure) => {
+                self.epoch = self.epoch.max(tenure.epoch);
+                self.tenure = tenure;
+            }
             CellInput::Census(census) => self.census(census),
             CellInput::Recover { entries } => self.recover(now, entries),
             CellInput::EntryGone(entry) => self.entry_gone(now, &entry, out),
--- a/cornelstand/src/holdings.rs
+++ b/cornelstand/src/holdings.rs
@@ -118,7 +118,12 @@
 
     /// Extends or reduces the ownership of a cell.
     pub(crate) async fn renew(&self, cell: &CellId, tenure: Tenure) {
-        if let Some(held) = self.held(cell) {
+        let held = self.lock().held.get_mut(cell).map(|held| {
+            // The owner takes a higher epoch when its heir has acted meanwhile.
+            held.epoch = tenure.epoch;
+            held.clone()
+        });
+        if let Some(held) = held {
             held.dispatcher.send(SetLease(tenure)).await.ok();
         }
     }
--- a/cornelstand/tests/agree/main.rs
+++ b/cornelstand/tests/agree/main.rs
@@ -2,6 +2,7 @@
 
 mod figures;
 mod lease;
+mod matrix;
 mod member;
 mod net;
 mod publish;
