--- a/cornelstand/src/answers.rs
+++ b/cornelstand/src/answers.rs
@@ -9,14 +9,15 @@
 use http::StatusCode;
 use prometheus::TextEncoder;
 
-use crate::agent::{Lend, Received, TakeOver};
-use crate::gossip::{Member, MemberState};
 use crate::instance::Parts;
 use crate::link::Handlers;
-use crate::note::Note;
+use crate::membership::AnswerGossip;
+use crate::note::{Note, plan};
 use crate::operator::{Answer, Query};
 use crate::publish::PublishError;
+use crate::settings::parse_json;
 use crate::status::{InstanceStatus, MemberStatus, Readiness};
+use crate::steward::{LendCell, TakeOverCell};
 use crate::timeline::{Event, merge};
 
 /// Time for the answer of one instance to a question about the fleet.
@@ -49,19 +50,29 @@
             tell: answer!(|parts, reports| parts.holdings.tell(reports).await),
             census: answer!(|parts, (cell, _)| parts.entry.census(&cell)),
             hand_over: answer!(|parts, handover| {
-                let (cell, epoch) = (handover.cell.clone(), handover.epoch);
                 parts.holdings.receive(handover);
-                parts.agent.send(TakeOver { cell, epoch }).await.is_ok()
+                true
             }),
             gossip: answer!(|parts, gossip| {
-                parts.agent.send(Received(gossip)).await.ok().flatten()
+                parts
+                    .membership
+                    .send(AnswerGossip(gossip))
+                    .await
+                    .ok()
+                    .flatten()
             }),
-            borrow: answer!(|parts, borrow| parts.agent.send(Lend(borrow)).await.ok().flatten()),
-            suspect: answer!(|parts, suspicion| parts.entry.exchange(suspicion)),
-            config: answer!(|parts, known| {
-                let config = parts.updater.config.borrow().clone();
-                (config.revision > known).then(|| (*config).clone())
+            borrow: answer!(|parts, borrow| parts
+                .steward
+                .send(LendCell(borrow))
+                .await
+                .ok()
+                .flatten()),
+            yield_cell: answer!(|parts, word| {
+                parts.steward.send(TakeOverCell(word)).await.ok();
             }),
+            suspect: answer!(|parts, suspicion| parts.entry.exchange(suspicion)),
+            claim: answer!(|parts, call| parts.claims.serve(call).await.ok()),
+            config: answer!(|parts, known| parts.in_force.update(known)),
             events: Arc::new(move || events.events()),
             status: answer!(|parts, ()| parts.status().await),
         }
@@ -76,7 +87,7 @@
             Query::Status => Answer::json(&self.status().await),
             Query::Fleet => Answer::json(&self.fleet_status().await),
             Query::Timeline => Answer::json(&self.fleet_events().await),
-            Query::Config => Answer::json(&**self.updater.config.borrow()),
+            Query::Config => Answer::json(&*self.config()),
             Query::Revisions => Answer::json(&self.revisions()),
             Query::Apply(body) => self.apply(&body).await,
             Query::Plan(body) => self.plan(&body),
@@ -102,10 +113,10 @@
 
     /// Status of all live instances that answer, this one first.
     async fn fleet_status(&self) -> Vec<InstanceStatus> {
-        let asked = self.live_peers().into_iter().map(|peer| async move {
+        let asked = self.peers().into_iter().map(|address| async move {
             let call = self
                 .links
-                .call(peer.address, PEER_WAIT, |client, context| async move {
+                .call(address, PEER_WAIT, |client, context| async move {
                     client.status(context).await
                 });
             call.await.ok()
@@ -118,10 +129,10 @@
 
     /// Events of all live instances that answer, in one order.
     async fn fleet_events(&self) -> Vec<Event> {
-        let asked = self.live_peers().into_iter().map(|peer| async move {
+        let asked = self.peers().into_iter().map(|address| async move {
             let call = self
                 .links
-                .call(peer.address, PEER_WAIT, |client, context| async move {
+                .call(address, PEER_WAIT, |client, context| async move {
                     client.events(context).await
                 });
             call.await.ok()
@@ -132,25 +143,11 @@
         merge(rings)
     }
 
-    fn live_peers(&self) -> Vec<Member> {
-        self.view.peers_of(&self.me.name)
-    }
-
     /// Which instance has which revision in force, as far as this one knows.
     fn revisions(&self) -> Vec<MemberStatus> {
-        let own = self.updater.config.borrow().revision;
-        let members = self.view.members().into_iter();
-        let members = members.filter(|m| !matches!(m.state, MemberState::Dead | MemberState::Left));
-        let rows = members.map(|m| MemberStatus {
-            revision: if m.name == self.me.name {
-                own
-            } else {
-                m.revision
-            },
-            state: m.state.to_string(),
-            instance: m.name,
-        });
-        rows.collect()
+        let members = self.members.borrow();
+        let running = members.all().filter(|m| !m.state.has_ended());
+        running.map(MemberStatus::from).collect()
     }
 
     async fn apply(&self, body: &Bytes) -> Answer {
@@ -162,7 +159,7 @@
             Ok(note) => note,
             Err(error) => return Answer::error(StatusCode::BAD_REQUEST, error.to_string()),
         };
-        match self.updater.apply(&note).await {
+        match self.accept(&note).await {
             Ok(acceptance) => Answer::json(&acceptance),
             Err(error) => Answer::error(refused(&error), error.to_string()),
         }
@@ -173,8 +170,8 @@
             Ok(text) => text,
             Err(error) => return Answer::error(StatusCode::BAD_REQUEST, error.to_string()),
         };
-        match self.updater.plan(text) {
-            Ok(note) => Answer::json(&note),
+        match parse_json(text) {
+            Ok(declared) => Answer::json(&plan("plan", &declared, &self.config())),
             Err(error) => Answer::error(StatusCode::BAD_REQUEST, error.to_string()),
         }
     }
--- a/cornelstand/src/platform.rs
+++ b/cornelstand/src/platform.rs
@@ -2,16 +2,13 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use derive_more::IsVariant;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval};
-use xtra::Address;
 
-use crate::agent::{Agent, Listed};
 use crate::config::Config;
 use crate::gossip::Seed;
 use crate::holdings::Holdings;
@@ -48,7 +45,7 @@
     }
 
     /// The instances of the fleet, which are those that are no endpoints.
-    fn seeds(&self, config: &Config) -> Vec<Seed> {
+    pub(crate) fn seeds(&self, config: &Config) -> Vec<Seed> {
         let is_peer = |i: &&ListedInstance| !config.endpoints.contains_key(i.name.as_str());
         let seeds = self.instances.iter().filter(is_peer).map(|i| Seed {
             name: Some(InstanceName::from(i.name.as_str())),
@@ -59,34 +56,30 @@
     }
 }
 
-/// Reads the list at `platform` again and again and tells the membership and the cells.
+/// Reads the list at `platform` again and again, tells the cells which endpoints leave and keeps
+/// the latest list in `latest`.
 pub(crate) async fn follow_instances(
     platform: SocketAddr,
-    agent: Address<Agent>,
     holdings: Holdings,
-    config: watch::Receiver<Arc<Config>>,
+    latest: watch::Sender<Option<InstanceList>>,
 ) {
     let http = reqwest::Client::builder().no_proxy().timeout(PERIOD);
     let http = http
         .build()
         .expect("an HTTP client without TLS needs no system resources");
-    let mut last = InstanceList::default();
+    let mut leaving = BTreeSet::new();
     let mut ticks = interval(PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        let Some(present) = read(&http, platform).await else {
-            continue;
-        };
-        if present.leaving() != last.leaving() {
-            holdings.set_leaving(present.leaving()).await;
+        let present = read(&http, platform).await;
+        if let Some(now) = present.as_ref().map(InstanceList::leaving)
+            && now != leaving
+        {
+            holdings.set_leaving(now.clone()).await;
+            leaving = now;
         }
-        let listed = Listed {
-            seeds: present.seeds(&config.borrow()),
-            is_complete: true,
-        };
-        agent.send(listed).await.ok();
-        last = present;
+        latest.send_replace(present);
     }
 }
 
