Count a rate over the time between its samples

A span of seven seconds holds samples over 6.5 to 7 s only, but the tokens were divided by all of it, so that the service of what remains read up to 7 % too low.

--- a/cornelstand/src/figures.rs
+++ b/cornelstand/src/figures.rs
@@ -106,14 +106,6 @@
     is_counted: impl Fn(usize) -> bool,
     value: impl Fn(&Reading) -> u64,
 ) -> u64 {
-    let within = samples.iter();
-    let mut within = within.filter(|s| s.at >= span.from && s.at <= span.to);
-    let Some(first) = within.next() else {
-        return 0;
-    };
-    let Some(last) = within.next_back() else {
-        return 0;
-    };
     let total = |sample: &Sample| -> u64 {
         let readings = sample.readings.iter().enumerate();
         readings
@@ -121,7 +113,30 @@
             .map(|(_, r)| value(r))
             .sum()
     };
-    total(last) - total(first)
+    ends(samples, span).map_or(0, |(first, last)| total(last) - total(first))
+}
+
+/// What `value` gained a second, between the first and the last sample within `span`.
+///
+/// `None` without two samples.
+#[must_use]
+pub fn gain_rate(
+    samples: &[Sample],
+    span: Span,
+    is_counted: impl Fn(usize) -> bool,
+    value: impl Fn(&Reading) -> u64,
+) -> Option<f64> {
+    let (first, last) = ends(samples, span)?;
+    let time = last.at.saturating_sub(first.at).as_secs_f64();
+    let gain = whole(gained(samples, span, is_counted, value));
+    (time > 0.0).then(|| gain / time)
+}
+
+/// The first and the last sample within `span`.
+fn ends(samples: &[Sample], span: Span) -> Option<(&Sample, &Sample)> {
+    let within = samples.iter();
+    let mut within = within.filter(|s| s.at >= span.from && s.at <= span.to);
+    Some((within.next()?, within.next_back()?))
 }
 
 /// Slot time used over slot time borne within `span`, `None` without samples.
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -154,7 +154,9 @@
 pub use entry_metrics::EntryMetrics;
 pub use exchange::{Total, Totals};
 #[cfg(feature = "demo")]
-pub use figures::{Span, WINDOW, fairness_gap, gained, service_per_share, utilisation, whole};
+pub use figures::{
+    Span, WINDOW, fairness_gap, gain_rate, gained, service_per_share, utilisation, whole,
+};
 #[cfg(feature = "demo")]
 pub use fleet::{FLEET_THREADS, Fleet, FleetError, OPERATOR_KEY};
 pub use gossip::{
--- a/cornelstand/tests/figures.rs
+++ b/cornelstand/tests/figures.rs
@@ -5,7 +5,7 @@
 
 use cornelstand::{
     AccountName, AccountResult, LoadResult, Outcomes, Quantiles, Reading, Sample, SourceResult,
-    Span, fairness_gap, gained, utilisation, whole,
+    Span, fairness_gap, gain_rate, gained, utilisation, whole,
 };
 use rstest::rstest;
 
@@ -104,3 +104,24 @@
     assert_eq!(whole(0).to_bits(), 0.0_f64.to_bits());
     assert_eq!(whole(1 << 40).to_bits(), 1_099_511_627_776.0_f64.to_bits());
 }
+
+#[test]
+fn a_rate_counts_the_time_between_its_samples() {
+    // Samples lie at 0.4, 1.4, 2.4 and 3.4 s, so that the span holds two seconds of them.
+    let samples: Vec<Sample> = (0..4)
+        .map(|second| Sample {
+            at: Duration::from_millis(400 + second * 1_000),
+            readings: vec![Reading {
+                service: second * 50,
+                ..Reading::default()
+            }],
+        })
+        .collect();
+    let span = Span::seconds(1, 4);
+    let rate = gain_rate(&samples, span, |_| true, |r| r.service);
+    assert_eq!(rate, Some(50.0));
+    assert_eq!(
+        gain_rate(&samples[..1], span, |_| true, |r| r.service),
+        None
+    );
+}
--- a/measure/src/centre.rs
+++ b/measure/src/centre.rs
@@ -4,7 +4,7 @@
 
 use cornelstand::{
     AccountName, CentreName, Deployment, OUT_WITHIN, Sample, Sampler, Span, Through, Workload,
-    fairness_gap, gained, run_load, whole,
+    fairness_gap, gain_rate, gained, run_load, whole,
 };
 use tokio::time::{Instant, sleep_until};
 
@@ -121,7 +121,7 @@
     report.add(
         variant,
         "service from 5 s after the note",
-        Some(part),
+        part,
         "of what remains",
         least,
     );
@@ -153,16 +153,16 @@
 }
 
 /// Tokens of the remaining engines over what they give when warm and full.
-fn remaining_service(stage: &Stage, run: &Run, out: Span, centre: &CentreName) -> f64 {
+fn remaining_service(stage: &Stage, run: &Run, out: Span, centre: &CentreName) -> Option<f64> {
     let span = Span {
         from: out.from + TAKE_OVER,
         to: out.to,
     };
     let remains = |place: usize| stage.is_model(place) && !stage.is_model_in(place, centre);
-    let tokens = gained(&run.samples, span, remains, |r| r.service);
+    let tokens = gain_rate(&run.samples, span, remains, |r| r.service)?;
     let places = 0..stage.outside.endpoints.len();
     let engines = places.filter(|&p| remains(p)).count();
-    whole(tokens) / (stage.capacity(engines) * span.length().as_secs_f64())
+    Some(tokens / stage.capacity(engines))
 }
 
 /// Seconds from the return until the data centre's engines use nearly all their warm slots.
--- a/measure/src/fairness.rs
+++ b/measure/src/fairness.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cornelstand::{
-    AccountName, Arrival, Deployment, LoadResult, Span, Through, Workload, fairness_gap, gained,
+    AccountName, Arrival, Deployment, LoadResult, Span, Through, Workload, fairness_gap, gain_rate,
     utilisation, whole,
 };
 
@@ -85,10 +85,10 @@
         let slots = models.bearing.warm * u32::try_from(models.replicas).unwrap_or(u32::MAX);
         load.accounts[0].sources[0].arrival = Arrival::Backlog(slots + slots / 2);
         let alone = stage.run(&load).await;
-        let tokens = gained(&alone.samples, steady, |p| stage.is_model(p), |r| r.service);
-        let warm = stage.capacity(models.replicas) * steady.length().as_secs_f64();
+        let tokens = gain_rate(&alone.samples, steady, |p| stage.is_model(p), |r| r.service);
+        let warm = stage.capacity(models.replicas);
         let least = Some(Target::AtLeast(0.97));
-        let part = Some(whole(tokens) / warm);
+        let part = tokens.map(|t| t / warm);
         report.add(
             variant,
             "tokens made for an account alone",
@@ -248,14 +248,14 @@
         "of borne",
         least,
     );
-    let tokens = gained(
+    let tokens = gain_rate(
         &run.samples,
         span,
         |place| stage.is_model(place),
         |r| r.service,
     );
-    let warm = stage.capacity(stage.deployment.models().replicas) * span.length().as_secs_f64();
-    let rate = Some(whole(tokens) / warm);
+    let warm = stage.capacity(stage.deployment.models().replicas);
+    let rate = tokens.map(|t| t / warm);
     report.add(
         variant,
         "tokens made while work waits",
