Leave an offer to the dispatcher when its asker goes, and log only changes of owner

Cause: a guard withdrew the offer when a link broke; when the router then asked again for the same attempt, the late withdrawal could refuse the new ask as cancelled (read from the code, not reproduced). Renewals of a tenure, twice a second, were logged as changes of owner. Change: the dispatcher itself gives up offers whose asker has gone and has not come back; renewals are not logged.

--- a/cornelstand/src/holdings.rs
+++ b/cornelstand/src/holdings.rs
@@ -149,19 +149,16 @@
 
     /// Asks the dispatcher of an owned cell for an endpoint and waits for the reply.
     ///
-    /// Dropping the future takes the offer back.
+    /// The dispatcher takes an offer back whose asker has dropped the future, unless the router asks
+    /// again for the same attempt.
     pub(crate) async fn offer(&self, offer: Offer) -> Reply {
         let Some(held) = self.held(&offer.cell) else {
             return Err(Refusal::NotOwner(None));
         };
-        let mut withdrawal = Withdrawal {
-            dispatcher: Some((held.dispatcher.clone(), offer.attempt)),
-        };
         let reply = match held.dispatcher.send(Ask(offer)).await {
             Ok(receiver) => receiver.await.ok(),
             Err(_) => None,
         };
-        withdrawal.dispatcher = None;
         reply.unwrap_or(Err(Refusal::NotOwner(None)))
     }
 
@@ -267,16 +264,3 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// Takes an offer back when dropped before the reply came.
-struct Withdrawal {
-    dispatcher: Option<(Address<Dispatcher>, AttemptId)>,
-}
-
-impl Drop for Withdrawal {
-    fn drop(&mut self) {
-        if let Some((dispatcher, attempt)) = self.dispatcher.take() {
-            tokio::spawn(async move { dispatcher.send(Withdraw(attempt)).await.ok() });
-        }
-    }
-}
--- a/cornelstand/src/ownership.rs
+++ b/cornelstand/src/ownership.rs
@@ -42,7 +42,9 @@
         steward: Address<Steward>,
     ) {
         while let Some((cell, change)) = changes.recv().await {
-            tracing::info!(%cell, change = %change.name(), "cell ownership changed");
+            if let Some(name) = change.name() {
+                tracing::info!(%cell, change = name, "cell ownership changed");
+            }
             match change {
                 CellChange::Gained(tenure) => {
                     let entries: Vec<Member> = self.members.borrow().live().cloned().collect();
--- a/cornelstand/src/steward.rs
+++ b/cornelstand/src/steward.rs
@@ -55,14 +55,14 @@
 }
 
 impl CellChange {
-    /// Short name of the change, for logs.
+    /// Short name for logs, `None` if the owner stays the same.
     #[must_use]
-    pub fn name(&self) -> &'static str {
+    pub fn name(&self) -> Option<&'static str> {
         match self {
-            Self::Gained(_) => "gained",
-            Self::Renewed(_) => "renewed",
-            Self::Lost => "lost",
-            Self::HandOver(_) => "hands over",
+            Self::Gained(_) => Some("gained"),
+            Self::Renewed(_) => None,
+            Self::Lost => Some("lost"),
+            Self::HandOver(_) => Some("hands over"),
         }
     }
 }
