Carry the totals of each cell to the other cells of its service

Cause: the exchange of counters between cells was built and bounded but not connected, so accounts with work at several cells were fair inside each cell only.

--- a/cornelstand/src/answers.rs
+++ b/cornelstand/src/answers.rs
@@ -48,6 +48,7 @@
                 parts.holdings.withdraw(&cell, attempt).await;
             }),
             tell: answer!(|parts, reports| parts.holdings.tell(reports).await),
+            hear: answer!(|parts, (cell, totals)| parts.holdings.hear(&cell, totals).await),
             census: answer!(|parts, (cell, _)| parts.entry.census(&cell)),
             hand_over: answer!(|parts, handover| {
                 parts.holdings.receive(handover);
--- a/cornelstand/src/holdings.rs
+++ b/cornelstand/src/holdings.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 use xtra::Address;
 
@@ -17,9 +17,10 @@
 use crate::config::Config;
 use crate::dispatch::{Census, Handover, Offer, Refusal, Reply, Report};
 use crate::dispatcher::{
-    Ask, Configure, Dispatcher, EntryGone, HandOver, Inspect, Learn, Recover, SetLease, SetLeaving,
-    Tell, Withdraw,
+    Ask, Configure, Dispatcher, EntryGone, HandOver, Hear, Inspect, Learn, Publish, Recover,
+    SetLease, SetLeaving, Tell, Withdraw,
 };
+use crate::exchange::Totals;
 use crate::lease::Tenure;
 use crate::link::Receipt;
 use crate::moment::Clock;
@@ -35,6 +36,7 @@
     clock: Clock,
     timeline: Timeline,
     config: watch::Receiver<Arc<Config>>,
+    totals: mpsc::Sender<Totals>,
     state: Arc<Mutex<State>>,
 }
 
@@ -68,11 +70,13 @@
         clock: Clock,
         timeline: Timeline,
         config: watch::Receiver<Arc<Config>>,
+        totals: mpsc::Sender<Totals>,
     ) -> Self {
         Self {
             clock,
             timeline,
             config,
+            totals,
             state: Arc::default(),
         }
     }
@@ -106,6 +110,7 @@
         let leaving = self.lock().leaving.clone();
         dispatcher.send(SetLeaving(leaving)).await.ok();
         dispatcher.send(SetLease(tenure)).await.ok();
+        dispatcher.send(Publish(self.totals.clone())).await.ok();
         let held = Held {
             epoch: tenure.epoch,
             dispatcher,
@@ -186,6 +191,13 @@
         receipts
     }
 
+    /// Takes in what another cell of the service has given to accounts.
+    pub(crate) async fn hear(&self, cell: &CellId, totals: Totals) {
+        if let Some(held) = self.held(cell) {
+            held.dispatcher.send(Hear(totals)).await.ok();
+        }
+    }
+
     /// Takes in what an entry runs of an owned cell.
     pub(crate) async fn learn(&self, census: Census) {
         if let Some(held) = self.held(&census.cell) {
--- a/cornelstand/src/instance.rs
+++ b/cornelstand/src/instance.rs
@@ -39,7 +39,7 @@
 use crate::platform::follow_instances;
 use crate::publish::{Acceptance, Known, PublishError, accept};
 use crate::revisions::{InForce, keep_revisions};
-use crate::route::Router;
+use crate::route::{Router, carry_totals};
 use crate::settings::{Settings, Times};
 use crate::status::{InstanceStatus, MemberStatus, OwnerStatus, Readiness, TrafficStatus};
 use crate::steward::{DrainCells, Steward};
@@ -50,6 +50,8 @@
 const DRAIN_PAUSE: Duration = Duration::from_millis(100);
 /// Time in which peers and the balancer hear that the instance takes no more requests.
 const NOTICE: Duration = Duration::from_secs(1);
+/// Messages between cells of a service that may wait to be sent.
+const TOTALS: usize = 256;
 /// Time for the last exchanges of gossip.
 const FAREWELL: Duration = Duration::from_millis(500);
 
@@ -321,7 +323,8 @@
     let links = Links::new(link_settings.clone());
     let (list, list_out) = watch::channel(None);
     let (declared, declared_out) = watch::channel(Arc::new(Config::default()));
-    let holdings = Holdings::new(clock, timeline.clone(), declared_out.clone());
+    let (totals, totals_out) = mpsc::channel(TOTALS);
+    let holdings = Holdings::new(clock, timeline.clone(), declared_out.clone(), totals);
     let machine = Members::new(me.clone(), MemberTiming::default(), me.incarnation.0);
     let parts = membership_parts(&links, list_out, declared_out.clone(), clock, &timeline);
     let (membership, members) = Membership::spawn(machine, parts);
@@ -347,6 +350,12 @@
     });
     let steward = Steward::spawn(me.holder(), lease_timing(times), parts);
     let directory = directory(&members, declared_out.clone());
+    let carried = carry_totals(
+        directory.clone(),
+        links.clone(),
+        holdings.clone(),
+        totals_out,
+    );
     let router = Router::new(directory, links.clone(), holdings.clone());
     let objects = ClaimObjects::from(store.clone());
     let claims = ClaimBook::start(&objects, clock, ClaimLimits::default());
@@ -368,6 +377,7 @@
         members: members.clone(),
     };
     let tasks = vec![
+        carried.boxed(),
         follow_instances(settings.platform.instances, holdings.clone(), list).boxed(),
         configure(in_force.config(), declared, holdings.clone()).boxed(),
         holdings.clone().measure_delays().boxed(),
--- a/cornelstand/src/link.rs
+++ b/cornelstand/src/link.rs
@@ -27,6 +27,7 @@
 use crate::claim::{ClaimAnswer, ClaimCall};
 use crate::codec::Postcard;
 use crate::dispatch::{Census, Handover, Offer, Reply, Report};
+use crate::exchange::Totals;
 use crate::gossip::Gossip;
 use crate::handshake::{self, HandshakeError};
 use crate::lease::{Borrow, BorrowReply, Yield};
@@ -88,6 +89,8 @@
     async fn withdraw(cell: CellId, attempt: AttemptId);
     /// Tells the owner of a cell how granted attempts go.
     async fn tell(reports: Vec<Report>) -> Vec<Receipt>;
+    /// Tells a cell what another cell of its service has given to accounts.
+    async fn hear(cell: CellId, totals: Totals);
     /// Asks an entry for all it runs of a cell, on behalf of the owner with `epoch`.
     async fn census(cell: CellId, epoch: Epoch) -> Census;
     /// Gives a cell's state to its next owner.
@@ -119,6 +122,7 @@
     pub(crate) offer: Call<Offer, Reply>,
     pub(crate) withdraw: Call<(CellId, AttemptId), ()>,
     pub(crate) tell: Call<Vec<Report>, Vec<Receipt>>,
+    pub(crate) hear: Call<(CellId, Totals), ()>,
     pub(crate) census: Call<(CellId, Epoch), Census>,
     pub(crate) hand_over: Call<Handover, bool>,
     pub(crate) gossip: Call<Gossip, Option<Gossip>>,
@@ -148,6 +152,10 @@
         (self.tell)(reports).await
     }
 
+    async fn hear(self, _: Context, cell: CellId, totals: Totals) {
+        (self.hear)((cell, totals)).await;
+    }
+
     async fn census(self, _: Context, cell: CellId, epoch: Epoch) -> Census {
         (self.census)((cell, epoch)).await
     }
--- a/cornelstand/src/route.rs
+++ b/cornelstand/src/route.rs
@@ -16,6 +16,7 @@
 
 use crate::config::Config;
 use crate::dispatch::{Dispatch, Offer, Phase, Refusal, Reply, Report};
+use crate::exchange::Totals;
 use crate::holdings::Holdings;
 use crate::link::{LinkError, Links, Receipt};
 use crate::name::{AttemptId, CellId, InstanceName, ServiceName};
@@ -246,6 +247,48 @@
     }
 }
 
+/// Carries what each owned cell has given to the other cells of its service, until the owned cells
+/// are gone.
+pub(crate) async fn carry_totals(
+    directory: Directory,
+    links: Links,
+    local: Holdings,
+    mut totals: mpsc::Receiver<Totals>,
+) {
+    while let Some(told) = totals.recv().await {
+        for cell in sister_cells(&directory.config.borrow(), &told.cell) {
+            let Some(owner) = (directory.owner)(&cell) else {
+                continue;
+            };
+            let (links, local, told) = (links.clone(), local.clone(), told.clone());
+            let is_own = owner.instance == directory.own;
+            tokio::spawn(async move {
+                if is_own {
+                    local.hear(&cell, told).await;
+                    return;
+                }
+                let sent = links.call(owner.address, REPORT_WAIT, |client, context| async move {
+                    client.hear(context, cell, told).await
+                });
+                // What is lost is part of a later message.
+                sent.await.ok();
+            });
+        }
+    }
+}
+
+/// The other cells of the cell's service.
+fn sister_cells(config: &Config, cell: &CellId) -> Vec<CellId> {
+    let cells = config.services.get(&cell.service).map_or(1, |s| s.cells);
+    let others = (0..cells).filter(|index| *index != cell.index);
+    others
+        .map(|index| CellId {
+            service: cell.service.clone(),
+            index,
+        })
+        .collect()
+}
+
 /// Withdraws an offer when dropped before a reply came.
 struct Withdrawal<'a> {
     router: &'a Router,
