Never give away a half that is lent or used by a loan

Cause: storms with clocks at 0.90 to 1.10 of the true rate, and so with other random schedules, exceeded a limit: an owner named an heir for a half in the same write that took the half over while a loan of it ran; a holder passed its half on while it was lent. An heir that heard the owner's next epoch took it for the claim of its own heir and went on to act with half of the limit. Change: an heir is named only for a half that the known lease gives to the owner and that is not lent; a lent half stays when the lease is passed on; only an owner answers its heir's claim with a higher epoch.

--- a/cornelstand/src/keeper.rs
+++ b/cornelstand/src/keeper.rs
@@ -271,7 +271,8 @@
             return;
         }
         // An owner whose lease is valid answers its heir's claim with a higher epoch.
-        let is_heir = epoch.0 == mine.0 + 1 && now < self.until;
+        let is_owner = mine.0.is_multiple_of(EPOCH_STEP) && now < self.until;
+        let is_heir = is_owner && epoch.0 == mine.0 + 1;
         if is_heir {
             self.due = now;
         } else {
@@ -621,7 +622,10 @@
         };
         let is_owner = lease.owner == self.me;
         if is_owner && self.drain == Drain::Moved {
-            return self.target.as_ref().map(|to| self.passed_on(lease, to));
+            return self
+                .target
+                .as_ref()
+                .map(|to| self.passed_on(now, lease, to));
         }
         if is_owner && (self.acting.is_some() || self.may_resume(now)) {
             return Some(self.renewed(now, lease));
@@ -708,7 +712,10 @@
         if self.is_free(now, &lease.spare) {
             next.spare = self.me.clone();
         }
-        if next.kept == self.me && next.spare == self.me {
+        // A half that becomes this instance's with this write may be in use here by a loan, so it
+        // goes to an heir with a later write only.
+        let is_whole = lease.kept == self.me && lease.spare == self.me;
+        if is_whole && !self.is_lent(now) {
             next.spare = self.heir();
         }
         next
@@ -730,13 +737,15 @@
         others.next().unwrap_or(&self.me).clone()
     }
 
-    fn passed_on(&self, lease: &Lease, to: &Holder) -> Lease {
+    fn passed_on(&self, now: Moment, lease: &Lease, to: &Holder) -> Lease {
         let mut next = lease.clone();
         next.owner = to.clone();
         next.epoch = self.next_epoch(lease);
         next.renewals += 1;
+        // A half that is lent stays until the next owner asks for it after the loan.
+        let is_lent = self.is_lent(now);
         for half in [&mut next.kept, &mut next.spare] {
-            if *half == self.me {
+            if *half == self.me && !is_lent {
                 *half = to.clone();
             }
         }
--- a/cornelstand/tests/agree/lease.rs
+++ b/cornelstand/tests/agree/lease.rs
@@ -230,6 +230,9 @@
         _ => Fate::Arrive(fates.random_range(0..2)),
     };
     let mut ring = Ring::new(count);
+    for node in &mut ring.nodes {
+        node.rate = random.random_range(90..=110);
+    }
     for step in 0..3_000 {
         if random.random_ratio(1, 25) {
             disturb(&mut ring, &mut random);
--- a/cornelstand/tests/agree/ring.rs
+++ b/cornelstand/tests/agree/ring.rs
@@ -5,7 +5,7 @@
 
 use cornelstand::{
     Borrow, BorrowReply, CellId, Condition, Epoch, Holder, Incarnation, Keeper, Lease, LeaseEffect,
-    LeaseInput, LeaseTiming, LeaseView, Moment, Part, Tenure, Version, Yield,
+    LeaseInput, LeaseTiming, LeaseView, Moment, Part, Tenure, Version, Yield, micros,
 };
 
 /// Time between two steps.
@@ -51,6 +51,8 @@
     pub(crate) paused_until: u64,
     pub(crate) has_store: bool,
     pub(crate) is_draining: bool,
+    /// Rate of its clock in hundredths.
+    pub(crate) rate: u64,
     tenure: Option<Tenure>,
 }
 
@@ -118,12 +120,14 @@
             paused_until: 0,
             has_store: true,
             is_draining: false,
+            rate: 100,
             tenure: None,
         }
     }
 
-    pub(crate) fn now(&self) -> Moment {
-        Moment::default().after(STEP * u32::try_from(self.step).unwrap_or(u32::MAX))
+    /// Time on the clock of an instance.
+    fn now(&self, index: usize) -> Moment {
+        Moment(micros(STEP) * self.step * self.nodes[index].rate / 100)
     }
 
     pub(crate) fn kill(&mut self, index: usize) {
@@ -135,7 +139,9 @@
 
     pub(crate) fn restart(&mut self, index: usize) {
         self.kill(index);
+        let rate = self.nodes[index].rate;
         self.nodes[index] = self.fresh(index);
+        self.nodes[index].rate = rate;
     }
 
     pub(crate) fn input(
@@ -144,7 +150,7 @@
         input: LeaseInput,
         fate: &mut dyn FnMut() -> Fate,
     ) {
-        let now = self.now();
+        let now = self.now(index);
         let mut out = Vec::new();
         self.nodes[index].keeper.handle(now, input, &mut out);
         self.carry_out(index, out, fate);
@@ -282,7 +288,7 @@
                 self.input(post.node, LeaseInput::Reply { from, sent, reply }, fate);
             }
             Item::Ask(from, borrow, sent) => {
-                let now = self.now();
+                let now = self.now(post.node);
                 let mut out = Vec::new();
                 let reply = self.nodes[post.node].keeper.lend(now, &borrow, &mut out);
                 self.carry_out(post.node, out, fate);
@@ -372,7 +378,7 @@
         let tenure = self.nodes[index]
             .tenure
             .filter(|_| self.nodes[index].is_up)?;
-        tenure.part_at(self.now())
+        tenure.part_at(self.now(index))
     }
 
     /// Parts of all instances.
