--- a/cornelstand/src/gossip.rs
+++ b/cornelstand/src/gossip.rs
@@ -84,6 +84,14 @@
     Left,
 }
 
+impl MemberState {
+    /// Whether the member takes part no more.
+    #[must_use]
+    pub fn has_ended(self) -> bool {
+        matches!(self, Self::Dead | Self::Left)
+    }
+}
+
 impl Member {
     /// Whether this tells more than `other` about the same instance.
     ///
--- a/cornelstand/src/holdings.rs
+++ b/cornelstand/src/holdings.rs
@@ -6,8 +6,10 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use tokio::sync::watch;
+use tokio::time::sleep;
 use xtra::Address;
 
 use crate::cell::Cell;
@@ -24,6 +26,9 @@
 use crate::name::{AttemptId, CellId, EndpointName, Epoch, InstanceName};
 use crate::timeline::{Timeline, Topic};
 
+/// Time between two measurements of the waits at the owned cells.
+const MEASURE: Duration = Duration::from_secs(1);
+
 /// Dispatchers of the owned cells. Clones share them.
 #[derive(Clone)]
 pub(crate) struct Holdings {
@@ -39,6 +44,8 @@
     /// State of cells whose former owner has handed over, until the lease is taken.
     incoming: HashMap<CellId, Handover>,
     leaving: BTreeSet<EndpointName>,
+    /// Expected wait of a new request, in milliseconds.
+    delays: HashMap<CellId, u32>,
 }
 
 #[derive(Clone)]
@@ -223,6 +230,21 @@
         self.held(cell).is_some_and(|h| h.epoch == epoch)
     }
 
+    /// Expected wait of a new request at an owned cell, in milliseconds, as last measured.
+    pub(crate) fn delay(&self, cell: &CellId) -> u32 {
+        self.lock().delays.get(cell).copied().unwrap_or_default()
+    }
+
+    /// Measures the waits at the owned cells again and again.
+    pub(crate) async fn measure_delays(self) {
+        loop {
+            let status = self.status().await;
+            let delays = status.iter().map(|c| (c.cell.clone(), c.delay()));
+            self.lock().delays = delays.collect();
+            sleep(MEASURE).await;
+        }
+    }
+
     /// State of the owned cells.
     pub(crate) async fn status(&self) -> Vec<CellStatus> {
         let mut cells = Vec::new();
--- a/cornelstand/src/link.rs
+++ b/cornelstand/src/link.rs
@@ -24,6 +24,7 @@
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+use crate::claim::{ClaimAnswer, ClaimCall};
 use crate::codec::Postcard;
 use crate::dispatch::{Census, Handover, Offer, Reply, Report};
 use crate::gossip::Gossip;
@@ -31,10 +32,10 @@
 use crate::lease::{Borrow, BorrowReply, Yield};
 use crate::meter::{Metered, Traffic};
 use crate::name::{AttemptId, CellId, Epoch, InstanceName, Revision};
+use crate::revisions::ConfigUpdate;
 use crate::status::InstanceStatus;
 use crate::suspect::Suspicion;
 use crate::timeline::{Event, Stamp};
-use crate::trail::ConfigUpdate;
 
 /// Heartbeats sent in the time after which a link counts as silent.
 const HEARTBEATS: u32 = 3;
@@ -91,15 +92,17 @@
     async fn census(cell: CellId, epoch: Epoch) -> Census;
     /// Gives a cell's state to its next owner.
     async fn hand_over(handover: Handover) -> bool;
-    /// Tells the next owner of a cell that the former one has stopped.
-    async fn give_way(word: Yield) -> bool;
     /// Exchanges news of the membership.
     async fn gossip(gossip: Gossip) -> Option<Gossip>;
     /// Asks for the use of a half of a cell's limits.
     async fn borrow(borrow: Borrow) -> Option<BorrowReply>;
+    /// Tells the next owner of a cell that its former owner has stopped.
+    async fn yield_cell(word: Yield);
     /// Tells of a suspect request and asks what is known of it.
     async fn suspect(suspicion: Suspicion) -> Option<Suspicion>;
-    /// Asks for what leads from revision `known` to a higher one.
+    /// Carries out an operation on a claim shard that the receiver writes.
+    async fn claim(call: ClaimCall) -> Option<ClaimAnswer>;
+    /// Asks for what leads from revision `known` to the present one.
     async fn config(known: Revision) -> Option<ConfigUpdate>;
     /// Asks for the events of the time line.
     async fn events() -> Vec<Event>;
@@ -118,10 +121,11 @@
     pub(crate) tell: Call<Vec<Report>, Vec<Receipt>>,
     pub(crate) census: Call<(CellId, Epoch), Census>,
     pub(crate) hand_over: Call<Handover, bool>,
-    pub(crate) give_way: Call<Yield, bool>,
     pub(crate) gossip: Call<Gossip, Option<Gossip>>,
     pub(crate) borrow: Call<Borrow, Option<BorrowReply>>,
+    pub(crate) yield_cell: Call<Yield, ()>,
     pub(crate) suspect: Call<Suspicion, Option<Suspicion>>,
+    pub(crate) claim: Call<ClaimCall, Option<ClaimAnswer>>,
     pub(crate) config: Call<Revision, Option<ConfigUpdate>>,
     pub(crate) events: Arc<dyn Fn() -> Vec<Event> + Send + Sync>,
     pub(crate) status: Call<(), InstanceStatus>,
@@ -152,10 +156,6 @@
         (self.hand_over)(handover).await
     }
 
-    async fn give_way(self, _: Context, word: Yield) -> bool {
-        (self.give_way)(word).await
-    }
-
     async fn gossip(self, _: Context, gossip: Gossip) -> Option<Gossip> {
         (self.gossip)(gossip).await
     }
@@ -164,10 +164,18 @@
         (self.borrow)(borrow).await
     }
 
+    async fn yield_cell(self, _: Context, word: Yield) {
+        (self.yield_cell)(word).await;
+    }
+
     async fn suspect(self, _: Context, suspicion: Suspicion) -> Option<Suspicion> {
         (self.suspect)(suspicion).await
     }
 
+    async fn claim(self, _: Context, call: ClaimCall) -> Option<ClaimAnswer> {
+        (self.claim)(call).await
+    }
+
     async fn config(self, _: Context, known: Revision) -> Option<ConfigUpdate> {
         (self.config)(known).await
     }
--- a/cornelstand/src/member.rs
+++ b/cornelstand/src/member.rs
@@ -318,6 +318,11 @@
         self.cells.get(cell).map(|t| &t.item)
     }
 
+    /// All known owners of cells.
+    pub fn owners(&self) -> impl Iterator<Item = &CellClaim> {
+        self.cells.values().map(|t| &t.item)
+    }
+
     /// Highest accepted revision known.
     #[must_use]
     pub fn revision(&self) -> Revision {
@@ -657,7 +662,8 @@
     }
 }
 
-fn weight(key: &str, name: &InstanceName) -> u64 {
+/// Weight of an instance for `key`; the one with the greatest comes first.
+pub(crate) fn weight(key: &str, name: &InstanceName) -> u64 {
     xxh3_64(format!("{key}\n{name}").as_bytes())
 }
 
--- a/cornelstand/src/status.rs
+++ b/cornelstand/src/status.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::cell_status::CellStatus;
+use crate::gossip::{CellClaim, Member};
 use crate::name::{CellId, CentreName, Epoch, Incarnation, InstanceName, Revision};
 
 /// Whether an instance takes callers' requests.
@@ -77,3 +78,23 @@
     /// Highest revision it has told.
     pub revision: Revision,
 }
+
+impl From<&Member> for MemberStatus {
+    fn from(member: &Member) -> Self {
+        Self {
+            instance: member.name.clone(),
+            state: member.state.to_string(),
+            revision: member.revision,
+        }
+    }
+}
+
+impl From<&CellClaim> for OwnerStatus {
+    fn from(claim: &CellClaim) -> Self {
+        Self {
+            cell: claim.cell.clone(),
+            owner: claim.owner.clone(),
+            epoch: claim.epoch,
+        }
+    }
+}
