Keep the port of a refusing address bound in the entry's tests

Cause: an_order_that_was_not_sent_frees_its_key failed now and then: the test took the port of a closed listener as one that refuses, and another test's endpoint could get that port and answer. Change: the port stays bound without listening for the life of the process. The checks are the same.

--- a/cornelstand/tests/entry/answers.rs
+++ b/cornelstand/tests/entry/answers.rs
@@ -30,7 +30,7 @@
 
 #[tokio::test]
 async fn what_was_not_sent_is_tried_elsewhere_even_if_it_may_not_be_repeated() {
-    let endpoints = [refusing().await, echo().await];
+    let endpoints = [refusing(), echo().await];
     let store = store();
     let fleet = Fleet::on_store(&endpoints, EntryLimits::default(), Some(store.address())).await;
     let answer = fleet.post("/app/orders").header("idempotency-key", "gel-1");
--- a/cornelstand/tests/entry/attempts.rs
+++ b/cornelstand/tests/entry/attempts.rs
@@ -85,7 +85,7 @@
 
 #[tokio::test]
 async fn every_refusal_is_true_in_any_schedule() {
-    let error = reqwest::get(format!("http://{}/", refusing().await)).await;
+    let error = reqwest::get(format!("http://{}/", refusing())).await;
     let proof = ConnectError::prove(error.unwrap_err()).unwrap();
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[3; 32]);
     let config = Config {
--- a/cornelstand/tests/entry/fleet.rs
+++ b/cornelstand/tests/entry/fleet.rs
@@ -19,7 +19,7 @@
     PlainSettings,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
 use warp::Filter;
@@ -254,9 +254,13 @@
 }
 
 /// An address that refuses connections.
-pub(crate) async fn refusing() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    listener.local_addr().unwrap()
+/// An address that refuses connections. Its port stays bound, so that no other test gets it.
+pub(crate) fn refusing() -> SocketAddr {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = socket.local_addr().unwrap();
+    std::mem::forget(socket);
+    address
 }
 
 pub(crate) async fn echo() -> SocketAddr {
--- a/cornelstand/tests/entry/orders.rs
+++ b/cornelstand/tests/entry/orders.rs
@@ -75,7 +75,7 @@
 async fn an_order_that_was_not_sent_frees_its_key() {
     let (store, app) = (store(), plain(PlainFaults::default()));
     let limits = EntryLimits::default();
-    let down = Fleet::on_store(&[refusing().await], limits, Some(store.address())).await;
+    let down = Fleet::on_store(&[refusing()], limits, Some(store.address())).await;
     let order_once = order(&down, "gel-1", "x").header("x-deadline-ms", "200");
     let (status, refused) = problem(order_once.send().await.unwrap()).await;
     assert_eq!((status, &refused["outcome"]), (504, &"not-run".into()));
