Measure what each role costs and write the page of capacity

The size that the fleet is designed for has no measurement behind it. `measure capacity` runs the real cells, membership, configuration, time line, links and claims over a ladder of sizes, each step in a process of its own, and writes the points as JSON. docs/CAPACITY.md is written from these points; a test compares it with them, so that it cannot drift.

--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -1,6 +1,16 @@
 //! Scenarios, baselines, load and plots.
 
 mod baseline;
+mod capacity;
+mod capacity_fit;
+mod capacity_fleet;
+mod capacity_model;
+mod capacity_page;
+mod capacity_page_roles;
+mod capacity_proc;
+mod capacity_roles;
+mod capacity_sheet;
+mod capacity_state;
 mod centre;
 mod cold;
 mod fairness;
@@ -45,6 +55,9 @@
 /// Runs the scenario and tells whether every target was met.
 async fn run(matches: &ArgMatches) -> Result<bool, Error> {
     let (scenario, args) = matches.subcommand().expect("clap asks for a scenario");
+    if scenario == capacity::NAME {
+        return capacity::run(args).await;
+    }
     let deployment = match args.get_one::<String>("deployment").map(String::as_str) {
         Some("ndege") => Deployment::ndege(INSTANCES),
         _ => Deployment::tessel(INSTANCES),
@@ -108,9 +121,10 @@
             "Exit codes: 0 every target met, 1 a target missed, 2 not measured\n\
              Example: measure fairness --deployment tessel --seed 1 --seconds 60",
         );
-    SCENARIOS.iter().fold(root, |root, (name, about)| {
+    let root = SCENARIOS.iter().fold(root, |root, (name, about)| {
         root.subcommand(scenario(name, about))
-    })
+    });
+    root.subcommand(capacity::command())
 }
 
 fn scenario(name: &'static str, about: &'static str) -> Command {
--- a/measure/src/overhead.rs
+++ b/measure/src/overhead.rs
@@ -19,7 +19,7 @@
 const MICROS: f64 = 1_000.0;
 
 /// Direct calls have the service's name where the fleet has the path.
-const DIRECT: Check = Check {
+pub(crate) const DIRECT: Check = Check {
     chat: CHECK.chat,
     plain: |method, _, body| call_digest(method, LOOKUP, body),
 };
--- a/measure/src/stage.rs
+++ b/measure/src/stage.rs
@@ -24,7 +24,7 @@
 /// Bytes of a prompt.
 pub(crate) const PROMPT: usize = 200;
 /// Milliseconds that answers may take after the last arrival.
-const SETTLE: u64 = 8_000;
+pub(crate) const SETTLE: u64 = 8_000;
 
 /// Error of setting up or running a scenario.
 pub(crate) type Error = snafu::Whatever;
