--- a/cornelstand/src/instance.rs
+++ b/cornelstand/src/instance.rs
@@ -6,46 +6,50 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use futures::FutureExt;
-use futures::future::join_all;
+use futures::future::BoxFuture;
 use prometheus::Registry;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 use xtra::Address;
 
-use crate::agent::{Agent, AgentParts, Farewell, Leave, Listed, News};
+use crate::claim_route::claim_route;
 use crate::claim_shard::ClaimLimits;
 use crate::claims::{ClaimBook, ClaimObjects};
 use crate::config::Config;
-use crate::containment::SpreadCall;
 use crate::entry::{Entry, EntryParts};
 use crate::entry_metrics::EntryMetrics;
 use crate::gossip::{Member, MemberState, Seed};
 use crate::holdings::Holdings;
 use crate::lease::LeaseTiming;
 use crate::link::{self, LinkSettings, Links};
+use crate::member::{MemberTiming, Members};
+use crate::membership::{AddSeeds, EndMembership, KnowRevision, LeaveFleet, Membership};
 use crate::meter::Traffic;
 use crate::moment::{Clock, micros};
-use crate::name::{Incarnation, InstanceName, Revision};
+use crate::name::{Incarnation, Revision};
+use crate::note::Note;
 use crate::operator;
-use crate::platform;
-use crate::publish::Known;
-use crate::route::{Directory, Router};
+use crate::ownership::Ownership;
+use crate::peers::{
+    StewardNeeds, addresses, directory, membership_parts, revision_parts, spread, steward_parts,
+};
+use crate::platform::follow_instances;
+use crate::publish::{Acceptance, Known, PublishError, accept};
+use crate::revisions::{InForce, keep_revisions};
+use crate::route::Router;
 use crate::settings::{Settings, Times};
 use crate::status::{InstanceStatus, MemberStatus, OwnerStatus, Readiness, TrafficStatus};
+use crate::steward::{DrainCells, Steward};
 use crate::store::Store;
 use crate::timeline::{Timeline, Topic};
-use crate::updater::Updater;
-use crate::view::FleetView;
 
 /// Time between two looks at whether a planned stop has come to its end.
 const DRAIN_PAUSE: Duration = Duration::from_millis(100);
 /// Time in which peers and the balancer hear that the instance takes no more requests.
 const NOTICE: Duration = Duration::from_secs(1);
-/// Time for a peer's answer about a suspect request.
-const SPREAD_WAIT: Duration = Duration::from_millis(500);
 /// Time for the last exchanges of gossip.
 const FAREWELL: Duration = Duration::from_millis(500);
 
@@ -95,10 +99,12 @@
 pub(crate) struct Parts {
     pub(crate) me: Member,
     pub(crate) entry: Entry,
+    pub(crate) claims: ClaimBook,
     pub(crate) holdings: Holdings,
-    pub(crate) agent: Address<Agent>,
-    pub(crate) view: FleetView,
-    pub(crate) updater: Updater,
+    pub(crate) membership: Address<Membership>,
+    pub(crate) members: watch::Receiver<Arc<Members>>,
+    pub(crate) steward: Address<Steward>,
+    pub(crate) in_force: InForce,
     pub(crate) links: Links,
     pub(crate) traffic: Traffic,
     pub(crate) store: Store,
@@ -122,19 +128,14 @@
             operators: address(&operators, settings.listen.operators),
             fleet: address(&fleet, settings.listen.fleet),
         };
-        let (news, news_out) = watch::channel(News::default());
-        let (parts, link_settings) = wire(&settings, addresses.fleet, news)?;
+        let (parts, link_settings, work) = wire(&settings, addresses.fleet)?;
         let handlers = parts.handlers();
         let (shutdown, stopping) = watch::channel(false);
         let mut tasks = JoinSet::new();
         tasks.spawn(link::serve(fleet, link_settings, handlers));
-        tasks.spawn(parts.updater.clone().run(news_out));
-        tasks.spawn(platform::follow_instances(
-            settings.platform.instances,
-            parts.agent.clone(),
-            parts.holdings.clone(),
-            parts.updater.config.subscribe(),
-        ));
+        for task in work {
+            tasks.spawn(task);
+        }
         let answerer = {
             let parts = parts.clone();
             Arc::new(move |query| parts.clone().answer(query).boxed())
@@ -157,7 +158,7 @@
         let name = settings.instance.as_str();
         parts.timeline.record(Topic::Process, "started", name, None);
         tracing::info!(instance = name, callers = %addresses.callers, "started");
-        seed_members(&settings, &parts.agent).await;
+        seed_members(&settings, &parts.membership).await;
         Ok(Self {
             parts,
             addresses,
@@ -189,7 +190,7 @@
 
     /// Waits until the instance takes requests.
     pub async fn ready(&self) {
-        let mut config = self.parts.updater.config.subscribe();
+        let mut config = self.parts.in_force.config();
         config.wait_for(|c| c.revision.0 > 0).await.ok();
     }
 
@@ -213,7 +214,8 @@
         let start = Instant::now();
         let parts = &self.parts;
         parts.draining.store(true, Ordering::Relaxed);
-        parts.agent.send(Leave).await.ok();
+        parts.membership.send(LeaveFleet).await.ok();
+        parts.steward.send(DrainCells).await.ok();
         sleep(NOTICE).await;
         parts.entry.drain();
         self.shutdown.send_replace(true);
@@ -227,7 +229,7 @@
         let cut = parts.entry.running();
         // Outcomes are on their way to the owners of cells.
         sleep(NOTICE).await;
-        parts.agent.send(Farewell).await.ok();
+        parts.membership.send(EndMembership).await.ok();
         sleep(FAREWELL).await;
         let name = parts.me.name.as_str();
         parts.timeline.record(Topic::Process, "stopped", name, None);
@@ -243,31 +245,44 @@
     pub(crate) fn readiness(&self) -> Readiness {
         if self.draining.load(Ordering::Relaxed) {
             Readiness::Draining
-        } else if self.updater.config.borrow().revision.0 == 0 {
+        } else if self.config().revision.0 == 0 || !self.in_force.is_ready() {
             Readiness::Starting
         } else {
             Readiness::Ready
         }
     }
 
+    /// The configuration in force.
+    pub(crate) fn config(&self) -> Arc<Config> {
+        self.in_force.config().borrow().clone()
+    }
+
+    /// Fleet addresses of the other instances that may answer.
+    pub(crate) fn peers(&self) -> Vec<SocketAddr> {
+        addresses(&self.members.borrow())
+    }
+
+    /// Accepts a note and tells the fleet of its revision.
+    pub(crate) async fn accept(&self, note: &Note) -> Result<Acceptance, PublishError> {
+        let acceptance = accept(&self.store, note, &mut Known::default()).await?;
+        let revision = acceptance.revision;
+        self.membership.send(KnowRevision(revision)).await.ok();
+        Ok(acceptance)
+    }
+
     pub(crate) async fn status(&self) -> InstanceStatus {
-        let revision = self.updater.config.borrow().revision;
-        let owners = self.view.cells().into_iter().map(|claim| OwnerStatus {
-            cell: claim.cell,
-            owner: claim.owner,
-            epoch: claim.epoch,
-        });
-        let members = self.view.members().into_iter().map(|member| MemberStatus {
-            instance: member.name,
-            state: member.state.to_string(),
-            revision: member.revision,
-        });
+        let (owners, members) = {
+            let members = self.members.borrow();
+            let owners = members.owners().map(OwnerStatus::from).collect();
+            let members = members.all().map(MemberStatus::from).collect();
+            (owners, members)
+        };
         InstanceStatus {
             instance: self.me.name.clone(),
             centre: self.me.centre.clone(),
             incarnation: self.me.incarnation,
             readiness: self.readiness(),
-            revision,
+            revision: self.config().revision,
             requests: self.entry.running(),
             traffic: TrafficStatus {
                 sent: self.traffic.sent(),
@@ -275,81 +290,99 @@
             },
             calls: self.store.calls(),
             cells: self.holdings.status().await,
-            owners: owners.collect(),
-            members: members.collect(),
+            owners,
+            members,
         }
     }
 }
 
+/// Tasks that run as long as the instance.
+type Task = BoxFuture<'static, ()>;
+
 /// Builds all parts around each other.
 fn wire(
     settings: &Settings,
     fleet: SocketAddr,
-    news: watch::Sender<News>,
-) -> Result<(Parts, LinkSettings), StartError> {
+) -> Result<(Parts, LinkSettings, Vec<Task>), StartError> {
     let clock = Clock::start();
     let timeline = Timeline::new(settings.instance.clone(), settings.limits.events);
     let traffic = Traffic::default();
     let registry = Registry::new();
-    let store = Store::new(
-        settings.platform.objects,
-        Times::duration(settings.times.store),
-    );
+    let times = &settings.times;
+    let store = Store::new(settings.platform.objects, Times::duration(times.store));
     let me = own_member(settings, fleet);
-    let (config, config_out) = watch::channel(Arc::new(Config::default()));
     let link_settings = LinkSettings {
         own: settings.instance.clone(),
         key: settings.keys.fleet.as_str().into(),
-        silence: Times::duration(settings.times.link),
+        silence: Times::duration(times.link),
         frame: settings.limits.frame_bytes,
         traffic: traffic.clone(),
     };
     let links = Links::new(link_settings.clone());
-    let holdings = Holdings::new(clock, timeline.clone(), config_out.clone());
-    let view = FleetView::default();
-    let agent = Agent::spawn(AgentParts {
-        me: me.clone(),
-        seed: me.incarnation.0,
-        lease: lease_timing(&settings.times),
+    let (list, list_out) = watch::channel(None);
+    let (declared, declared_out) = watch::channel(Arc::new(Config::default()));
+    let holdings = Holdings::new(clock, timeline.clone(), declared_out.clone());
+    let machine = Members::new(me.clone(), MemberTiming::default(), me.incarnation.0);
+    let parts = membership_parts(&links, list_out, declared_out.clone(), clock, &timeline);
+    let (membership, members) = Membership::spawn(machine, parts);
+    let parts = revision_parts(
+        &links,
+        &store,
+        members.clone(),
+        membership.clone(),
+        &timeline,
+    );
+    let in_force = keep_revisions(parts);
+    let (changes, changes_out) = mpsc::unbounded_channel();
+    let parts = steward_parts(StewardNeeds {
+        links: &links,
+        store: &store,
+        holdings: &holdings,
+        changes,
+        members: members.clone(),
+        membership: membership.clone(),
+        config: declared_out.clone(),
         clock,
-        timeline: timeline.clone(),
-        links: links.clone(),
-        store: store.clone(),
-        holdings: holdings.clone(),
-        view: view.clone(),
-        news,
+        timeline: &timeline,
     });
-    let updater = Updater {
-        own: settings.instance.clone(),
-        store: store.clone(),
-        links: links.clone(),
-        view: view.clone(),
-        agent: agent.clone(),
-        timeline: timeline.clone(),
-        config,
-        known: Arc::new(tokio::sync::Mutex::new(Known::default())),
-    };
-    let directory = directory(settings, &view, config_out.clone());
+    let steward = Steward::spawn(me.holder(), lease_timing(times), parts);
+    let directory = directory(&members, declared_out.clone());
     let router = Router::new(directory, links.clone(), holdings.clone());
     let objects = ClaimObjects::from(store.clone());
+    let claims = ClaimBook::start(&objects, clock, ClaimLimits::default());
+    let claims = claims.with_route(claim_route(&members, &links));
     let entry = Entry::new(EntryParts {
         name: settings.instance.clone(),
         dispatch: router.dispatch(),
-        config: config_out,
+        config: declared_out,
         clock,
         timeline: timeline.clone(),
         metrics: EntryMetrics::new(&registry).context(MetricsSnafu)?,
         limits: settings.entry,
-        spread: spread(&settings.instance, &view, &links),
-        claims: ClaimBook::start(&objects, clock, ClaimLimits::default()),
+        spread: spread(&links, &members),
+        claims: claims.clone(),
     });
+    let ownership = Ownership {
+        holdings: holdings.clone(),
+        links: links.clone(),
+        members: members.clone(),
+    };
+    let tasks = vec![
+        follow_instances(settings.platform.instances, holdings.clone(), list).boxed(),
+        configure(in_force.config(), declared, holdings.clone()).boxed(),
+        holdings.clone().measure_delays().boxed(),
+        ownership.clone().watch_entries().boxed(),
+        ownership.follow(changes_out, steward.clone()).boxed(),
+    ];
     let parts = Parts {
         me,
         entry,
+        claims,
         holdings,
-        agent,
-        view,
-        updater,
+        membership,
+        members,
+        steward,
+        in_force,
         links,
         traffic,
         store,
@@ -357,43 +390,25 @@
         registry,
         draining: Arc::default(),
     };
-    Ok((parts, link_settings))
+    Ok((parts, link_settings, tasks))
 }
 
-fn directory(
-    settings: &Settings,
-    view: &FleetView,
-    config: watch::Receiver<Arc<Config>>,
-) -> Directory {
-    let (owners, peers, delays) = (view.clone(), view.clone(), view.clone());
-    Directory {
-        own: settings.instance.clone(),
-        owner: Arc::new(move |cell| owners.owner(cell)),
-        peer: Arc::new(move |instance| peers.address(instance)),
-        delay: Arc::new(move |cell| delays.delay(cell)),
-        config,
+/// Puts each revision in force, in the owned cells first and then at the entry.
+async fn configure(
+    mut in_force: watch::Receiver<Arc<Config>>,
+    declared: watch::Sender<Arc<Config>>,
+    holdings: Holdings,
+) {
+    loop {
+        let config = in_force.borrow_and_update().clone();
+        holdings.configure(&config).await;
+        declared.send_replace(config);
+        if in_force.changed().await.is_err() {
+            return;
+        }
     }
 }
 
-/// The call that tells all peers of a suspect request.
-fn spread(own: &InstanceName, view: &FleetView, links: &Links) -> SpreadCall {
-    let (own, view, links) = (own.clone(), view.clone(), links.clone());
-    Arc::new(move |suspicion| {
-        let asked = view.peers_of(&own).into_iter().map(|peer| {
-            let (links, suspicion) = (links.clone(), suspicion.clone());
-            async move {
-                let answer = links.call(peer.address, SPREAD_WAIT, |client, context| async move {
-                    client.suspect(context, suspicion).await
-                });
-                answer.await.ok().flatten()
-            }
-        });
-        join_all(asked.collect::<Vec<_>>())
-            .map(|answers| answers.into_iter().flatten().collect())
-            .boxed()
-    })
-}
-
 fn own_member(settings: &Settings, fleet: SocketAddr) -> Member {
     let start = SystemTime::now().duration_since(UNIX_EPOCH);
     Member {
@@ -420,17 +435,13 @@
 }
 
 /// Tells the membership the addresses in the settings.
-async fn seed_members(settings: &Settings, agent: &Address<Agent>) {
+async fn seed_members(settings: &Settings, membership: &Address<Membership>) {
     let seeds = settings.seeds.iter().map(|peer| Seed {
         name: Some(peer.instance.clone()),
         address: peer.address,
         leaving: false,
     });
-    let listed = Listed {
-        seeds: seeds.collect(),
-        is_complete: false,
-    };
-    agent.send(listed).await.ok();
+    membership.send(AddSeeds(seeds.collect())).await.ok();
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -19,7 +19,6 @@
 
 mod active;
 mod admit;
-mod agent;
 mod answers;
 mod attempt;
 mod auth;
@@ -30,6 +29,8 @@
 mod cell_message;
 mod cell_status;
 mod claim;
+mod claim_route;
+mod claim_segment;
 mod claim_shard;
 mod claims;
 mod client;
@@ -75,6 +76,7 @@
 mod load_plan;
 mod load_result;
 mod member;
+mod membership;
 mod meter;
 mod moment;
 mod name;
@@ -82,8 +84,10 @@
 mod operator;
 #[cfg(feature = "demo")]
 mod outside;
+mod ownership;
 mod path;
 mod pause;
+mod peers;
 mod platform;
 mod probe;
 mod problem;
@@ -93,6 +97,7 @@
 mod refusal;
 mod relay;
 mod retry;
+mod revisions;
 mod route;
 mod rules;
 mod run;
@@ -100,6 +105,7 @@
 mod shard;
 mod sse;
 mod status;
+mod steward;
 mod store;
 mod suspect;
 mod tables;
@@ -108,9 +114,7 @@
 mod tombs;
 mod trace;
 mod unique;
-mod updater;
 mod upstream;
-mod view;
 
 pub use attempt::{
     Answering, ConnectError, Loss, Lost, NotRun, Outcome, Ready, Resend, Sending, Sent, Unsent,
@@ -124,6 +128,7 @@
     BODY_BYTES, Claim, ClaimAnswer, ClaimCall, ClaimId, ClaimOp, ClaimShard, ClaimShardError,
     ClaimState, ClaimWish, HexError, MEDIA_BYTES, Recorded, Token,
 };
+pub use claim_segment::SegmentRef;
 pub use claim_shard::{ClaimLimits, WriteEnd};
 pub use claims::{Begun, ClaimBook, ClaimError, ClaimObjects, ClaimRoute, Ticket};
 pub use client::{ClientError, OperatorClient, operator_key};
@@ -165,7 +170,7 @@
 pub use keeper::Keeper;
 pub use lease::{
     Borrow, BorrowReply, Holder, Lease, LeaseEffect, LeaseInput, LeaseTiming, LeaseView, Part,
-    Tenure,
+    Tenure, Yield,
 };
 pub use load::{run_load, run_load_through};
 pub use load_call::Check;
@@ -174,6 +179,10 @@
     AccountResult, BUCKET, LoadResult, Outcomes, Quantiles, Refused, SourceResult,
 };
 pub use member::{MemberInput, MemberOutput, MemberTiming, Members};
+pub use membership::{
+    AddSeeds, AnswerGossip, ClaimCell, EndMembership, ExtendGossip, KnowRevision, LeaveFleet,
+    Membership, MembershipParts, PutInForce,
+};
 pub use meter::Traffic;
 pub use moment::{Clock, Moment, micros};
 pub use name::{
@@ -190,6 +199,7 @@
 pub use promise::{OUT_WITHIN, Promise, answer_promises, centre_promise};
 pub use publish::{Acceptance, HEAD_NAME, Known, PublishError, accept, collect, fetch};
 pub use retry::{RetryBudgets, RetryPermit};
+pub use revisions::{ConfigUpdate, InForce, RevisionParts, WATCHERS, keep_revisions};
 pub use run::{RunError, run};
 pub use settings::{
     FLEET_KEY_CHARS, Keys, Limits, Listen, Log, LogFormat, Peer, Place, Platform, SETTINGS_BYTES,
@@ -198,6 +208,9 @@
 pub use shard::{Accepted, Head, ShardRef};
 pub use sse::{EVENT_BYTES, Scanner, SseError};
 pub use status::{InstanceStatus, MemberStatus, OwnerStatus, Readiness, TrafficStatus};
+pub use steward::{
+    CellChange, DrainCells, LendCell, ListCells, MovedCell, Steward, StewardParts, TakeOverCell,
+};
 pub use store::{Condition, Listing, Object, ObjectKind, Store, StoreError, VALUE_BYTES, Version};
 pub use suspect::{Crash, MAX_CRASHES, Standing, Suspects, Suspicion, Trial, TrialPhase};
 pub use tables::{fleet_tables, load_table, note_table, revision_table};
