Measure capacity with notes as deltas and leases in a steward

Revisions now reach peers as notes and membership and leases are actors of their own, so the figures of the first page no longer hold.

--- a/measure/src/capacity_model.rs
+++ b/measure/src/capacity_model.rs
@@ -22,8 +22,13 @@
 pub(crate) const TRAFFIC: f64 = 24e3;
 /// Links that gossip keeps open in each direction: two new peers a second, closed 10 s after use.
 const GOSSIP_LINKS: f64 = 20.0;
-/// Looks at every cell a second.
-const LOOKS: f64 = 2.0;
+/// Looks at every cell a second: one for each note, and for each of about four changes in the
+/// membership with each of 386 restarts and failures a day.
+const LOOKS: f64 = NOTES + 4.0 * 386.0 / 86_400.0;
+/// Largest scale of the fleet that is weighed.
+const SCALES: f64 = 8.0;
+/// Steps in the search for the largest fleet.
+const HALVINGS: u32 = 30;
 /// Events of a ring.
 const EVENTS: f64 = 4_096.0;
 /// Cells of a service that are weighed.
@@ -67,6 +72,12 @@
     pub(crate) note_longest: Line,
     /// Bytes of a message between two cells by accounts.
     pub(crate) totals: Line,
+    /// Bytes that an instance sends for a note, the most of any number of accounts.
+    pub(crate) note_bytes: f64,
+    /// Most store writes of a note.
+    pub(crate) note_writes: f64,
+    /// Store reads of a note, by instances.
+    pub(crate) note_reads: Line,
 }
 
 impl Slopes {
@@ -124,22 +135,35 @@
             note_median: line(&notes, |n| (n.instances.log2(), n.median)),
             note_longest: line(&notes, |n| (n.instances.log2(), n.longest)),
             totals: line(&sheet.totals, |t| (t.accounts, t.bytes)),
+            note_writes: sheet.notes.iter().map(|n| n.writes).fold(0.0, f64::max),
+            note_reads: line(&notes, |n| (n.instances, n.reads)),
+            note_bytes: sheet
+                .notes
+                .iter()
+                .map(|n| n.sent / n.instances)
+                .fold(0.0, f64::max),
         }
     }
 
     /// Bytes that a node sends and receives a second for membership and `links` more links.
-    pub(crate) fn base_traffic(&self, sheet: &Sheet, links: f64) -> f64 {
-        2.0 * (self.idle_sent.at(GOSSIP_LINKS + links) + gossip_growth(sheet))
+    pub(crate) fn base_traffic(&self, sheet: &Sheet, links: f64, scale: f64) -> f64 {
+        2.0 * (self.idle_sent.at(GOSSIP_LINKS + links) + scale * gossip_growth(sheet))
     }
 
-    /// Cores that a node spends on membership, links and looks at `cells` cells.
-    pub(crate) fn base_cores(&self, sheet: &Sheet, links: f64, cells: f64) -> f64 {
+    /// Cores that a node spends on membership, links and its machines of `cells` cells.
+    pub(crate) fn base_cores(&self, sheet: &Sheet, links: f64, cells: f64, scale: f64) -> f64 {
         let largest = sheet.gossip.last();
         let smallest = sheet.gossip.first();
         let micros = largest.map_or(0.0, |g| g.micros) - smallest.map_or(0.0, |g| g.micros);
         // Each exchange counts both sides, and a node takes part in as many as it starts twice.
         let gossip = micros * largest.map_or(0.0, |g| g.messages) / 2.0 / 1e6;
-        self.idle_cores.slope * (GOSSIP_LINKS + links) + gossip + look_cores(sheet, cells)
+        let machines = self.machine_cores(cells) + scale * look_cores(sheet, cells);
+        self.idle_cores.slope * (GOSSIP_LINKS + links) + scale * gossip + machines
+    }
+
+    /// Cores of a node's machines of `cells` cells, as if the eight instances shared the cost evenly.
+    pub(crate) fn machine_cores(&self, cells: f64) -> f64 {
+        self.cell_cores.slope * cells / 8.0
     }
 
     /// Bytes a second that the owner of one of `cells` cells of a service spends more.
@@ -161,9 +185,9 @@
         rate * (self.owner.slope + more)
     }
 
-    /// Bytes a second of whole configurations that a node receives.
+    /// Bytes a second that a node sends and receives for notes.
     pub(crate) fn note_traffic(&self) -> f64 {
-        NOTES * self.config_bytes.at(ACCOUNTS)
+        2.0 * NOTES * self.note_bytes
     }
 
     /// Resident bytes of the parts of a node that owns a cell.
@@ -231,8 +255,8 @@
 /// whichever is worse beside its budget, is least.
 pub(crate) fn cells(slopes: &Slopes, sheet: &Sheet) -> f64 {
     let worse = |cells: f64| {
-        let cores = node_cores(slopes, sheet, cells) / CORES;
-        let bytes = node_traffic(slopes, sheet, cells) + slopes.exchange_traffic(cells);
+        let cores = node_cores(slopes, sheet, cells, 1.0) / CORES;
+        let bytes = node_traffic(slopes, sheet, cells, 1.0) + slopes.exchange_traffic(cells);
         cores.max(bytes / TRAFFIC)
     };
     let least = LADDER
@@ -241,19 +265,33 @@
     least.unwrap_or(1.0)
 }
 
-/// Cores of a node that owns one cell and takes its part of the requests.
-pub(crate) fn node_cores(slopes: &Slopes, sheet: &Sheet, cells: f64) -> f64 {
-    let links = owner_links() + entry_links(cells);
-    slopes.base_cores(sheet, links, SERVICES * cells)
-        + slopes.cell_cores.slope
-        + slopes.owner_cores(cells)
+/// Cores of a node that owns one cell, in a fleet of `scale` times the nodes and requests.
+pub(crate) fn node_cores(slopes: &Slopes, sheet: &Sheet, cells: f64, scale: f64) -> f64 {
+    let links = owner_links(scale) + entry_links(cells);
+    let base = slopes.base_cores(sheet, links, SERVICES * cells, scale);
+    base + scale * slopes.owner_cores(cells)
 }
 
-/// Bytes a second of such a node, without configurations and exchange.
-pub(crate) fn node_traffic(slopes: &Slopes, sheet: &Sheet, cells: f64) -> f64 {
-    let links = owner_links() + entry_links(cells);
+/// Bytes a second of such a node, without notes and exchange.
+pub(crate) fn node_traffic(slopes: &Slopes, sheet: &Sheet, cells: f64, scale: f64) -> f64 {
+    let links = owner_links(scale) + entry_links(cells);
     let entry = RATE / NODES * slopes.entry_bytes.slope;
-    slopes.base_traffic(sheet, links) + entry + slopes.owner_traffic(cells)
+    let owner = scale * slopes.owner_traffic(cells);
+    slopes.base_traffic(sheet, links, scale) + entry + owner
+}
+
+/// Nodes, with requests in proportion, up to which `cost` of a scale keeps to `budget`.
+pub(crate) fn most_nodes(budget: f64, cost: impl Fn(f64) -> f64) -> f64 {
+    let (mut low, mut high) = (0.0, SCALES);
+    for _ in 0..HALVINGS {
+        let middle = f64::midpoint(low, high);
+        if cost(middle) <= budget {
+            low = middle;
+        } else {
+            high = middle;
+        }
+    }
+    low * NODES
 }
 
 /// Cores of a node's looks at `cells` cells.
@@ -263,9 +301,9 @@
 }
 
 /// Links of an owner to entries, each with a link from nearly every entry.
-pub(crate) fn owner_links() -> f64 {
+pub(crate) fn owner_links(scale: f64) -> f64 {
     // A link in one direction only costs half of what a pair in both costs.
-    (NODES - 1.0) / 2.0
+    scale * NODES / 2.0
 }
 
 /// Links of an entry to the owners of all cells.
--- a/measure/src/capacity_page.rs
+++ b/measure/src/capacity_page.rs
@@ -4,7 +4,7 @@
 
 use crate::capacity_model::{
     ACCOUNTS, BACKLOGGED, CORES, LADDER, MEMORY, NODES, NOTES, RATE, SERVICES, Slopes, TRAFFIC,
-    cells, entry_links, look_cores, node_cores, node_traffic,
+    cells, entry_links, most_nodes, node_cores, node_traffic,
 };
 use crate::capacity_page_roles::{roles, slope_table};
 use crate::capacity_sheet::{Run, Sheet};
@@ -87,6 +87,14 @@
     text
 }
 
+/// The verdict with the nodes up to which the budget is kept, requests growing with them.
+fn until(holds: bool, nodes: f64) -> String {
+    if nodes < 1.0 {
+        return format!("{} at any size", verdict(holds));
+    }
+    format!("{}; kept up to {nodes:.0} nodes", verdict(holds))
+}
+
 fn verdict(holds: bool) -> &'static str {
     if holds { "holds" } else { "**breaks**" }
 }
@@ -136,21 +144,23 @@
     let part = owners / NODES;
     let mean = |idle: f64, owner: f64| idle + part * (owner - idle);
     let entry = RATE / NODES * slopes.entry.slope;
-    let busiest = node_cores(slopes, sheet, cells);
-    let idle = slopes.base_cores(sheet, entry_links(cells), owners);
+    let busiest = node_cores(slopes, sheet, cells, 1.0);
+    let idle = slopes.base_cores(sheet, entry_links(cells), owners, 1.0);
     let cores = mean(idle, busiest);
-    let traffic = node_traffic(slopes, sheet, cells);
-    let quiet =
-        slopes.base_traffic(sheet, entry_links(cells)) + RATE / NODES * slopes.entry_bytes.slope;
-    let notes = 2.0 * slopes.note_traffic();
+    let traffic = node_traffic(slopes, sheet, cells, 1.0);
+    let quiet = slopes.base_traffic(sheet, entry_links(cells), 1.0)
+        + RATE / NODES * slopes.entry_bytes.slope;
+    let notes = slopes.note_traffic();
     let all = traffic + notes + slopes.exchange_traffic(cells);
-    let most = (TRAFFIC / 2.0 / NOTES - slopes.config_bytes.base) / slopes.config_bytes.slope;
+    let cores_at = |scale: f64| node_cores(slopes, sheet, cells, scale);
+    let bytes_at = |scale: f64| node_traffic(slopes, sheet, cells, scale);
+    let rest = notes + slopes.exchange_traffic(cells);
     vec![
         vec![
             "processor time for control, without an entry's requests".into(),
             percent(CORES),
             format!("{}, mean {}", percent(busiest), percent(cores)),
-            verdict(busiest <= CORES).into(),
+            until(busiest <= CORES, most_nodes(CORES, cores_at)),
             "`--step roles`, `fleet`, `gossip`, `cell`".into(),
         ],
         vec![
@@ -161,25 +171,25 @@
                 percent(busiest + entry),
                 percent(cores + entry)
             ),
-            verdict(busiest + entry <= CORES).into(),
+            until(
+                busiest + entry <= CORES,
+                most_nodes(CORES - entry, cores_at),
+            ),
             "`--step roles`".into(),
         ],
         vec![
             "bytes of requests, membership and heartbeats".into(),
             kilo(TRAFFIC),
             format!("{}, mean {}", kilo(traffic), kilo(mean(quiet, traffic))),
-            verdict(traffic <= TRAFFIC).into(),
+            until(traffic <= TRAFFIC, most_nodes(TRAFFIC, bytes_at)),
             "`--step roles`, `fleet`, `gossip`".into(),
         ],
         vec![
-            "the same with configurations and the exchange among cells".into(),
+            "the same with notes and the exchange among cells".into(),
             kilo(TRAFFIC),
             format!("{}, mean {}", kilo(all), kilo(mean(quiet, traffic) + notes)),
-            format!(
-                "{}; configurations alone from {most:.0} accounts on",
-                verdict(all <= TRAFFIC)
-            ),
-            "`--step config`, `totals`".into(),
+            until(all <= TRAFFIC, most_nodes(TRAFFIC - rest, bytes_at)),
+            "`--step accounts`, `fleet`, `totals`".into(),
         ],
     ]
 }
@@ -202,11 +212,13 @@
 
 fn store_rows(slopes: &Slopes, cells: f64) -> Vec<Vec<String>> {
     let owners = SERVICES * cells;
-    let writes = slopes.writes.slope * owners;
-    let reads = slopes.reads.at(WATCHERS).max(0.0);
+    let note_reads = slopes.note_reads.at(NODES);
+    let writes = slopes.writes.slope * owners + NOTES * slopes.note_writes;
+    let reads = slopes.reads.at(WATCHERS).max(0.0) + NOTES * note_reads;
+    let once = (WRITES - writes) / slopes.claims.0;
     vec![
         vec![
-            "store writes for leases".into(),
+            "store writes for leases and notes".into(),
             "several hundred a second".into(),
             format!("{writes:.0} a second for {owners:.0} cells"),
             format!(
@@ -217,10 +229,27 @@
             "`--step cells`, `fleet`".into(),
         ],
         vec![
-            "store reads of the watchers".into(),
+            "store reads of watchers and for notes".into(),
             "two thousand a second".into(),
-            format!("{reads:.2} a second"),
-            verdict(reads <= READS).into(),
+            format!("{reads:.1} a second; {note_reads:.0} for each note, all within a few seconds"),
+            format!(
+                "{} on average; **grows with the fleet**, {:.2} reads a note and instance",
+                verdict(reads <= READS),
+                slopes.note_reads.slope
+            ),
+            "`--step fleet`, `accounts`".into(),
+        ],
+        vec![
+            "store writes for requests that run at most once".into(),
+            "several hundred a second".into(),
+            format!(
+                "at most {:.2} a request; how many of the requests are of this kind is not given",
+                slopes.claims.0
+            ),
+            format!(
+                "holds up to {once:.0} of them a second, {:.0} % of all requests",
+                once / RATE * 100.0
+            ),
             "`--step fleet`".into(),
         ],
     ]
@@ -259,13 +288,12 @@
 
 fn ladder(slopes: &Slopes, sheet: &Sheet) -> String {
     let rows = LADDER.map(|cells| {
-        let cores = node_cores(slopes, sheet, cells);
-        let traffic = node_traffic(slopes, sheet, cells);
+        let cores = node_cores(slopes, sheet, cells, 1.0);
+        let traffic = node_traffic(slopes, sheet, cells, 1.0);
         vec![
             format!("{cells:.0}"),
             format!("{:.1}", RATE / SERVICES / cells),
             percent(cores),
-            percent(cores - look_cores(sheet, cells * SERVICES)),
             kilo(traffic),
             kilo(slopes.exchange_traffic(cells)),
             format!("{:.1}", slopes.writes.slope * cells * SERVICES),
@@ -275,7 +303,6 @@
         "cells of a service",
         "requests a second and cell",
         "owner's processor time",
-        "the same without looks",
         "owner's bytes",
         "exchange with the service's other cells",
         "lease writes a second, all cells",
@@ -283,7 +310,7 @@
     format!(
         "## Cells of a service\n\n\
          The owner of a cell pays for each of its requests and for a link from nearly every entry.\n\
-         More cells cut the first and not the second, and add looks at each cell by every instance,\n\
+         More cells cut the first and not the second, and add machines of cells at every instance,\n\
          lease writes and the exchange. This page takes the number with which processor time or\n\
          bytes, whichever is worse beside its budget, is least. Computed.\n\n{}\n{}",
         table(&head, &rows),
--- a/measure/src/capacity_page_roles.rs
+++ b/measure/src/capacity_page_roles.rs
@@ -94,7 +94,7 @@
         "the lease object, half of each limit on loan",
         &format!("{:.2} store writes a second and cell", slopes.writes.slope),
         &format!(
-            "{:.0} us a second and cell, all its candidates together",
+            "{:.0} us a second and cell, eight instances together",
             slopes.cell_cores.slope * 1e6
         ),
         "not measured apart",
@@ -108,13 +108,12 @@
         "watcher and relay of notes",
         "the configuration and its recent notes",
         &format!(
-            "{} received for 3,400 notes a day",
+            "{} sent and received for 3,400 notes a day",
             kilo(slopes.note_traffic())
         ),
         &config_time(sheet),
         &mega(slopes.account_memory.at(ACCOUNTS)),
-        "three watch the head object, the others hear of a revision by gossip and fetch the whole \
-             configuration from a peer",
+        "three watch the head object, the others hear of a revision by gossip and pull the notes that lead there from a peer",
         "`--step config`, `accounts`",
     ])
 }
@@ -150,7 +149,7 @@
             bytes(slopes.idle_sent.slope)
         ),
         &format!(
-            "{:.0} us an exchange; looks at all cells {}",
+            "{:.0} us an exchange; looks at all cells after notes and changes {}",
             gossip.map_or(0.0, |g| g.micros),
             percent(look)
         ),
@@ -196,23 +195,23 @@
 fn remedies(slopes: &Slopes) -> String {
     format!(
         "What breaks and what would carry it:\n\n\
-         - Whole configurations: {} a note. Sending the accepted notes since the peer's revision, \
-         which are kept beside the head, instead makes this a few hundred bytes.\n\
          - Memory of accounts: {} bytes an account at each instance for hashes of keys as text, an \
          index of them and a copy while a revision changes. Keys as 32 bytes, and items shared \
          between revisions, carry more accounts.\n\
          - Heartbeats: {} a second sent for a pair of links, {:.0} us a second of processor time for a \
          link at its two ends, and each owner has a link from each entry. A heartbeat only \
          while an offer waits, or one a few seconds, carries it.\n\
-         - Looks: each instance ranks all members for each cell twice a second. Ranking only after a \
-         change of the members carries it.\n\
+         - Machines: every instance has one for each cell and turns it four times a second, {:.0} us a \
+         second and cell at eight instances together. Only the first few candidates of a cell need \
+         one.
+\
          - The platform's list: reading it at the three watchers and by gossip elsewhere carries it.\n\
          - The exchange among cells: all totals to all cells each second. Fewer and coarser totals \
          carry it.\n",
-        mega(slopes.config_bytes.at(ACCOUNTS)),
         format_args!("{:.0}", slopes.account_memory.slope),
         bytes(slopes.idle_sent.slope),
         slopes.idle_cores.slope * 1e6,
+        slopes.cell_cores.slope * 1e6,
     )
 }
 
@@ -326,6 +325,13 @@
             1.0,
             "fleet",
         ),
+        line(
+            "store reads of a note, by instances",
+            "",
+            slopes.note_reads,
+            1.0,
+            "fleet",
+        ),
         line(
             "configuration, by accounts",
             "B",
