Spend less on idle links, on cells without a part in them and on the instance list

A link used only by short calls was also closed after 10 s as if it were idle. Change: heartbeats only while calls wait; uses of a link are counted, and an idle one is closed under its lock; machines of cells that an instance has no part in look every 2 s instead of every 250 ms; an instance without a cell reads the list every 3 s.

--- a/cornelstand/src/link.rs
+++ b/cornelstand/src/link.rs
@@ -1,13 +1,14 @@
 //! Links between instances: calls over TCP with a proof of the fleet key and heartbeats.
 //!
-//! A link connects when it is first used and closes when it has been idle. While it is open the
-//! connecting side sends heartbeats; a silent connection is dropped on both sides, so that calls
-//! on it fail at once and the next call opens a new one.
+//! A link connects when it is first used and closes when it has been idle. While calls wait for
+//! their answers the connecting side sends heartbeats; a connection that is silent meanwhile is
+//! dropped, so that calls on it fail at once and the next call opens a new one. An idle link costs
+//! nothing; whether it is still alive shows with the first heartbeat after the next call.
 
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -217,7 +218,8 @@
         let codec = LengthDelimitedCodec::builder()
             .max_frame_length(self.frame)
             .new_codec();
-        let stream = Metered::new(stream, self.traffic.clone(), self.silence);
+        let silence = IDLE + self.silence;
+        let stream = Metered::new(stream, self.traffic.clone(), silence);
         Framed::new(stream, codec)
     }
 }
@@ -285,8 +287,9 @@
         Fut: Future<Output = Result<T, RpcError>>,
     {
         let link = self.link(address);
+        // Before the connection is looked up, so that it is not closed as idle meanwhile.
+        let _busy = Busy::new(&link);
         let client = link.client(&self.settings).await?;
-        let _busy = Busy::new(&link.calls);
         let mut context = Context::current();
         context.deadline = std::time::Instant::now() + wait + MARGIN;
         call(client, context).await.context(CallSnafu { address })
@@ -298,6 +301,7 @@
             Arc::new(Link {
                 address,
                 calls: AtomicUsize::new(0),
+                made: AtomicU64::new(0),
                 connection: tokio::sync::Mutex::default(),
             })
         });
@@ -312,7 +316,10 @@
 #[derive(Debug)]
 struct Link {
     address: SocketAddr,
+    /// Calls that wait for a connection or an answer.
     calls: AtomicUsize,
+    /// Calls made so far.
+    made: AtomicU64,
     connection: tokio::sync::Mutex<Option<Connection>>,
 }
 
@@ -340,6 +347,20 @@
         Ok(client)
     }
 
+    fn is_busy(&self) -> bool {
+        self.calls.load(Ordering::Relaxed) > 0
+    }
+
+    /// Forgets the connection unless a call has come meanwhile, and tells whether it did.
+    async fn close_idle(&self) -> bool {
+        let mut connection = self.connection.lock().await;
+        if self.is_busy() {
+            return false;
+        }
+        *connection = None;
+        true
+    }
+
     async fn open(&self, settings: &LinkSettings) -> Result<Connection, LinkError> {
         let address = self.address;
         let connecting = timeout(settings.silence, TcpStream::connect(address));
@@ -362,19 +383,23 @@
     }
 }
 
-/// Sends heartbeats until the connection is silent, broken or idle, then ends it.
+/// Sends heartbeats while calls wait, until the connection is silent, broken or idle, then ends it.
 async fn beat(link: Arc<Link>, client: FleetClient, dispatch: AbortHandle, silence: Duration) {
-    let mut busy = Instant::now();
+    let mut used = Instant::now();
+    let mut made = 0;
     while !dispatch.is_finished() {
         sleep(silence / HEARTBEATS).await;
-        if link.calls.load(Ordering::Relaxed) > 0 {
-            busy = Instant::now();
-        }
-        if busy.elapsed() > IDLE {
-            break;
+        let now_made = link.made.load(Ordering::Relaxed);
+        if now_made != made || link.is_busy() {
+            made = now_made;
+            used = Instant::now();
         }
-        let beat = client.ping(Context::current(), Stamp::default());
-        if !matches!(timeout(silence, beat).await, Ok(Ok(_))) {
+        if link.is_busy() {
+            let beat = client.ping(Context::current(), Stamp::default());
+            if !matches!(timeout(silence, beat).await, Ok(Ok(_))) {
+                break;
+            }
+        } else if used.elapsed() > IDLE && link.close_idle().await {
             break;
         }
     }
@@ -382,17 +407,21 @@
 }
 
 /// Counts a call while it lasts.
-struct Busy<'a>(&'a AtomicUsize);
+struct Busy<'a>(&'a Link);
 
 impl<'a> Busy<'a> {
-    fn new(calls: &'a AtomicUsize) -> Self {
-        calls.fetch_add(1, Ordering::Relaxed);
-        Self(calls)
+    fn new(link: &'a Link) -> Self {
+        link.calls.fetch_add(1, Ordering::Relaxed);
+        link.made.fetch_add(1, Ordering::Relaxed);
+        Self(link)
     }
 }
 
 impl Drop for Busy<'_> {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.0.calls.fetch_sub(1, Ordering::Relaxed);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/cornelstand/src/platform.rs
+++ b/cornelstand/src/platform.rs
@@ -14,8 +14,10 @@
 use crate::holdings::Holdings;
 use crate::name::{EndpointName, InstanceName};
 
-/// Time between two readings of the list, and for the answer to one.
+/// Time between two readings of the list by the owner of a cell, and for the answer to one.
 const PERIOD: Duration = Duration::from_secs(1);
+/// Periods between two readings by an instance that owns no cell and grants nothing.
+const SPARSE: u32 = 3;
 
 /// The list as the platform gives it.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -68,10 +70,16 @@
         .build()
         .expect("an HTTP client without TLS needs no system resources");
     let mut leaving = BTreeSet::new();
+    let mut skipped = SPARSE;
     let mut ticks = interval(PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
+        skipped += 1;
+        if skipped < SPARSE && holdings.owned().is_empty() {
+            continue;
+        }
+        skipped = 0;
         let present = read(&http, platform).await;
         if let Some(now) = present.as_ref().map(InstanceList::leaving)
             && now != leaving
--- a/cornelstand/src/steward.rs
+++ b/cornelstand/src/steward.rs
@@ -32,6 +32,12 @@
 /// Time between two ticks of the machines.
 const TICK: Duration = Duration::from_millis(250);
 
+/// Ticks between two looks at a cell that this instance has no part in.
+const SPARSE: u32 = 8;
+
+/// Candidates of a cell that look at it at every tick.
+const CANDIDATES: usize = 3;
+
 /// Time between two claims of an owned cell towards the peers.
 const CLAIM: Duration = Duration::from_secs(2);
 
@@ -129,6 +135,7 @@
     keepers: BTreeMap<CellId, Kept>,
     revision: Revision,
     is_draining: bool,
+    ticks: u32,
     itself: Option<WeakAddress<Self>>,
 }
 
@@ -137,9 +144,19 @@
     /// Generation of the membership and lease that the machine last saw.
     seen: Option<(u64, Option<Lease>)>,
     heard: Option<(Epoch, u32)>,
+    /// Whether this instance is among the first candidates.
+    is_candidate: bool,
     claimed: Option<Moment>,
 }
 
+impl Kept {
+    /// Whether `me` owns the cell, holds one of its halves or is among its first candidates.
+    fn has_part(&self, me: &Holder) -> bool {
+        let is_holder = self.keeper.lease().is_some_and(|l| l.is_holder(me));
+        self.is_candidate || is_holder || self.keeper.tenure().is_some()
+    }
+}
+
 impl Steward {
     /// Starts the actor on the current runtime. It ends when the last address is dropped.
     #[must_use]
@@ -151,6 +168,7 @@
             keepers: BTreeMap::new(),
             revision: Revision::default(),
             is_draining: false,
+            ticks: 0,
             itself: None,
         };
         let address = xtra::spawn_tokio(steward, Mailbox::bounded(MAILBOX));
@@ -177,6 +195,7 @@
                 keeper: keeper(),
                 seen: None,
                 heard: None,
+                is_candidate: true,
                 claimed: None,
             });
             kept.seen = None;
@@ -187,7 +206,11 @@
         let config = self.parts.config.borrow().clone();
         self.configure(&config);
         let members = self.parts.members.borrow().clone();
-        let cells: Vec<CellId> = self.keepers.keys().cloned().collect();
+        self.ticks = self.ticks.wrapping_add(1);
+        let is_full = self.ticks.is_multiple_of(SPARSE);
+        let watched = self.keepers.iter();
+        let watched = watched.filter(|(_, kept)| is_full || kept.has_part(&self.me));
+        let cells: Vec<CellId> = watched.map(|(cell, _)| cell.clone()).collect();
         for cell in cells {
             self.look(&cell, &members, &config);
             self.claim(&cell);
@@ -208,6 +231,8 @@
         let mut inputs = Vec::new();
         if !is_seen {
             let view = members.lease_view(cell, config, lease);
+            let mut first = view.ranked.iter().take(CANDIDATES);
+            kept.is_candidate = first.any(|h| *h == self.me);
             kept.seen = Some((members.generation(), lease.cloned()));
             inputs.push(LeaseInput::View(view));
         }
