--- a/cornelstand/src/answers.rs
+++ b/cornelstand/src/answers.rs
@@ -10,12 +10,12 @@
 use prometheus::TextEncoder;
 
 use crate::instance::Parts;
+use crate::json::parse_json;
 use crate::link::Handlers;
 use crate::membership::AnswerGossip;
 use crate::note::{Note, plan};
 use crate::operator::{Answer, Query};
 use crate::publish::PublishError;
-use crate::settings::parse_json;
 use crate::status::{InstanceStatus, MemberStatus, Readiness};
 use crate::steward::{LendCell, TakeOverCell};
 use crate::timeline::{Event, merge};
--- a/cornelstand/src/keeper.rs
+++ b/cornelstand/src/keeper.rs
@@ -14,65 +14,65 @@
 };
 use crate::moment::Moment;
 use crate::name::{CellId, Epoch, InstanceName};
-use crate::store::{Condition, Version};
+use crate::store::Version;
 
 /// End of the use of an own half.
-const FOREVER: Moment = Moment(u64::MAX);
+pub(crate) const FOREVER: Moment = Moment(u64::MAX);
 
 /// Time for an owner's last write, which names the next owner, to be seen.
-const TRANSFER: Duration = Duration::from_millis(500);
+pub(crate) const TRANSFER: Duration = Duration::from_millis(500);
 
 /// Distance of the epochs of two owners; the one between is the heir's.
-const EPOCH_STEP: u64 = 2;
+pub(crate) const EPOCH_STEP: u64 = 2;
 
 /// The lease machine.
 #[derive(Clone, Debug)]
 pub struct Keeper {
-    me: Holder,
-    cell: CellId,
-    timing: LeaseTiming,
-    view: LeaseView,
-    object: Option<(Version, Lease)>,
-    is_absent: bool,
-    unchanged: Option<Moment>,
-    call: Option<Call>,
-    doubts: Vec<Lease>,
-    due: Moment,
-    until: Moment,
-    claim: Option<(Epoch, InstanceName)>,
-    heard: Option<Moment>,
-    acting: Option<Epoch>,
-    told: Option<Tenure>,
-    lent: Option<Loan>,
-    loans: BTreeMap<Holder, Moment>,
-    freed: BTreeMap<Holder, Version>,
-    offered: Option<(InstanceName, Version)>,
-    gone: BTreeMap<Holder, Moment>,
-    asked: Option<Moment>,
-    number: u64,
-    returned: Moment,
-    is_blind: bool,
-    is_stale: bool,
-    drain: Drain,
-    target: Option<Holder>,
-    yielded: Option<(Epoch, Moment)>,
+    pub(crate) me: Holder,
+    pub(crate) cell: CellId,
+    pub(crate) timing: LeaseTiming,
+    pub(crate) view: LeaseView,
+    pub(crate) object: Option<(Version, Lease)>,
+    pub(crate) is_absent: bool,
+    pub(crate) unchanged: Option<Moment>,
+    pub(crate) call: Option<Call>,
+    pub(crate) doubts: Vec<Lease>,
+    pub(crate) due: Moment,
+    pub(crate) until: Moment,
+    pub(crate) claim: Option<(Epoch, InstanceName)>,
+    pub(crate) heard: Option<Moment>,
+    pub(crate) acting: Option<Epoch>,
+    pub(crate) told: Option<Tenure>,
+    pub(crate) lent: Option<Loan>,
+    pub(crate) loans: BTreeMap<Holder, Moment>,
+    pub(crate) freed: BTreeMap<Holder, Version>,
+    pub(crate) offered: Option<(InstanceName, Version)>,
+    pub(crate) gone: BTreeMap<Holder, Moment>,
+    pub(crate) asked: Option<Moment>,
+    pub(crate) number: u64,
+    pub(crate) returned: Moment,
+    pub(crate) is_blind: bool,
+    pub(crate) is_stale: bool,
+    pub(crate) drain: Drain,
+    pub(crate) target: Option<Holder>,
+    pub(crate) yielded: Option<(Epoch, Moment)>,
 }
 
 #[derive(Clone, Debug)]
-struct Call {
-    sent: Moment,
-    write: Option<Lease>,
+pub(crate) struct Call {
+    pub(crate) sent: Moment,
+    pub(crate) write: Option<Lease>,
 }
 
 #[derive(Clone, Debug)]
-struct Loan {
-    to: Holder,
-    number: u64,
-    until: Moment,
+pub(crate) struct Loan {
+    pub(crate) to: Holder,
+    pub(crate) number: u64,
+    pub(crate) until: Moment,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Drain {
+pub(crate) enum Drain {
     No,
     Wanted,
     Moving,
@@ -207,7 +207,7 @@
         }
     }
 
-    fn refusal(&self) -> BorrowReply {
+    pub(crate) fn refusal(&self) -> BorrowReply {
         let (epoch, owner) = self
             .claim
             .clone()
@@ -216,7 +216,7 @@
     }
 
     /// Whether no other instance has, or may come to have, the use of this one's halves.
-    fn may_lend(&self, now: Moment, to: &Holder) -> bool {
+    pub(crate) fn may_lend(&self, now: Moment, to: &Holder) -> bool {
         let is_lent = self
             .lent
             .as_ref()
@@ -230,7 +230,7 @@
 
     /// Whether the halves may go to the asker for good: it owns the cell in the store, and this
     /// instance has no use for them.
-    fn gives_up(&self, borrow: &Borrow) -> bool {
+    pub(crate) fn gives_up(&self, borrow: &Borrow) -> bool {
         let is_owner = borrow.epoch.0.is_multiple_of(EPOCH_STEP);
         let Some((version, lease)) = &self.object else {
             return false;
@@ -240,11 +240,11 @@
         is_owner && borrow.version >= *version && (is_former || is_unfit)
     }
 
-    fn highest(&self) -> Epoch {
+    pub(crate) fn highest(&self) -> Epoch {
         self.claim.as_ref().map_or(Epoch(0), |(epoch, _)| *epoch)
     }
 
-    fn see(&mut self, now: Moment, view: LeaseView) {
+    pub(crate) fn see(&mut self, now: Moment, view: LeaseView) {
         self.view = view;
         for holder in &self.view.gone {
             self.gone.entry(holder.clone()).or_insert(now);
@@ -256,11 +256,11 @@
         }
     }
 
-    fn is_ranked(&self) -> bool {
+    pub(crate) fn is_ranked(&self) -> bool {
         self.view.ranked.contains(&self.me)
     }
 
-    fn hear(&mut self, now: Moment, epoch: Epoch, owner: &InstanceName) {
+    pub(crate) fn hear(&mut self, now: Moment, epoch: Epoch, owner: &InstanceName) {
         if epoch <= self.highest() {
             return;
         }
@@ -280,7 +280,7 @@
         }
     }
 
-    fn replied(&mut self, now: Moment, from: Holder, sent: Moment, reply: BorrowReply) {
+    pub(crate) fn replied(&mut self, now: Moment, from: Holder, sent: Moment, reply: BorrowReply) {
         match reply {
             BorrowReply::Lent { .. } if sent <= self.returned => {}
             BorrowReply::Lent { free } => {
@@ -296,14 +296,14 @@
         }
     }
 
-    fn start_drain(&mut self) {
+    pub(crate) fn start_drain(&mut self) {
         if self.drain == Drain::No {
             self.drain = Drain::Wanted;
         }
     }
 
     /// Stops to act, returns what was borrowed and says so to the next owner.
-    fn handed_over(&mut self, now: Moment, out: &mut Vec<LeaseEffect>) {
+    pub(crate) fn handed_over(&mut self, now: Moment, out: &mut Vec<LeaseEffect>) {
         if self.drain != Drain::Moving {
             return;
         }
@@ -323,7 +323,7 @@
         }
     }
 
-    fn take_over(&mut self, now: Moment, word: &Yield) {
+    pub(crate) fn take_over(&mut self, now: Moment, word: &Yield) {
         let is_returned = |l: &Loan| l.to == word.from && l.number <= word.number;
         if self.lent.as_ref().is_some_and(is_returned) {
             self.lent = None;
@@ -335,7 +335,7 @@
         }
     }
 
-    fn stored(&mut self, now: Moment, version: Version) {
+    pub(crate) fn stored(&mut self, now: Moment, version: Version) {
         let Some(Call {
             sent,
             write: Some(lease),
@@ -353,7 +353,7 @@
         }
     }
 
-    fn read(&mut self, now: Moment, object: Option<(Version, Lease)>) {
+    pub(crate) fn read(&mut self, now: Moment, object: Option<(Version, Lease)>) {
         self.call = None;
         self.is_blind = false;
         self.is_stale = false;
@@ -374,7 +374,7 @@
     }
 
     /// Takes in a version of the object that is higher than the one known.
-    fn learn(&mut self, now: Moment, version: Version, lease: Lease) {
+    pub(crate) fn learn(&mut self, now: Moment, version: Version, lease: Lease) {
         self.is_absent = false;
         self.unchanged = None;
         self.doubts.clear();
@@ -390,19 +390,19 @@
         self.object = Some((version, lease));
     }
 
-    fn conflicted(&mut self, now: Moment) {
+    pub(crate) fn conflicted(&mut self, now: Moment) {
         self.call = None;
         self.is_blind = false;
         self.is_stale = true;
         self.due = now;
     }
 
-    fn unreachable(&mut self, now: Moment) {
+    pub(crate) fn unreachable(&mut self, now: Moment) {
         self.call = None;
         self.blind(now);
     }
 
-    fn unknown(&mut self, now: Moment) {
+    pub(crate) fn unknown(&mut self, now: Moment) {
         if let Some(Call {
             write: Some(lease), ..
         }) = self.call.take()
@@ -413,24 +413,24 @@
     }
 
     /// A gap in the view of the store starts the wait for the lease's end anew.
-    fn blind(&mut self, now: Moment) {
+    pub(crate) fn blind(&mut self, now: Moment) {
         self.is_blind = true;
         self.unchanged = None;
         self.due = now.after(self.timing.borrow);
     }
 
-    fn version(&self) -> Version {
+    pub(crate) fn version(&self) -> Version {
         self.object
             .as_ref()
             .map_or_else(Version::default, |(v, _)| *v)
     }
 
-    fn is_lost(&self, holder: &Holder) -> bool {
+    pub(crate) fn is_lost(&self, holder: &Holder) -> bool {
         self.view.lost.contains(holder) || self.gone.contains_key(holder)
     }
 
     /// Starts to act where this instance is entitled to.
-    fn act(&mut self, now: Moment) {
+    pub(crate) fn act(&mut self, now: Moment) {
         let Some((_, lease)) = &self.object else {
             return;
         };
@@ -456,19 +456,19 @@
     }
 
     /// Whether the owner has stopped and its last write of the lease cannot be waited for.
-    fn is_yielded(&self, now: Moment, lease: &Lease) -> bool {
+    pub(crate) fn is_yielded(&self, now: Moment, lease: &Lease) -> bool {
         self.yielded.is_some_and(|(epoch, since)| {
             let is_late = now >= since.after(TRANSFER);
             epoch == lease.epoch && (is_late || self.is_blind)
         })
     }
 
-    fn is_lent(&self, now: Moment) -> bool {
+    pub(crate) fn is_lent(&self, now: Moment) -> bool {
         self.lent.as_ref().is_some_and(|l| now < l.until)
     }
 
     /// Tells the tenure if it has changed.
-    fn tell(&mut self, now: Moment, out: &mut Vec<LeaseEffect>) {
+    pub(crate) fn tell(&mut self, now: Moment, out: &mut Vec<LeaseEffect>) {
         let tenure = self.acting.and_then(|epoch| self.halves(now, epoch));
         match (&self.told, &tenure) {
             (None, Some(t)) => out.push(LeaseEffect::Gained(*t)),
@@ -480,7 +480,7 @@
     }
 
     /// What the halves that may be used now amount to.
-    fn halves(&self, now: Moment, epoch: Epoch) -> Option<Tenure> {
+    pub(crate) fn halves(&self, now: Moment, epoch: Epoch) -> Option<Tenure> {
         let (_, lease) = self.object.as_ref()?;
         let kept = self.use_of(now, &lease.kept, |l| &l.kept);
         let spare = self.use_of(now, &lease.spare, |l| &l.spare);
@@ -497,7 +497,7 @@
     }
 
     /// Until when this instance may use the half of `holder`, `None` if not at all.
-    fn use_of(
+    pub(crate) fn use_of(
         &self,
         now: Moment,
         holder: &Holder,
@@ -518,7 +518,7 @@
     }
 
     /// Chooses the next owner of a cell that this instance has to leave.
-    fn hand_over(&mut self, out: &mut Vec<LeaseEffect>) {
+    pub(crate) fn hand_over(&mut self, out: &mut Vec<LeaseEffect>) {
         if self.drain != Drain::Wanted {
             return;
         }
@@ -537,7 +537,7 @@
     }
 
     /// Asks the holders of the other halves for a loan.
-    fn ask(&mut self, now: Moment, out: &mut Vec<LeaseEffect>) {
+    pub(crate) fn ask(&mut self, now: Moment, out: &mut Vec<LeaseEffect>) {
         let Some((version, lease)) = &self.object else {
             return;
         };
@@ -571,200 +571,4 @@
             });
         }
     }
-
-    /// Makes the next call to the store, if one is due.
-    fn call_store(&mut self, now: Moment, out: &mut Vec<LeaseEffect>) {
-        if self.call.is_some() || now < self.due {
-            return;
-        }
-        let write = if self.is_stale {
-            None
-        } else {
-            self.next_write(now)
-        };
-        if write.is_none() && !self.is_watching(now) {
-            return;
-        }
-        self.due = now.after(self.timing.renew);
-        self.call = Some(Call {
-            sent: now,
-            write: write.clone(),
-        });
-        out.push(match write {
-            Some(lease) => LeaseEffect::Write {
-                condition: self.condition(),
-                lease: Box::new(lease),
-            },
-            None => LeaseEffect::Read,
-        });
-    }
-
-    /// Whether the next write does more than to renew the lease.
-    fn is_urgent(&self, now: Moment) -> bool {
-        let Some(next) = self.next_write(now) else {
-            return false;
-        };
-        self.lease().is_none_or(|lease| {
-            let order = |l: &Lease| (l.epoch, l.owner.clone(), l.kept.clone(), l.spare.clone());
-            order(lease) != order(&next)
-        })
-    }
-
-    fn condition(&self) -> Condition {
-        let version = self.object.as_ref().map(|(version, _)| *version);
-        version.map_or(Condition::Absent, Condition::Match)
-    }
-
-    /// The lease to write now, if any.
-    fn next_write(&self, now: Moment) -> Option<Lease> {
-        let Some((_, lease)) = &self.object else {
-            return self.may_create(now).then(|| self.first());
-        };
-        let is_owner = lease.owner == self.me;
-        if is_owner && self.drain == Drain::Moved {
-            return self
-                .target
-                .as_ref()
-                .map(|to| self.passed_on(now, lease, to));
-        }
-        if is_owner && (self.acting.is_some() || self.may_resume(now)) {
-            return Some(self.renewed(now, lease));
-        }
-        if !is_owner && self.may_take(now, lease) {
-            let mut taken = lease.clone();
-            taken.owner = self.me.clone();
-            taken.epoch = self.next_epoch(lease);
-            return Some(self.renewed(now, &taken));
-        }
-        None
-    }
-
-    fn may_create(&self, now: Moment) -> bool {
-        self.is_absent && self.is_first(now, None) && self.drain == Drain::No
-    }
-
-    fn first(&self) -> Lease {
-        Lease {
-            cell: self.cell.clone(),
-            epoch: Epoch((self.highest().0 / EPOCH_STEP + 1) * EPOCH_STEP),
-            owner: self.me.clone(),
-            kept: self.me.clone(),
-            spare: self.me.clone(),
-            renewals: 0,
-        }
-    }
-
-    fn next_epoch(&self, lease: &Lease) -> Epoch {
-        let highest = self.highest().max(lease.epoch);
-        Epoch((highest.0 / EPOCH_STEP + 1) * EPOCH_STEP)
-    }
-
-    /// Whether an owner that yielded to its heir may act again: the heir no longer borrows.
-    fn may_resume(&self, now: Moment) -> bool {
-        let is_idle = !self.is_lent(now) && self.offered.is_none();
-        is_idle && self.drain == Drain::No && !self.is_blind
-    }
-
-    /// Whether this instance may take the lease from a lost owner.
-    fn may_take(&self, now: Moment, lease: &Lease) -> bool {
-        if !self.is_ranked() || self.drain != Drain::No {
-            return false;
-        }
-        let wait = self.timing.length + self.timing.margin;
-        let is_silent = self.unchanged.is_some_and(|since| now >= since.after(wait));
-        let is_over =
-            is_silent || self.gone.contains_key(&lease.owner) || self.is_yielded(now, lease);
-        if self.acting.is_some() {
-            return is_over;
-        }
-        let is_heir = lease.spare == self.me;
-        let is_lost = |holder| self.is_lost(holder) || self.is_quiet(now);
-        let is_next = is_heir || (is_lost(&lease.spare) && self.is_first(now, Some(lease)));
-        is_over && is_next && is_lost(&lease.owner)
-    }
-
-    /// Whether nobody has acted for the cell for long, as far as this instance hears.
-    fn is_quiet(&self, now: Moment) -> bool {
-        let wait = 2 * self.timing.length;
-        self.heard.is_some_and(|heard| now >= heard.after(wait))
-    }
-
-    /// Whether this instance is the best candidate besides the holders, or the second best of a
-    /// cell that the best has left alone for long.
-    fn is_first(&self, now: Moment, lease: Option<&Lease>) -> bool {
-        let is_holder = |h: &&Holder| lease.is_some_and(|l| **h == l.owner || **h == l.spare);
-        let others = self.view.ranked.iter().filter(|h| !is_holder(h));
-        let count = 1 + usize::from(self.is_quiet(now));
-        others.take(count).any(|h| *h == self.me)
-    }
-
-    /// The lease of this instance as owner, with the halves that it may name itself or an heir
-    /// for.
-    fn renewed(&self, now: Moment, lease: &Lease) -> Lease {
-        let mut next = lease.clone();
-        next.renewals += 1;
-        if self.highest() > next.epoch {
-            next.epoch = self.next_epoch(&next);
-        }
-        if self.is_free(now, &lease.kept) {
-            next.kept = self.me.clone();
-        }
-        if self.is_free(now, &lease.spare) {
-            next.spare = self.me.clone();
-        }
-        // A half that becomes this instance's with this write may be in use here by a loan, so it
-        // goes to an heir with a later write only.
-        let is_whole = lease.kept == self.me && lease.spare == self.me;
-        if is_whole && !self.is_lent(now) {
-            next.spare = self.heir();
-        }
-        next
-    }
-
-    /// Whether the half of `holder` may go to this instance.
-    fn is_free(&self, now: Moment, holder: &Holder) -> bool {
-        let is_freed = self.freed.get(holder) == Some(&self.version());
-        let wait = self.timing.loan + self.timing.margin;
-        let is_gone = self
-            .gone
-            .get(holder)
-            .is_some_and(|since| now >= since.after(wait));
-        is_freed || is_gone
-    }
-
-    fn heir(&self) -> Holder {
-        let mut others = self.view.ranked.iter().filter(|h| **h != self.me);
-        others.next().unwrap_or(&self.me).clone()
-    }
-
-    fn passed_on(&self, now: Moment, lease: &Lease, to: &Holder) -> Lease {
-        let mut next = lease.clone();
-        next.owner = to.clone();
-        next.epoch = self.next_epoch(lease);
-        next.renewals += 1;
-        // A half that is lent stays until the next owner asks for it after the loan.
-        let is_lent = self.is_lent(now);
-        for half in [&mut next.kept, &mut next.spare] {
-            if *half == self.me && !is_lent {
-                *half = to.clone();
-            }
-        }
-        next
-    }
-
-    /// Whether the lease object has to be read now.
-    fn is_watching(&self, now: Moment) -> bool {
-        if self.is_stale || self.offered.is_some() || !self.doubts.is_empty() {
-            return true;
-        }
-        let Some((_, lease)) = &self.object else {
-            return self.is_first(now, None) && self.drain == Drain::No;
-        };
-        if lease.is_holder(&self.me) || lease.owner == self.me {
-            return self.acting != Some(lease.epoch) && !self.is_lent(now);
-        }
-        let is_leaving = !self.view.ranked.contains(&lease.owner);
-        let is_open = is_leaving || self.is_lost(&lease.owner) || self.is_quiet(now);
-        is_open && self.is_first(now, Some(lease))
-    }
 }
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -66,8 +66,10 @@
 mod headers;
 mod holdings;
 mod instance;
+mod json;
 mod keeper;
 mod lease;
+mod lease_write;
 mod ledger;
 mod link;
 mod listener;
@@ -76,6 +78,7 @@
 mod load_plan;
 mod load_result;
 mod member;
+mod member_message;
 mod membership;
 mod meter;
 mod moment;
@@ -169,6 +172,7 @@
     bearer_key,
 };
 pub use instance::{Addresses, Instance, StartError};
+pub use json::{JsonError, Place};
 pub use keeper::Keeper;
 pub use lease::{
     Borrow, BorrowReply, Holder, Lease, LeaseEffect, LeaseInput, LeaseTiming, LeaseView, Part,
@@ -180,7 +184,8 @@
 pub use load_result::{
     AccountResult, BUCKET, LoadResult, Outcomes, Quantiles, Refused, SourceResult,
 };
-pub use member::{MemberInput, MemberOutput, MemberTiming, Members};
+pub use member::{MemberTiming, Members};
+pub use member_message::{MemberInput, MemberOutput};
 pub use membership::{
     AddSeeds, AnswerGossip, ClaimCell, EndMembership, ExtendGossip, KnowRevision, LeaveFleet,
     Membership, MembershipParts, PutInForce, StopMembership,
@@ -204,7 +209,7 @@
 pub use revisions::{ConfigUpdate, InForce, RevisionParts, WATCHERS, keep_revisions};
 pub use run::{RunError, run};
 pub use settings::{
-    FLEET_KEY_CHARS, Keys, Limits, Listen, Log, LogFormat, Peer, Place, Platform, SETTINGS_BYTES,
+    FLEET_KEY_CHARS, Keys, Limits, Listen, Log, LogFormat, Peer, Platform, SETTINGS_BYTES,
     Settings, SettingsError, Times, is_hash,
 };
 pub use shard::{Accepted, Head, ShardRef};
--- a/cornelstand/src/membership.rs
+++ b/cornelstand/src/membership.rs
@@ -14,7 +14,8 @@
 use xtra::prelude::*;
 
 use crate::gossip::{Extension, Gossip, Seed};
-use crate::member::{MemberInput, MemberOutput, Members};
+use crate::member::Members;
+use crate::member_message::{MemberInput, MemberOutput};
 use crate::moment::Clock;
 use crate::name::{CellId, Epoch, InstanceName, Revision};
 use crate::timeline::{Timeline, Topic};
--- a/cornelstand/src/note.rs
+++ b/cornelstand/src/note.rs
@@ -10,9 +10,10 @@
 use derive_more::{Display, IsVariant};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
-use snafu::{Snafu, ensure};
+use snafu::{ResultExt, Snafu, ensure};
 
 use crate::config::{Account, Centre, Config, Endpoint, Service};
+use crate::json::{JsonError, parse_json};
 use crate::name::{AccountName, CentreName, EndpointName, Revision, ServiceName};
 use crate::rules;
 use crate::unique;
@@ -113,14 +114,10 @@
 #[derive(Debug, Snafu)]
 pub enum NoteError {
     /// The text is not a note.
-    #[snafu(display("line {line}, column {column}: {what}"))]
+    #[snafu(display("{source}"))]
     Syntax {
-        /// Line, from 1.
-        line: usize,
-        /// Column, from 1.
-        column: usize,
-        /// What is wrong there.
-        what: String,
+        /// Error with its place.
+        source: JsonError,
     },
     /// The note was written against another revision.
     #[snafu(display("the note is against revision {base}, but {present} is in force"))]
@@ -207,7 +204,7 @@
     ///
     /// [`NoteError::Syntax`] with the place, also for unknown keys.
     pub fn parse(text: &str) -> Result<Self, NoteError> {
-        parse(text)
+        parse_json(text).context(SyntaxSnafu)
     }
 
     /// The note's identity. Equal notes against equal bases have the same.
@@ -296,19 +293,6 @@
     }
 }
 
-/// Reads `text` as JSON with comments and gives the place of an error.
-pub(crate) fn parse<T: for<'de> Deserialize<'de>>(text: &str) -> Result<T, NoteError> {
-    json5::from_str(text).map_err(|error| {
-        let (line, column) = error
-            .position()
-            .map_or((1, 1), |p| (p.line + 1, p.column + 1));
-        let text = error.to_string();
-        let place = format!(" at line {line} column {column}");
-        let what = text.strip_suffix(&place).unwrap_or(&text).to_owned();
-        NoteError::Syntax { line, column, what }
-    })
-}
-
 /// One item that a note touches.
 #[derive(Clone, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
 #[display("{action} {place}")]
--- a/cornelstand/src/run.rs
+++ b/cornelstand/src/run.rs
@@ -15,10 +15,11 @@
 use crate::command::command;
 use crate::config::Config;
 use crate::instance::{Instance, StartError};
+use crate::json::parse_json;
 use crate::load::run_load;
 use crate::load_plan::Workload;
 use crate::note::Note;
-use crate::settings::{Log, LogFormat, Settings, SettingsError, parse_json};
+use crate::settings::{Log, LogFormat, Settings};
 use crate::tables::{fleet_tables, load_table, note_table, revision_table};
 use crate::trace::{trace_json, trace_page};
 
@@ -350,7 +351,7 @@
     std::fs::write(path, text).context(FileSnafu { path })
 }
 
-fn invalid(path: &Path, error: &SettingsError) -> RunError {
+fn invalid(path: &Path, error: &dyn std::error::Error) -> RunError {
     RunError::Invalid {
         path: path.to_path_buf(),
         reason: error.to_string(),
--- a/cornelstand/src/settings.rs
+++ b/cornelstand/src/settings.rs
@@ -7,11 +7,12 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use derive_more::{Debug, Display};
+use derive_more::Debug;
 use serde::{Deserialize, Serialize};
-use snafu::Snafu;
+use snafu::{ResultExt, Snafu};
 
 use crate::entry::EntryLimits;
+use crate::json::{JsonError, parse_json};
 use crate::name::{CentreName, InstanceName, is_name};
 
 /// Largest settings file, in bytes.
@@ -19,26 +20,14 @@
 /// Shortest fleet key, in characters.
 pub const FLEET_KEY_CHARS: usize = 16;
 
-/// Place in a text, counted from 1.
-#[derive(Clone, Copy, Debug, Display, Deserialize, Eq, PartialEq, Serialize)]
-#[display("line {line}, column {column}")]
-pub struct Place {
-    /// Line.
-    pub line: usize,
-    /// Column, in characters.
-    pub column: usize,
-}
-
 /// Error in a settings file.
 #[derive(Debug, Snafu)]
 pub enum SettingsError {
     /// The text is not JSON with comments, or has an unknown or missing key or a wrong type.
-    #[snafu(display("{}{message}", at(*place)))]
+    #[snafu(display("{source}"))]
     Syntax {
-        /// Where, if known.
-        place: Option<Place>,
-        /// What is wrong.
-        message: String,
+        /// Error with its place.
+        source: JsonError,
     },
     /// A value is outside what is allowed.
     #[snafu(display("{field}: {message}"))]
@@ -56,10 +45,6 @@
     },
 }
 
-fn at(place: Option<Place>) -> String {
-    place.map_or_else(String::new, |p| format!("{p}: "))
-}
-
 /// Settings of one process.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -217,7 +202,7 @@
         if text.len() > SETTINGS_BYTES {
             return TooLargeSnafu { bytes: text.len() }.fail();
         }
-        let settings: Self = parse_json(text)?;
+        let settings: Self = parse_json(text).context(SyntaxSnafu)?;
         settings.check()?;
         Ok(settings)
     }
@@ -342,28 +327,6 @@
     Ok(())
 }
 
-/// Parses JSON with comments into `T`.
-pub(crate) fn parse_json<T>(text: &str) -> Result<T, SettingsError>
-where
-    T: serde::de::DeserializeOwned,
-{
-    json5::from_str(text).map_err(|error| SettingsError::Syntax {
-        place: error.position().map(|p| Place {
-            line: p.line + 1,
-            column: p.column + 1,
-        }),
-        message: without_place(&error.to_string()),
-    })
-}
-
-/// Cuts the parser's own place off its message.
-fn without_place(message: &str) -> String {
-    message
-        .split_once(" at line")
-        .map_or(message, |(head, _)| head)
-        .to_owned()
-}
-
 fn ensure(field: &'static str, holds: bool, message: &str) -> Result<(), SettingsError> {
     if holds {
         return Ok(());
