Count what accounts are charged when fairness is measured

Cause: the fleet charges the tokens of prompt and answer, but the load tool counted the answer's alone as service, and filled prompts with the account's name so that their length differed by account. Ruled out before: answers an account got were equal by share to 1.2 %, the mean length of an answer was not (38.9 to 41.5 tokens). Change: prompts have exactly the length asked for; service is the usage of prompt and answer.

--- a/cornelstand/src/load.rs
+++ b/cornelstand/src/load.rs
@@ -159,8 +159,10 @@
             } => {
                 let cost = rng.random_range(tokens.div_ceil(2)..=tokens + tokens / 2);
                 let hint = hint.then(|| rng.random_range(cost.div_ceil(2)..=cost * 2));
+                // Equal prompts cost the same whatever the account's name is.
                 let preamble = format!("account {} ", self.account.account);
-                let filler = preamble.repeat(prompt / preamble.len());
+                let filler = preamble.chars().cycle();
+                let filler: String = filler.take(prompt.saturating_sub(text.len())).collect();
                 (filler + &text, cost, hint, false)
             }
             CallKind::Plain { cost, once } => (text, cost, None, once),
--- a/cornelstand/src/load_call.rs
+++ b/cornelstand/src/load_call.rs
@@ -83,6 +83,8 @@
 #[derive(Deserialize)]
 struct Usage {
     completion_tokens: u64,
+    #[serde(default)]
+    prompt_tokens: u64,
 }
 
 #[derive(Deserialize)]
@@ -182,14 +184,16 @@
     content: String,
     tokens: u64,
     usage: Option<u64>,
+    /// Tokens of the prompt, which the account is charged beside those of the answer.
+    prompt: u64,
     is_done: bool,
     is_malformed: bool,
 }
 
 impl Transcript {
-    /// Takes in bytes and tells how many tokens they complete.
+    /// Takes in bytes and tells how many tokens they add to what the account is charged.
     fn push(&mut self, bytes: &[u8]) -> u64 {
-        let before = self.tokens;
+        let before = self.tokens + self.prompt;
         self.rest.extend_from_slice(bytes);
         let mut start = 0;
         while let Some(end) = find(&self.rest[start..], b"\n\n") {
@@ -199,7 +203,7 @@
         }
         self.rest.drain(..start);
         self.is_malformed |= self.rest.len() > ANSWER_BYTES;
-        self.tokens - before
+        self.tokens + self.prompt - before
     }
 
     fn event(&mut self, event: &[u8]) {
@@ -218,6 +222,7 @@
         };
         if let Some(usage) = event.usage {
             self.usage = Some(usage.completion_tokens);
+            self.prompt = usage.prompt_tokens;
         }
         for choice in event.choices {
             let Some(content) = choice.delta.content.filter(|c| !c.is_empty()) else {
--- a/cornelstand/tests/load.rs
+++ b/cornelstand/tests/load.rs
@@ -13,6 +13,9 @@
 };
 use warp::Filter;
 
+/// Bytes of a prompt.
+const PROMPT: usize = 40;
+
 const CHECK: Check = Check {
     chat: |prompt, tokens| text(digest(prompt), tokens),
     plain: |method, path, body| call_digest(method, &format!("/orders{path}"), body),
@@ -52,7 +55,7 @@
 fn chat(arrival: Arrival, instance: SocketAddr) -> Workload {
     let call = CallKind::Chat {
         tokens: 10,
-        prompt: 40,
+        prompt: PROMPT,
         hint: true,
     };
     workload(call, arrival, instance)
@@ -97,7 +100,10 @@
     assert!(counts.arrived > 0);
     assert_eq!(counts.answered, counts.arrived);
     assert_eq!(engine.counts().answers, counts.arrived);
-    assert_eq!(result.accounts[0].service(), engine.counts().tokens);
+    // The engine counts a token for every four bytes of a prompt.
+    let prompts = counts.answered * (PROMPT as u64).div_ceil(4);
+    let charged = engine.counts().tokens + prompts;
+    assert_eq!(result.accounts[0].service(), charged);
     let source = &result.accounts[0].sources[0];
     assert_eq!(source.wait.count, counts.arrived);
     // An answer has at least five tokens at half a millisecond each.
