--- a/cornelstand/tests/entry/answers.rs
+++ b/cornelstand/tests/entry/answers.rs
@@ -107,7 +107,9 @@
         .send();
     let (status, problem) = problem(refused.await.unwrap()).await;
     assert_eq!((status, &problem["outcome"]), (504, &"not-run".into()));
-    assert!(fleet.endings().iter().all(Ending::is_not_sent));
+    let endings = fleet.endings();
+    assert!(!endings.is_empty());
+    assert!(endings.iter().all(Ending::is_not_sent), "{endings:?}");
 }
 
 #[tokio::test]
