Use a handed-over state only from the owner just before

Cause: the state of a cell that was handed over was kept until the cell was gained, however long after; if others had owned the cell meanwhile, what they had granted was unknown and an endpoint's limit could be exceeded (found by reading). Change: the state is used only if no other owner can have acted between the two epochs; else the entries are asked what they run. Result: of 4 new cases, the one in which others owned the cell since fails with the earlier condition; all pass after.

--- a/cornelstand/src/holdings.rs
+++ b/cornelstand/src/holdings.rs
@@ -21,6 +21,7 @@
     SetLease, SetLeaving, Tell, Withdraw,
 };
 use crate::exchange::Totals;
+use crate::keeper::EPOCH_STEP;
 use crate::lease::Tenure;
 use crate::link::Receipt;
 use crate::moment::Clock;
@@ -93,7 +94,7 @@
         let config = self.config.borrow().clone();
         let now = self.clock.now();
         let incoming = self.lock().incoming.remove(cell);
-        let incoming = incoming.filter(|h| h.epoch < tenure.epoch);
+        let incoming = incoming.filter(|h| is_next(h.epoch, tenure.epoch));
         let origin = if incoming.is_some() {
             Origin::HandedOver
         } else {
@@ -276,3 +277,13 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Whether nobody can have owned the cell between two epochs.
+///
+/// The state of an earlier owner does not tell what a later one has granted.
+fn is_next(before: Epoch, after: Epoch) -> bool {
+    before < after && after.0 - before.0 <= EPOCH_STEP
+}
+
+#[cfg(test)]
+mod tests;
