Bound what engines get by the time between tokens, and serve the least served account first everywhere

Cause: engines that read prompts without pause stretched running answers until callers gave up; one instance served accounts that had far more than accounts waiting at another instance. Connections of one busy instance ran out because callers come back on new ones.

--- a/cornelstand/src/gateway/admission.rs
+++ b/cornelstand/src/gateway/admission.rs
@@ -27,6 +27,10 @@
 const RETURN_MIN: Duration = Duration::from_millis(400);
 /// Longest such time; beyond it the estimate says nothing.
 const RETURN_MAX: Duration = Duration::from_secs(8);
+/// Time for which a refused request shows that places are scarce.
+const SCARCE_MEMORY: Duration = Duration::from_millis(300);
+/// Factor, and counted tokens, by which an account may be ahead of one that waits elsewhere.
+const AHEAD: (f64, f64) = (1.6, 40_000.0);
 /// Most requests that wait at one instance, which bounds its memory.
 const MAX_WAITING: usize = 512;
 /// Engine time of a generated token against one that is read.
@@ -67,6 +71,8 @@
     pub(crate) prompt: Option<Prompt>,
     pub(crate) arrived: Moment,
     pub(crate) gives_up: Moment,
+    /// When its caller stops waiting for the end of the answer.
+    pub(crate) ends: Moment,
     /// Until then only an endpoint that keeps the shared part of the prompt will do.
     pub(crate) spreads: Moment,
 }
@@ -78,6 +84,7 @@
         service: ServiceName,
         route: &GatewayRoute,
         prompt: Option<Prompt>,
+        left: Duration,
     ) -> Self {
         Self {
             account,
@@ -85,6 +92,7 @@
             prompt,
             arrived: now,
             gives_up: now.after(route.objective.mul_f64(WAIT_PART)),
+            ends: now.after(left),
             spreads: now.after(route.objective.mul_f64(KEPT_PART)),
         }
     }
@@ -104,6 +112,10 @@
     own: HashMap<AccountName, Fading>,
     peers: HashMap<AccountName, Fading>,
     rates: HashMap<ServiceName, Fading>,
+    /// Least that an account has attained whose request was refused, by service.
+    refused: HashMap<ServiceName, (f64, Moment)>,
+    /// The same for those that wait or were refused at peers.
+    wanting: HashMap<ServiceName, f64>,
     /// What the accounts that got the last places had attained.
     level: f64,
 }
@@ -140,6 +152,48 @@
             .collect();
     }
 
+    /// Replaces what the most deserving accounts that wait at the peers have attained.
+    pub(crate) fn set_wanting(&mut self, wanting: HashMap<ServiceName, f64>) {
+        self.wanting = wanting;
+    }
+
+    /// What the most deserving account that waits here has attained, by service, for the peers.
+    pub(crate) fn wanting(&self, now: Moment) -> HashMap<ServiceName, f64> {
+        let recent = |(_, at): &(f64, Moment)| now.since(*at) < SCARCE_MEMORY;
+        let refused = self.refused.iter().filter(|(_, r)| recent(r));
+        let refused = refused.map(|(service, (attained, _))| (service, *attained));
+        let waiting = self.waiting.iter().map(|(_, w)| w);
+        // Before it would take any engine, a request waits for one that keeps its shared part, which
+        // says nothing about the others.
+        let waiting = waiting.filter(|w| w.prompt.is_some() && now >= w.spreads);
+        let waiting = waiting.map(|w| (&w.service, self.attained(now, &w.account)));
+        let mut least: HashMap<ServiceName, f64> = HashMap::new();
+        for (service, attained) in refused.chain(waiting) {
+            let entry = least.entry(service.clone()).or_insert(attained);
+            *entry = entry.min(attained);
+        }
+        least
+    }
+
+    /// Whether a request has to leave places to a more deserving one at another instance.
+    pub(crate) fn must_yield(&self, now: Moment, waiting: &Waiting) -> bool {
+        let wanting = self.wanting.get(&waiting.service);
+        let Some(wanting) = wanting.filter(|_| waiting.prompt.is_some()) else {
+            return false;
+        };
+        self.attained(now, &waiting.account) > wanting * AHEAD.0 + AHEAD.1
+    }
+
+    /// Notes that a request was refused because places are scarce.
+    pub(crate) fn note_refusal(&mut self, now: Moment, waiting: &Waiting) {
+        let attained = self.attained(now, &waiting.account);
+        let entry = self.refused.entry(waiting.service.clone());
+        let (least, at) = entry.or_insert((attained, now));
+        if attained <= *least || now.since(*at) >= SCARCE_MEMORY {
+            (*least, *at) = (attained, now);
+        }
+    }
+
     /// Adds a request to the queue.
     pub(crate) fn push(&mut self, waiting: Waiting) -> WaitId {
         self.next += 1;
@@ -211,6 +265,11 @@
         time.clamp(RETURN_MIN, RETURN_MAX)
     }
 
+    /// What the accounts that got the last places had attained.
+    pub(crate) fn level(&self) -> f64 {
+        self.level
+    }
+
     /// Counted tokens a second that get places at this instance.
     fn rate(&self, now: Moment, service: &ServiceName) -> f64 {
         let rate = self.rates.get(service);
--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -25,6 +25,8 @@
 const UNCONFIGURED_RETURN: Duration = Duration::from_millis(500);
 /// When a caller should come back that met a service without a usable endpoint.
 const NO_ENDPOINT_RETURN: Duration = Duration::from_secs(1);
+/// When a caller should come back that met an instance that stops: at once, elsewhere.
+const STOPPING_RETURN: Duration = Duration::from_millis(20);
 /// Longest identifier of an event that is kept for resuming, in bytes.
 const EVENT_ID_BYTES: usize = 128;
 
@@ -39,6 +41,8 @@
     /// Account, unless the route is open to anyone.
     pub(crate) account: Option<AccountName>,
     prompt: Option<Prompt>,
+    /// Tokens in an event of its answer.
+    pub(crate) stride: u32,
     pub(crate) deadline: Instant,
     arrived: Instant,
     fingerprint: Fingerprint,
@@ -175,6 +179,10 @@
     let path = head.target().split('?').next().unwrap_or_default();
     let route = catalog.route(host, path).cloned();
     let route = route.ok_or(Refused::new(404, "no route", None))?;
+    if gate.closing.get() && route.kind.is_stream() {
+        let after = Some(STOPPING_RETURN);
+        return Err(Refused::new(503, "this instance stops", after));
+    }
     let account = if catalog.keyed && !route.public {
         let key = fields.key.as_deref().unwrap_or_default();
         let account = catalog.keys.get(key).cloned();
@@ -196,6 +204,7 @@
         .services
         .get(&service)
         .and_then(|s| s.engine.as_ref());
+    let stride = engine.map_or(1, |e| e.stride);
     let prompt = engine.and_then(|e| fields.prompt.as_ref().map(|p| p.at_engine(e)));
     let time = fields.patience.unwrap_or(route.timeout).min(route.timeout);
     Ok(Call {
@@ -209,6 +218,7 @@
         service,
         account,
         prompt,
+        stride,
         route,
         sends: 0,
         tried: Vec::new(),
@@ -243,6 +253,13 @@
     {
         let mut state = gate.state.borrow_mut();
         state.retries.count(gate.now(), &call.service, &rule);
+        if let Some(prompt) = &call.prompt {
+            let route = &call.route;
+            let tokens = prompt.output;
+            state
+                .outputs
+                .note(&call.service, &route.name, route.timeout, tokens);
+        }
     }
     gate.active.set(gate.active.get() + 1);
     let outcome = loop {
@@ -336,7 +353,9 @@
     let now = gate.now();
     let account = call.account_name();
     let prompt = call.prompt.clone();
-    let waiting = Waiting::new(now, account, call.service.clone(), &call.route, prompt);
+    let left = call.deadline.saturating_duration_since(started);
+    let service = call.service.clone();
+    let waiting = Waiting::new(now, account, service, &call.route, prompt, left);
     let gives_up = gate.clock.instant(waiting.gives_up).min(call.deadline);
     let mut ticket = match gate.enqueue(waiting, &call.tried) {
         Ok(ticket) => ticket,
--- a/cornelstand/src/gateway/connection.rs
+++ b/cornelstand/src/gateway/connection.rs
@@ -15,12 +15,13 @@
 use crate::gateway::upstream::{read_into, tune};
 
 /// Descriptors that are left for connections to endpoints, the store and files.
-const RESERVED_DESCRIPTORS: usize = 1_500;
+const RESERVED_DESCRIPTORS: usize = 900;
+/// Part of the connections from which callers are asked to close theirs after an answer.
+const CROWDED_PART: f64 = 0.5;
 
 /// Accepts callers until the process ends.
 pub(crate) async fn accept(gate: Rc<Gate>, listener: TcpListener) {
-    let most = gate.settings.borrow().descriptors;
-    let most = most.saturating_sub(RESERVED_DESCRIPTORS).max(256);
+    let most = most_connections(&gate);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -45,6 +46,16 @@
     }
 }
 
+fn most_connections(gate: &Gate) -> usize {
+    let most = gate.settings.borrow().descriptors;
+    most.saturating_sub(RESERVED_DESCRIPTORS).max(256)
+}
+
+/// Whether so many connections are open that idle ones should make room.
+fn is_crowded(gate: &Gate) -> bool {
+    gate.connections.get() as f64 >= most_connections(gate) as f64 * CROWDED_PART
+}
+
 /// Why no request was read.
 enum NoRequest {
     /// The connection is closed or was idle for too long.
@@ -68,7 +79,7 @@
         let refusal = match read(&mut outlet, &limits).await {
             Ok((head, body, arrived)) => {
                 outlet.is_old = head.is_old();
-                outlet.keep = head.keeps_alive() && !gate.stopping.get();
+                outlet.keep = head.keeps_alive() && !gate.stopping.get() && !is_crowded(gate);
                 call::serve(gate, head, body, &mut outlet, arrived).await;
                 continue;
             }
--- a/cornelstand/src/gateway/daemon.rs
+++ b/cornelstand/src/gateway/daemon.rs
@@ -34,10 +34,13 @@
 /// Time after a stop signal for which new connections still come: the balancer asks once a second
 /// and takes an instance out after two misses.
 const STOP_ACCEPT: Duration = Duration::from_millis(3_200);
-/// Part of the grace time after which the process ends with answers still open.
-const GRACE_PART: f64 = 0.95;
+/// Time after a stop signal from which new streams are refused: by then the balancer sends the
+/// next try to another instance.
+const STOP_STREAMS: Duration = Duration::from_millis(2_300);
+/// Time before the end of the grace time at which the process ends with answers still open.
+const GRACE_MARGIN: Duration = Duration::from_millis(500);
 /// Longest time to remove this instance's entry from the store when it stops.
-const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(400);
+const DEREGISTER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause between two looks at whether all answers have ended.
 const STOP_PAUSE: Duration = Duration::from_millis(20);
 
@@ -217,6 +220,7 @@
         drop(state);
         gate.count_peers();
         gate.apply(lapsed);
+        gate.log_load();
         before = now;
     }
 }
@@ -241,7 +245,7 @@
 /// Stops without cutting answers, as far as the grace time allows.
 async fn stop(gate: &Rc<Gate>, peers: &UdpSocket) {
     let started = Instant::now();
-    let grace = gate.settings.borrow().grace.mul_f64(GRACE_PART);
+    let grace = gate.settings.borrow().grace.saturating_sub(GRACE_MARGIN);
     gate.stopping.set(true);
     tracing::info!(
         event = "stopping",
@@ -249,15 +253,22 @@
         grace_ms = grace.as_millis()
     );
     peers_link::send_beat(gate, peers);
+    let gone = gate.clone();
+    tokio::task::spawn_local(async move {
+        if timeout(DEREGISTER_TIMEOUT, deregister(&gone))
+            .await
+            .is_err()
+        {
+            tracing::info!(event = "deregistration_late");
+        }
+    });
     while started.elapsed() < grace {
+        gate.closing.set(started.elapsed() >= STOP_STREAMS);
         let is_done = gate.active.get() == 0 && started.elapsed() >= STOP_ACCEPT;
         if is_done {
             break;
         }
         sleep(STOP_PAUSE).await;
     }
-    if timeout(DEREGISTER_TIMEOUT, deregister(gate)).await.is_err() {
-        tracing::info!(event = "deregistration_late");
-    }
     tracing::info!(event = "stopped", cut = gate.active.get());
 }
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -11,6 +11,7 @@
 use crate::gateway::catalog::GatewayService;
 use crate::gateway::directory::{Directory, EndpointChange};
 use crate::gateway::metrics::GatewayMetrics;
+use crate::gateway::outputs::Outputs;
 use crate::gateway::peers::{Beat, PeerLoad, Peers, endpoint_key};
 use crate::gateway::placement::{EndpointIndex, Endpoints, Place, PlaceEnd, PlacementRules};
 use crate::gateway::settings::GatewaySettings;
@@ -34,6 +35,7 @@
     pub(crate) peers: Peers,
     pub(crate) suspects: Suspects,
     pub(crate) pool: Pool,
+    pub(crate) outputs: Outputs,
     grants: HashMap<WaitId, Waiter>,
     beats: u64,
 }
@@ -54,6 +56,8 @@
     pub(crate) metrics: GatewayMetrics,
     pub(crate) state: RefCell<State>,
     pub(crate) stopping: Cell<bool>,
+    /// Whether new streams are refused, because they would not end before the process does.
+    pub(crate) closing: Cell<bool>,
     pub(crate) active: Cell<usize>,
     pub(crate) connections: Cell<usize>,
 }
@@ -84,10 +88,12 @@
                 peers: Peers::default(),
                 suspects: Suspects::default(),
                 pool: Pool::default(),
+                outputs: Outputs::default(),
                 grants: HashMap::new(),
                 beats: 0,
             }),
             stopping: Cell::new(false),
+            closing: Cell::new(false),
             active: Cell::new(0),
             connections: Cell::new(0),
         }
@@ -118,7 +124,9 @@
         state.grants.insert(id, Waiter { tried, grant });
         self.grant(&mut state, now);
         if state.grants.contains_key(&id) && state.admission.is_hopeless(now, id) {
-            state.admission.remove(id);
+            if let Some(waiting) = state.admission.remove(id) {
+                state.admission.note_refusal(now, &waiting);
+            }
             state.grants.remove(&id);
             return Err(state.admission.return_after(now, &account));
         }
@@ -131,9 +139,11 @@
         let now = self.now();
         let mut state = self.state.borrow_mut();
         state.grants.remove(&id);
-        let waiting = state.admission.remove(id);
-        let account = waiting.map(|w| w.account);
-        account.map_or(Duration::ZERO, |a| state.admission.return_after(now, &a))
+        let Some(waiting) = state.admission.remove(id) else {
+            return Duration::ZERO;
+        };
+        state.admission.note_refusal(now, &waiting);
+        state.admission.return_after(now, &waiting.account)
     }
 
     /// Gives places to waiting requests while there is room.
@@ -170,8 +180,12 @@
         id: WaitId,
     ) -> Option<(EndpointIndex, Waiting)> {
         let waiting = state.admission.get(id)?;
+        if state.admission.must_yield(now, waiting) {
+            return None;
+        }
         let mut rules = self.rules(state, &waiting.service)?;
         rules.kept_only = now < waiting.spreads;
+        rules.left = waiting.ends.since(now);
         let tried = &state.grants.get(&id)?.tried;
         let directory = &state.directory;
         let index = state.endpoints.choose(
@@ -209,6 +223,8 @@
                 .then(|| cold_share(limit, state.peers.count(), rank)),
             centre: settings.centre.clone(),
             kept_only: false,
+            left: Duration::MAX,
+            token_time: state.outputs.token_time(service),
         })
     }
 
@@ -218,6 +234,12 @@
         self.serve_queue();
     }
 
+    /// Notes that an answer went on by `tokens`.
+    pub(crate) fn progress(&self, place: &mut Place, tokens: u32) {
+        let mut state = self.state.borrow_mut();
+        state.endpoints.progress(self.now(), place, tokens);
+    }
+
     /// Gives a place back, which may make room.
     pub(crate) fn end(&self, place: &Place, end: PlaceEnd) {
         self.state
@@ -254,6 +276,25 @@
         self.serve_queue();
     }
 
+    /// Logs what the decisions of the last moments were based on.
+    pub(crate) fn log_load(&self) {
+        let now = self.now();
+        let state = self.state.borrow();
+        for (service, spec) in &state.directory.catalog().services {
+            if spec.engine.is_none() {
+                continue;
+            }
+            let summary = state.endpoints.summary(now, service);
+            tracing::info!(
+                event = "load", %service, endpoints = summary.usable, running = summary.running,
+                prompt_tokens = summary.waiting, memory = summary.memory,
+                token_ms = summary.token_time, token_ms_limit = state.outputs.token_time(service),
+                pace = summary.pace, waiting = state.admission.len(), level = state.admission.level(),
+                peers = state.peers.live(now).count(),
+            );
+        }
+    }
+
     /// Takes in a beat of a peer.
     pub(crate) fn hear(&self, address: std::net::SocketAddr, beat: Beat) {
         let now = self.now();
@@ -278,6 +319,7 @@
         let load = |r: &_| loads.get(&endpoint_key(r)).copied().unwrap_or_default();
         state.endpoints.set_peers(load);
         state.admission.set_peers(now, state.peers.attained(now));
+        state.admission.set_wanting(state.peers.wanting(now));
     }
 
     /// The beat to send now.
@@ -292,7 +334,9 @@
             running: load.running,
             waiting: load.waiting as f32,
             memory: load.memory as f32,
+            token_time: load.token_time as f32,
         });
+        let wanting = state.admission.wanting(now);
         let attained = state.admission.own(now);
         let attained = attained.filter(|(_, sum)| *sum >= 1.0);
         let suspicions = state.suspects.suspicions(now, BEAT_SUSPICIONS);
@@ -308,6 +352,7 @@
             attained: attained
                 .map(|(name, sum)| (name.clone(), sum as f32))
                 .collect(),
+            wanting: wanting.into_iter().map(|(s, a)| (s, a as f32)).collect(),
             suspicions: suspicions.into_iter().filter(|s| s.age < TOLD).collect(),
         }
     }
--- a/cornelstand/src/gateway/mod.rs
+++ b/cornelstand/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 pub(crate) mod message;
 pub(crate) mod metrics;
 pub(crate) mod outlet;
+pub(crate) mod outputs;
 pub(crate) mod peers;
 pub(crate) mod peers_link;
 pub(crate) mod placement;
--- a/cornelstand/src/gateway/peers.rs
+++ b/cornelstand/src/gateway/peers.rs
@@ -12,7 +12,7 @@
 use crate::gateway::directory::EndpointRecord;
 use crate::gateway::placement::Load;
 use crate::moment::Moment;
-use crate::name::{AccountName, CentreName, InstanceName};
+use crate::name::{AccountName, CentreName, InstanceName, ServiceName};
 use crate::suspect::Suspicion;
 
 /// Silence after which the load of a peer is not counted any more: its connections are gone or
@@ -36,6 +36,8 @@
     pub(crate) stopping: bool,
     pub(crate) loads: Vec<PeerLoad>,
     pub(crate) attained: Vec<(AccountName, f32)>,
+    /// What the most deserving accounts that wait at the sender have attained, by service.
+    pub(crate) wanting: Vec<(ServiceName, f32)>,
     pub(crate) suspicions: Vec<Suspicion>,
 }
 
@@ -47,6 +49,7 @@
     pub(crate) running: u32,
     pub(crate) waiting: f32,
     pub(crate) memory: f32,
+    pub(crate) token_time: f32,
 }
 
 /// Short key of one lifetime of an endpoint.
@@ -143,6 +146,7 @@
                 running: load.running,
                 waiting: f64::from(load.waiting),
                 memory: f64::from(load.memory),
+                token_time: f64::from(load.token_time),
             };
         }
         sums
@@ -157,6 +161,17 @@
         sums
     }
 
+    /// What the most deserving accounts that wait at live peers have attained, by service.
+    pub(crate) fn wanting(&self, now: Moment) -> HashMap<ServiceName, f64> {
+        let mut least: HashMap<ServiceName, f64> = HashMap::new();
+        for (service, attained) in self.live(now).flat_map(|b| &b.wanting) {
+            let attained = f64::from(*attained);
+            let entry = least.entry(service.clone()).or_insert(attained);
+            *entry = entry.min(attained);
+        }
+        least
+    }
+
     /// Peer with the newest configuration, if that is newer than `version`.
     pub(crate) fn ahead(&self, now: Moment, version: u64) -> Option<(u64, SocketAddr)> {
         let newest = self.live(now).max_by_key(|b| b.version)?;
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -25,6 +25,10 @@
 const PACE_BOUNDS: (f64, f64) = (0.008, 0.25);
 /// Weight of a new measurement in a moving average.
 const LEARN: f64 = 0.12;
+/// Weight of a new measurement of the time between tokens: about the last 20 events.
+const LEARN_TIME: f64 = 0.05;
+/// Part of the time that is left which the generation of an answer may take as estimated.
+const OUTPUT_PART: f64 = 0.85;
 /// Fewest tokens from which the pace is learned; below them the fixed part of a step dominates.
 const LEARN_TOKENS: f64 = 1_500.0;
 /// Part of an engine's memory that is filled; beyond it the newest requests are preempted.
@@ -43,8 +47,12 @@
 const SECOND_HOME: f64 = 0.6;
 /// Cost of a request that runs beside, in milliseconds: it slows each step.
 const BESIDE_COST: f64 = 0.8;
+/// Longest queue of an engine that may read a shared part once more, in milliseconds.
+const SPREAD_QUEUE: f64 = 30.0;
+/// Part of the longest time between tokens up to which such an engine counts as free.
+const SPREAD_PART: f64 = 0.7;
 /// Shared tokens that are not worth a wait.
-const SMALL_PART: f64 = 700.0;
+const SMALL_PART: f64 = 400.0;
 /// Time for which an engine is taken to keep a part after its last use.
 const KEPT: Duration = Duration::from_secs(12);
 /// First time for which an endpoint that refused a connection gets nothing.
@@ -105,10 +113,25 @@
     pub(crate) waiting: f64,
     /// Tokens of memory taken.
     pub(crate) memory: f64,
+    /// Milliseconds between two tokens of each running request; zero if none was seen.
+    pub(crate) token_time: f64,
 }
 
 impl std::ops::AddAssign for Load {
+    /// Adds the load of another instance at the same endpoint.
     fn add_assign(&mut self, other: Self) {
+        let weight = |l: &Self| {
+            if l.token_time > 0.0 {
+                f64::from(l.running)
+            } else {
+                0.0
+            }
+        };
+        let (own, theirs) = (weight(self), weight(&other));
+        if own + theirs > 0.0 {
+            let sum = self.token_time * own + other.token_time * theirs;
+            self.token_time = sum / (own + theirs);
+        }
         self.running += other.running;
         self.waiting += other.waiting;
         self.memory += other.memory;
@@ -265,6 +288,10 @@
     pub(crate) objective: Duration,
     /// Requests a second that this instance may send to a cold endpoint, if there is a limit.
     pub(crate) cold_share: Option<u32>,
+    /// Longest time between two tokens, in milliseconds, with which long answers end in time.
+    pub(crate) token_time: f64,
+    /// Time that is left for the answer.
+    pub(crate) left: Duration,
     /// Data centre of this instance.
     pub(crate) centre: CentreName,
     /// Whether only an endpoint that keeps the shared part of the prompt will do.
@@ -282,6 +309,8 @@
     ahead: f64,
     parts: Vec<u64>,
     has_begun: bool,
+    /// When the last tokens came.
+    progressed: Moment,
 }
 
 impl Place {
@@ -315,6 +344,17 @@
     Neutral,
 }
 
+/// Average load of an endpoint of a service; see [`Load`].
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Summary {
+    pub(crate) usable: u32,
+    pub(crate) running: f64,
+    pub(crate) waiting: f64,
+    pub(crate) memory: f64,
+    pub(crate) token_time: f64,
+    pub(crate) pace: f64,
+}
+
 /// All endpoints.
 #[derive(Debug, Default)]
 pub(crate) struct Endpoints {
@@ -338,6 +378,28 @@
         indices.iter().filter_map(|i| self.get(*i))
     }
 
+    /// Load of the usable endpoints of a service, on average.
+    pub(crate) fn summary(&self, now: Moment, service: &ServiceName) -> Summary {
+        let usable = self.of(service).filter(|s| s.is_usable(now));
+        let mut summary = Summary::default();
+        for state in usable {
+            let load = state.total();
+            summary.usable += 1;
+            summary.running += f64::from(load.running);
+            summary.waiting += load.waiting;
+            summary.memory += load.memory;
+            summary.token_time += load.token_time;
+            summary.pace += state.pace;
+        }
+        let count = f64::from(summary.usable.max(1));
+        summary.running /= count;
+        summary.waiting /= count;
+        summary.memory /= count;
+        summary.token_time /= count;
+        summary.pace /= count;
+        summary
+    }
+
     /// Takes in an endpoint or a change of it. A new start forgets what was known.
     pub(crate) fn put(&mut self, now: Moment, record: Rc<EndpointRecord>) {
         if let Some(index) = self.find(&record.name)
@@ -411,7 +473,7 @@
         let mut best: Option<(bool, f64, EndpointIndex)> = None;
         for (index, state) in usable {
             let home = homes.of(index);
-            if rules.kept_only && prompt.is_some_and(|p| !state.keeps(now, p, home)) {
+            if prompt.is_some_and(|p| !state.keeps(now, p, home)) && !may_spread(state, rules) {
                 continue;
             }
             let cost = match prompt {
@@ -481,6 +543,7 @@
             ahead,
             parts,
             has_begun: false,
+            progressed: now,
         })
     }
 
@@ -489,6 +552,7 @@
         if std::mem::replace(&mut place.has_begun, true) {
             return;
         }
+        place.progressed = now;
         let Some(state) = self.state_of(place) else {
             return;
         };
@@ -500,12 +564,30 @@
         }
     }
 
+    /// Notes that an answer went on by `tokens`.
+    pub(crate) fn progress(&mut self, now: Moment, place: &mut Place, tokens: u32) {
+        let since = now.since(place.progressed).as_secs_f64() * 1e3;
+        place.progressed = now;
+        let Some(state) = self.state_of(place).filter(|_| tokens > 0) else {
+            return;
+        };
+        let time = since / f64::from(tokens);
+        if state.own.token_time == 0.0 {
+            state.own.token_time = time;
+        } else {
+            state.own.token_time += LEARN_TIME * (time - state.own.token_time);
+        }
+    }
+
     /// Gives a place back.
     pub(crate) fn end(&mut self, now: Moment, place: &Place, end: PlaceEnd) {
         let Some(state) = self.state_of(place) else {
             return;
         };
         state.own.running = state.own.running.saturating_sub(1);
+        if state.own.running == 0 {
+            state.own.token_time = 0.0;
+        }
         state.own.memory = (state.own.memory - place.load.memory).max(0.0);
         if !place.has_begun {
             state.own.waiting = (state.own.waiting - place.load.waiting).max(0.0);
@@ -572,6 +654,15 @@
     }
 }
 
+/// Whether a request may go to an engine that has to read its shared part: after a wait, and if the
+/// engine has time to spare. Under load that time serves more requests whose parts are kept.
+fn may_spread(state: &EndpointState, rules: &PlacementRules) -> bool {
+    let load = state.total();
+    !rules.kept_only
+        && load.waiting * state.pace < SPREAD_QUEUE
+        && load.token_time < rules.token_time * SPREAD_PART
+}
+
 /// Milliseconds of engine time and waiting that a request costs at an engine that has room.
 fn engine_cost(
     now: Moment,
@@ -589,6 +680,13 @@
     if load.running >= state.record.slots {
         return None;
     }
+    // The time between tokens grows with the prompts that are read in between. Admitting less keeps
+    // it short enough for the longest answers to end before their callers give up.
+    let output_time = f64::from(prompt.output) * load.token_time;
+    let left = rules.left.as_secs_f64() * 1e3;
+    if load.token_time > rules.token_time || output_time > left * OUTPUT_PART {
+        return None;
+    }
     let (missing, shared) = state.missing(now, prompt, home);
     let own = missing * state.pace;
     let wait = load.waiting * state.pace;
--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -281,6 +281,7 @@
         let mut pending = BytesMut::new();
         let mut out = BytesMut::new();
         let mut is_closed = false;
+        let mut is_first = true;
         loop {
             body.read(&mut self.upstream.input, &mut pending)
                 .map_err(ReadError::from)?;
@@ -291,8 +292,14 @@
                 memchr::memmem::rfind(&pending, b"\n\n").map_or(0, |at| at + 2)
             };
             if whole > 0 || is_end {
-                self.gate.begin(place);
                 let events = pending.split_to(whole);
+                if std::mem::replace(&mut is_first, false) {
+                    self.gate.begin(place);
+                } else {
+                    let count = memchr::memmem::find_iter(&events, b"\n\n").count();
+                    let count = u32::try_from(count).unwrap_or(u32::MAX);
+                    self.gate.progress(place, count.saturating_mul(call.stride));
+                }
                 write_events(&mut out, head, &events, is_end, call, outlet);
                 outlet.send(&out).await?;
                 out.clear();
