--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -11,7 +11,7 @@
 
 use crate::gateway::admission::Waiting;
 use crate::gateway::catalog::{Catalog, GatewayRoute};
-use crate::gateway::gate::Gate;
+use crate::gateway::gate::{Closing, Gate};
 use crate::gateway::message::Head;
 use crate::gateway::outlet::{Outlet, OwnAnswer};
 use crate::gateway::placement::{EndpointIndex, Place, PlaceEnd, Prompt};
@@ -179,7 +179,12 @@
     let path = head.target().split('?').next().unwrap_or_default();
     let route = catalog.route(host, path).cloned();
     let route = route.ok_or(Refused::new(404, "no route", None))?;
-    if gate.closing.get() && route.kind.is_stream() {
+    let is_refused = match gate.closing.get() {
+        Closing::Nothing => false,
+        Closing::Streams => route.kind.is_stream(),
+        Closing::Everything => true,
+    };
+    if is_refused {
         let after = Some(STOPPING_RETURN);
         return Err(Refused::new(503, "this instance stops", after));
     }
--- a/cornelstand/src/gateway/daemon.rs
+++ b/cornelstand/src/gateway/daemon.rs
@@ -15,7 +15,7 @@
 use crate::gateway::follow::{
     Followed, deregister, follow, follow_instances, follow_peers, peer_address,
 };
-use crate::gateway::gate::Gate;
+use crate::gateway::gate::{Closing, Gate};
 use crate::gateway::logs::LogBuffer;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::{connection, peers_link};
@@ -41,6 +41,8 @@
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 /// Longest time to remove this instance's entry from the store when it stops.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time before the end of the process from which all new requests are refused: calls take less.
+const STOP_CALLS: Duration = Duration::from_millis(1_500);
 /// Pause between two looks at whether all answers have ended.
 const STOP_PAUSE: Duration = Duration::from_millis(20);
 
@@ -263,7 +265,14 @@
         }
     });
     while started.elapsed() < grace {
-        gate.closing.set(started.elapsed() >= STOP_STREAMS);
+        let closing = if started.elapsed() + STOP_CALLS >= grace {
+            Closing::Everything
+        } else if started.elapsed() >= STOP_STREAMS {
+            Closing::Streams
+        } else {
+            Closing::Nothing
+        };
+        gate.closing.set(closing);
         let is_done = gate.active.get() == 0 && started.elapsed() >= STOP_ACCEPT;
         if is_done {
             break;
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -56,12 +56,20 @@
     pub(crate) metrics: GatewayMetrics,
     pub(crate) state: RefCell<State>,
     pub(crate) stopping: Cell<bool>,
-    /// Whether new streams are refused, because they would not end before the process does.
-    pub(crate) closing: Cell<bool>,
+    /// Which new requests are refused, because they would not end before the process does.
+    pub(crate) closing: Cell<Closing>,
     pub(crate) active: Cell<usize>,
     pub(crate) connections: Cell<usize>,
 }
 
+/// Requests that a stopping instance refuses.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Closing {
+    Nothing,
+    Streams,
+    Everything,
+}
+
 /// A request that waits for its place.
 #[derive(Debug)]
 pub(crate) struct Ticket {
@@ -93,7 +101,7 @@
                 beats: 0,
             }),
             stopping: Cell::new(false),
-            closing: Cell::new(false),
+            closing: Cell::new(Closing::Nothing),
             active: Cell::new(0),
             connections: Cell::new(0),
         }
