--- a/cornelstand/src/gateway/admission.rs
+++ b/cornelstand/src/gateway/admission.rs
@@ -30,7 +30,7 @@
 /// Time for which a refused request shows that places are scarce.
 const SCARCE_MEMORY: Duration = Duration::from_millis(300);
 /// Factor, and counted tokens, by which an account may be ahead of one that waits elsewhere.
-const AHEAD: (f64, f64) = (1.6, 40_000.0);
+const AHEAD: (f64, f64) = (1.3, 20_000.0);
 /// Most requests that wait at one instance, which bounds its memory.
 const MAX_WAITING: usize = 512;
 /// Engine time of a generated token against one that is read.
