--- a/cornelstand/src/gateway/mod.rs
+++ b/cornelstand/src/gateway/mod.rs
@@ -28,3 +28,6 @@
 pub(crate) mod relay;
 pub(crate) mod settings;
 pub(crate) mod upstream;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/cornelstand/src/gateway/tests/admission.rs
@@ -0,0 +1,103 @@
+//! Order of the queue, early refusals and when callers should come back.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::gateway::admission::{Admission, Waiting};
+use crate::gateway::catalog::RouteKind;
+use crate::gateway::placement::Prompt;
+use crate::gateway::tests::{MODELS, route};
+use crate::moment::Moment;
+use crate::name::{AccountName, ServiceName};
+
+fn at(ms: u64) -> Moment {
+    Moment(ms * 1_000)
+}
+
+fn waiting(now: Moment, account: &str, input: u32) -> Waiting {
+    let route = route("quote", MODELS, RouteKind::Stream);
+    let prompt = Prompt {
+        input,
+        output: 0,
+        parts: Vec::new(),
+    };
+    let service = ServiceName::from(MODELS);
+    let left = Duration::from_secs(5);
+    Waiting::new(now, AccountName::from(account), service, &route, Some(prompt), left)
+}
+
+#[test]
+fn the_account_that_attained_least_comes_first() {
+    let mut admission = Admission::default();
+    admission.charge(at(0), &waiting(at(0), "ada", 9_000));
+    let ada = admission.push(waiting(at(1), "ada", 100));
+    let bob = admission.push(waiting(at(2), "bob", 100));
+    assert_eq!(admission.order(at(3)), [bob, ada]);
+}
+
+#[test]
+fn what_peers_gave_counts_as_well() {
+    let mut admission = Admission::default();
+    admission.charge(at(0), &waiting(at(0), "ada", 9_000));
+    let bob = AccountName::from("bob");
+    admission.set_peers(at(0), HashMap::from([(bob, 50_000.0)]));
+    let ada = admission.push(waiting(at(1), "ada", 100));
+    let bob = admission.push(waiting(at(2), "bob", 100));
+    assert_eq!(admission.order(at(3)), [ada, bob]);
+}
+
+#[test]
+fn what_was_attained_fades() {
+    let mut admission = Admission::default();
+    admission.charge(at(0), &waiting(at(0), "ada", 10_000));
+    let ada = AccountName::from("ada");
+    assert!(admission.attained(at(4_000), &ada) < 4_000.0);
+    assert!(admission.attained(at(40_000), &ada) < 1.0);
+}
+
+#[test]
+fn a_request_behind_more_than_is_served_in_its_wait_is_hopeless() {
+    let mut admission = Admission::default();
+    for i in 0..20 {
+        admission.charge(at(i * 50), &waiting(at(0), "bob", 1_000));
+    }
+    let now = at(1_000);
+    let first = admission.push(waiting(now, "ada", 50_000));
+    let second = admission.push(waiting(now, "ada", 100));
+    assert!(!admission.is_hopeless(now, second) || !admission.is_hopeless(now, first));
+    assert!(admission.is_hopeless(now, second) || admission.is_hopeless(now, first));
+}
+
+#[test]
+fn an_account_far_above_the_others_comes_back_later() {
+    let mut admission = Admission::default();
+    for i in 0..200 {
+        admission.charge(at(i), &waiting(at(i), "bob", 1_000));
+    }
+    for i in 200..260 {
+        admission.charge(at(i), &waiting(at(i), "ada", 20_000));
+    }
+    let now = at(260);
+    let ada = admission.return_after(now, &AccountName::from("ada"));
+    let eve = admission.return_after(now, &AccountName::from("eve"));
+    assert!(ada > eve, "{ada:?} against {eve:?}");
+}
+
+#[test]
+fn places_are_left_to_a_more_deserving_account_elsewhere() {
+    let mut admission = Admission::default();
+    let rich = waiting(at(0), "ada", 90_000);
+    admission.charge(at(0), &rich);
+    assert!(!admission.must_yield(at(0), &rich));
+    admission.set_wanting(HashMap::from([(ServiceName::from(MODELS), 1_000.0)]));
+    assert!(admission.must_yield(at(0), &rich));
+    assert!(!admission.must_yield(at(0), &waiting(at(0), "eve", 100)));
+}
+
+#[test]
+fn only_requests_that_would_take_any_engine_tell_that_places_are_scarce() {
+    let mut admission = Admission::default();
+    admission.push(waiting(at(0), "ada", 100));
+    assert!(admission.wanting(at(50)).is_empty());
+    assert_eq!(admission.wanting(at(150)).len(), 1);
+}
--- /dev/null
+++ b/cornelstand/src/gateway/tests/directory.rs
@@ -0,0 +1,78 @@
+//! Beliefs: no version goes back, and entries that lapse around an outage are kept for a while.
+
+use crate::gateway::directory::{Directory, EndpointChange, EndpointRecord};
+use crate::gateway::tests::{MODELS, catalog, record};
+use crate::moment::Moment;
+
+fn at(ms: u64) -> Moment {
+    Moment(ms * 1_000)
+}
+
+fn entry(name: &str) -> EndpointRecord {
+    record(name, MODELS, ([10, 0, 0, 1], 80).into())
+}
+
+#[test]
+fn a_lower_version_never_replaces_a_higher_one() {
+    let mut directory = Directory::new();
+    assert!(directory.set_catalog(catalog(7)));
+    assert!(!directory.set_catalog(catalog(6)));
+    assert!(!directory.set_catalog(catalog(7)));
+    assert_eq!(directory.catalog().version, 7);
+}
+
+#[test]
+fn an_entry_that_vanishes_in_calm_times_goes_at_once() {
+    let mut directory = Directory::new();
+    directory.regain_store(at(0));
+    directory.list_endpoints(at(0), vec![entry("a")]);
+    let change = directory.remove_endpoint(at(10_000), &"a".into());
+    assert_eq!(change, Some(EndpointChange::Removed("a".into())));
+}
+
+#[test]
+fn an_entry_that_lapsed_in_an_outage_is_kept_until_two_seconds_after_it() {
+    let mut directory = Directory::new();
+    directory.regain_store(at(0));
+    directory.list_endpoints(at(0), vec![entry("a"), entry("b")]);
+    directory.lose_store();
+    directory.regain_store(at(20_000));
+    let changes = directory.list_endpoints(at(20_010), vec![entry("b")]);
+    assert_eq!(changes, [EndpointChange::Lapsed("a".into())]);
+    assert!(directory.expire(at(21_900)).is_empty());
+    assert_eq!(directory.expire(at(22_400)), [EndpointChange::Removed("a".into())]);
+}
+
+#[test]
+fn a_lapsed_entry_that_comes_back_stays() {
+    let mut directory = Directory::new();
+    directory.regain_store(at(0));
+    directory.list_endpoints(at(0), vec![entry("a")]);
+    directory.lose_store();
+    directory.regain_store(at(20_000));
+    directory.list_endpoints(at(20_010), Vec::new());
+    assert!(directory.put_endpoint(entry("a")).is_some());
+    assert!(directory.expire(at(30_000)).is_empty());
+}
+
+#[test]
+fn a_leaving_endpoint_does_not_lapse() {
+    let mut directory = Directory::new();
+    directory.regain_store(at(0));
+    let mut leaving = entry("a");
+    leaving.leaving = true;
+    directory.list_endpoints(at(0), vec![leaving]);
+    directory.lose_store();
+    directory.regain_store(at(20_000));
+    let changes = directory.list_endpoints(at(20_010), Vec::new());
+    assert_eq!(changes, [EndpointChange::Removed("a".into())]);
+}
+
+#[test]
+fn an_entry_of_an_earlier_start_is_ignored() {
+    let mut directory = Directory::new();
+    let mut newer = entry("a");
+    newer.born = 2;
+    directory.put_endpoint(newer);
+    assert_eq!(directory.put_endpoint(entry("a")), None);
+}
--- /dev/null
+++ b/cornelstand/src/gateway/tests/outputs.rs
@@ -0,0 +1,23 @@
+//! The bound on the time between tokens follows the longest answers of a service.
+
+use std::time::Duration;
+
+use crate::gateway::outputs::Outputs;
+use crate::name::ServiceName;
+
+#[test]
+fn long_answers_tighten_the_bound() {
+    let service = ServiceName::from("s");
+    let mut outputs = Outputs::default();
+    let free = outputs.token_time(&service);
+    let timeout = Duration::from_secs(12);
+    for i in 0..2_000_u32 {
+        let tokens = if i % 20 == 0 { 950 } else { 200 };
+        outputs.note(&service, "quote", timeout, tokens);
+    }
+    let bound = outputs.token_time(&service);
+    assert!(bound < free);
+    // The longest answers have to end within their 12 s.
+    assert!(bound * 950.0 < 12_000.0, "{bound} ms a token");
+    assert!(bound * 950.0 > 4_000.0, "{bound} ms a token");
+}
