Serve the queue at most every 8 ms, and expect a part of what the endpoints do at a quiet instance

Cause: each event of an answer looked at the whole queue and all engines, which took a small processor most of its time; a quiet instance of a large fleet refused as soon as one request waited, since nothing had got a place there lately.

--- a/cornelstand/src/gateway/admission.rs
+++ b/cornelstand/src/gateway/admission.rs
@@ -118,6 +118,8 @@
     wanting: HashMap<ServiceName, f64>,
     /// What the accounts that got the last places had attained.
     level: f64,
+    /// Counted tokens a second that are due to this instance if all are as busy.
+    capacity: HashMap<ServiceName, f64>,
 }
 
 impl Admission {
@@ -270,10 +272,17 @@
         self.level
     }
 
-    /// Counted tokens a second that get places at this instance.
+    /// Sets what the endpoints of a service do for one of all instances, in counted tokens a second.
+    pub(crate) fn set_capacity(&mut self, service: &ServiceName, rate: f64) {
+        self.capacity.insert(service.clone(), rate);
+    }
+
+    /// Counted tokens a second that can be expected to get places at this instance: what got some
+    /// lately, and at least its part of what the endpoints do.
     fn rate(&self, now: Moment, service: &ServiceName) -> f64 {
         let rate = self.rates.get(service);
         let sum = rate.map_or(0.0, |r| r.get(now, RATE_MEMORY));
-        sum / RATE_MEMORY.as_secs_f64()
+        let due = self.capacity.get(service).copied().unwrap_or_default();
+        (sum / RATE_MEMORY.as_secs_f64()).max(due)
     }
 }
--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -27,8 +27,9 @@
 const NO_ENDPOINT_RETURN: Duration = Duration::from_secs(1);
 /// When a caller should come back that met an instance that stops: at once, elsewhere.
 const STOPPING_RETURN: Duration = Duration::from_millis(20);
-/// When a caller should come back that met an overloaded instance.
-const SHED_RETURN: Duration = Duration::from_millis(700);
+/// When a caller should come back that met an overloaded instance: at once, since the balancer sends
+/// the next try to another one.
+const SHED_RETURN: Duration = Duration::from_millis(20);
 /// Longest identifier of an event that is kept for resuming, in bytes.
 const EVENT_ID_BYTES: usize = 128;
 
--- a/cornelstand/src/gateway/catalog.rs
+++ b/cornelstand/src/gateway/catalog.rs
@@ -127,6 +127,9 @@
     /// Routes by host, longest prefix first.
     #[serde(skip)]
     pub(crate) hosts: HashMap<String, Vec<Arc<GatewayRoute>>>,
+    /// Shortest objective of the routes to each service.
+    #[serde(skip)]
+    pub(crate) objectives: HashMap<ServiceName, Duration>,
 }
 
 impl Catalog {
@@ -141,9 +144,22 @@
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
         self.hosts = hosts;
+        self.objectives.clear();
+        for route in &self.routes {
+            for (service, _) in &route.targets {
+                let shortest = self.objectives.entry(service.clone());
+                let shortest = shortest.or_insert(route.objective);
+                *shortest = route.objective.min(*shortest);
+            }
+        }
         self
     }
 
+    /// Shortest objective of the routes to a service.
+    pub(crate) fn objective(&self, service: &ServiceName) -> Duration {
+        self.objectives.get(service).copied().unwrap_or_default()
+    }
+
     /// Route with the longest prefix of `path` among those of `host`.
     pub(crate) fn route(&self, host: &str, path: &str) -> Option<&Arc<GatewayRoute>> {
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
--- a/cornelstand/src/gateway/daemon.rs
+++ b/cornelstand/src/gateway/daemon.rs
@@ -25,12 +25,14 @@
 pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Port of the metrics address; the deploy file names it, too.
 const METRICS_PORT: u16 = 9_464;
-/// Time between two looks at the queue for requests that waited long enough.
-const TICK: Duration = Duration::from_millis(20);
+/// Time between two looks at whether an endpoint got room.
+const TICK: Duration = Duration::from_millis(8);
+/// Ticks after which the queue is served in any case: what engines have to read shrinks with time.
+const QUEUE_TICKS: u32 = 4;
 /// Weight of one more tick in the lateness of timers: about the last 200 ms.
-const LAG_WEIGHT: f64 = 0.15;
+const LAG_WEIGHT: f64 = 0.06;
 /// Weight of one more tick in the rate of requests: about the last second.
-const RATE_WEIGHT: f64 = 0.02;
+const RATE_WEIGHT: f64 = 0.008;
 /// Time between two clean-ups.
 const CLEAN_PERIOD: Duration = Duration::from_millis(500);
 /// Time between two looks at the settings file, which may change without a signal.
@@ -204,6 +206,7 @@
 /// are.
 async fn tick(gate: Rc<Gate>) {
     let mut before = gate.metrics.requests.get();
+    let mut ticks = 0_u32;
     loop {
         let due = Instant::now() + TICK;
         sleep(TICK).await;
@@ -216,7 +219,10 @@
         gate.activity
             .set(gate.activity.get() + RATE_WEIGHT * (rate - gate.activity.get()));
         before = requests;
-        gate.serve_queue();
+        ticks += 1;
+        if gate.has_room.get() || ticks % QUEUE_TICKS == 0 {
+            gate.serve_queue();
+        }
     }
 }
 
@@ -239,7 +245,7 @@
         drop(state);
         gate.count_peers();
         gate.apply(lapsed);
-        gate.log_load();
+        gate.note_load();
         before = now;
     }
 }
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -67,6 +67,8 @@
     /// Which new requests are refused, because they would not end before the process does.
     pub(crate) closing: Cell<Closing>,
     pub(crate) active: Cell<usize>,
+    /// Whether an endpoint may have got room since the queue was served last.
+    pub(crate) has_room: Cell<bool>,
     /// How late the process's own timers are, in milliseconds, as a moving average.
     pub(crate) lag: Cell<f64>,
     /// Requests a second, as a moving average.
@@ -119,6 +121,7 @@
             stopping: Cell::new(false),
             closing: Cell::new(Closing::Nothing),
             active: Cell::new(0),
+            has_room: Cell::new(false),
             lag: Cell::new(0.0),
             activity: Cell::new(0.0),
             introduced: Cell::new(false),
@@ -156,7 +159,7 @@
         let id = state.admission.push(waiting);
         let tried = tried.to_vec();
         state.grants.insert(id, Waiter { tried, grant });
-        self.grant(&mut state, now);
+        self.grant_one(&mut state, now, id);
         if state.grants.contains_key(&id) && state.admission.is_hopeless(now, id) {
             if let Some(waiting) = state.admission.remove(id) {
                 state.admission.note_refusal(now, &waiting);
@@ -182,28 +185,40 @@
 
     /// Gives places to waiting requests while there is room.
     pub(crate) fn serve_queue(&self) {
+        self.has_room.set(false);
         let mut state = self.state.borrow_mut();
         if !state.admission.is_empty() {
             self.grant(&mut state, self.now());
         }
     }
 
+    /// Lets the queue be served soon. Many events make room at about the same time, and a look at
+    /// the whole queue for each of them would cost a small processor most of its time.
+    fn make_room(&self) {
+        self.has_room.set(true);
+    }
+
     fn grant(&self, state: &mut State, now: Moment) {
         for id in state.admission.order(now) {
-            let Some((index, waiting)) = self.find_place(state, now, id) else {
-                continue;
-            };
-            let prompt = waiting.prompt.as_ref();
-            let Some(place) = state.endpoints.take(now, index, prompt) else {
-                continue;
-            };
-            state.admission.remove(id);
-            state.admission.charge(now, &waiting);
-            if let Some(waiter) = state.grants.remove(&id)
-                && let Err(place) = waiter.grant.send(place)
-            {
-                state.endpoints.end(now, &place, PlaceEnd::Neutral);
-            }
+            self.grant_one(state, now, id);
+        }
+    }
+
+    /// Gives a place to a request if there is one.
+    fn grant_one(&self, state: &mut State, now: Moment, id: WaitId) {
+        let Some((index, waiting)) = self.find_place(state, now, id) else {
+            return;
+        };
+        let prompt = waiting.prompt.as_ref();
+        let Some(place) = state.endpoints.take(now, index, prompt) else {
+            return;
+        };
+        state.admission.remove(id);
+        state.admission.charge(now, &waiting);
+        if let Some(waiter) = state.grants.remove(&id)
+            && let Err(place) = waiter.grant.send(place)
+        {
+            state.endpoints.end(now, &place, PlaceEnd::Neutral);
         }
     }
 
@@ -246,13 +261,11 @@
         let catalog = state.directory.catalog();
         let spec: &GatewayService = catalog.services.get(service)?;
         let settings = self.settings.borrow();
-        let routes = catalog.routes.iter();
-        let routes = routes.filter(|r| r.targets.iter().any(|(s, _)| s == service));
         let limit = spec.cold_rate * settings.cold_over + settings.cold_slack;
         let rank = state.peers.rank(&settings.instance);
         Some(PlacementRules {
             memory: spec.engine.as_ref().map(|e| e.memory),
-            objective: routes.map(|r| r.objective).min().unwrap_or_default(),
+            objective: catalog.objective(service),
             cold_share: (spec.cold_rate > 0.0)
                 .then(|| cold_share(limit, state.peers.count(), rank)),
             centre: settings.centre.clone(),
@@ -265,7 +278,7 @@
     /// Notes that the answer for a place has begun, which may make room.
     pub(crate) fn begin(&self, place: &mut Place) {
         self.state.borrow_mut().endpoints.begin(self.now(), place);
-        self.serve_queue();
+        self.make_room();
     }
 
     /// Notes that an answer went on by `tokens`.
@@ -310,15 +323,20 @@
         self.serve_queue();
     }
 
-    /// Logs what the decisions of the last moments were based on.
-    pub(crate) fn log_load(&self) {
+    /// Takes in what the endpoints do, and logs what the decisions of the last moments were based
+    /// on.
+    pub(crate) fn note_load(&self) {
         let now = self.now();
-        let state = self.state.borrow();
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
         for (service, spec) in &state.directory.catalog().services {
             if spec.engine.is_none() {
                 continue;
             }
             let summary = state.endpoints.summary(now, service);
+            let rate = f64::from(summary.usable) * 1e3 / summary.pace.max(1e-3);
+            let instances = state.peers.count() as f64;
+            state.admission.set_capacity(service, rate / instances);
             tracing::info!(
                 event = "load", %service, endpoints = summary.usable, running = summary.running,
                 prompt_tokens = summary.waiting, memory = summary.memory,
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -473,10 +473,9 @@
         let mut best: Option<(bool, f64, EndpointIndex)> = None;
         for (index, state) in usable {
             let home = homes.of(index);
-            if prompt.is_some_and(|p| !state.keeps(now, p, home)) && !may_spread(state, rules) {
-                continue;
-            }
             let cost = match prompt {
+                Some(_) if !has_time(state, rules) => None,
+                Some(p) if !may_spread(state, rules) && !state.keeps(now, p, home) => None,
                 Some(prompt) => engine_cost(now, state, prompt, rules, home),
                 None => plain_cost(state),
             };
@@ -654,6 +653,15 @@
     }
 }
 
+/// Whether an engine has a slot and steps fast enough for more.
+///
+/// The time between tokens grows with the prompts that are read in between. Admitting less keeps it
+/// short enough for the longest answers to end before their callers give up.
+fn has_time(state: &EndpointState, rules: &PlacementRules) -> bool {
+    let load = state.total();
+    load.token_time <= rules.token_time && load.running < state.record.slots
+}
+
 /// Whether a request may go to an engine that has to read its shared part: after a wait, and if the
 /// engine has time to spare. Under load that time serves more requests whose parts are kept.
 fn may_spread(state: &EndpointState, rules: &PlacementRules) -> bool {
@@ -677,14 +685,8 @@
     if !is_idle && load.memory + state.memory(prompt) > memory {
         return None;
     }
-    if load.running >= state.record.slots {
-        return None;
-    }
-    // The time between tokens grows with the prompts that are read in between. Admitting less keeps
-    // it short enough for the longest answers to end before their callers give up.
     let output_time = f64::from(prompt.output) * load.token_time;
-    let left = rules.left.as_secs_f64() * 1e3;
-    if load.token_time > rules.token_time || output_time > left * OUTPUT_PART {
+    if output_time > rules.left.as_secs_f64() * 1e3 * OUTPUT_PART {
         return None;
     }
     let (missing, shared) = state.missing(now, prompt, home);
--- a/cornelstand/src/gateway/tests/admission.rs
+++ b/cornelstand/src/gateway/tests/admission.rs
@@ -108,3 +108,12 @@
     assert!(admission.wanting(at(50)).is_empty());
     assert_eq!(admission.wanting(at(150)).len(), 1);
 }
+
+#[test]
+fn a_quiet_instance_expects_its_part_of_what_the_endpoints_do() {
+    let mut admission = Admission::default();
+    admission.set_capacity(&ServiceName::from(MODELS), 100_000.0);
+    let first = admission.push(waiting(at(0), "ada", 1_000));
+    let second = admission.push(waiting(at(0), "bob", 1_000));
+    assert!(!admission.is_hopeless(at(0), first) && !admission.is_hopeless(at(0), second));
+}
--- a/cornelstand/src/gateway/tests/heavy_load.rs
+++ b/cornelstand/src/gateway/tests/heavy_load.rs
@@ -28,6 +28,7 @@
 const INSTANCES: usize = 3;
 const SECONDS: u64 = 16;
 const BEAT_MS: u64 = 40;
+const TICK_MS: u64 = 8;
 
 /// Kinds of requests, as on the sheet of the counters.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -304,6 +305,9 @@
             }
             next += 1;
         }
+        if now % TICK_MS == 0 {
+            gates.iter().for_each(|g| g.serve_queue());
+        }
         if now % BEAT_MS == 0 {
             let beats: Vec<_> = gates.iter().map(|g| g.beat()).collect();
             for (i, gate) in gates.iter().enumerate() {
