Send a beat as soon as an engine gets or has read a long prompt

Cause: in a large fleet a quiet instance sent a beat every 500 ms, so that others placed on an engine without its prompts, or avoided one that was long done.

--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -33,6 +33,10 @@
 /// Part of new streams that is refused at the most.
 const SHED_MOST: f64 = 0.95;
 
+/// Prompt tokens from which peers should know at once that an engine has to read them, or has: about
+/// a tenth of the queue that an engine may have.
+const NEWS_TOKENS: f64 = 1_000.0;
+
 /// Everything that changes.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -213,6 +217,9 @@
         let Some(place) = state.endpoints.take(now, index, prompt) else {
             return;
         };
+        if place.prompt_tokens() >= NEWS_TOKENS {
+            self.news.notify_one();
+        }
         state.admission.remove(id);
         state.admission.charge(now, &waiting);
         if let Some(waiter) = state.grants.remove(&id)
@@ -278,6 +285,9 @@
     /// Notes that the answer for a place has begun, which may make room.
     pub(crate) fn begin(&self, place: &mut Place) {
         self.state.borrow_mut().endpoints.begin(self.now(), place);
+        if place.prompt_tokens() >= NEWS_TOKENS {
+            self.news.notify_one();
+        }
         self.make_room();
     }
 
--- a/cornelstand/src/gateway/peers_link.rs
+++ b/cornelstand/src/gateway/peers_link.rs
@@ -25,8 +25,9 @@
 pub(crate) async fn send_beats(gate: Rc<Gate>, socket: Rc<UdpSocket>) {
     loop {
         let period = beat_period(&gate);
+        sleep(BEAT_PERIOD).await;
         // Without news the time is over, which is the usual case.
-        let _ = timeout(period, gate.news.notified()).await;
+        let _ = timeout(period.saturating_sub(BEAT_PERIOD), gate.news.notified()).await;
         send_beat(&gate, &socket);
     }
 }
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -314,6 +314,11 @@
 }
 
 impl Place {
+    /// Prompt tokens that the endpoint has to read for the request.
+    pub(crate) fn prompt_tokens(&self) -> f64 {
+        self.load.waiting
+    }
+
     /// Tokens to read before the answer begins, as estimated when the place was taken.
     pub(crate) fn ahead(&self) -> f64 {
         self.ahead
