--- a/cornelstand/src/gateway/admission.rs
+++ b/cornelstand/src/gateway/admission.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use crate::gateway::catalog::GatewayRoute;
-use crate::gateway::placement::Prompt;
+use crate::gateway::endpoint_state::Prompt;
 use crate::moment::Moment;
 use crate::name::{AccountName, ServiceName};
 
@@ -161,29 +161,29 @@
 
     /// What the most deserving account that waits here has attained, by service, for the peers.
     pub(crate) fn wanting(&self, now: Moment) -> HashMap<ServiceName, f64> {
-        let recent = |(_, at): &(f64, Moment)| now.since(*at) < SCARCE_MEMORY;
-        let refused = self.refused.iter().filter(|(_, r)| recent(r));
-        let refused = refused.map(|(service, (attained, _))| (service, *attained));
+        let is_recent = |at: Moment| now.since(at) < SCARCE_MEMORY;
+        let refused = self.refused.iter().filter(|(_, (_, at))| is_recent(*at));
+        let refused = refused.map(|(service, (sum, _))| (service, *sum));
         let waiting = self.waiting.iter().map(|(_, w)| w);
         // Before it would take any engine, a request waits for one that keeps its shared part, which
         // says nothing about the others.
         let waiting = waiting.filter(|w| w.prompt.is_some() && now >= w.spreads);
         let waiting = waiting.map(|w| (&w.service, self.attained(now, &w.account)));
         let mut least: HashMap<ServiceName, f64> = HashMap::new();
-        for (service, attained) in refused.chain(waiting) {
-            let entry = least.entry(service.clone()).or_insert(attained);
-            *entry = entry.min(attained);
+        for (service, sum) in refused.chain(waiting) {
+            let entry = least.entry(service.clone()).or_insert(sum);
+            *entry = entry.min(sum);
         }
         least
     }
 
     /// Whether a request has to leave places to a more deserving one at another instance.
     pub(crate) fn must_yield(&self, now: Moment, waiting: &Waiting) -> bool {
-        let wanting = self.wanting.get(&waiting.service);
-        let Some(wanting) = wanting.filter(|_| waiting.prompt.is_some()) else {
+        let least = self.wanting.get(&waiting.service);
+        let Some(least) = least.filter(|_| waiting.prompt.is_some()) else {
             return false;
         };
-        self.attained(now, &waiting.account) > wanting * AHEAD.0 + AHEAD.1
+        self.attained(now, &waiting.account) > least * AHEAD.0 + AHEAD.1
     }
 
     /// Notes that a request was refused because places are scarce.
--- a/cornelstand/src/gateway/budget.rs
+++ b/cornelstand/src/gateway/budget.rs
@@ -7,6 +7,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
+use crate::gateway::number::{float, whole};
 use crate::moment::Moment;
 use crate::name::ServiceName;
 
@@ -57,9 +58,9 @@
         let entry = self.services.entry(service.clone()).or_default();
         trim(&mut entry.repeats, now, rule.window);
         trim(&mut entry.requests, now, rule.window);
-        let slack = rule.slack / instances.max(1) as f64;
-        let allowed = DEALT * (rule.ratio * entry.requests.len() as f64 + slack);
-        let has_room = ((entry.repeats.len() + 1) as f64) <= allowed;
+        let slack = rule.slack / float(instances.max(1));
+        let allowed = DEALT * (rule.ratio * float(entry.requests.len()) + slack);
+        let has_room = float(entry.repeats.len() + 1) <= allowed;
         if has_room {
             entry.repeats.push_back(now);
         }
@@ -78,7 +79,7 @@
 /// Requests a second that the instance of `rank` among `instances` may send to a cold endpoint,
 /// where all together may send `limit`.
 pub(crate) fn cold_share(limit: f64, instances: usize, rank: usize) -> u32 {
-    let dealt = (limit * DEALT).floor() as usize;
+    let dealt = usize::try_from(whole(limit * DEALT)).unwrap_or(usize::MAX);
     let instances = instances.max(1);
     let extra = usize::from(rank < dealt % instances);
     u32::try_from(dealt / instances + extra).unwrap_or(u32::MAX)
--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -11,10 +11,11 @@
 
 use crate::gateway::admission::Waiting;
 use crate::gateway::catalog::{Catalog, GatewayRoute};
+use crate::gateway::endpoint_state::Prompt;
 use crate::gateway::gate::{Closing, Gate};
 use crate::gateway::message::Head;
 use crate::gateway::outlet::{Outlet, OwnAnswer};
-use crate::gateway::placement::{EndpointIndex, Place, PlaceEnd, Prompt};
+use crate::gateway::placement::{EndpointIndex, Place, PlaceEnd};
 use crate::gateway::relay::{self, Attempt, HeldAnswer, NotRun};
 use crate::name::{AccountName, Fingerprint, ServiceName};
 use crate::platform::headers::{CallFields, read_call, write_own_answer};
@@ -390,13 +391,11 @@
     gate.metrics
         .queue_time
         .observe(started.elapsed().as_secs_f64());
-    match acquired {
-        Some(place) => Acquired::Place(place),
-        None => {
-            let after = gate.withdraw(ticket.id);
-            refuse_place(call, "no endpoint had room in time", after)
-        }
+    if let Some(place) = acquired {
+        return Acquired::Place(place);
     }
+    let after = gate.withdraw(ticket.id);
+    refuse_place(call, "no endpoint had room in time", after)
 }
 
 /// The final answer of a request that finds no place. It promises that the request has not run,
--- a/cornelstand/src/gateway/catalog.rs
+++ b/cornelstand/src/gateway/catalog.rs
@@ -73,7 +73,7 @@
     /// Requests that run at once.
     pub(crate) slots: u32,
     /// Tokens that fit its memory.
-    pub(crate) memory: u64,
+    pub(crate) memory: f64,
     /// Tokens in one event of a stream.
     pub(crate) stride: u32,
 }
--- a/cornelstand/src/gateway/connection.rs
+++ b/cornelstand/src/gateway/connection.rs
@@ -11,6 +11,7 @@
 use crate::gateway::daemon::ACCEPT_PAUSE;
 use crate::gateway::gate::{Gate, count};
 use crate::gateway::message::{Head, MessageError};
+use crate::gateway::number::float;
 use crate::gateway::outlet::Outlet;
 use crate::gateway::upstream::{read_into, tune};
 
@@ -53,7 +54,7 @@
 
 /// Whether so many connections are open that idle ones should make room.
 fn is_crowded(gate: &Gate) -> bool {
-    gate.connections.get() as f64 >= most_connections(gate) as f64 * CROWDED_PART
+    float(gate.connections.get()) >= float(most_connections(gate)) * CROWDED_PART
 }
 
 /// Why no request was read.
--- a/cornelstand/src/gateway/daemon.rs
+++ b/cornelstand/src/gateway/daemon.rs
@@ -18,6 +18,7 @@
 use crate::gateway::gate::{Closing, Gate};
 use crate::gateway::logs::LogBuffer;
 use crate::gateway::metrics::GatewayMetrics;
+use crate::gateway::number::float;
 use crate::gateway::{connection, peers_link};
 use crate::platform::settings::{SettingsFileError, read_settings};
 
@@ -215,12 +216,13 @@
         gate.lag
             .set(gate.lag.get() + LAG_WEIGHT * (lag * 1e3 - gate.lag.get()));
         let requests = gate.metrics.requests.get();
-        let rate = (requests - before) as f64 / (TICK.as_secs_f64() + lag);
+        let count = usize::try_from(requests - before).unwrap_or(usize::MAX);
+        let rate = float(count) / (TICK.as_secs_f64() + lag);
         gate.activity
             .set(gate.activity.get() + RATE_WEIGHT * (rate - gate.activity.get()));
         before = requests;
         ticks += 1;
-        if gate.has_room.get() || ticks % QUEUE_TICKS == 0 {
+        if gate.has_room.get() || ticks.is_multiple_of(QUEUE_TICKS) {
             gate.serve_queue();
         }
     }
--- a/cornelstand/src/gateway/follow.rs
+++ b/cornelstand/src/gateway/follow.rs
@@ -33,7 +33,7 @@
 /// Time after the instances were listed until the first beats have told which one leads.
 const FIRST_BEATS: Duration = Duration::from_millis(700);
 /// Time between two listings of the instances by one that does not lead.
-const SPARSE_PERIOD: Duration = Duration::from_secs(60);
+const SPARSE_PERIOD: Duration = Duration::from_mins(1);
 /// Pause after a failed call, doubled each time.
 const PAUSE_FIRST: Duration = Duration::from_millis(60);
 /// Longest such pause: entries that lapsed are back about 2 s after the store's return.
@@ -185,12 +185,11 @@
             let record = record(gate, object).filter(|_| !change.is_deleted);
             let mut state = gate.state.borrow_mut();
             let directory = &mut state.directory;
-            let change = match record {
-                Some(record) => directory.put_endpoint(record),
-                None => {
-                    let name = EndpointName::from(object.metadata.name.as_str());
-                    directory.remove_endpoint(gate.now(), &name)
-                }
+            let change = if let Some(record) = record {
+                directory.put_endpoint(record)
+            } else {
+                let name = EndpointName::from(object.metadata.name.as_str());
+                directory.remove_endpoint(gate.now(), &name)
             };
             drop(state);
             gate.apply(change.into_iter().collect());
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -11,6 +11,7 @@
 use crate::gateway::catalog::GatewayService;
 use crate::gateway::directory::{Directory, EndpointChange};
 use crate::gateway::metrics::GatewayMetrics;
+use crate::gateway::number::{float, short};
 use crate::gateway::outputs::Outputs;
 use crate::gateway::peers::{Beat, Digest, PeerLoad, Peers, endpoint_key};
 use crate::gateway::placement::{EndpointIndex, Endpoints, Place, PlaceEnd, PlacementRules};
@@ -258,7 +259,7 @@
     pub(crate) fn has_endpoint(&self, service: &ServiceName) -> bool {
         let state = self.state.borrow();
         let directory = &state.directory;
-        let is_usable = |e: &crate::gateway::placement::EndpointState| {
+        let is_usable = |e: &crate::gateway::endpoint_state::EndpointState| {
             !e.record.leaving && !directory.is_evacuated(&e.record.centre)
         };
         state.endpoints.of(service).any(is_usable)
@@ -345,7 +346,7 @@
             }
             let summary = state.endpoints.summary(now, service);
             let rate = f64::from(summary.usable) * 1e3 / summary.pace.max(1e-3);
-            let instances = state.peers.count() as f64;
+            let instances = float(state.peers.count());
             state.admission.set_capacity(service, rate / instances);
             tracing::info!(
                 event = "load", %service, endpoints = summary.usable, running = summary.running,
@@ -375,7 +376,7 @@
     pub(crate) fn digest(&self) -> Digest {
         let own = self.beat();
         let now = self.now();
-        self.state.borrow().peers.digest(now, own)
+        self.state.borrow().peers.digest(now, &own)
     }
 
     /// Takes in a beat of a peer.
@@ -412,7 +413,6 @@
     }
 
     /// The beat to send now.
-    #[expect(clippy::cast_possible_truncation, reason = "loads are estimates")]
     pub(crate) fn beat(&self) -> Beat {
         let now = self.now();
         let settings = self.settings.borrow();
@@ -428,7 +428,7 @@
             instance: settings.instance.clone(),
             centre: settings.centre.clone(),
             cores: settings.cores,
-            activity: self.activity.get() as f32,
+            activity: short(self.activity.get()),
             incarnation: self.incarnation,
             number: state.beats,
             has_store: state.directory.has_store(),
@@ -438,9 +438,9 @@
             stopping: self.stopping.get(),
             loads: loads.collect(),
             attained: attained
-                .map(|(name, sum)| (name.clone(), sum as f32))
+                .map(|(name, sum)| (name.clone(), short(sum)))
                 .collect(),
-            wanting: wanting.into_iter().map(|(s, a)| (s, a as f32)).collect(),
+            wanting: wanting.into_iter().map(|(s, a)| (s, short(a))).collect(),
             suspicions: suspicions.into_iter().filter(|s| s.age < TOLD).collect(),
         }
     }
--- a/cornelstand/src/gateway/outlet.rs
+++ b/cornelstand/src/gateway/outlet.rs
@@ -70,13 +70,11 @@
     /// Sends bytes of an answer.
     pub(crate) async fn send(&mut self, bytes: &[u8]) -> Result<(), CallerGone> {
         let sent = timeout(WRITE_TIMEOUT, write_all(&self.stream, bytes)).await;
-        match sent {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) | Err(_) => {
-                self.keep = false;
-                Err(CallerGone)
-            }
+        if let Ok(Ok(())) = sent {
+            return Ok(());
         }
+        self.keep = false;
+        Err(CallerGone)
     }
 
     /// Header that tells whether the connection stays open.
--- a/cornelstand/src/gateway/peers.rs
+++ b/cornelstand/src/gateway/peers.rs
@@ -13,7 +13,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::directory::{EndpointRecord, Mark};
-use crate::gateway::placement::Load;
+use crate::gateway::endpoint_state::Load;
+use crate::gateway::number::{short, whole};
 use crate::gateway::settings::GatewaySettings;
 use crate::moment::Moment;
 use crate::name::{AccountName, CentreName, InstanceName, ServiceName};
@@ -23,7 +24,7 @@
 /// their requests have ended.
 const SILENCE: Duration = Duration::from_millis(1_500);
 /// Silence after which a peer is forgotten.
-const FORGET: Duration = Duration::from_secs(60);
+const FORGET: Duration = Duration::from_mins(1);
 
 /// Number of peers from which data centres exchange digests: with fewer, all beats cost less.
 const LARGE: usize = 12;
@@ -68,14 +69,13 @@
 }
 
 impl PeerLoad {
-    #[expect(clippy::cast_possible_truncation, reason = "loads are estimates")]
     pub(crate) fn new(endpoint: u32, load: Load) -> Self {
         Self {
             endpoint,
             running: load.running,
-            waiting: load.waiting as f32,
-            memory: load.memory as f32,
-            token_time: load.token_time as f32,
+            waiting: short(load.waiting),
+            memory: short(load.memory),
+            token_time: short(load.token_time),
         }
     }
 }
@@ -124,9 +124,11 @@
 }
 
 /// Rank of an instance among those that could lead its data centre; the highest does.
-fn rank(name: &InstanceName, cores: f32) -> (u64, u64) {
+type Rank = (u64, u64);
+
+fn rank(name: &InstanceName, cores: f32) -> Rank {
     // Whole hundredths order like the cores themselves.
-    let cores = (f64::from(cores) * 100.0) as u64;
+    let cores = whole(f64::from(cores) * 100.0);
     (cores, xxhash_rust::xxh3::xxh3_64(name.as_str().as_bytes()))
 }
 
@@ -199,9 +201,9 @@
     }
 
     /// The sum of a data centre: the beats of its live instances and the `own` one.
-    pub(crate) fn digest(&self, now: Moment, own: Beat) -> Digest {
+    pub(crate) fn digest(&self, now: Moment, own: &Beat) -> Digest {
         let near = self.live(now).filter(|b| b.centre == own.centre);
-        let beats: Vec<&Beat> = near.chain([&own]).collect();
+        let beats: Vec<&Beat> = near.chain([own]).collect();
         let loads = sum_loads(beats.iter().flat_map(|b| &b.loads));
         let attained = sum_attained(beats.iter().flat_map(|b| &b.attained));
         let wanting = least_wanting(beats.iter().flat_map(|b| &b.wanting));
@@ -214,11 +216,11 @@
                 .collect(),
             attained: attained
                 .into_iter()
-                .map(|(a, sum)| (a, sum as f32))
+                .map(|(a, sum)| (a, short(sum)))
                 .collect(),
             wanting: wanting
                 .into_iter()
-                .map(|(s, least)| (s, least as f32))
+                .map(|(s, least)| (s, short(least)))
                 .collect(),
             suspicions: own.suspicions.clone(),
             order: (own.incarnation, own.number),
@@ -229,14 +231,14 @@
     /// Instances to which the leader of `centre` sends the digest numbered `number`: in turn the
     /// two of each other data centre that are most likely to lead there.
     pub(crate) fn other_leaders(&self, centre: &CentreName, number: u64) -> Vec<SocketAddr> {
-        let mut others: HashMap<&CentreName, Vec<((u64, u64), SocketAddr)>> = HashMap::new();
+        let mut others: HashMap<&CentreName, Vec<(Rank, SocketAddr)>> = HashMap::new();
         for (name, peer) in self.peers.iter().filter(|(_, p)| p.centre != *centre) {
             let ranked = others.entry(&peer.centre).or_default();
             ranked.push((rank(name, peer.cores), peer.address));
         }
         let turn = usize::from(number % 2 == 1);
-        let pick = |mut ranked: Vec<((u64, u64), SocketAddr)>| {
-            ranked.sort_by(|a, b| b.0.cmp(&a.0));
+        let pick = |mut ranked: Vec<(Rank, SocketAddr)>| {
+            ranked.sort_by_key(|(rank, _)| std::cmp::Reverse(*rank));
             ranked
                 .get(turn)
                 .or(ranked.first())
--- a/cornelstand/src/gateway/peers_link.rs
+++ b/cornelstand/src/gateway/peers_link.rs
@@ -8,6 +8,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::gateway::gate::Gate;
+use crate::gateway::number::float;
 use crate::gateway::peers::Message;
 
 /// Time between two beats in a small fleet: what decisions of peers are based on is this old.
@@ -42,7 +43,7 @@
         return BEAT_PERIOD;
     }
     let own = gate.activity.get() + 1.0;
-    let all = state.peers.activity(gate.now(), &centre) + own + listeners as f64;
+    let all = state.peers.activity(gate.now(), &centre) + own + float(listeners);
     let rate = DATAGRAMS * own / all;
     Duration::from_secs_f64(1.0 / rate).clamp(BEAT_PERIOD, BEAT_MAX)
 }
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -8,19 +8,17 @@
 //! the queue there costs more than reading again. The load this answers: a fleet asked for more
 //! than its engines produce, with prompts from hundreds to tens of thousands of tokens.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use derive_more::IsVariant;
 
 use crate::gateway::directory::EndpointRecord;
+use crate::gateway::endpoint_state::{EndpointState, Home, KeptPart, Load, Prompt};
 use crate::moment::Moment;
 use crate::name::{CentreName, EndpointName, ServiceName};
 
-/// Milliseconds to read one prompt token before anything was measured; common engines read 20 to
-/// 60 tokens in a millisecond.
-const FIRST_PACE: f64 = 0.024;
 /// Bounds of the learned pace, in milliseconds a token.
 const PACE_BOUNDS: (f64, f64) = (0.008, 0.25);
 /// Weight of a new measurement in a moving average.
@@ -43,18 +41,12 @@
 const CROSS_COST: f64 = 12.0;
 /// Weight of shared tokens that are read again: they take the engine's time from all others.
 const AGAIN_WEIGHT: f64 = 2.0;
-/// Part of a shared prompt that its second home is expected to keep.
-const SECOND_HOME: f64 = 0.6;
 /// Cost of a request that runs beside, in milliseconds: it slows each step.
 const BESIDE_COST: f64 = 0.8;
 /// Longest queue of an engine that may read a shared part once more, in milliseconds.
 const SPREAD_QUEUE: f64 = 30.0;
 /// Part of the longest time between tokens up to which such an engine counts as free.
 const SPREAD_PART: f64 = 0.7;
-/// Shared tokens that are not worth a wait.
-const SMALL_PART: f64 = 400.0;
-/// Time for which an engine is taken to keep a part after its last use.
-const KEPT: Duration = Duration::from_secs(12);
 /// First time for which an endpoint that refused a connection gets nothing.
 const OUT_FIRST: Duration = Duration::from_millis(250);
 /// Longest such time.
@@ -68,198 +60,10 @@
 const PLAIN_DEPTH: u32 = 2;
 /// Weight of one more request in the moving share of failures.
 const FAIL_WEIGHT: f64 = 0.1;
-/// Window of the limit of cold endpoints.
-const COLD_WINDOW: Duration = Duration::from_millis(1_100);
 
 /// Position of an endpoint in [`Endpoints`].
 pub(crate) type EndpointIndex = usize;
 
-/// A piece of a prompt that requests share.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct PromptPart {
-    pub(crate) id: u64,
-    pub(crate) tokens: u32,
-}
-
-/// What a request asks of an engine.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub(crate) struct Prompt {
-    /// Tokens to read.
-    pub(crate) input: u32,
-    /// Tokens expected to be generated.
-    pub(crate) output: u32,
-    /// Parts in order; the last one is the request's own.
-    pub(crate) parts: Vec<PromptPart>,
-}
-
-impl Prompt {
-    /// Longest run of parts that others may share: all but the last.
-    fn shared(&self) -> &[PromptPart] {
-        self.parts.split_last().map_or(&[], |(_, shared)| shared)
-    }
-
-    /// Deepest shared part, by which requests are drawn together.
-    fn anchor(&self) -> Option<u64> {
-        self.shared().last().map(|p| p.id)
-    }
-}
-
-/// Load at one endpoint as an instance tells its peers.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct Load {
-    /// Requests sent and not ended.
-    pub(crate) running: u32,
-    /// Prompt tokens of requests that have not begun to answer.
-    pub(crate) waiting: f64,
-    /// Tokens of memory taken.
-    pub(crate) memory: f64,
-    /// Milliseconds between two tokens of each running request; zero if none was seen.
-    pub(crate) token_time: f64,
-}
-
-impl std::ops::AddAssign for Load {
-    /// Adds the load of another instance at the same endpoint.
-    fn add_assign(&mut self, other: Self) {
-        let weight = |l: &Self| {
-            if l.token_time > 0.0 {
-                f64::from(l.running)
-            } else {
-                0.0
-            }
-        };
-        let (own, theirs) = (weight(self), weight(&other));
-        if own + theirs > 0.0 {
-            let sum = self.token_time * own + other.token_time * theirs;
-            self.token_time = sum / (own + theirs);
-        }
-        self.running += other.running;
-        self.waiting += other.waiting;
-        self.memory += other.memory;
-    }
-}
-
-#[derive(Clone, Copy, Debug)]
-struct KeptPart {
-    /// Requests of this instance that use it now.
-    users: u32,
-    used: Moment,
-}
-
-/// One endpoint with what is known of it.
-#[derive(Debug)]
-pub(crate) struct EndpointState {
-    pub(crate) record: Rc<EndpointRecord>,
-    cold_until: Moment,
-    own: Load,
-    peers: Load,
-    /// Milliseconds to read a token, queueing and generation included.
-    pace: f64,
-    parts: HashMap<u64, KeptPart>,
-    out_until: Moment,
-    refusals: u32,
-    /// Moving share of requests that failed.
-    failing: f64,
-    tried: Moment,
-    cold_sends: VecDeque<Moment>,
-}
-
-impl EndpointState {
-    fn new(now: Moment, record: Rc<EndpointRecord>) -> Self {
-        Self {
-            cold_until: now.after(record.cold),
-            record,
-            own: Load::default(),
-            peers: Load::default(),
-            pace: FIRST_PACE,
-            parts: HashMap::new(),
-            out_until: Moment::default(),
-            refusals: 0,
-            failing: 0.0,
-            tried: Moment::default(),
-            cold_sends: VecDeque::new(),
-        }
-    }
-
-    fn total(&self) -> Load {
-        let mut total = self.own;
-        total += self.peers;
-        total
-    }
-
-    fn is_cold(&self, now: Moment) -> bool {
-        now < self.cold_until
-    }
-
-    fn is_usable(&self, now: Moment) -> bool {
-        !self.record.leaving && now >= self.out_until
-    }
-
-    /// Whether the limit of a cold endpoint allows one more request of this instance.
-    fn bears(&self, now: Moment, cold_share: Option<u32>) -> bool {
-        let Some(share) = cold_share.filter(|_| self.is_cold(now)) else {
-            return true;
-        };
-        let recent = self.cold_sends.iter();
-        let recent = recent.filter(|s| now.since(**s) < COLD_WINDOW).count();
-        recent < share as usize
-    }
-
-    /// Whether the endpoint is expected to keep what others share of `prompt`.
-    fn keeps(&self, now: Moment, prompt: &Prompt, home: Home) -> bool {
-        home.is_first() || self.lacking(now, prompt) < SMALL_PART
-    }
-
-    /// Shared tokens of `prompt` that are not kept here, as far as this instance knows.
-    fn lacking(&self, now: Moment, prompt: &Prompt) -> f64 {
-        let is_kept = |p: &&PromptPart| {
-            let kept = self.parts.get(&p.id);
-            kept.is_some_and(|k| k.users > 0 || now.since(k.used) < KEPT)
-        };
-        let shared = prompt.shared();
-        let kept = shared.iter().take_while(is_kept).count();
-        shared[kept..].iter().map(|p| f64::from(p.tokens)).sum()
-    }
-
-    /// Tokens of `prompt` that have to be read here, and how many of them others may share.
-    fn missing(&self, now: Moment, prompt: &Prompt, home: Home) -> (f64, f64) {
-        let shared: u32 = prompt.shared().iter().map(|p| p.tokens).sum();
-        let own = f64::from(prompt.input.saturating_sub(shared));
-        let lacking = self.lacking(now, prompt) * home.lacking_part();
-        (own + lacking, lacking)
-    }
-
-    /// Memory that `prompt` adds to what runs here.
-    fn memory(&self, prompt: &Prompt) -> f64 {
-        let is_used = |p: &&PromptPart| self.parts.get(&p.id).is_some_and(|k| k.users > 0);
-        let shared: u32 = prompt
-            .shared()
-            .iter()
-            .filter(is_used)
-            .map(|p| p.tokens)
-            .sum();
-        f64::from(prompt.input.saturating_sub(shared) + prompt.output)
-    }
-}
-
-/// Whether an endpoint is one to which requests that share a part are drawn.
-#[derive(Clone, Copy, Debug, Eq, IsVariant, PartialEq)]
-enum Home {
-    First,
-    Second,
-    None,
-}
-
-impl Home {
-    /// Part of the shared tokens that is expected to be missing if this instance sent none there.
-    fn lacking_part(self) -> f64 {
-        match self {
-            Self::First => 0.0,
-            Self::Second => 1.0 - SECOND_HOME,
-            Self::None => 1.0,
-        }
-    }
-}
-
 /// The endpoints that requests with one anchor are drawn to.
 #[derive(Clone, Copy, Debug, Default)]
 struct Homes {
@@ -283,7 +87,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct PlacementRules {
     /// Tokens of memory, for an engine.
-    pub(crate) memory: Option<u64>,
+    pub(crate) memory: Option<f64>,
     /// Shortest objective of the service's routes.
     pub(crate) objective: Duration,
     /// Requests a second that this instance may send to a cold endpoint, if there is a limit.
@@ -468,8 +272,8 @@
         let is_usable = |(index, state): &(EndpointIndex, &EndpointState)| {
             state.is_usable(now) && is_allowed(*index, &state.record)
         };
-        let states = indices.iter().filter_map(|i| Some((*i, self.get(*i)?)));
-        let usable: Vec<_> = states.filter(is_usable).collect();
+        let listed = indices.iter().filter_map(|i| Some((*i, self.get(*i)?)));
+        let usable: Vec<_> = listed.filter(is_usable).collect();
         if usable.is_empty() {
             return Err(NoPlace::NoEndpoint);
         }
@@ -562,9 +366,9 @@
         };
         state.own.waiting = (state.own.waiting - place.load.waiting).max(0.0);
         if place.ahead >= LEARN_TOKENS {
-            let pace = now.since(place.sent).as_secs_f64() * 1e3 / place.ahead;
-            let pace = pace.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
-            state.pace += LEARN * (pace - state.pace);
+            let seen = now.since(place.sent).as_secs_f64() * 1e3 / place.ahead;
+            let seen = seen.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
+            state.pace += LEARN * (seen - state.pace);
         }
     }
 
@@ -620,13 +424,7 @@
     /// Drops parts that no engine keeps any more.
     pub(crate) fn forget_parts(&mut self, now: Moment) {
         for state in self.states.iter_mut().flatten() {
-            let is_kept = |k: &KeptPart| k.users > 0 || now.since(k.used) < KEPT;
-            state.parts.retain(|_, k| is_kept(k));
-            while let Some(sent) = state.cold_sends.front()
-                && now.since(*sent) >= COLD_WINDOW
-            {
-                state.cold_sends.pop_front();
-            }
+            state.forget(now);
         }
     }
 
@@ -685,7 +483,7 @@
     home: Home,
 ) -> Option<f64> {
     let load = state.total();
-    let memory = rules.memory? as f64 * MEMORY_PART;
+    let memory = rules.memory? * MEMORY_PART;
     let is_idle = load.running == 0;
     if !is_idle && load.memory + state.memory(prompt) > memory {
         return None;
--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -110,15 +110,17 @@
         return Attempt::NotRun(NotRun::Moved);
     };
     let pooled = gate.state.borrow_mut().pool.take(address);
-    let mut upstream = match pooled {
-        Some(upstream) => upstream,
-        None => {
-            let connect = Upstream::connect(address, CONNECT_TIMEOUT);
-            match race(connect, outlet, call.deadline).await {
-                Ok(Ok(upstream)) => upstream,
-                Ok(Err(_)) => return Attempt::NotRun(NotRun::Unreachable),
-                Err(stop) => return stop.attempt(),
+    let mut upstream = if let Some(upstream) = pooled {
+        upstream
+    } else {
+        let connect = Upstream::connect(address, CONNECT_TIMEOUT);
+        match race(connect, outlet, call.deadline).await {
+            Ok(Ok(upstream)) => upstream,
+            Ok(Err(error)) => {
+                tracing::info!(event = "endpoint_unreachable", endpoint, %address, %error);
+                return Attempt::NotRun(NotRun::Unreachable);
             }
+            Err(stop) => return stop.attempt(),
         }
     };
     // A busy instance may get here long after the caller left.
@@ -196,11 +198,11 @@
         loop {
             let head = self.head(call, outlet).await?;
             let answer = read_answer(&head);
-            let is_own = answer.request.is_none_or(|id| id == call.request);
+            let is_foreign = answer.request.is_some_and(|id| id != call.request);
             let mut body = head
                 .answer_body(call.head.method())
                 .map_err(ReadError::from)?;
-            if !is_own {
+            if is_foreign {
                 // A late answer to an earlier request on this connection.
                 tracing::info!(event = "foreign_answer", request = %call.id(), address = %self.address);
                 self.is_reusable = false;
@@ -224,11 +226,11 @@
             }
             self.gate.begin(place);
             let body = self.whole(&mut body, call, outlet).await?;
-            let held = HeldAnswer { head, body };
+            let answer = HeldAnswer { head, body };
             if !is_good && call.may_try_again() {
-                return Ok(Attempt::Failed(held));
+                return Ok(Attempt::Failed(answer));
             }
-            return deliver(call, outlet, held).await.map_err(Stop::from);
+            return deliver(call, outlet, answer).await.map_err(Stop::from);
         }
     }
 
--- a/cornelstand/src/gateway/tests.rs
+++ b/cornelstand/src/gateway/tests.rs
@@ -86,7 +86,7 @@
 fn engine_spec() -> EngineSpec {
     EngineSpec {
         slots: 64,
-        memory: 530_000,
+        memory: 530_000.0,
         stride: 6,
     }
 }
--- a/cornelstand/src/gateway/tests/admission.rs
+++ b/cornelstand/src/gateway/tests/admission.rs
@@ -5,7 +5,7 @@
 
 use crate::gateway::admission::{Admission, Waiting};
 use crate::gateway::catalog::RouteKind;
-use crate::gateway::placement::Prompt;
+use crate::gateway::endpoint_state::Prompt;
 use crate::gateway::tests::{MODELS, route};
 use crate::moment::Moment;
 use crate::name::{AccountName, ServiceName};
--- a/cornelstand/src/gateway/tests/budget.rs
+++ b/cornelstand/src/gateway/tests/budget.rs
@@ -35,7 +35,7 @@
         let mut requests = requests;
         requests.sort_by_key(|r| r.1);
         let mut repeats = 0;
-        let total = requests.len() as f64;
+        let total = f64::from(u32::try_from(requests.len()).expect("few"));
         for (instance, ms) in requests {
             let share = &mut shares[instance % count];
             share.count(at(ms), &service, &RULE);
--- a/cornelstand/src/gateway/tests/heavy_load.rs
+++ b/cornelstand/src/gateway/tests/heavy_load.rs
@@ -3,7 +3,14 @@
 //! 2,048 between steps, and requests are admitted in order of arrival. Time is simulated; the
 //! instances exchange their beats every 40 ms, as they do on the network.
 
-use std::collections::{HashMap, VecDeque};
+#![expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
+    reason = "times and counts of a simulated day are small"
+)]
+
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,8 +18,9 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::gateway::admission::Waiting;
+use crate::gateway::endpoint_state::{Prompt, PromptPart};
 use crate::gateway::gate::{Gate, Ticket};
-use crate::gateway::placement::{Place, PlaceEnd, Prompt, PromptPart};
+use crate::gateway::placement::{Place, PlaceEnd};
 use crate::gateway::tests::{MODELS, gate, record};
 use crate::name::AccountName;
 
@@ -70,12 +78,12 @@
     prompt: Prompt,
 }
 
-/// What became of it.
+/// When, in milliseconds, what became of it.
 #[derive(Clone, Debug, Default)]
 struct Fate {
-    refused_ms: Option<u64>,
-    first_ms: Option<u64>,
-    end_ms: Option<u64>,
+    refused: Option<u64>,
+    first: Option<u64>,
+    end: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -104,7 +112,7 @@
 }
 
 impl Engine {
-    fn admit(&mut self, ask: usize, prompt: &Prompt, known: &mut HashMap<u64, ()>) {
+    fn admit(&mut self, ask: usize, prompt: &Prompt, known: &mut HashSet<u64>) {
         let mut to_read = f64::from(prompt.input);
         if let Some((_, shared)) = prompt.parts.split_last() {
             for part in shared {
@@ -112,7 +120,7 @@
                 if let Some(index) = kept {
                     to_read -= f64::from(part.tokens);
                     self.kept.remove(index);
-                } else if known.insert(part.id, ()).is_some() {
+                } else if !known.insert(part.id) {
                     self.read_again += f64::from(part.tokens);
                 }
                 self.kept.push_back((part.id, part.tokens));
@@ -269,7 +277,7 @@
     let mut fates = vec![Fate::default(); asks.len()];
     let mut waiting: Vec<(usize, Ticket, u64)> = Vec::new();
     let mut places: HashMap<usize, (Place, usize)> = HashMap::new();
-    let mut known = HashMap::new();
+    let mut known = HashSet::new();
     let mut next = 0;
     let mut progress = Vec::new();
     for now in 0..SECONDS * 1_000 + 15_000 {
@@ -300,13 +308,15 @@
                 let gives_up = now + request.gives_up.since(gate.now()).as_millis() as u64;
                 match gate.enqueue(request, &[]) {
                     Ok(ticket) => waiting.push((next, ticket, gives_up)),
-                    Err(_) => fates[next].refused_ms = Some(now),
+                    Err(_) => fates[next].refused = Some(now),
                 }
             }
             next += 1;
         }
         if now % TICK_MS == 0 {
-            gates.iter().for_each(|g| g.serve_queue());
+            for gate in &gates {
+                gate.serve_queue();
+            }
         }
         if now % BEAT_MS == 0 {
             let beats: Vec<_> = gates.iter().map(|g| g.beat()).collect();
@@ -327,7 +337,7 @@
             }
             if now >= *gives_up {
                 gates[asks[*ask].instance].withdraw(ticket.id);
-                fates[*ask].refused_ms = Some(now);
+                fates[*ask].refused = Some(now);
                 return false;
             }
             true
@@ -358,7 +368,7 @@
 ) {
     match step {
         Progress::First(ask) => {
-            fates[*ask].first_ms = Some(now);
+            fates[*ask].first = Some(now);
             if let Some((place, gate)) = places.get_mut(ask) {
                 gates[*gate].begin(place);
             }
@@ -369,7 +379,7 @@
             }
         }
         Progress::End(ask) => {
-            fates[*ask].end_ms = Some(now);
+            fates[*ask].end = Some(now);
             if let Some((place, gate)) = places.remove(ask) {
                 gates[gate].end(&place, PlaceEnd::Good);
             }
@@ -387,17 +397,17 @@
     places: &mut HashMap<usize, (Place, usize)>,
 ) {
     const FIRST_MS: u64 = 3_200;
-    if now % 20 != 0 {
+    if !now.is_multiple_of(20) {
         return;
     }
     for (i, ask) in asks.iter().enumerate() {
         let fate = &mut fates[i];
         let age = now.saturating_sub(ask.at_ms);
-        let is_over = age >= ask.kind.timeout_ms() || (fate.first_ms.is_none() && age >= FIRST_MS);
-        if fate.end_ms.is_some() || fate.refused_ms.is_some() || !is_over {
+        let is_over = age >= ask.kind.timeout_ms() || (fate.first.is_none() && age >= FIRST_MS);
+        if fate.end.is_some() || fate.refused.is_some() || !is_over {
             continue;
         }
-        fate.refused_ms = Some(u64::MAX);
+        fate.refused = Some(u64::MAX);
         for engine in engines.iter_mut() {
             engine.cancel(i);
         }
@@ -417,9 +427,9 @@
     fn good(&self, is: impl Fn(&Ask) -> bool) -> f64 {
         self.count(|ask, fate| {
             let first = fate
-                .first_ms
+                .first
                 .is_some_and(|f| f <= ask.at_ms + ask.kind.objective_ms());
-            is(ask) && first && fate.end_ms.is_some()
+            is(ask) && first && fate.end.is_some()
         })
     }
 
@@ -432,7 +442,7 @@
             .filter(|a| a.account == account && within(a.at_ms));
         let asked = asked.map(|a| cost(&a.prompt)).sum();
         let got = self.asks.iter().zip(&self.fates);
-        let got = got.filter(|(a, f)| a.account == account && f.first_ms.is_some_and(within));
+        let got = got.filter(|(a, f)| a.account == account && f.first.is_some_and(within));
         (asked, got.map(|(a, _)| cost(&a.prompt)).sum())
     }
 }
@@ -456,8 +466,8 @@
 #[tokio::test(start_paused = true)]
 async fn answers_that_begin_also_end_in_time_under_twice_the_load() {
     let day = play(Policy::Gateway, asks(2, 2.0, &[])).await;
-    let begun = day.count(|_, f| f.first_ms.is_some());
-    let ended = day.count(|_, f| f.end_ms.is_some());
+    let begun = day.count(|_, f| f.first.is_some());
+    let ended = day.count(|_, f| f.end.is_some());
     assert!(ended >= 0.97 * begun, "{ended} of {begun}");
 }
 
@@ -482,7 +492,7 @@
 async fn a_refused_request_hears_it_within_half_of_its_objective() {
     let day = play(Policy::Gateway, asks(5, 2.5, &["ada"])).await;
     for (ask, fate) in day.asks.iter().zip(&day.fates) {
-        if let Some(refused) = fate.refused_ms.filter(|r| *r != u64::MAX) {
+        if let Some(refused) = fate.refused.filter(|r| *r != u64::MAX) {
             assert!(refused - ask.at_ms <= ask.kind.objective_ms() / 2);
         }
     }
--- a/cornelstand/src/gateway/tests/peers.rs
+++ b/cornelstand/src/gateway/tests/peers.rs
@@ -101,7 +101,11 @@
             let mut beat = beat(&format!("{centre}-{i}"), 1, 1);
             beat.centre = CentreName::from(centre);
             beat.cores = if i == 3 { 0.5 } else { 0.12 };
-            peers.hear(at(0), ([10, 0, 0, i as u8], 7_400).into(), beat);
+            peers.hear(
+                at(0),
+                ([10, 0, 0, u8::try_from(i).expect("few")], 7_400).into(),
+                beat,
+            );
         }
     }
     peers
@@ -139,7 +143,7 @@
     let peers = fleet(8);
     let mut own = beat("south-9", 7, 5);
     own.centre = CentreName::from("south");
-    let digest = peers.digest(at(0), own);
+    let digest = peers.digest(at(0), &own);
     assert_eq!((digest.members, digest.loads[0].running), (9, 8 + 5));
     let mut elsewhere = fleet(8);
     assert!(elsewhere.hear_centre(at(0), digest.clone()));
--- a/cornelstand/src/gateway/tests/placement.rs
+++ b/cornelstand/src/gateway/tests/placement.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use crate::gateway::directory::EndpointRecord;
+use crate::gateway::endpoint_state::{Prompt, PromptPart};
 use crate::gateway::placement::{
-    EndpointIndex, Endpoints, NoPlace, Place, PlaceEnd, PlacementRules, Prompt, PromptPart,
+    EndpointIndex, Endpoints, NoPlace, Place, PlaceEnd, PlacementRules,
 };
 use crate::gateway::tests::{MODELS, ORDERS, record};
 use crate::moment::Moment;
@@ -37,7 +38,7 @@
 
 fn rules() -> PlacementRules {
     PlacementRules {
-        memory: Some(530_000),
+        memory: Some(530_000.0),
         objective: Duration::from_millis(400),
         token_time: 12.0,
         left: Duration::from_secs(12),
--- a/cornelstand/src/gateway/tests/wire.rs
+++ b/cornelstand/src/gateway/tests/wire.rs
@@ -166,7 +166,7 @@
     insta::assert_snapshot!(String::from_utf8_lossy(&out).replace('\r', ""));
 }
 
-fn entry(spec: serde_json::Value) -> StoreObject {
+fn entry(spec: &serde_json::Value) -> StoreObject {
     serde_json::from_value(json!({ "metadata": { "name": "i-1" }, "spec": spec })).expect("object")
 }
 
@@ -179,7 +179,7 @@
 
 #[test]
 fn an_entry_of_an_endpoint_is_read() {
-    let record = read_endpoint(&entry(endpoint())).expect("valid");
+    let record = read_endpoint(&entry(&endpoint())).expect("valid");
     assert_eq!(record.cold, Duration::from_millis(1_500));
     assert!(!record.leaving);
 }
@@ -188,7 +188,7 @@
 fn an_endpoint_that_drains_leaves() {
     let mut spec = endpoint();
     spec["state"] = json!("draining");
-    assert!(read_endpoint(&entry(spec)).expect("valid").leaving);
+    assert!(read_endpoint(&entry(&spec)).expect("valid").leaving);
 }
 
 #[rstest]
@@ -201,7 +201,7 @@
 fn entries_of_other_writers_are_left_out(#[case] field: &str, #[case] value: serde_json::Value) {
     let mut spec = endpoint();
     spec[field] = value;
-    assert!(read_endpoint(&entry(spec)).is_err());
+    assert!(read_endpoint(&entry(&spec)).is_err());
 }
 
 #[test]
@@ -227,6 +227,10 @@
     assert_eq!(name("shop.example:80", "/a/c"), Some("r-1"));
     assert_eq!(name("SHOP.example", "/a/b/c"), Some("r-2"));
     assert_eq!(name("shop.example", "/ab"), None);
-    let target = |draw| catalog.routes[0].target(draw).map(|s| s.as_str());
+    let target = |draw| {
+        catalog.routes[0]
+            .target(draw)
+            .map(crate::name::ServiceName::as_str)
+    };
     assert_eq!((target(0.89), target(0.91)), (Some("x"), Some("y")));
 }
--- a/cornelstand/src/platform/headers.rs
+++ b/cornelstand/src/platform/headers.rs
@@ -6,9 +6,9 @@
 use bytes::{BufMut, Bytes, BytesMut};
 
 use crate::gateway::catalog::EngineSpec;
+use crate::gateway::endpoint_state::{Prompt, PromptPart};
 use crate::gateway::message::{Head, reason};
 use crate::gateway::outlet::OwnAnswer;
-use crate::gateway::placement::{Prompt, PromptPart};
 
 /// Identity of one try of a caller. The platform calls it an attempt; a caller that tries again
 /// sends a new one.
@@ -292,10 +292,10 @@
 /// Whether a header goes to the other edge.
 fn is_passed_on(head: &Head, name: &str) -> bool {
     let is = |n: &&str| n.eq_ignore_ascii_case(name);
-    if CONNECTION_HEADERS.iter().any(|n| is(&n)) || name.eq_ignore_ascii_case("content-length") {
+    if CONNECTION_HEADERS.iter().any(is) || name.eq_ignore_ascii_case("content-length") {
         return false;
     }
-    KEPT_HEADERS.iter().any(|n| is(&n)) || !head.has_token("connection", name)
+    KEPT_HEADERS.iter().any(is) || !head.has_token("connection", name)
 }
 
 fn line(out: &mut BytesMut, parts: &[&str]) {
--- a/cornelstand/src/platform/objects.rs
+++ b/cornelstand/src/platform/objects.rs
@@ -105,7 +105,7 @@
 #[derive(Deserialize)]
 struct EngineFields {
     slots: u32,
-    kv_capacity: u64,
+    kv_capacity: f64,
     #[serde(default = "one")]
     stride: u32,
 }
--- a/cornelstand/src/platform/store.rs
+++ b/cornelstand/src/platform/store.rs
@@ -136,7 +136,9 @@
             let body = self.call("GET", &path, &[], CALL_TIMEOUT).await?;
             let page: Page = serde_json::from_slice(&body).context(UnreadableSnafu)?;
             let last = page.items.last().and_then(|i| i.pointer("/metadata/name"));
-            after = last.and_then(Value::as_str).unwrap_or_default().to_owned();
+            last.and_then(Value::as_str)
+                .unwrap_or_default()
+                .clone_into(&mut after);
             objects.extend(page.items.into_iter().filter_map(read_object));
             let revision = *revision.get_or_insert(page.as_of);
             if !page.has_more || after.is_empty() {
