Test the gateway as processes beside stand-ins of the platform, with a soak

The stand-ins gain the platform's store (revisions, pages, watches, lost history, refused, silent, slow and lost answers) and an endpoint that speaks the platform's protocol.

--- /dev/null
+++ b/cornelstand/tests/gateway/soak.rs
@@ -0,0 +1,194 @@
+//! A randomized soak: callers keep asking while processes are killed, paused, stopped and started,
+//! the store fails in its ways, and endpoints crash, refuse and cut their answers.
+//!
+//! What is checked is what callers and endpoints see: a call that may not be repeated runs at most
+//! once, a refusal is true, and every answer is the caller's own and whole. `CORNELSTAND_SOAK_SEED`
+//! and `CORNELSTAND_SOAK_SECONDS` choose another run.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
+use stand_ins::{EndpointFaults, StoreFaults};
+use tokio::sync::RwLock;
+use tokio::time::{Instant, sleep};
+
+use crate::whole_stream;
+use crate::world::World;
+
+const INSTANCES: u8 = 3;
+const CALLERS: usize = 6;
+/// Seeds that have failed, with their causes, and one that is always played.
+const SEEDS: [u64; 1] = [1];
+
+/// What a caller heard of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Heard {
+    Served,
+    /// Promised not to have run.
+    Refused,
+    /// A failure, or no answer.
+    Unknown,
+}
+
+fn variable(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_under_random_faults() {
+    let seconds = variable("CORNELSTAND_SOAK_SECONDS").unwrap_or(6);
+    let seeds = variable("CORNELSTAND_SOAK_SEED").map_or(SEEDS.to_vec(), |s| vec![s]);
+    for seed in seeds {
+        soak(seed, Duration::from_secs(seconds)).await;
+    }
+}
+
+async fn soak(seed: u64, length: Duration) {
+    let world = World::start(INSTANCES);
+    for i in 0..usize::from(INSTANCES) {
+        world.await_ready(i, true).await;
+    }
+    let world = Arc::new(RwLock::new(world));
+    let is_over = Arc::new(AtomicBool::new(false));
+    let number = Arc::new(AtomicU64::new(0));
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|i| {
+            tokio::spawn(call(
+                world.clone(),
+                is_over.clone(),
+                number.clone(),
+                seed,
+                i,
+            ))
+        })
+        .collect();
+    harm(&world, seed, length).await;
+    is_over.store(true, Ordering::Relaxed);
+    let mut heard = BTreeMap::new();
+    for caller in callers {
+        heard.extend(caller.await.expect("the caller's checks hold"));
+    }
+    check(&*world.read().await, &heard, seed);
+}
+
+async fn call(
+    world: Arc<RwLock<World>>,
+    is_over: Arc<AtomicBool>,
+    number: Arc<AtomicU64>,
+    seed: u64,
+    caller: usize,
+) -> BTreeMap<String, Heard> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed * 1_000 + caller as u64);
+    let mut heard = BTreeMap::new();
+    while !is_over.load(Ordering::Relaxed) {
+        let path = ["/book/1", "/stock/1", "/stream/1"][rng.random_range(0..3)];
+        let instance = rng.random_range(0..usize::from(INSTANCES));
+        let id = format!("{}-{}", &path[1..3], number.fetch_add(1, Ordering::Relaxed));
+        let answer = world.read().await.ask(instance, path, &id).await;
+        let result = match answer {
+            Ok((200, body)) => {
+                let own = if path == "/stream/1" {
+                    whole_stream()
+                } else {
+                    format!("answer to {id}")
+                };
+                assert_eq!(body, own, "seed {seed}: {id} got another answer");
+                Heard::Served
+            }
+            Ok((408 | 421 | 429 | 503, _)) => Heard::Refused,
+            Ok(_) | Err(_) => Heard::Unknown,
+        };
+        heard.insert(id, result);
+        sleep(Duration::from_millis(rng.random_range(1..15))).await;
+    }
+    heard
+}
+
+/// Harms the world in series that overlap.
+async fn harm(world: &RwLock<World>, seed: u64, length: Duration) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let until = Instant::now() + length;
+    let mut version = 1;
+    while Instant::now() < until {
+        let instance = rng.random_range(0..usize::from(INSTANCES));
+        let endpoint = ["m-1", "m-2", "o-1", "o-2"][rng.random_range(0..4)];
+        match rng.random_range(0..10) {
+            0 => {
+                let mut world = world.write().await;
+                world.instances[instance].kill();
+                world.instances[instance].start();
+            }
+            1 => world.read().await.instances[instance].signal(Signal::STOP),
+            2 => {
+                let world = world.read().await;
+                world.instances.iter().for_each(|i| i.signal(Signal::CONT));
+            }
+            3 => {
+                let faults = StoreFaults {
+                    away: rng.random_bool(0.3),
+                    silent: rng.random_bool(0.3),
+                    lost: rng.random_bool(0.3),
+                    slow: rng.random_range(0..100),
+                };
+                world.read().await.store.set_faults(faults);
+            }
+            4 => world.read().await.store.set_faults(StoreFaults::default()),
+            5 => world.read().await.store.compact(),
+            6 => world.read().await.endpoints[endpoint]
+                .crash()
+                .expect("it starts again"),
+            7 => {
+                let faults = EndpointFaults {
+                    busy: rng.random_bool(0.5),
+                    cut: rng.random_bool(0.5),
+                };
+                world.read().await.endpoints[endpoint].set_faults(faults);
+            }
+            8 => world.read().await.endpoints[endpoint].set_faults(EndpointFaults::default()),
+            _ => {
+                version += 1;
+                world.read().await.configure(version, true);
+            }
+        }
+        sleep(Duration::from_millis(rng.random_range(20..250))).await;
+    }
+    let world = world.read().await;
+    world.instances.iter().for_each(|i| i.signal(Signal::CONT));
+}
+
+fn check(world: &World, heard: &BTreeMap<String, Heard>, seed: u64) {
+    let mut runs: BTreeMap<String, u32> = BTreeMap::new();
+    for endpoint in world.endpoints.values() {
+        for (id, count) in endpoint.runs() {
+            *runs.entry(id).or_default() += count;
+        }
+    }
+    for (id, count) in &runs {
+        assert!(
+            heard.contains_key(id),
+            "seed {seed}: {id} ran and no caller sent it"
+        );
+        assert!(
+            !id.starts_with("bo") || *count == 1,
+            "seed {seed}: {id} ran {count} times"
+        );
+    }
+    for (id, heard) in heard.iter().filter(|(id, _)| id.starts_with("bo")) {
+        let ran = runs.contains_key(id);
+        assert!(
+            *heard != Heard::Refused || !ran,
+            "seed {seed}: {id} was refused and ran"
+        );
+        assert!(
+            *heard != Heard::Served || ran,
+            "seed {seed}: {id} was served and never ran"
+        );
+    }
+    let served = heard.values().filter(|h| **h == Heard::Served).count();
+    assert!(served > 0, "seed {seed}: nothing was served");
+}
--- /dev/null
+++ b/cornelstand/tests/gateway/world.rs
@@ -0,0 +1,239 @@
+//! Real processes of the gateway beside stand-ins of the platform's store and its endpoints, each
+//! world on loopback addresses of its own.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use stand_ins::{EndpointSettings, PlatformEndpoint, PlatformStore};
+use tokio::time::{Instant, sleep};
+
+/// Longest wait for anything; far beyond what the processes take.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(30);
+pub(crate) const KEY: &str = "key-a";
+pub(crate) const EVENTS: u32 = 12;
+
+static WORLDS: AtomicU8 = AtomicU8::new(1);
+
+/// One instance of the gateway.
+pub(crate) struct Instance {
+    pub(crate) ip: Ipv4Addr,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+pub(crate) struct World {
+    pub(crate) store: PlatformStore,
+    pub(crate) endpoints: BTreeMap<String, PlatformEndpoint>,
+    pub(crate) instances: Vec<Instance>,
+    pub(crate) http: reqwest::Client,
+}
+
+impl World {
+    /// Starts a world with `count` instances, which may not be ready yet.
+    pub(crate) fn start(count: u8) -> Self {
+        let store = PlatformStore::start().expect("the store starts");
+        let mut endpoints = BTreeMap::new();
+        for name in ["m-1", "m-2", "o-1", "o-2"] {
+            let endpoint = PlatformEndpoint::start(EndpointSettings {
+                name: name.to_owned(),
+                work: Duration::from_millis(5),
+                events: EVENTS,
+                pause: Duration::from_millis(20),
+            });
+            endpoints.insert(name.to_owned(), endpoint.expect("the endpoint starts"));
+        }
+        let world = WORLDS.fetch_add(1, Ordering::Relaxed);
+        let process = u8::try_from(std::process::id() % 200).expect("below 200");
+        let ip = |i: u8| Ipv4Addr::new(127, 20 + process, world, 10 + i);
+        let seeds: Vec<String> = (0..count.min(3))
+            .map(|i| format!("{}:8785", ip(i)))
+            .collect();
+        let mut this = Self {
+            store,
+            endpoints,
+            instances: Vec::new(),
+            http: reqwest::Client::builder()
+                .no_proxy()
+                .timeout(PATIENCE)
+                .build()
+                .expect("a client"),
+        };
+        this.configure(1, true);
+        for name in ["m-1", "m-2", "o-1", "o-2"] {
+            this.list(name, "ready");
+        }
+        for i in 0..count {
+            let instance = Instance::new(ip(i), this.store.address(), &seeds.join(","));
+            this.instances.push(instance);
+        }
+        this.instances.iter_mut().for_each(Instance::start);
+        this
+    }
+
+    /// Writes a configuration, with or without the key.
+    pub(crate) fn configure(&self, version: u64, has_key: bool) {
+        let route = |name: &str, kind: &str, service: &str| {
+            json!({
+                "name": name, "host": "shop.example", "path_prefix": format!("/{name}/"), "kind": kind,
+                "timeout_ms": 8000, "target_latency_ms": 800, "max_attempts": 2, "service": service,
+                "resumable": kind == "streaming",
+            })
+        };
+        let keys: &[&str] = if has_key { &[KEY] } else { &[] };
+        let spec = json!({
+            "version": version,
+            "routes": [
+                route("stream", "streaming", "models"),
+                route("book", "non_idempotent", "orders"),
+                route("stock", "idempotent", "orders"),
+                route(&format!("v{version}"), "idempotent", "orders"),
+            ],
+            "services": [
+                { "name": "models", "engine": { "slots": 64, "kv_capacity": 500_000, "stride": 6 } },
+                { "name": "orders" },
+            ],
+            "limits": {},
+            "tenants": [{ "name": "ada", "api_keys": keys }],
+        });
+        self.store.put("config", "main", &spec);
+    }
+
+    /// Writes the entry of an endpoint.
+    pub(crate) fn list(&self, name: &str, state: &str) {
+        let service = if name.starts_with('m') {
+            "models"
+        } else {
+            "orders"
+        };
+        let spec: Value = json!({
+            "service": service, "address": self.endpoints[name].address(), "zone": "north",
+            "slots": 64, "state": state, "cold_left_ms": 0, "seq": 1, "born": 1,
+        });
+        self.store.put("servers", name, &spec);
+    }
+
+    /// Sends a request through an instance.
+    pub(crate) async fn ask(
+        &self,
+        instance: usize,
+        path: &str,
+        id: &str,
+    ) -> Result<(u16, String), reqwest::Error> {
+        let address = self.instances[instance].front();
+        let request = self.http.post(format!("http://{address}{path}"));
+        let request = request
+            .header("host", "shop.example")
+            .header("x-cornelstand-attempt-id", id)
+            .header("x-cornelstand-deadline-ms", "8000")
+            .header("x-cornelstand-credential", KEY)
+            .header("x-cornelstand-token-count", "100,60")
+            .body("body");
+        let response = request.send().await?;
+        let status = response.status().as_u16();
+        Ok((status, response.text().await?))
+    }
+
+    /// Waits until an instance says that it is ready, or not.
+    pub(crate) async fn await_ready(&self, instance: usize, is_ready: bool) {
+        let ip = self.instances[instance].ip;
+        self.until("readiness", async || {
+            let answer = self
+                .http
+                .get(format!("http://{ip}:8780/-/ready"))
+                .send()
+                .await;
+            answer.is_ok_and(|a| a.status().is_success()) == is_ready
+        })
+        .await;
+    }
+
+    /// Waits until `holds`.
+    pub(crate) async fn until(&self, what: &str, holds: impl AsyncFn() -> bool) {
+        let until = Instant::now() + PATIENCE;
+        while !holds().await {
+            assert!(Instant::now() < until, "no {what} in {PATIENCE:?}");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+impl Instance {
+    fn new(ip: Ipv4Addr, store: SocketAddr, seeds: &str) -> Self {
+        let folder = std::env::temp_dir().join(format!("cornelstand-gateway-{ip}"));
+        std::fs::create_dir_all(&folder).expect("a folder for the test");
+        let settings = folder.join("settings.conf");
+        let text = format!(
+            "node=n-{ip}\nzone=north\nzones.north=here\nlisten.front={ip}:8783\n\
+             listen.ready={ip}:8780\nlisten.control={ip}:8785\ninternal_ports=7400,7415\n\
+             seeds={seeds}\nlimits.cpu_share=0.25\nlimits.memory_mb=260\nlimits.max_fds=4100\n\
+             bounds.grace_s=8\nbounds.budget_slack=50\nplatform.address={store}\n"
+        );
+        std::fs::write(&settings, text).expect("settings are written");
+        Self {
+            ip,
+            settings,
+            log: folder.join("log.jsonl"),
+            child: None,
+        }
+    }
+
+    /// Address for callers.
+    pub(crate) fn front(&self) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.ip), 8_783)
+    }
+
+    pub(crate) fn start(&mut self) {
+        let log = File::options().create(true).append(true).open(&self.log);
+        let child = Command::new(env!("CARGO_BIN_EXE_cornelstand"))
+            .arg("gateway")
+            .env("CORNELSTAND_CONFIG", &self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.expect("a log file"))
+            .spawn();
+        self.child = Some(child.expect("the gateway starts"));
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub(crate) fn signal(&self, signal: Signal) {
+        let child = self.child.as_ref().expect("started");
+        let id = i32::try_from(child.id()).expect("a process id");
+        kill_process(Pid::from_raw(id).expect("not zero"), signal).expect("it runs");
+    }
+
+    /// Whether the process has ended.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_none_or(|c| c.try_wait().is_ok_and(|s| s.is_some()))
+    }
+
+    /// Ends the process at once.
+    pub(crate) fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().expect("the process belongs to this test");
+            child.wait().expect("it ends");
+        }
+    }
+
+    /// What the process logged.
+    pub(crate) fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.kill();
+        if !std::thread::panicking() {
+            let folder = self.settings.parent().expect("a folder");
+            std::fs::remove_dir_all(folder).expect("the folder belongs to this test");
+        }
+    }
+}
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -39,6 +39,8 @@
 mod object_api;
 mod objects;
 mod plain;
+mod platform_endpoint;
+mod platform_store;
 mod wire;
 
 pub use answer::{digest, length, text, token};
@@ -50,3 +52,5 @@
 pub use object_api::{ObjectApi, ObjectSettings};
 pub use objects::{ObjectCounts, ObjectFaults, Outage};
 pub use plain::{PlainCounts, PlainFaults, PlainService, PlainSettings, Runs, call_digest};
+pub use platform_endpoint::{EndpointFaults, EndpointSettings, PlatformEndpoint};
+pub use platform_store::{PlatformStore, StoreCounts, StoreFaults};
--- /dev/null
+++ b/stand-ins/src/platform_endpoint.rs
@@ -0,0 +1,194 @@
+//! An endpoint on the users' platform: it answers under its identity, counts every run, and streams
+//! events that can be resumed.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use http::{HeaderMap, StatusCode};
+use tokio::time::sleep;
+use warp::reply::Response;
+use warp::{Filter, Reply};
+
+use crate::host::{Host, StartError, boxed};
+
+/// Header that names the request.
+const REQUEST: &str = "x-cornelstand-attempt-id";
+/// Header that names the endpoint that the sender means.
+const EXPECTED: &str = "x-cornelstand-expect-instance";
+/// Path of streams.
+const STREAMS: &str = "/stream/";
+
+/// Settings of an endpoint.
+#[derive(Clone, Debug)]
+pub struct EndpointSettings {
+    /// Identity under which it answers.
+    pub name: String,
+    /// Time of a call, and before the first event.
+    pub work: Duration,
+    /// Events of a stream.
+    pub events: u32,
+    /// Pause between two events.
+    pub pause: Duration,
+}
+
+/// Faults of an endpoint, switchable while it runs.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EndpointFaults {
+    /// Requests are refused as not run.
+    pub busy: bool,
+    /// Requests run, and their answers break off in the middle.
+    pub cut: bool,
+}
+
+#[derive(Debug)]
+struct Inner {
+    settings: EndpointSettings,
+    faults: Mutex<EndpointFaults>,
+    runs: Mutex<BTreeMap<String, u32>>,
+}
+
+/// Fake of an endpoint on the platform.
+#[derive(Debug)]
+pub struct PlatformEndpoint {
+    host: Host,
+    inner: Arc<Inner>,
+}
+
+impl PlatformEndpoint {
+    /// Starts it on a free port.
+    ///
+    /// # Errors
+    ///
+    /// If the listener or its thread cannot be set up.
+    pub fn start(settings: EndpointSettings) -> Result<Self, StartError> {
+        let host = Host::bind((Ipv4Addr::LOCALHOST, 0).into())?;
+        let inner = Arc::new(Inner {
+            settings,
+            faults: Mutex::default(),
+            runs: Mutex::default(),
+        });
+        let endpoint = Self { host, inner };
+        endpoint.serve()?;
+        Ok(endpoint)
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.host.address()
+    }
+
+    /// Replaces the faults in force.
+    pub fn set_faults(&self, faults: EndpointFaults) {
+        *lock(&self.inner.faults) = faults;
+    }
+
+    /// Cuts all connections at once.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot start again.
+    pub fn crash(&self) -> Result<(), StartError> {
+        self.serve()
+    }
+
+    /// How often each request ran.
+    #[must_use]
+    pub fn runs(&self) -> BTreeMap<String, u32> {
+        lock(&self.inner.runs).clone()
+    }
+
+    fn serve(&self) -> Result<(), StartError> {
+        let inner = self.inner.clone();
+        let filter = warp::path::full()
+            .and(warp::header::headers_cloned())
+            .and(warp::body::bytes())
+            .then(move |path: warp::path::FullPath, headers, _body: Bytes| {
+                let inner = inner.clone();
+                async move { answer(&inner, path.as_str(), &headers).await }
+            });
+        self.host.serve(boxed(filter), std::future::pending())
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn answer(inner: &Inner, path: &str, headers: &HeaderMap) -> Response {
+    let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok());
+    let settings = &inner.settings;
+    let request = text(REQUEST).unwrap_or_default().to_owned();
+    if text(EXPECTED).is_some_and(|name| name != settings.name) {
+        return refusal(StatusCode::MISDIRECTED_REQUEST);
+    }
+    let faults = *lock(&inner.faults);
+    if faults.busy {
+        return refusal(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    *lock(&inner.runs).entry(request.clone()).or_default() += 1;
+    sleep(settings.work).await;
+    let after = text("last-event-id").and_then(|id| id.parse().ok());
+    let first = after.map_or(1, |id: u32| id + 1);
+    let body = if path.starts_with(STREAMS) {
+        events(settings, first, faults.cut)
+    } else if faults.cut {
+        warp::reply::stream(futures::stream::iter([
+            Ok(Bytes::from_static(b"ha")),
+            Err(std::io::Error::other("cut")),
+        ]))
+        .into_response()
+    } else {
+        Response::new(format!("answer to {request}").into())
+    };
+    stamped(body, &request)
+}
+
+fn events(settings: &EndpointSettings, first: u32, is_cut: bool) -> Response {
+    let (last, pause) = (settings.events, settings.pause);
+    let end = if is_cut { first + last / 2 } else { last + 1 };
+    let events = futures::stream::iter(first..=end.min(last + 1)).then(move |number| async move {
+        if number >= end && is_cut {
+            return Err(std::io::Error::other("cut"));
+        }
+        sleep(pause).await;
+        if number > last {
+            return Ok(Bytes::new());
+        }
+        Ok(Bytes::from(format!(
+            "id: {number}\ndata: {number} of {last}\n\n"
+        )))
+    });
+    let events = events.filter(|e| {
+        let is_kept = !matches!(e, Ok(bytes) if bytes.is_empty());
+        async move { is_kept }
+    });
+    let mut response = warp::reply::stream(events).into_response();
+    let media = http::HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert("content-type", media);
+    response
+}
+
+fn stamped(mut response: Response, request: &str) -> Response {
+    let headers = response.headers_mut();
+    let receipt = http::HeaderValue::from_static("receipt");
+    headers.insert("x-cornelstand-server-stamp", receipt);
+    if let Ok(request) = request.parse() {
+        headers.insert(REQUEST, request);
+    }
+    response
+}
+
+fn refusal(status: StatusCode) -> Response {
+    let mut response = Response::default();
+    *response.status_mut() = status;
+    let yes = http::HeaderValue::from_static("1");
+    response
+        .headers_mut()
+        .insert("x-cornelstand-not-executed", yes);
+    response
+}
