--- a/cornelstand/src/gateway/follow.rs
+++ b/cornelstand/src/gateway/follow.rs
@@ -28,8 +28,6 @@
 /// Longest wait of a watch. With the store's slack it bounds how long a silent one goes unnoticed,
 /// below the platform's time for a configuration to be in force.
 const WATCH_WAIT: Duration = Duration::from_millis(2_200);
-/// Longest wait of a watch in a large fleet, where the peers tell that a watch went silent.
-const LARGE_WAIT: Duration = Duration::from_secs(6);
 /// Time after the instances were listed until the first beats have told which one leads.
 const FIRST_BEATS: Duration = Duration::from_millis(700);
 /// Time between two listings of the instances by one that does not lead.
@@ -114,9 +112,7 @@
         take_listing(gate, followed, &objects, revision);
         return Ok(revision);
     };
-    let is_large = gate.state.borrow().peers.is_large();
-    let wait = if is_large { LARGE_WAIT } else { WATCH_WAIT };
-    let (changes, revision) = client.watch(kind, revision, wait).await?;
+    let (changes, revision) = client.watch(kind, revision, WATCH_WAIT).await?;
     regain(gate, followed);
     for change in &changes {
         take_change(gate, followed, change, revision);
--- a/cornelstand/src/gateway/peers.rs
+++ b/cornelstand/src/gateway/peers.rs
@@ -93,6 +93,10 @@
     pub(crate) centre: CentreName,
     /// Start of the sender's process, and a count of its digests.
     pub(crate) order: (u64, u64),
+    /// Address of the sender's beliefs.
+    pub(crate) beliefs: SocketAddr,
+    /// Version of the configuration in force at the sender.
+    pub(crate) version: u64,
     pub(crate) members: usize,
     pub(crate) loads: Vec<PeerLoad>,
     pub(crate) attained: Vec<(AccountName, f32)>,
@@ -224,6 +228,8 @@
                 .collect(),
             suspicions: own.suspicions.clone(),
             order: (own.incarnation, own.number),
+            beliefs: own.beliefs,
+            version: own.version,
             centre: own.centre.clone(),
         }
     }
@@ -344,8 +350,14 @@
 
     /// Peer with the newest configuration, if that is newer than `version`.
     pub(crate) fn ahead(&self, now: Moment, version: u64) -> Option<(u64, SocketAddr)> {
-        let newest = self.live(now).max_by_key(|b| b.version)?;
-        (newest.version > version).then_some((newest.version, newest.beliefs))
+        let live = self.live(now).map(|b| (b.version, b.beliefs));
+        let fresh = self
+            .centres
+            .values()
+            .filter(|(heard, _)| now.since(*heard) < SILENCE);
+        let told = fresh.map(|(_, d)| (d.version, d.beliefs));
+        let newest = live.chain(told).max_by_key(|(version, _)| *version)?;
+        (newest.0 > version).then_some(newest)
     }
 }
 
--- a/cornelstand/src/gateway/tests/peers.rs
+++ b/cornelstand/src/gateway/tests/peers.rs
@@ -163,3 +163,16 @@
     // The largest one comes first.
     assert_eq!(leaders[0], ["10.0.0.3:7400".parse().expect("an address")]);
 }
+
+#[test]
+fn a_newer_configuration_of_another_data_centre_is_known_by_its_digest() {
+    let mut peers = fleet(8);
+    let mut own = beat("south-9", 7, 5);
+    own.centre = CentreName::from("south");
+    own.version = 9;
+    let digest = peers.digest(at(0), &own);
+    assert_eq!(peers.ahead(at(0), 4), None);
+    peers.hear_centre(at(0), digest);
+    assert_eq!(peers.ahead(at(0), 4).map(|(version, _)| version), Some(9));
+    assert_eq!(peers.ahead(at(2_000), 4), None);
+}
