--- /dev/null
+++ b/cornelstand/src/gateway/acquire.rs
@@ -0,0 +1,69 @@
+//! The wait of a request for its place.
+
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep_until};
+
+use crate::gateway::admission::Waiting;
+use crate::gateway::call::{Call, Refused};
+use crate::gateway::gate::Gate;
+use crate::gateway::outlet::Outlet;
+use crate::gateway::placement::{Place, PlaceEnd};
+
+/// When a caller should come back that met a service without a usable endpoint.
+const NO_ENDPOINT_RETURN: Duration = Duration::from_secs(1);
+
+/// What the wait for a place ended with.
+pub(crate) enum Acquired {
+    Place(Place),
+    Refused(Refused),
+    Gone,
+}
+
+/// Waits for a place of a request, or for the reason to refuse it.
+pub(crate) async fn acquire(gate: &Gate, call: &mut Call, outlet: &mut Outlet) -> Acquired {
+    if !gate.has_endpoint(&call.service) {
+        return refuse_place(call, "no endpoint can be used", NO_ENDPOINT_RETURN);
+    }
+    let started = Instant::now();
+    let now = gate.now();
+    let account = call.account_name();
+    let prompt = call.prompt.clone();
+    let left = call.deadline.saturating_duration_since(started);
+    let service = call.service.clone();
+    let waiting = Waiting::new(now, account, service, &call.route, prompt, left);
+    let gives_up = gate.clock.instant(waiting.gives_up).min(call.deadline);
+    let mut ticket = match gate.enqueue(waiting, &call.tried) {
+        Ok(ticket) => ticket,
+        Err(after) => return refuse_place(call, "others come first", after),
+    };
+    let acquired = tokio::select! {
+        biased;
+        place = &mut ticket.grant => place.ok(),
+        () = outlet.gone() => {
+            gate.withdraw(ticket.id);
+            // A place that was granted at the same time goes back.
+            if let Ok(place) = ticket.grant.try_recv() {
+                gate.end(&place, PlaceEnd::Neutral);
+            }
+            return Acquired::Gone;
+        }
+        () = sleep_until(gives_up) => None,
+    };
+    call.queued += started.elapsed();
+    gate.metrics
+        .queue_time
+        .observe(started.elapsed().as_secs_f64());
+    if let Some(place) = acquired {
+        return Acquired::Place(place);
+    }
+    let after = gate.withdraw(ticket.id);
+    refuse_place(call, "no endpoint had room in time", after)
+}
+
+/// The final answer of a request that finds no place. It promises that the request has not run,
+/// which is true only if nothing was sent.
+fn refuse_place(call: &Call, reason: &'static str, after: Duration) -> Acquired {
+    let status = if call.sends == 0 { 503 } else { 502 };
+    Acquired::Refused(Refused::new(status, reason, Some(after)))
+}
--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::Instant;
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::gateway::admission::Waiting;
+use crate::gateway::acquire::{Acquired, acquire};
 use crate::gateway::catalog::{Catalog, GatewayRoute};
 use crate::gateway::endpoint_state::Prompt;
 use crate::gateway::gate::{Closing, Gate};
@@ -24,8 +24,6 @@
 const ANYONE: &str = "-";
 /// When a caller should come back that met an instance without a configuration.
 const UNCONFIGURED_RETURN: Duration = Duration::from_millis(500);
-/// When a caller should come back that met a service without a usable endpoint.
-const NO_ENDPOINT_RETURN: Duration = Duration::from_secs(1);
 /// When a caller should come back that met an instance that stops: at once, elsewhere.
 const STOPPING_RETURN: Duration = Duration::from_millis(20);
 /// When a caller should come back that met an overloaded instance: at once, since the balancer sends
@@ -44,7 +42,7 @@
     pub(crate) service: ServiceName,
     /// Account, unless the route is open to anyone.
     pub(crate) account: Option<AccountName>,
-    prompt: Option<Prompt>,
+    pub(crate) prompt: Option<Prompt>,
     /// Tokens in an event of its answer.
     pub(crate) stride: u32,
     pub(crate) deadline: Instant,
@@ -53,13 +51,13 @@
     version: u64,
     /// Times that the request was sent to an endpoint.
     pub(crate) sends: u32,
-    tried: Vec<EndpointIndex>,
+    pub(crate) tried: Vec<EndpointIndex>,
     /// Whether a part of the answer went to the caller.
     pub(crate) has_begun: bool,
     pub(crate) first: Option<Instant>,
     /// Last event that the caller has.
     last_event: Option<Vec<u8>>,
-    queued: Duration,
+    pub(crate) queued: Duration,
     /// Failure of an earlier attempt, which is delivered if no other follows.
     held: Option<HeldAnswer>,
 }
@@ -104,7 +102,7 @@
         }
     }
 
-    fn account_name(&self) -> AccountName {
+    pub(crate) fn account_name(&self) -> AccountName {
         let anyone = || AccountName::from(ANYONE);
         self.account.clone().unwrap_or_else(anyone)
     }
@@ -150,14 +148,14 @@
 }
 
 /// An answer of the gateway itself, before anything was sent.
-struct Refused {
+pub(crate) struct Refused {
     status: u16,
     reason: &'static str,
     after: Option<Duration>,
 }
 
 impl Refused {
-    fn new(status: u16, reason: &'static str, after: Option<Duration>) -> Self {
+    pub(crate) fn new(status: u16, reason: &'static str, after: Option<Duration>) -> Self {
         Self {
             status,
             reason,
@@ -351,60 +349,6 @@
     );
 }
 
-/// What the wait for a place ended with.
-enum Acquired {
-    Place(Place),
-    Refused(Refused),
-    Gone,
-}
-
-async fn acquire(gate: &Gate, call: &mut Call, outlet: &mut Outlet) -> Acquired {
-    if !gate.has_endpoint(&call.service) {
-        return refuse_place(call, "no endpoint can be used", NO_ENDPOINT_RETURN);
-    }
-    let started = Instant::now();
-    let now = gate.now();
-    let account = call.account_name();
-    let prompt = call.prompt.clone();
-    let left = call.deadline.saturating_duration_since(started);
-    let service = call.service.clone();
-    let waiting = Waiting::new(now, account, service, &call.route, prompt, left);
-    let gives_up = gate.clock.instant(waiting.gives_up).min(call.deadline);
-    let mut ticket = match gate.enqueue(waiting, &call.tried) {
-        Ok(ticket) => ticket,
-        Err(after) => return refuse_place(call, "others come first", after),
-    };
-    let acquired = tokio::select! {
-        biased;
-        place = &mut ticket.grant => place.ok(),
-        () = outlet.gone() => {
-            gate.withdraw(ticket.id);
-            // A place that was granted at the same time goes back.
-            if let Ok(place) = ticket.grant.try_recv() {
-                gate.end(&place, PlaceEnd::Neutral);
-            }
-            return Acquired::Gone;
-        }
-        () = sleep_until(gives_up) => None,
-    };
-    call.queued += started.elapsed();
-    gate.metrics
-        .queue_time
-        .observe(started.elapsed().as_secs_f64());
-    if let Some(place) = acquired {
-        return Acquired::Place(place);
-    }
-    let after = gate.withdraw(ticket.id);
-    refuse_place(call, "no endpoint had room in time", after)
-}
-
-/// The final answer of a request that finds no place. It promises that the request has not run,
-/// which is true only if nothing was sent.
-fn refuse_place(call: &Call, reason: &'static str, after: Duration) -> Acquired {
-    let status = if call.sends == 0 { 503 } else { 502 };
-    Acquired::Refused(Refused::new(status, reason, Some(after)))
-}
-
 async fn try_place(
     gate: &Rc<Gate>,
     call: &mut Call,
--- a/cornelstand/src/gateway/mod.rs
+++ b/cornelstand/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! what its peers do in [`peers`]. Everything runs on one thread: instances have a fraction of a
 //! core, and a wake-up of another thread costs more than it gains.
 
+pub(crate) mod acquire;
 pub(crate) mod admin;
 pub(crate) mod admission;
 pub(crate) mod budget;
@@ -32,4 +33,4 @@
 pub(crate) mod upstream;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/cornelstand/src/gateway/tests.rs
+++ b/cornelstand/src/gateway/tests.rs
@@ -6,10 +6,8 @@
 mod heavy_load;
 mod message;
 mod outputs;
-mod path;
 mod peers;
 mod placement;
-mod wire;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,11 +23,11 @@
 use crate::name::{AccountName, CentreName, EndpointName, InstanceName, ServiceName};
 
 /// Service with engines.
-const MODELS: &str = "models";
+pub(crate) const MODELS: &str = "models";
 /// Plain service.
-const ORDERS: &str = "orders";
+pub(crate) const ORDERS: &str = "orders";
 
-fn settings(instance: &str) -> GatewaySettings {
+pub(crate) fn settings(instance: &str) -> GatewaySettings {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     GatewaySettings {
         instance: InstanceName::from(instance),
@@ -58,7 +56,7 @@
     }
 }
 
-fn route(name: &str, service: &str, kind: RouteKind) -> GatewayRoute {
+pub(crate) fn route(name: &str, service: &str, kind: RouteKind) -> GatewayRoute {
     GatewayRoute {
         name: name.to_owned(),
         host: "shop.example".to_owned(),
@@ -73,7 +71,7 @@
     }
 }
 
-fn service(name: &str, engine: Option<EngineSpec>) -> GatewayService {
+pub(crate) fn service(name: &str, engine: Option<EngineSpec>) -> GatewayService {
     GatewayService {
         name: ServiceName::from(name),
         connections: 100,
@@ -83,7 +81,7 @@
     }
 }
 
-fn engine_spec() -> EngineSpec {
+pub(crate) fn engine_spec() -> EngineSpec {
     EngineSpec {
         slots: 64,
         memory: 530_000.0,
@@ -92,7 +90,7 @@
 }
 
 /// A configuration with a route of each kind, and the keys `key-a` and `key-b`.
-fn catalog(version: u64) -> Catalog {
+pub(crate) fn catalog(version: u64) -> Catalog {
     let mut digest = route("digest", MODELS, RouteKind::Stream);
     digest.objective = Duration::from_millis(800);
     digest.timeout = Duration::from_secs(15);
@@ -120,7 +118,7 @@
     .index()
 }
 
-fn record(name: &str, service: &str, address: SocketAddr) -> EndpointRecord {
+pub(crate) fn record(name: &str, service: &str, address: SocketAddr) -> EndpointRecord {
     EndpointRecord {
         name: EndpointName::from(name),
         born: 1,
@@ -134,7 +132,7 @@
 }
 
 /// An instance that knows `records` and the configuration.
-fn gate(instance: &str, records: Vec<EndpointRecord>) -> Rc<Gate> {
+pub(crate) fn gate(instance: &str, records: Vec<EndpointRecord>) -> Rc<Gate> {
     let metrics = GatewayMetrics::new().expect("metrics are defined once");
     let gate = Gate::new(settings(instance), metrics, 1);
     gate.state.borrow_mut().directory.set_catalog(catalog(1));
@@ -142,7 +140,7 @@
     Rc::new(gate)
 }
 
-fn list(gate: &Gate, records: Vec<EndpointRecord>) {
+pub(crate) fn list(gate: &Gate, records: Vec<EndpointRecord>) {
     let now = gate.now();
     let changes: Vec<EndpointChange> = {
         let mut state = gate.state.borrow_mut();
--- a/cornelstand/src/platform/mod.rs
+++ b/cornelstand/src/platform/mod.rs
@@ -10,3 +10,6 @@
 
 /// Environment variable that names the settings file.
 pub(crate) const SETTINGS_VARIABLE: &str = "CORNELSTAND_CONFIG";
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/cornelstand/src/platform/tests/scripted.rs
@@ -0,0 +1,141 @@
+//! Endpoints that play a script on each connection.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+/// Longest wait of a test for anything; far beyond what loopback takes.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What an endpoint does with one connection.
+#[derive(Clone, Debug)]
+pub(crate) enum Step {
+    /// Reads a whole request.
+    Read,
+    Write(String),
+    /// Waits until the peer closes.
+    AwaitClose,
+    Pause(u64),
+    /// Resets the connection.
+    Reset,
+}
+
+pub(crate) fn answer(id: &str, extra: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "HTTP/1.1 200 OK\r\nX-Cornelstand-Attempt-Id: {id}\r\nX-Cornelstand-Server-Stamp: s\r\n\
+         {extra}Content-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+pub(crate) fn stream_head(id: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nX-Cornelstand-Attempt-Id: {id}\r\nX-Cornelstand-Server-Stamp: s\r\n\
+         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+}
+
+pub(crate) fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+pub(crate) fn event(number: u32) -> String {
+    format!("id: {number}\ndata: piece {number}\n\n")
+}
+
+/// An endpoint that plays one script a connection and keeps the requests it read.
+pub(crate) struct Endpoint {
+    pub(crate) address: SocketAddr,
+    pub(crate) requests: Rc<std::cell::RefCell<Vec<String>>>,
+    pub(crate) closes: Rc<std::cell::Cell<usize>>,
+}
+
+impl Endpoint {
+    pub(crate) async fn start(scripts: Vec<Vec<Step>>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+        let address = listener.local_addr().expect("bound");
+        let requests: Rc<std::cell::RefCell<Vec<String>>> = Rc::default();
+        let closes: Rc<std::cell::Cell<usize>> = Rc::default();
+        let (kept, counted) = (requests.clone(), closes.clone());
+        tokio::task::spawn_local(async move {
+            for script in scripts {
+                let stream = accept(&listener).await;
+                tokio::task::spawn_local(play(stream, script, kept.clone(), counted.clone()));
+            }
+        });
+        Self {
+            address,
+            requests,
+            closes,
+        }
+    }
+
+    pub(crate) fn count(&self) -> usize {
+        self.requests.borrow().len()
+    }
+}
+
+/// The next connection on which something is sent; probes are passed over.
+pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        let (stream, _) = listener.accept().await.expect("accept");
+        if stream.peek(&mut [0]).await.is_ok_and(|n| n > 0) {
+            return stream;
+        }
+    }
+}
+
+pub(crate) async fn play(
+    mut stream: TcpStream,
+    script: Vec<Step>,
+    requests: Rc<std::cell::RefCell<Vec<String>>>,
+    closes: Rc<std::cell::Cell<usize>>,
+) {
+    for step in script {
+        match step {
+            Step::Read => match read_request(&mut stream).await {
+                Some(request) => requests.borrow_mut().push(request),
+                None => return,
+            },
+            Step::Write(text) => {
+                if stream.write_all(text.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+            Step::AwaitClose => {
+                let mut byte = [0];
+                while stream.read(&mut byte).await.is_ok_and(|n| n > 0) {}
+                closes.set(closes.get() + 1);
+            }
+            Step::Pause(ms) => sleep(Duration::from_millis(ms)).await,
+            Step::Reset => {
+                socket2::SockRef::from(&stream)
+                    .set_linger(Some(Duration::ZERO))
+                    .expect("a socket option");
+                return;
+            }
+        }
+    }
+}
+
+pub(crate) async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut text = Vec::new();
+    let mut byte = [0];
+    while !text.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).await.ok()? == 0 {
+            return None;
+        }
+        text.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&text).to_lowercase();
+    let length = head.split("content-length: ").nth(1);
+    let length = length.and_then(|l| l.split("\r\n").next()?.parse().ok());
+    let mut body = vec![0; length.unwrap_or(0)];
+    stream.read_exact(&mut body).await.ok()?;
+    text.extend(body);
+    Some(String::from_utf8_lossy(&text).into_owned())
+}
--- a/cornelstand/tests/gateway/main.rs
+++ b/cornelstand/tests/gateway/main.rs
@@ -1,14 +1,14 @@
 //! The gateway as real processes beside stand-ins of the platform.
 
+mod platform;
 mod soak;
-mod world;
 
 use std::time::Duration;
 
+use platform::{EVENTS, World};
 use rustix::process::Signal;
 use stand_ins::{EndpointFaults, StoreFaults};
 use tokio::time::{Instant, sleep};
-use world::{EVENTS, World};
 
 fn whole_stream() -> String {
     let events = (1..=EVENTS).map(|n| format!("id: {n}\ndata: {n} of {EVENTS}\n\n"));
--- a/cornelstand/tests/gateway/soak.rs
+++ b/cornelstand/tests/gateway/soak.rs
@@ -17,8 +17,8 @@
 use tokio::sync::RwLock;
 use tokio::time::{Instant, sleep};
 
+use crate::platform::World;
 use crate::whole_stream;
-use crate::world::World;
 
 const INSTANCES: u8 = 3;
 const CALLERS: usize = 6;
