Test that both homes of a part are waited for before a third engine reads it

The test of one home was wrong since the second home counts at once; with two engines both are homes. Its replacement is as strict: only the two homes are taken while the request waits for a kept part, then the queue is full, and only afterwards another engine reads the part again.

--- a/cornelstand/src/gateway/tests/placement.rs
+++ b/cornelstand/src/gateway/tests/placement.rs
@@ -102,22 +102,26 @@
 }
 
 #[test]
-fn a_queue_in_the_engine_of_a_part_is_waited_for_and_then_avoided() {
-    let mut endpoints = engines(2);
+fn queues_in_the_two_homes_of_a_part_are_waited_for_and_then_avoided() {
+    let mut endpoints = engines(3);
     let prompt = prompt(7, 12_000);
     let first = take(&mut endpoints, at(0), &prompt);
     let mut waiting = rules();
     waiting.kept_only = true;
+    let mut homes = vec![first.index];
     let mut last = Ok(first.index);
-    for _ in 0..4 {
+    for _ in 0..8 {
         last = choose(&endpoints, at(0), MODELS, Some(&prompt), &waiting);
         let Ok(index) = last else { break };
-        assert_eq!(index, first.index);
+        homes.push(index);
         endpoints.take(at(0), index, Some(&prompt)).expect("listed");
     }
     assert_eq!(last, Err(NoPlace::Full));
+    homes.sort_unstable();
+    homes.dedup();
+    assert_eq!(homes.len(), 2);
     let other = choose(&endpoints, at(0), MODELS, Some(&prompt), &rules());
-    assert!(other.is_ok_and(|index| index != first.index));
+    assert!(other.is_ok_and(|index| !homes.contains(&index)));
 }
 
 #[test]
