Log what placing and refusing a request were based on

Both lines carry the request's cost, the account's attained tokens, the least among accounts that want a place at peers, and for refusals what is queued here and the rate of places.

--- a/cornelstand/src/gateway/acquire.rs
+++ b/cornelstand/src/gateway/acquire.rs
@@ -40,7 +40,10 @@
     let gives_up = gate.clock.instant(waiting.gives_up).min(call.deadline);
     let mut ticket = match gate.enqueue(waiting, &call.tried) {
         Ok(ticket) => ticket,
-        Err(after) => return refuse_place(call, "others come first", after),
+        Err(after) => {
+            log_refusal(gate, call);
+            return refuse_place(call, "others come first", after);
+        }
     };
     let acquired = tokio::select! {
         biased;
@@ -63,9 +66,24 @@
         return Acquired::Place(place);
     }
     let after = gate.withdraw(ticket.id);
+    log_refusal(gate, call);
     refuse_place(call, "no endpoint had room in time", after)
 }
 
+/// Logs what a refusal for want of a place was based on.
+fn log_refusal(gate: &Gate, call: &Call) {
+    let state = gate.state.borrow();
+    let account = call.account_name();
+    let inputs = state
+        .admission
+        .inputs(gate.now(), &account, &call.service, call.prompt.as_ref());
+    tracing::info!(
+        event = "no_place", request = %call.id(), %account, service = %call.service,
+        cost = inputs.cost, attained = inputs.attained, least = inputs.least, queued = inputs.queued,
+        rate = inputs.rate, waiting = state.admission.len(),
+    );
+}
+
 /// The final answer of a request that finds no place. It promises that the request has not run,
 /// which is true only if nothing was sent.
 fn refuse_place(call: &Call, reason: &'static str, after: Duration) -> Acquired {
--- a/cornelstand/src/gateway/admission.rs
+++ b/cornelstand/src/gateway/admission.rs
@@ -111,13 +111,32 @@
         self
     }
 
-    /// Counted tokens: each read once, and each generated twice.
     pub(crate) fn cost(&self) -> f64 {
-        let tokens = |p: &Prompt| f64::from(p.input) + OUTPUT_COST * f64::from(p.output);
-        self.prompt.as_ref().map_or(1.0, tokens)
+        counted(self.prompt.as_ref())
     }
 }
 
+/// Counted tokens of a request: each read once, and each generated twice.
+fn counted(prompt: Option<&Prompt>) -> f64 {
+    let tokens = |p: &Prompt| f64::from(p.input) + OUTPUT_COST * f64::from(p.output);
+    prompt.map_or(1.0, tokens)
+}
+
+/// What the decisions on the requests of an account at a service are based on, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct AdmissionInputs {
+    /// Counted tokens of the request.
+    pub(crate) cost: f64,
+    /// Counted tokens that the account attained in the last seconds.
+    pub(crate) attained: f64,
+    /// The same of the most deserving account that wants a place at a peer, if any does.
+    pub(crate) least: Option<f64>,
+    /// Counted tokens of all requests that wait here.
+    pub(crate) queued: f64,
+    /// Counted tokens a second that can be expected to get places here.
+    pub(crate) rate: f64,
+}
+
 /// The queue in front of the endpoints and what accounts attained.
 #[derive(Debug, Default)]
 pub(crate) struct Admission {
@@ -297,6 +316,25 @@
         self.capacity.insert(service.clone(), rate);
     }
 
+    /// What decides on a request of `account` at `service`.
+    pub(crate) fn inputs(
+        &self,
+        now: Moment,
+        account: &AccountName,
+        service: &ServiceName,
+        prompt: Option<&Prompt>,
+    ) -> AdmissionInputs {
+        let waiting = self.waiting.iter().map(|(_, w)| w);
+        let waiting = waiting.filter(|w| w.service == *service);
+        AdmissionInputs {
+            cost: counted(prompt),
+            attained: self.attained(now, account),
+            least: self.wanting.get(service).copied(),
+            queued: waiting.map(Waiting::cost).sum(),
+            rate: self.rate(now, service),
+        }
+    }
+
     /// Counted tokens a second that can be expected to get places at this instance: what got some
     /// lately, and at least its part of what the endpoints do.
     fn rate(&self, now: Moment, service: &ServiceName) -> f64 {
--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -505,9 +505,14 @@
     let Some(endpoint) = state.endpoints.get(place.index) else {
         return;
     };
+    let account = call.account_name();
+    let inputs = state
+        .admission
+        .inputs(gate.now(), &account, &call.service, call.prompt.as_ref());
     tracing::info!(
-        event = "placed", request = %call.id(), endpoint = %endpoint.record.name,
-        ahead = place.ahead(), waiting = state.admission.len(), version = call.version,
+        event = "placed", request = %call.id(), endpoint = %endpoint.record.name, %account,
+        ahead = place.ahead(), cost = inputs.cost, attained = inputs.attained, least = inputs.least,
+        waiting = state.admission.len(), version = call.version,
     );
 }
 
