Ask only for the rest of a broken stream, and take back charges for places that ran nothing

No engine could end 954 tokens in the 7.5 s left, so it waited 0.9 s for nothing, and with its account's low attained tokens it made all larger accounts leave their places: engines stood nearly empty (750 prompt tokens waiting on average) while requests were refused. The same request had been charged four times for engines that took no connection.

Ruled out: late beats (the least attained was known everywhere), lost announcements.

The prompt of a stream that goes on is what was read and generated, its answer what is left; a charge is taken back if the endpoint did not run the request.

--- a/cornelstand/src/gateway/acquire.rs
+++ b/cornelstand/src/gateway/acquire.rs
@@ -28,7 +28,9 @@
     let started = Instant::now();
     let now = gate.now();
     let account = call.account_name();
+    let (generated, stride) = (call.generated, call.stride);
     let prompt = call.prompt.clone();
+    let prompt = prompt.map(|p| p.advanced(generated, stride));
     let left = call.deadline.saturating_duration_since(started);
     let service = call.service.clone();
     let waiting = Waiting::new(now, account, service, &call.route, prompt, left);
--- a/cornelstand/src/gateway/admission.rs
+++ b/cornelstand/src/gateway/admission.rs
@@ -276,6 +276,14 @@
         rate.add(now, cost, RATE_MEMORY);
     }
 
+    /// Takes back a charge.
+    pub(crate) fn refund(&mut self, now: Moment, account: &AccountName, cost: f64) {
+        if let Some(own) = self.own.get_mut(account) {
+            let left = (own.get(now, MEMORY) - cost).max(0.0);
+            *own = Fading::new(now, left);
+        }
+    }
+
     /// Whether a request that waits would get its place too late.
     pub(crate) fn is_hopeless(&self, now: Moment, id: WaitId) -> bool {
         if self.waiting.len() > MAX_WAITING {
--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -54,6 +54,8 @@
     pub(crate) tried: Vec<EndpointIndex>,
     /// Whether a part of the answer went to the caller.
     pub(crate) has_begun: bool,
+    /// Tokens of the answer that the caller has.
+    pub(crate) generated: u32,
     pub(crate) first: Option<Instant>,
     /// Last event that the caller has.
     last_event: Option<Vec<u8>>,
@@ -234,6 +236,7 @@
         sends: 0,
         tried: Vec::new(),
         has_begun: false,
+        generated: 0,
         first: None,
         last_event: fields.resumes.map(|id| id.to_vec()),
         queued: Duration::ZERO,
@@ -392,6 +395,7 @@
         }
         Attempt::NotRun(reason) => {
             call.tried.push(place.index);
+            gate.refund(&call.account_name(), &place);
             after_not_run(gate, call, reason, is_sent)
         }
         Attempt::Failed(held) => {
--- a/cornelstand/src/gateway/endpoint_state.rs
+++ b/cornelstand/src/gateway/endpoint_state.rs
@@ -46,6 +46,15 @@
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
+    /// The same for the rest of an answer of which `tokens` were generated: they are read with the
+    /// prompt, and the rest is at least `stride`.
+    pub(crate) fn advanced(mut self, tokens: u32, stride: u32) -> Self {
+        let generated = tokens.min(self.output.saturating_sub(stride));
+        self.input += generated;
+        self.output -= generated;
+        self
+    }
+
     /// Deepest shared part, by which requests are drawn together.
     pub(crate) fn anchor(&self) -> Option<u64> {
         self.shared().last().map(|p| p.id)
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -18,7 +18,7 @@
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::upstream::Pool;
 use crate::moment::{Clock, Moment};
-use crate::name::ServiceName;
+use crate::name::{AccountName, ServiceName};
 use crate::suspect::Suspects;
 
 /// Most suspicions in a beat, so that it fits a datagram.
@@ -215,9 +215,10 @@
             return;
         };
         let prompt = waiting.prompt.as_ref();
-        let Some(place) = state.endpoints.take(now, index, prompt) else {
+        let Some(mut place) = state.endpoints.take(now, index, prompt) else {
             return;
         };
+        place.charged = waiting.cost();
         if place.prompt_tokens() >= NEWS_TOKENS {
             self.news.notify_one();
         }
@@ -307,6 +308,13 @@
         self.serve_queue();
     }
 
+    /// Takes back the charge for a place at an endpoint that did not run the request.
+    pub(crate) fn refund(&self, account: &AccountName, place: &Place) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        state.admission.refund(now, account, place.charged);
+    }
+
     /// Carries out changes of the set of endpoints.
     pub(crate) fn apply(&self, changes: Vec<EndpointChange>) {
         let now = self.now();
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -109,6 +109,8 @@
     born: u64,
     sent: Moment,
     load: Load,
+    /// Counted tokens that the account was charged for it.
+    pub(crate) charged: f64,
     /// Tokens to read before the answer begins.
     ahead: f64,
     parts: Vec<u64>,
@@ -348,6 +350,7 @@
             born: state.record.born,
             sent: now,
             load,
+            charged: 0.0,
             ahead,
             parts,
             has_begun: false,
--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -299,12 +299,14 @@
             };
             if whole > 0 || is_end {
                 let events = pending.split_to(whole);
+                let count = memchr::memmem::find_iter(&events, b"\n\n").count();
+                let count = u32::try_from(count).unwrap_or(u32::MAX);
+                let tokens = count.saturating_mul(call.stride);
+                call.generated = call.generated.saturating_add(tokens);
                 if std::mem::replace(&mut is_first, false) {
                     self.gate.begin(place);
                 } else {
-                    let count = memchr::memmem::find_iter(&events, b"\n\n").count();
-                    let count = u32::try_from(count).unwrap_or(u32::MAX);
-                    self.gate.progress(place, count.saturating_mul(call.stride));
+                    self.gate.progress(place, tokens);
                 }
                 write_events(&mut out, head, &events, is_end, call, outlet);
                 outlet.send(&out).await?;
