Watch the store from two instances of a data centre, and hand over when endpoints lapse

It took its peers' beliefs meanwhile, but resumed its own watch where it had ended, and so replayed 8 s of changes over them: endpoints that had left were listed again, and their removal, seen just after the return, was taken for a lapse. Its peers took that over as plain entries, and as nothing changed afterwards kept an endpoint that had left 4.1 s before.

Also found: a watch that hangs is given up after 2.8 s, too late for the instances that depend on it.

Now a watch from before a peer's beliefs is not resumed but listed again; what was adopted names the time after which an entry goes; the time of the store's return is that of the peer which had it longest; two instances of each data centre watch. One function finds what is gone; a pull without an answer in time is logged.

Ruled out: late announcements (all 28 instances had removed the endpoint within 0.2 s).

--- a/cornelstand/src/gateway/admin.rs
+++ b/cornelstand/src/gateway/admin.rs
@@ -77,7 +77,7 @@
             Err(error) => (500, TEXT, error.to_string().into_bytes()),
         },
         (Role::Control, "/beliefs") => {
-            let beliefs = gate.state.borrow().directory.beliefs();
+            let beliefs = gate.state.borrow().directory.beliefs(gate.now());
             match serde_json::to_vec(&beliefs) {
                 Ok(json) => (200, "application/json", json),
                 Err(error) => (500, TEXT, error.to_string().into_bytes()),
--- a/cornelstand/src/gateway/directory.rs
+++ b/cornelstand/src/gateway/directory.rs
@@ -73,6 +73,8 @@
     store: StoreState,
     listed: bool,
     mark: Mark,
+    /// How often the beliefs of a peer were taken over.
+    adoptions: u64,
 }
 
 /// Which endpoints and evacuations an instance believes in.
@@ -84,11 +86,19 @@
     pub(crate) hash: u64,
 }
 
+/// An endpoint as an instance hands it to another one.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct BelievedEndpoint {
+    pub(crate) record: EndpointRecord,
+    /// Time until it goes, if its entry has vanished.
+    pub(crate) lapses: Option<Duration>,
+}
+
 /// Beliefs in the form in which an instance hands them to another one.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub(crate) struct Beliefs {
     pub(crate) catalog: Catalog,
-    pub(crate) endpoints: Vec<EndpointRecord>,
+    pub(crate) endpoints: Vec<BelievedEndpoint>,
     pub(crate) evacuated: BTreeSet<CentreName>,
     pub(crate) mark: Mark,
 }
@@ -102,6 +112,7 @@
             store: StoreState::Away,
             listed: false,
             mark: Mark::default(),
+            adoptions: 0,
         }
     }
 
@@ -134,15 +145,24 @@
         was_there
     }
 
-    /// Notes that the store answers. Returns whether it did not before.
-    pub(crate) fn regain_store(&mut self, now: Moment) -> bool {
+    /// Notes that the store answers, and has answered this instance or a peer since `since`. Returns
+    /// whether it did not answer this instance before.
+    pub(crate) fn regain_store(&mut self, since: Moment) -> bool {
         let was_away = self.store == StoreState::Away;
         if was_away {
-            self.store = StoreState::BackSince(now);
+            self.store = StoreState::BackSince(since);
         }
         was_away
     }
 
+    /// Time for which the store has answered, if it does.
+    pub(crate) fn store_time(&self, now: Moment) -> Option<Duration> {
+        match self.store {
+            StoreState::Away => None,
+            StoreState::BackSince(since) => Some(now.since(since)),
+        }
+    }
+
     pub(crate) fn has_store(&self) -> bool {
         self.store != StoreState::Away
     }
@@ -154,9 +174,7 @@
         records: Vec<EndpointRecord>,
     ) -> Vec<EndpointChange> {
         self.listed = true;
-        let names: BTreeSet<EndpointName> = records.iter().map(|r| r.name.clone()).collect();
-        let gone = self.endpoints.keys().filter(|n| !names.contains(*n));
-        let gone: Vec<EndpointName> = gone.cloned().collect();
+        let gone = self.gone(records.iter());
         let mut changes = Vec::new();
         for record in records {
             changes.extend(self.put_endpoint(record));
@@ -168,6 +186,13 @@
         changes
     }
 
+    /// Known endpoints that are not among `records`.
+    fn gone<'a>(&self, records: impl Iterator<Item = &'a EndpointRecord>) -> Vec<EndpointName> {
+        let names: BTreeSet<&EndpointName> = records.map(|r| &r.name).collect();
+        let gone = self.endpoints.keys().filter(|n| !names.contains(*n));
+        gone.cloned().collect()
+    }
+
     /// When entries lapse that vanished by `now`.
     fn lapse(&self, now: Moment) -> Moment {
         match self.store {
@@ -178,17 +203,24 @@
 
     /// Takes in one entry.
     pub(crate) fn put_endpoint(&mut self, record: EndpointRecord) -> Option<EndpointChange> {
-        let known = self.endpoints.get(&record.name);
-        if known.is_some_and(|k| k.record.born > record.born) {
-            return None;
-        }
-        if known.is_some_and(|k| *k.record == record && k.lapses.is_none()) {
-            return None;
+        self.put(record, None)
+    }
+
+    fn put(&mut self, record: EndpointRecord, lapses: Option<Moment>) -> Option<EndpointChange> {
+        if let Some(known) = self.endpoints.get_mut(&record.name) {
+            if known.record.born > record.born {
+                return None;
+            }
+            if *known.record == record {
+                let was_lapsing = std::mem::replace(&mut known.lapses, lapses).is_some();
+                let is_back = was_lapsing && lapses.is_none();
+                return is_back.then(|| EndpointChange::Listed(known.record.clone()));
+            }
         }
         let record = Rc::new(record);
         let known = Known {
             record: record.clone(),
-            lapses: None,
+            lapses,
         };
         self.endpoints.insert(record.name.clone(), known);
         Some(EndpointChange::Listed(record))
@@ -244,14 +276,14 @@
     }
 
     /// All that is believed, for another instance.
-    pub(crate) fn beliefs(&self) -> Beliefs {
+    pub(crate) fn beliefs(&self, now: Moment) -> Beliefs {
+        let believed = |k: &Known| BelievedEndpoint {
+            record: (*k.record).clone(),
+            lapses: k.lapses.map(|l| l.since(now)),
+        };
         Beliefs {
             catalog: (*self.catalog).clone(),
-            endpoints: self
-                .endpoints
-                .values()
-                .map(|k| (*k.record).clone())
-                .collect(),
+            endpoints: self.endpoints.values().map(believed).collect(),
             evacuated: self.evacuated.clone(),
             mark: self.mark,
         }
@@ -268,7 +300,12 @@
             let record = &known.record;
             hash.update(name.as_str().as_bytes());
             hash.update(&record.born.to_le_bytes());
-            hash.update(&[u8::from(record.leaving), u8::from(record.cold.is_zero())]);
+            let flags = [
+                record.leaving,
+                record.cold.is_zero(),
+                known.lapses.is_some(),
+            ];
+            hash.update(&flags.map(u8::from));
         }
         for centre in &self.evacuated {
             hash.update(centre.as_str().as_bytes());
@@ -282,22 +319,27 @@
     }
 
     /// Takes over what a peer believes of endpoints and evacuations.
-    pub(crate) fn adopt(&mut self, beliefs: Beliefs) -> Vec<EndpointChange> {
+    pub(crate) fn adopt(&mut self, now: Moment, beliefs: Beliefs) -> Vec<EndpointChange> {
         self.listed = true;
+        self.adoptions += 1;
         self.mark = beliefs.mark;
         self.evacuated = beliefs.evacuated;
-        let names: BTreeSet<EndpointName> =
-            beliefs.endpoints.iter().map(|r| r.name.clone()).collect();
-        let gone = self.endpoints.keys().filter(|n| !names.contains(*n));
-        let gone: Vec<EndpointName> = gone.cloned().collect();
+        let gone = self.gone(beliefs.endpoints.iter().map(|b| &b.record));
         let removed = gone.into_iter().map(|name| {
             self.endpoints.remove(&name);
             EndpointChange::Removed(name)
         });
         let mut changes: Vec<EndpointChange> = removed.collect();
-        for record in beliefs.endpoints {
-            changes.extend(self.put_endpoint(record));
+        for believed in beliefs.endpoints {
+            let lapses = believed.lapses.map(|l| now.after(l));
+            changes.extend(self.put(believed.record, lapses));
         }
         changes
     }
+
+    /// How often the beliefs of a peer were taken over. A watch from before that would repeat
+    /// changes that are older than the beliefs.
+    pub(crate) fn adoptions(&self) -> u64 {
+        self.adoptions
+    }
 }
--- a/cornelstand/src/gateway/follow.rs
+++ b/cornelstand/src/gateway/follow.rs
@@ -75,13 +75,19 @@
     let mut client = StoreClient::new(gate.settings.borrow().store);
     let mut pause = PAUSE_FIRST;
     let mut revision = None;
+    let mut adoptions = 0;
     loop {
-        if !gate.leads() {
-            // The leader of this data centre watches, and this instance asks it.
+        if !gate.watches() {
+            // Others of this data centre watch, and this instance asks them.
             revision = None;
             sleep(PEER_PERIOD).await;
             continue;
         }
+        // What a peer handed over is newer than the revision of the last watch.
+        let adopted = gate.state.borrow().directory.adoptions();
+        if std::mem::replace(&mut adoptions, adopted) != adopted {
+            revision = None;
+        }
         let result = step(&gate, &mut client, followed, revision).await;
         note_call(&gate, followed, &result);
         match result {
@@ -137,7 +143,8 @@
 }
 
 fn regain(gate: &Gate, followed: Followed) {
-    if gate.state.borrow_mut().directory.regain_store(gate.now()) {
+    let since = gate.store_since();
+    if gate.state.borrow_mut().directory.regain_store(since) {
         tracing::info!(event = "store_regained", %followed);
     }
 }
@@ -394,7 +401,7 @@
 
 /// Whether endpoints and evacuations come from peers.
 fn follows_peers(gate: &Gate) -> bool {
-    !gate.leads() || !gate.state.borrow().directory.has_store()
+    !gate.watches() || !gate.state.borrow().directory.has_store()
 }
 
 async fn pull(gate: &Gate, address: SocketAddr) {
@@ -405,7 +412,10 @@
             tracing::debug!(event = "beliefs_unread", %address, error);
             return;
         }
-        Err(_) => return,
+        Err(_) => {
+            tracing::debug!(event = "beliefs_unread", %address, error = "no answer in time");
+            return;
+        }
     };
     let catalog = std::mem::take(&mut beliefs.catalog);
     take_catalog(gate, catalog.index(), "peer", 0);
@@ -420,7 +430,7 @@
         event = "beliefs_adopted", %address, revision = beliefs.mark.revision,
         endpoints = beliefs.endpoints.len(), evacuated = ?beliefs.evacuated,
     );
-    let changes = state.directory.adopt(beliefs);
+    let changes = state.directory.adopt(gate.now(), beliefs);
     drop(state);
     gate.apply(changes);
     gate.news.notify_one();
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -366,8 +366,22 @@
         }
     }
 
-    /// Whether this instance speaks for its data centre: it watches the store and tells the other
-    /// data centres what is done here. In a small fleet every instance watches.
+    /// Whether this instance watches the store; in a large fleet two of each data centre do, so that
+    /// one whose watch hangs delays nobody.
+    pub(crate) fn watches(&self) -> bool {
+        let settings = self.settings.borrow();
+        self.state.borrow().peers.watches(self.now(), &settings)
+    }
+
+    /// Since when the store has answered this instance or a peer of its data centre.
+    pub(crate) fn store_since(&self) -> Moment {
+        let now = self.now();
+        let centre = &self.settings.borrow().centre;
+        let told = self.state.borrow().peers.store_time(now, centre);
+        now.before(told.unwrap_or_default())
+    }
+
+    /// Whether this instance tells the other data centres what is done here.
     pub(crate) fn leads(&self) -> bool {
         let settings = self.settings.borrow();
         self.state.borrow().peers.leads(self.now(), &settings)
@@ -439,7 +453,7 @@
             activity: short(self.activity.get()),
             incarnation: self.incarnation,
             number: state.beats,
-            has_store: state.directory.has_store(),
+            store_time: state.directory.store_time(now),
             mark: state.directory.mark(),
             beliefs: settings.control.unwrap_or(settings.readiness),
             version: state.directory.catalog().version,
--- a/cornelstand/src/gateway/peers.rs
+++ b/cornelstand/src/gateway/peers.rs
@@ -26,6 +26,9 @@
 /// Silence after which a peer is forgotten.
 const FORGET: Duration = Duration::from_mins(1);
 
+/// Instances of a data centre that watch the store in a large fleet.
+const WATCHERS: usize = 2;
+
 /// Number of peers from which data centres exchange digests: with fewer, all beats cost less.
 const LARGE: usize = 12;
 
@@ -41,8 +44,8 @@
     /// Start of the sender's process.
     pub(crate) incarnation: u64,
     pub(crate) number: u64,
-    /// Whether the store answers the sender.
-    pub(crate) has_store: bool,
+    /// Time for which the store has answered the sender, if it does.
+    pub(crate) store_time: Option<Duration>,
     /// Endpoints and evacuations that the sender believes in.
     pub(crate) mark: Mark,
     /// Address of the sender's beliefs.
@@ -194,14 +197,28 @@
         self.peers.len() >= LARGE
     }
 
-    /// Whether the instance with `settings` speaks for its data centre, or watches the store.
+    /// Whether the instance with `settings` speaks for its data centre.
     pub(crate) fn leads(&self, now: Moment, settings: &GatewaySettings) -> bool {
-        if !self.is_large() {
-            return true;
-        }
+        !self.is_large() || self.before(now, settings) == 0
+    }
+
+    /// Whether the instance with `settings` watches the store.
+    pub(crate) fn watches(&self, now: Moment, settings: &GatewaySettings) -> bool {
+        !self.is_large() || self.before(now, settings) < WATCHERS
+    }
+
+    /// Number of instances of the same data centre that would rather lead.
+    fn before(&self, now: Moment, settings: &GatewaySettings) -> usize {
         let own = rank(&settings.instance, settings.cores);
-        let mut near = self.live(now).filter(|b| b.centre == settings.centre);
-        !near.any(|b| b.has_store && !b.stopping && rank(&b.instance, b.cores) > own)
+        let near = self.live(now).filter(|b| b.centre == settings.centre);
+        let fit = near.filter(|b| b.store_time.is_some() && !b.stopping);
+        fit.filter(|b| rank(&b.instance, b.cores) > own).count()
+    }
+
+    /// Longest time for which the store has answered a live peer of `centre`.
+    pub(crate) fn store_time(&self, now: Moment, centre: &CentreName) -> Option<Duration> {
+        let near = self.live(now).filter(|b| b.centre == *centre);
+        near.filter_map(|b| b.store_time).max()
     }
 
     /// The sum of a data centre: the beats of its live instances and the `own` one.
--- a/cornelstand/src/gateway/tests/directory.rs
+++ b/cornelstand/src/gateway/tests/directory.rs
@@ -97,3 +97,48 @@
     directory.put_endpoint(newer);
     assert_eq!(directory.put_endpoint(entry("a")), None);
 }
+
+#[test]
+fn a_lapsed_entry_that_a_peer_handed_over_goes_as_it_does_there() {
+    // trouble-1 --seed 816576343229 of tessel-counter-grown: kept at a peer for a while after its
+    // removal, and listed without end wherever it was taken over.
+    let mut peer = Directory::new();
+    peer.regain_store(at(0));
+    peer.list_endpoints(at(0), vec![entry("a"), entry("b")]);
+    peer.lose_store();
+    peer.regain_store(at(20_000));
+    peer.remove_endpoint(at(20_100), &"a".into());
+    let mut directory = Directory::new();
+    directory.adopt(at(5_000), peer.beliefs(at(20_200)));
+    assert!(directory.expire(at(5_900)).is_empty());
+    assert_eq!(
+        directory.expire(at(6_200)),
+        [EndpointChange::Removed("a".into())]
+    );
+    assert!(directory.expire(at(60_000)).is_empty());
+}
+
+#[test]
+fn a_watch_from_before_a_peers_beliefs_were_taken_over_is_not_resumed() {
+    // The same day: an instance that was cut off from the store for 8 s had its peers' beliefs, and
+    // then replayed the changes of those 8 s over them.
+    let mut directory = Directory::new();
+    directory.regain_store(at(0));
+    directory.list_endpoints(at(0), vec![entry("a")]);
+    let before = directory.adoptions();
+    directory.lose_store();
+    directory.adopt(at(1_000), Directory::new().beliefs(at(1_000)));
+    assert_ne!(directory.adoptions(), before);
+}
+
+#[test]
+fn an_entry_that_vanished_while_only_this_instance_was_cut_off_goes_at_once() {
+    let mut directory = Directory::new();
+    directory.regain_store(at(0));
+    directory.list_endpoints(at(0), vec![entry("a")]);
+    directory.lose_store();
+    // A peer had the store all the while.
+    directory.regain_store(at(20_000).before(std::time::Duration::from_secs(9)));
+    let changes = directory.list_endpoints(at(20_010), Vec::new());
+    assert_eq!(changes, [EndpointChange::Removed("a".into())]);
+}
--- a/cornelstand/src/gateway/tests/peers.rs
+++ b/cornelstand/src/gateway/tests/peers.rs
@@ -1,6 +1,7 @@
 //! Beats of peers: their order, their silence and what they add up to.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use crate::gateway::directory::Mark;
 use crate::gateway::peers::{Beat, PeerLoad, Peers};
@@ -28,7 +29,7 @@
         activity: 1.0,
         incarnation: 1,
         number,
-        has_store: true,
+        store_time: Some(Duration::from_secs(9)),
         mark: Mark::default(),
         beliefs: address(),
         version: number,
@@ -130,7 +131,7 @@
     assert!(peers.leads(at(5_000), &small));
     for i in 0..8 {
         let mut beat = beat(&format!("north-{i}"), 2, 1);
-        beat.has_store = i % 2 == 0;
+        beat.store_time = (i % 2 == 0).then_some(Duration::from_secs(9));
         beat.stopping = i % 2 == 0;
         beat.cores = 0.5;
         peers.hear(at(10), address(), beat);
@@ -176,3 +177,31 @@
     assert_eq!(peers.ahead(at(0), 4).map(|(version, _)| version), Some(9));
     assert_eq!(peers.ahead(at(2_000), 4), None);
 }
+
+#[test]
+fn two_instances_of_a_data_centre_watch_the_store_in_a_large_fleet() {
+    let mut peers = fleet(8);
+    let mut second = settings("north-9");
+    second.cores = 0.3;
+    assert!(!peers.leads(at(0), &second) && peers.watches(at(0), &second));
+    let mut third = settings("north-8");
+    third.cores = 0.25;
+    let mut beat = beat("north-9", 1, 1);
+    beat.cores = 0.3;
+    peers.hear(at(0), address(), beat);
+    assert!(!peers.watches(at(0), &third));
+}
+
+#[test]
+fn the_store_was_there_as_long_as_for_the_peer_that_had_it_longest() {
+    let mut peers = fleet(3);
+    let mut cut = beat("north-7", 1, 1);
+    cut.store_time = None;
+    peers.hear(at(0), address(), cut);
+    let south = CentreName::from("elsewhere");
+    assert_eq!(
+        peers.store_time(at(0), &north()),
+        Some(Duration::from_secs(9))
+    );
+    assert_eq!(peers.store_time(at(0), &south), None);
+}
--- a/cornelstand/src/moment.rs
+++ b/cornelstand/src/moment.rs
@@ -34,6 +34,12 @@
         Self(self.0.saturating_add(micros(by)))
     }
 
+    /// The moment `by` earlier, or zero.
+    #[must_use]
+    pub fn before(self, by: Duration) -> Self {
+        Self(self.0.saturating_sub(micros(by)))
+    }
+
     /// Time from `earlier` to this moment, zero if `earlier` is later.
     #[must_use]
     pub fn since(self, earlier: Self) -> Duration {
