Tell how much accounts want, and let a single request elsewhere stop nobody

Cause: an account that was ahead left its places as soon as any request of a less served account waited or had been refused anywhere in the last 0.3 s.

Instances now tell how much is wanted by accounts that attained about as much, and those ahead yield once 20 ms of all endpoints' time is wanted by others.

Ruled out: processor time (0.017 of a core on average).

--- a/cornelstand/src/gateway/admission.rs
+++ b/cornelstand/src/gateway/admission.rs
@@ -10,8 +10,11 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::gateway::catalog::GatewayRoute;
 use crate::gateway::endpoint_state::Prompt;
+use crate::gateway::number::short;
 use crate::moment::Moment;
 use crate::name::{AccountName, ServiceName};
 
@@ -30,8 +33,16 @@
 const RETURN_MIN: Duration = Duration::from_millis(400);
 /// Longest such time; beyond it the estimate says nothing.
 const RETURN_MAX: Duration = Duration::from_secs(8);
-/// Time for which a refused request shows that places are scarce.
+/// Time constant of what was refused lately, which shows that places are scarce.
 const SCARCE_MEMORY: Duration = Duration::from_millis(300);
+/// Time of all endpoints, in seconds, that accounts have to want before those ahead of them leave places to them:
+/// a single request that no endpoint suits stops nobody.
+const WANTED_TIME: f64 = 0.02;
+/// Most entries that tell which accounts want places.
+const WANTS: usize = 32;
+/// Factor, and counted tokens, by which accounts that are told together may differ: less than the
+/// tolerance of [`AHEAD`].
+const ALIKE: (f32, f32) = (1.08, 2_000.0);
 /// Factor, and counted tokens, by which an account may be ahead of one that waits elsewhere.
 const AHEAD: (f64, f64) = (1.15, 10_000.0);
 /// Most requests that wait at one instance, which bounds its memory.
@@ -39,6 +50,31 @@
 /// Engine time of a generated token against one that is read.
 const OUTPUT_COST: f64 = 2.0;
 
+/// What one account wants: part of the message between instances.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct Want {
+    /// Counted tokens that the account attained.
+    pub(crate) attained: f32,
+    /// Counted tokens of its requests that wait or were refused lately.
+    pub(crate) tokens: f32,
+}
+
+/// What accounts want in order of what they attained, those that attained about as much together.
+pub(crate) fn join_wants(mut wants: Vec<Want>) -> Vec<Want> {
+    wants.sort_by(|a, b| a.attained.total_cmp(&b.attained));
+    let mut joined: Vec<Want> = Vec::new();
+    for want in wants {
+        match joined.last_mut() {
+            Some(last) if want.attained <= last.attained * ALIKE.0 + ALIKE.1 => {
+                last.tokens += want.tokens;
+            }
+            _ => joined.push(want),
+        }
+    }
+    joined.truncate(WANTS);
+    joined
+}
+
 /// Identity of a waiting request at this instance.
 pub(crate) type WaitId = u64;
 
@@ -138,6 +174,14 @@
     pub(crate) rate: f64,
 }
 
+/// Counted tokens a second that the endpoints of a service do.
+#[derive(Clone, Copy, Debug, Default)]
+struct Capacity {
+    all: f64,
+    /// Those that are due to this instance if all are as busy.
+    due: f64,
+}
+
 /// The queue in front of the endpoints and what accounts attained.
 #[derive(Debug, Default)]
 pub(crate) struct Admission {
@@ -146,14 +190,13 @@
     own: HashMap<AccountName, Fading>,
     peers: HashMap<AccountName, Fading>,
     rates: HashMap<ServiceName, Fading>,
-    /// Least that an account has attained whose request was refused, by service.
-    refused: HashMap<ServiceName, (f64, Moment)>,
-    /// The same for those that wait or were refused at peers.
+    /// Counted tokens of requests that were refused lately.
+    refused: HashMap<ServiceName, HashMap<AccountName, Fading>>,
+    /// What the accounts at peers have attained that want so much that others leave it to them.
     wanting: HashMap<ServiceName, f64>,
     /// What the accounts that got the last places had attained.
     level: f64,
-    /// Counted tokens a second that are due to this instance if all are as busy.
-    capacity: HashMap<ServiceName, f64>,
+    capacity: HashMap<ServiceName, Capacity>,
 }
 
 impl Admission {
@@ -188,27 +231,48 @@
             .collect();
     }
 
-    /// Replaces what the most deserving accounts that wait at the peers have attained.
-    pub(crate) fn set_wanting(&mut self, wanting: HashMap<ServiceName, f64>) {
-        self.wanting = wanting;
+    /// Takes in what accounts want at the peers.
+    pub(crate) fn set_wanting(&mut self, wants: HashMap<ServiceName, Vec<Want>>) {
+        let level = |(service, wants): (ServiceName, Vec<Want>)| {
+            let all = self.capacity.get(&service).map_or(0.0, |c| c.all);
+            let mut left = all * WANTED_TIME;
+            for want in join_wants(wants) {
+                left -= f64::from(want.tokens);
+                if left <= 0.0 {
+                    return Some((service, f64::from(want.attained)));
+                }
+            }
+            None
+        };
+        self.wanting = wants.into_iter().filter_map(level).collect();
     }
 
-    /// What the most deserving account that waits here has attained, by service, for the peers.
-    pub(crate) fn wanting(&self, now: Moment) -> HashMap<ServiceName, f64> {
-        let is_recent = |at: Moment| now.since(at) < SCARCE_MEMORY;
-        let refused = self.refused.iter().filter(|(_, (_, at))| is_recent(*at));
-        let refused = refused.map(|(service, (sum, _))| (service, *sum));
-        let waiting = self.waiting.iter().map(|(_, w)| w);
+    /// What accounts want here, by service, for the peers.
+    pub(crate) fn wanting(&self, now: Moment) -> HashMap<ServiceName, Vec<Want>> {
+        let mut tokens: HashMap<&ServiceName, HashMap<&AccountName, f64>> = HashMap::new();
+        for (service, refused) in &self.refused {
+            let accounts = tokens.entry(service).or_default();
+            for (account, sum) in refused {
+                *accounts.entry(account).or_default() += sum.get(now, SCARCE_MEMORY);
+            }
+        }
         // Before it would take any engine, a request waits for one that keeps its shared part, which
         // says nothing about the others.
-        let waiting = waiting.filter(|w| w.prompt.is_some() && now >= w.spreads);
-        let waiting = waiting.map(|w| (&w.service, self.attained(now, &w.account)));
-        let mut least: HashMap<ServiceName, f64> = HashMap::new();
-        for (service, sum) in refused.chain(waiting) {
-            let entry = least.entry(service.clone()).or_insert(sum);
-            *entry = entry.min(sum);
+        let waiting = self.waiting.iter().map(|(_, w)| w);
+        for w in waiting.filter(|w| w.prompt.is_some() && now >= w.spreads) {
+            let accounts = tokens.entry(&w.service).or_default();
+            *accounts.entry(&w.account).or_default() += w.cost();
         }
-        least
+        let want = |(account, tokens): (&AccountName, f64)| Want {
+            attained: short(self.attained(now, account)),
+            tokens: short(tokens),
+        };
+        let wants = tokens.into_iter().map(|(service, accounts)| {
+            let wants = accounts.into_iter().map(want);
+            let wants = wants.filter(|w| w.tokens >= 1.0).collect();
+            (service.clone(), join_wants(wants))
+        });
+        wants.filter(|(_, wants)| !wants.is_empty()).collect()
     }
 
     /// Whether a request has to leave places to a more deserving one at another instance.
@@ -222,12 +286,12 @@
 
     /// Notes that a request was refused because places are scarce.
     pub(crate) fn note_refusal(&mut self, now: Moment, waiting: &Waiting) {
-        let attained = self.attained(now, &waiting.account);
-        let entry = self.refused.entry(waiting.service.clone());
-        let (least, at) = entry.or_insert((attained, now));
-        if attained <= *least || now.since(*at) >= SCARCE_MEMORY {
-            (*least, *at) = (attained, now);
+        if waiting.prompt.is_none() {
+            return;
         }
+        let refused = self.refused.entry(waiting.service.clone()).or_default();
+        let sum = refused.entry(waiting.account.clone()).or_default();
+        sum.add(now, waiting.cost(), SCARCE_MEMORY);
     }
 
     /// Adds a request to the queue.
@@ -320,9 +384,10 @@
         self.level
     }
 
-    /// Sets what the endpoints of a service do for one of all instances, in counted tokens a second.
-    pub(crate) fn set_capacity(&mut self, service: &ServiceName, rate: f64) {
-        self.capacity.insert(service.clone(), rate);
+    /// Sets what the endpoints of a service do for all `instances`, in counted tokens a second.
+    pub(crate) fn set_capacity(&mut self, service: &ServiceName, all: f64, instances: f64) {
+        let due = all / instances;
+        self.capacity.insert(service.clone(), Capacity { all, due });
     }
 
     /// What decides on a request of `account` at `service`.
@@ -349,7 +414,7 @@
     fn rate(&self, now: Moment, service: &ServiceName) -> f64 {
         let rate = self.rates.get(service);
         let sum = rate.map_or(0.0, |r| r.get(now, RATE_MEMORY));
-        let due = self.capacity.get(service).copied().unwrap_or_default();
+        let due = self.capacity.get(service).map_or(0.0, |c| c.due);
         (sum / RATE_MEMORY.as_secs_f64()).max(due)
     }
 }
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -355,7 +355,7 @@
             let summary = state.endpoints.summary(now, service);
             let rate = f64::from(summary.usable) * 1e3 / summary.pace.max(1e-3);
             let instances = float(state.peers.count());
-            state.admission.set_capacity(service, rate / instances);
+            state.admission.set_capacity(service, rate, instances);
             tracing::info!(
                 event = "load", %service, endpoints = summary.usable, running = summary.running,
                 prompt_tokens = summary.waiting, memory = summary.memory,
@@ -462,7 +462,7 @@
             attained: attained
                 .map(|(name, sum)| (name.clone(), short(sum)))
                 .collect(),
-            wanting: wanting.into_iter().map(|(s, a)| (s, short(a))).collect(),
+            wanting: wanting.into_iter().collect(),
             suspicions: suspicions.into_iter().filter(|s| s.age < TOLD).collect(),
         }
     }
--- a/cornelstand/src/gateway/peers.rs
+++ b/cornelstand/src/gateway/peers.rs
@@ -12,6 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::admission::{Want, join_wants};
 use crate::gateway::directory::{EndpointRecord, Mark};
 use crate::gateway::endpoint_state::Load;
 use crate::gateway::number::{short, whole};
@@ -55,8 +56,8 @@
     pub(crate) stopping: bool,
     pub(crate) loads: Vec<PeerLoad>,
     pub(crate) attained: Vec<(AccountName, f32)>,
-    /// What the most deserving accounts that wait at the sender have attained, by service.
-    pub(crate) wanting: Vec<(ServiceName, f32)>,
+    /// What accounts want at the sender, by service.
+    pub(crate) wanting: Vec<(ServiceName, Vec<Want>)>,
     pub(crate) suspicions: Vec<Suspicion>,
 }
 
@@ -103,7 +104,7 @@
     pub(crate) members: usize,
     pub(crate) loads: Vec<PeerLoad>,
     pub(crate) attained: Vec<(AccountName, f32)>,
-    pub(crate) wanting: Vec<(ServiceName, f32)>,
+    pub(crate) wanting: Vec<(ServiceName, Vec<Want>)>,
     pub(crate) suspicions: Vec<Suspicion>,
 }
 
@@ -227,7 +228,7 @@
         let beats: Vec<&Beat> = near.chain([own]).collect();
         let loads = sum_loads(beats.iter().flat_map(|b| &b.loads));
         let attained = sum_attained(beats.iter().flat_map(|b| &b.attained));
-        let wanting = least_wanting(beats.iter().flat_map(|b| &b.wanting));
+        let wanting = join_wanting(beats.iter().flat_map(|b| &b.wanting));
         let members = self.peers.values().filter(|p| p.centre == own.centre);
         Digest {
             members: members.count() + 1,
@@ -241,7 +242,7 @@
                 .collect(),
             wanting: wanting
                 .into_iter()
-                .map(|(s, least)| (s, short(least)))
+                .map(|(s, wants)| (s, join_wants(wants)))
                 .collect(),
             suspicions: own.suspicions.clone(),
             order: (own.incarnation, own.number),
@@ -347,10 +348,14 @@
         sum_attained(beats.chain(self.digests(now, centre).flat_map(|d| &d.attained)))
     }
 
-    /// What the most deserving accounts that wait at live peers have attained, by service.
-    pub(crate) fn wanting(&self, now: Moment, centre: &CentreName) -> HashMap<ServiceName, f64> {
+    /// What accounts want at live peers, by service.
+    pub(crate) fn wanting(
+        &self,
+        now: Moment,
+        centre: &CentreName,
+    ) -> HashMap<ServiceName, Vec<Want>> {
         let beats = self.single(now, centre).flat_map(|b| &b.wanting);
-        least_wanting(beats.chain(self.digests(now, centre).flat_map(|d| &d.wanting)))
+        join_wanting(beats.chain(self.digests(now, centre).flat_map(|d| &d.wanting)))
     }
 
     /// Instance of `centre` whose endpoints are newer than `mark`.
@@ -401,14 +406,12 @@
     sums
 }
 
-fn least_wanting<'a>(
-    wanting: impl Iterator<Item = &'a (ServiceName, f32)>,
-) -> HashMap<ServiceName, f64> {
-    let mut least: HashMap<ServiceName, f64> = HashMap::new();
-    for (service, attained) in wanting {
-        let attained = f64::from(*attained);
-        let entry = least.entry(service.clone()).or_insert(attained);
-        *entry = entry.min(attained);
+fn join_wanting<'a>(
+    wanting: impl Iterator<Item = &'a (ServiceName, Vec<Want>)>,
+) -> HashMap<ServiceName, Vec<Want>> {
+    let mut joined: HashMap<ServiceName, Vec<Want>> = HashMap::new();
+    for (service, wants) in wanting {
+        joined.entry(service.clone()).or_default().extend(wants);
     }
-    least
+    joined
 }
--- a/cornelstand/src/gateway/tests/admission.rs
+++ b/cornelstand/src/gateway/tests/admission.rs
@@ -3,9 +3,10 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::gateway::admission::{Admission, Fading, MEMORY, Waiting};
+use crate::gateway::admission::{Admission, Fading, MEMORY, Waiting, Want, join_wants};
 use crate::gateway::catalog::RouteKind;
 use crate::gateway::endpoint_state::Prompt;
+use crate::gateway::number::short;
 use crate::gateway::tests::{MODELS, route};
 use crate::moment::Moment;
 use crate::name::{AccountName, ServiceName};
@@ -33,6 +34,11 @@
     )
 }
 
+/// An account at a peer wants `tokens` and has attained `attained`.
+fn wants(attained: f32, tokens: f32) -> HashMap<ServiceName, Vec<Want>> {
+    HashMap::from([(ServiceName::from(MODELS), vec![Want { attained, tokens }])])
+}
+
 #[test]
 fn the_account_that_attained_least_comes_first() {
     let mut admission = Admission::default();
@@ -96,7 +102,7 @@
     let rich = waiting(at(0), "ada", 90_000);
     admission.charge(at(0), &rich);
     assert!(!admission.must_yield(at(0), &rich));
-    admission.set_wanting(HashMap::from([(ServiceName::from(MODELS), 1_000.0)]));
+    admission.set_wanting(wants(1_000.0, 100.0));
     assert!(admission.must_yield(at(0), &rich));
     assert!(!admission.must_yield(at(0), &waiting(at(0), "eve", 100)));
 }
@@ -112,7 +118,7 @@
 #[test]
 fn a_quiet_instance_expects_its_part_of_what_the_endpoints_do() {
     let mut admission = Admission::default();
-    admission.set_capacity(&ServiceName::from(MODELS), 100_000.0);
+    admission.set_capacity(&ServiceName::from(MODELS), 100_000.0, 1.0);
     let first = admission.push(waiting(at(0), "ada", 1_000));
     let second = admission.push(waiting(at(0), "bob", 1_000));
     assert!(!admission.is_hopeless(at(0), first) && !admission.is_hopeless(at(0), second));
@@ -122,7 +128,7 @@
 fn a_stream_that_broke_off_comes_first_and_yields_to_nobody() {
     let mut admission = Admission::default();
     admission.charge(at(0), &waiting(at(0), "ada", 90_000));
-    admission.set_wanting(HashMap::from([(ServiceName::from(MODELS), 1_000.0)]));
+    admission.set_wanting(wants(1_000.0, 100.0));
     let other = admission.push(waiting(at(1), "bob", 50_000));
     let broken = waiting(at(2), "ada", 100).going_on();
     assert!(!admission.must_yield(at(2), &broken));
@@ -144,10 +150,30 @@
     }
     let now = at(6_500);
     let least = bob.get(now, MEMORY);
-    admission.set_wanting(HashMap::from([(ServiceName::from(MODELS), least)]));
+    admission.set_wanting(wants(short(least), 100.0));
     assert!(!admission.must_yield(now, &waiting(now, "ada", 3_000)));
 }
 
+#[test]
+fn a_single_request_elsewhere_stops_nobody_but_much_work_does() {
+    let mut admission = Admission::default();
+    admission.set_capacity(&ServiceName::from(MODELS), 100_000.0, 2.0);
+    let rich = waiting(at(0), "ada", 90_000);
+    admission.charge(at(0), &rich);
+    admission.set_wanting(wants(1_000.0, 1_000.0));
+    assert!(!admission.must_yield(at(0), &rich));
+    admission.set_wanting(wants(1_000.0, 40_000.0));
+    assert!(admission.must_yield(at(0), &rich));
+}
+
+#[test]
+fn what_was_refused_is_wanted_for_a_moment() {
+    let mut admission = Admission::default();
+    admission.note_refusal(at(0), &waiting(at(0), "ada", 1_000));
+    assert_eq!(admission.wanting(at(1)).len(), 1);
+    assert!(admission.wanting(at(5_000)).is_empty());
+}
+
 #[test]
 fn a_place_at_an_endpoint_that_did_not_run_the_request_costs_nothing() {
     let mut admission = Admission::default();
@@ -156,3 +182,20 @@
     admission.refund(at(0), &waiting.account, waiting.cost());
     assert!(admission.attained(at(0), &waiting.account) < 1.0);
 }
+
+/// The load: thirty accounts want places at as many instances, most of them small.
+#[test]
+fn a_large_account_that_waits_is_heard_among_many_small_ones() {
+    let small = (0..200_u8).map(|i| Want {
+        attained: 100.0 + f32::from(i),
+        tokens: 5.0,
+    });
+    let large = Want {
+        attained: 400_000.0,
+        tokens: 90_000.0,
+    };
+    let joined = join_wants(small.chain([large]).collect());
+    assert_eq!(joined.len(), 2);
+    assert!((joined[0].tokens - 1_000.0).abs() < 1.0);
+    assert_eq!(joined[1], large);
+}
--- a/cornelstand/src/gateway/tests/peers.rs
+++ b/cornelstand/src/gateway/tests/peers.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::gateway::admission::Want;
 use crate::gateway::directory::Mark;
 use crate::gateway::peers::{Beat, PeerLoad, Peers};
 use crate::gateway::tests::settings;
@@ -42,7 +43,13 @@
             token_time: 8.0,
         }],
         attained: vec![(AccountName::from("ada"), 10.0)],
-        wanting: vec![(ServiceName::from("models"), 4.0)],
+        wanting: vec![(
+            ServiceName::from("models"),
+            vec![Want {
+                attained: 4.0,
+                tokens: 100.0,
+            }],
+        )],
         suspicions: Vec::new(),
     }
 }
