Use one exchange, one accept loop, one refusal and one index of a configuration

Found by reading the change; behaviour stays. - A whole exchange on a connection was written for the store and again for a peer's beliefs: Upstream::exchange serves both, and the conversion that only one copy needed goes. - Two listeners had the same loop around accept: connection::accepted. The time for which bytes behind a refused request are taken in borrowed the pause of that loop, and has a constant of its own. - A request that is hopeless and one whose wait is over left the queue by the same steps: State::refuse. - A refusal was taken apart and put together as an OwnAnswer: answers are written from Refused itself; the final answer of a request that is given up has a function. - A configuration was indexed when it was decoded or pulled and again when it was put in force, also if it was not newer: set_catalog indexes it, once. The test of the decoder indexes for itself. - Upstream::is_used was written and never read.

Ruled out: one loop for both listeners' services, since one of them counts and limits its connections.

--- a/cornelstand/src/gateway/admin.rs
+++ b/cornelstand/src/gateway/admin.rs
@@ -5,9 +5,9 @@
 
 use bytes::BytesMut;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
-use crate::gateway::daemon::ACCEPT_PAUSE;
+use crate::gateway::connection::accepted;
 use crate::gateway::gate::Gate;
 use crate::gateway::message::{Head, reason};
 use crate::gateway::outlet::write_all;
@@ -30,15 +30,8 @@
 /// Answers questions until the process ends.
 pub(crate) async fn accept(gate: Rc<Gate>, listener: TcpListener, role: Role) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve(gate.clone(), stream, role));
-            }
-            Err(error) => {
-                tracing::warn!(event = "accept_failed", %error);
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        let stream = accepted(&listener).await;
+        tokio::task::spawn_local(serve(gate.clone(), stream, role));
     }
 }
 
--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -14,7 +14,7 @@
 use crate::gateway::endpoint_state::Prompt;
 use crate::gateway::gate::{Closing, Gate};
 use crate::gateway::message::Head;
-use crate::gateway::outlet::{Outlet, OwnAnswer};
+use crate::gateway::outlet::Outlet;
 use crate::gateway::placement::{EndpointIndex, Place, PlaceEnd};
 use crate::gateway::relay::{self, Attempt, HeldAnswer, NotRun};
 use crate::name::{AccountName, Fingerprint, ServiceName};
@@ -130,31 +130,32 @@
     gate.metrics.requests.inc();
     let fields = match read_call(&head) {
         Ok(fields) => fields,
-        Err(reason) => return answer_own(gate, outlet, &Bytes::new(), 400, reason, None).await,
+        Err(reason) => {
+            let refused = Refused::new(400, reason, None);
+            return answer_own(gate, outlet, &Bytes::new(), &refused).await;
+        }
     };
     let request = fields.request.clone();
     match open(gate, head, body, fields, arrived) {
         Ok(mut call) => carry(gate, &mut call, outlet).await,
-        Err(refusal) => {
-            let Refused {
-                status,
-                reason,
-                after,
-            } = refusal;
+        Err(refused) => {
             tracing::info!(
-                event = "refused", request = %String::from_utf8_lossy(&request), status, reason,
+                event = "refused", request = %String::from_utf8_lossy(&request),
+                status = refused.status, reason = refused.reason,
                 version = gate.state.borrow().directory.catalog().version,
             );
-            answer_own(gate, outlet, &request, status, reason, after).await;
+            answer_own(gate, outlet, &request, &refused).await;
         }
     }
 }
 
 /// An answer of the gateway itself, before anything was sent.
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct Refused {
-    status: u16,
-    reason: &'static str,
-    after: Option<Duration>,
+    pub(crate) status: u16,
+    pub(crate) reason: &'static str,
+    /// When the caller should come back.
+    pub(crate) after: Option<Duration>,
 }
 
 impl Refused {
@@ -287,32 +288,7 @@
             Next::Again => {}
             Next::End(outcome) => break outcome,
             Next::Answer(refused) if call.has_begun => break cut(refused.reason),
-            Next::Answer(_) if call.held.is_some() => {
-                let Some(held) = call.held.take() else {
-                    continue;
-                };
-                let status = held.head.status();
-                let sent = relay::deliver(call, outlet, held).await;
-                break sent.map_or(gone(), |_| Outcome {
-                    name: "failed",
-                    status,
-                    reason: "the endpoint failed",
-                });
-            }
-            Next::Answer(refused) => {
-                let Refused {
-                    status,
-                    reason,
-                    after,
-                } = refused;
-                answer_own(gate, outlet, &call.request, status, reason, after).await;
-                let name = if status == 503 { "refused" } else { "failed" };
-                break Outcome {
-                    name,
-                    status,
-                    reason,
-                };
-            }
+            Next::Answer(refused) => break give_up(gate, call, outlet, refused).await,
         }
     };
     gate.active.set(gate.active.get() - 1);
@@ -323,6 +299,28 @@
     finish(gate, call, outcome);
 }
 
+/// Sends the final answer of a request that is given up: the failure that an endpoint answered with,
+/// if there is one, or the gateway's own.
+async fn give_up(gate: &Gate, call: &mut Call, outlet: &mut Outlet, refused: Refused) -> Outcome {
+    if let Some(held) = call.held.take() {
+        let status = held.head.status();
+        let sent = relay::deliver(call, outlet, held).await;
+        return sent.map_or(gone(), |_| Outcome {
+            name: "failed",
+            status,
+            reason: "the endpoint failed",
+        });
+    }
+    answer_own(gate, outlet, &call.request, &refused).await;
+    let Refused { status, reason, .. } = refused;
+    let name = if status == 503 { "refused" } else { "failed" };
+    Outcome {
+        name,
+        status,
+        reason,
+    }
+}
+
 fn gone() -> Outcome {
     Outcome {
         name: "left",
@@ -516,22 +514,14 @@
     gate: &Gate,
     outlet: &mut Outlet,
     request: &Bytes,
-    status: u16,
-    reason: &'static str,
-    return_after: Option<Duration>,
+    refused: &Refused,
 ) {
     if gate.stopping.get() {
         outlet.keep = false;
     }
-    let answer = OwnAnswer {
-        status,
-        reason,
-        return_after,
-        request: request.clone(),
-    };
     let mut out = BytesMut::new();
-    write_own_answer(&mut out, &answer, outlet.connection_header());
+    write_own_answer(&mut out, request, refused, outlet.connection_header());
     if outlet.send(&out).await.is_err() {
-        tracing::debug!(event = "answer_not_taken", status);
+        tracing::debug!(event = "answer_not_taken", status = refused.status);
     }
 }
--- a/cornelstand/src/gateway/catalog.rs
+++ b/cornelstand/src/gateway/catalog.rs
@@ -133,7 +133,7 @@
 }
 
 impl Catalog {
-    /// Indexes the routes. Must be called after the fields are set.
+    /// Indexes the routes, when the configuration is put in force.
     pub(crate) fn index(mut self) -> Self {
         let mut hosts: HashMap<String, Vec<Arc<GatewayRoute>>> = HashMap::new();
         for route in &self.routes {
--- a/cornelstand/src/gateway/connection.rs
+++ b/cornelstand/src/gateway/connection.rs
@@ -1,20 +1,24 @@
 //! Callers' connections: one request after another, within the limits of the configuration.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::gateway::call;
+use crate::gateway::call::{self, Refused};
 use crate::gateway::catalog::RequestLimits;
-use crate::gateway::daemon::ACCEPT_PAUSE;
-use crate::gateway::gate::{Gate, count};
+use crate::gateway::gate::Gate;
 use crate::gateway::message::{Head, MessageError};
-use crate::gateway::number::float;
+use crate::gateway::number::{float, gauge};
 use crate::gateway::outlet::Outlet;
 use crate::gateway::upstream::{read_into, tune};
 
+/// Pause after an error of accepting that is not the connection's own.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// Longest time for which bytes are taken in behind a request that was refused.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
 /// Descriptors that are left for connections to endpoints, the store and files.
 const RESERVED_DESCRIPTORS: usize = 900;
 /// Part of the connections from which callers are asked to close theirs after an answer.
@@ -24,14 +28,7 @@
 pub(crate) async fn accept(gate: Rc<Gate>, listener: TcpListener) {
     let most = most_connections(&gate);
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                tracing::warn!(event = "accept_failed", %error);
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let stream = accepted(&listener).await;
         if gate.connections.get() >= most {
             tracing::warn!(event = "connection_refused", connections = most);
             continue;
@@ -39,14 +36,27 @@
         let gate = gate.clone();
         tokio::task::spawn_local(async move {
             gate.connections.set(gate.connections.get() + 1);
-            gate.metrics.connections.set(count(gate.connections.get()));
+            gate.metrics.connections.set(gauge(gate.connections.get()));
             serve(&gate, stream).await;
             gate.connections.set(gate.connections.get() - 1);
-            gate.metrics.connections.set(count(gate.connections.get()));
+            gate.metrics.connections.set(gauge(gate.connections.get()));
         });
     }
 }
 
+/// The next connection at `listener`.
+pub(crate) async fn accepted(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 fn most_connections(gate: &Gate) -> usize {
     let most = gate.settings.borrow().descriptors;
     most.saturating_sub(RESERVED_DESCRIPTORS).max(256)
@@ -93,7 +103,8 @@
         let (status, reason) = refusal;
         tracing::info!(event = "request_unreadable", status, reason);
         outlet.keep = false;
-        call::answer_own(gate, &mut outlet, &Bytes::new(), status, reason, None).await;
+        let refused = Refused::new(status, reason, None);
+        call::answer_own(gate, &mut outlet, &Bytes::new(), &refused).await;
         drain(&mut outlet).await;
     }
 }
@@ -101,7 +112,7 @@
 /// Takes in what the caller still sends, for a moment: a close with unread bytes would reset the
 /// connection before the answer is read.
 async fn drain(outlet: &mut Outlet) {
-    let until = Instant::now() + ACCEPT_PAUSE;
+    let until = Instant::now() + DRAIN_TIMEOUT;
     let mut left = 64;
     while left > 0 {
         outlet.input.clear();
--- a/cornelstand/src/gateway/daemon.rs
+++ b/cornelstand/src/gateway/daemon.rs
@@ -22,8 +22,6 @@
 use crate::gateway::{connection, peers_link};
 use crate::platform::settings::{SettingsFileError, read_settings};
 
-/// Pause after an error of accepting that is not the connection's own.
-pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Port of the metrics address; the deploy file names it, too.
 const METRICS_PORT: u16 = 9_464;
 /// Time between two looks at whether an endpoint got room.
--- a/cornelstand/src/gateway/follow.rs
+++ b/cornelstand/src/gateway/follow.rs
@@ -418,7 +418,7 @@
         }
     };
     let catalog = std::mem::take(&mut beliefs.catalog);
-    take_catalog(gate, catalog.index(), "peer", 0);
+    take_catalog(gate, catalog, "peer", 0);
     let mut state = gate.state.borrow_mut();
     let is_newer = beliefs.mark.revision > state.directory.mark().revision;
     drop(state);
@@ -441,11 +441,8 @@
     let connection = Upstream::connect(address, PEER_TIMEOUT).await;
     let mut connection = connection.map_err(|e| text(&e))?;
     let request = format!("GET /beliefs HTTP/1.1\r\nhost: {address}\r\n\r\n");
-    let sent = crate::gateway::outlet::write_all(&connection.stream, request.as_bytes()).await;
-    sent.map_err(|e| text(&e))?;
-    let head = connection.answer_head(BELIEFS_BYTES).await;
-    let head = head.map_err(|e| text(&e))?;
-    let mut reader = head.answer_body("GET").map_err(|e| text(&e))?;
-    let body = connection.whole_body(&mut reader, BELIEFS_BYTES).await;
-    serde_json::from_slice(&body.map_err(|e| text(&e))?).map_err(|e| text(&e))
+    let limits = (BELIEFS_BYTES, BELIEFS_BYTES);
+    let answer = connection.exchange("GET", request.as_bytes(), limits).await;
+    let (_, body) = answer.map_err(|e| text(&e))?;
+    serde_json::from_slice(&body).map_err(|e| text(&e))
 }
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -11,7 +11,7 @@
 use crate::gateway::catalog::GatewayService;
 use crate::gateway::directory::{Directory, EndpointChange};
 use crate::gateway::metrics::GatewayMetrics;
-use crate::gateway::number::{float, short};
+use crate::gateway::number::{float, gauge, short};
 use crate::gateway::outputs::Outputs;
 use crate::gateway::peers::{Beat, Digest, PeerLoad, Peers, endpoint_key};
 use crate::gateway::placement::{EndpointIndex, Endpoints, Place, PlaceEnd, PlacementRules};
@@ -53,6 +53,19 @@
     beats: u64,
 }
 
+impl State {
+    /// Takes a request out of the queue for want of a place, with the time after which its caller
+    /// should come back.
+    fn refuse(&mut self, now: Moment, id: WaitId) -> Duration {
+        self.grants.remove(&id);
+        let Some(waiting) = self.admission.remove(id) else {
+            return Duration::ZERO;
+        };
+        self.admission.note_refusal(now, &waiting);
+        self.admission.return_after(now, &waiting.account)
+    }
+}
+
 #[derive(Debug)]
 struct Waiter {
     tried: Vec<EndpointIndex>,
@@ -158,7 +171,6 @@
         tried: &[EndpointIndex],
     ) -> Result<Ticket, Duration> {
         let now = self.now();
-        let account = waiting.account.clone();
         let (grant, granted) = oneshot::channel();
         let mut state = self.state.borrow_mut();
         let id = state.admission.push(waiting);
@@ -166,26 +178,15 @@
         state.grants.insert(id, Waiter { tried, grant });
         self.grant_one(&mut state, now, id);
         if state.grants.contains_key(&id) && state.admission.is_hopeless(now, id) {
-            if let Some(waiting) = state.admission.remove(id) {
-                state.admission.note_refusal(now, &waiting);
-            }
-            state.grants.remove(&id);
-            return Err(state.admission.return_after(now, &account));
+            return Err(state.refuse(now, id));
         }
-        self.metrics.waiting.set(count(state.admission.len()));
+        self.metrics.waiting.set(gauge(state.admission.len()));
         Ok(Ticket { id, grant: granted })
     }
 
     /// Takes a request out of the queue, with the time after which its caller should come back.
     pub(crate) fn withdraw(&self, id: WaitId) -> Duration {
-        let now = self.now();
-        let mut state = self.state.borrow_mut();
-        state.grants.remove(&id);
-        let Some(waiting) = state.admission.remove(id) else {
-            return Duration::ZERO;
-        };
-        state.admission.note_refusal(now, &waiting);
-        state.admission.return_after(now, &waiting.account)
+        self.state.borrow_mut().refuse(self.now(), id)
     }
 
     /// Gives places to waiting requests while there is room.
@@ -422,17 +423,17 @@
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
-        let loads = state.peers.loads(now, &self.settings.borrow().centre);
+        let centre = &self.settings.borrow().centre;
+        let loads = state.peers.loads(now, centre);
         let load = |r: &_| loads.get(&endpoint_key(r)).copied().unwrap_or_default();
         state.endpoints.set_peers(load);
         state.outputs.set_peers(state.peers.token_times(now));
-        state.admission.set_peers(
-            now,
-            state.peers.attained(now, &self.settings.borrow().centre),
-        );
         state
             .admission
-            .set_wanting(state.peers.wanting(now, &self.settings.borrow().centre));
+            .set_peers(now, state.peers.attained(now, centre));
+        state
+            .admission
+            .set_wanting(state.peers.wanting(now, centre));
     }
 
     /// The beat to send now.
@@ -473,8 +474,3 @@
         }
     }
 }
-
-/// A count for a gauge.
-pub(crate) fn count(number: usize) -> i64 {
-    i64::try_from(number).unwrap_or(i64::MAX)
-}
--- a/cornelstand/src/gateway/number.rs
+++ b/cornelstand/src/gateway/number.rs
@@ -6,6 +6,11 @@
     f64::from(u32::try_from(count).unwrap_or(u32::MAX))
 }
 
+/// A count for a gauge.
+pub(crate) fn gauge(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
 /// An estimate that is not negative, as a whole number.
 #[expect(
     clippy::cast_possible_truncation,
--- a/cornelstand/src/gateway/outlet.rs
+++ b/cornelstand/src/gateway/outlet.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -99,14 +99,3 @@
     }
     Ok(())
 }
-
-/// An answer of the gateway itself.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct OwnAnswer {
-    pub(crate) status: u16,
-    pub(crate) reason: &'static str,
-    /// When the caller should come back.
-    pub(crate) return_after: Option<Duration>,
-    /// Identity of the request, as the caller named it.
-    pub(crate) request: Bytes,
-}
--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -149,7 +149,6 @@
     let attempt = result.unwrap_or_else(Stop::attempt);
     let is_whole = attempt.is_delivered() || attempt.is_failed() || attempt.is_not_run();
     if is_whole && is_reusable && upstream.input.is_empty() {
-        upstream.is_used = true;
         let pool: &mut Pool = &mut gate.state.borrow_mut().pool;
         pool.put(address, upstream, idle);
     }
--- a/cornelstand/src/gateway/tests.rs
+++ b/cornelstand/src/gateway/tests.rs
@@ -115,7 +115,6 @@
         keyed: true,
         ..Catalog::default()
     }
-    .index()
 }
 
 pub(crate) fn record(name: &str, service: &str, address: SocketAddr) -> EndpointRecord {
--- a/cornelstand/src/gateway/upstream.rs
+++ b/cornelstand/src/gateway/upstream.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::gateway::message::{BodyReader, Head, MessageError};
+use crate::gateway::outlet::write_all;
 
 /// Time after which unacknowledged bytes, or keep-alive probes, give a connection up.
 const DEAD_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -45,8 +46,6 @@
     pub(crate) stream: TcpStream,
     /// Bytes read and not yet used.
     pub(crate) input: BytesMut,
-    /// Whether an earlier request was sent on it.
-    pub(crate) is_used: bool,
 }
 
 impl Upstream {
@@ -62,7 +61,6 @@
         Ok(Self {
             stream,
             input: BytesMut::new(),
-            is_used: false,
         })
     }
 
@@ -101,6 +99,24 @@
         }
     }
 
+    /// Sends a whole request and reads its whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection does, or the answer is malformed or larger than the limits.
+    pub(crate) async fn exchange(
+        &mut self,
+        method: &str,
+        request: &[u8],
+        (head_limit, body_limit): (usize, usize),
+    ) -> Result<(Head, Bytes), ReadError> {
+        write_all(&self.stream, request).await?;
+        let head = self.answer_head(head_limit).await?;
+        let mut reader = head.answer_body(method)?;
+        let body = self.whole_body(&mut reader, body_limit).await?;
+        Ok((head, body))
+    }
+
     /// Reads a body to its end.
     ///
     /// # Errors
--- a/cornelstand/src/platform/headers.rs
+++ b/cornelstand/src/platform/headers.rs
@@ -5,10 +5,10 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 
+use crate::gateway::call::Refused;
 use crate::gateway::catalog::EngineSpec;
 use crate::gateway::endpoint_state::{Prompt, PromptPart};
 use crate::gateway::message::{Head, reason};
-use crate::gateway::outlet::OwnAnswer;
 
 /// Identity of one try of a caller. The platform calls it an attempt; a caller that tries again
 /// sends a new one.
@@ -264,22 +264,27 @@
 }
 
 /// Writes an answer of the gateway itself. It has no receipt.
-pub(crate) fn write_own_answer(out: &mut BytesMut, answer: &OwnAnswer, connection: &str) {
-    status_line(out, answer.status);
-    if !answer.request.is_empty() {
-        header(out, REQUEST_ID, &answer.request);
+pub(crate) fn write_own_answer(
+    out: &mut BytesMut,
+    request: &[u8],
+    refused: &Refused,
+    connection: &str,
+) {
+    status_line(out, refused.status);
+    if !request.is_empty() {
+        header(out, REQUEST_ID, request);
     }
-    if let Some(time) = answer.return_after {
+    if let Some(time) = refused.after {
         out.put_slice(b"retry-after: ");
         let mut writer = out.writer();
         // Writing to memory cannot fail.
         let _ = write!(writer, "{:.3}\r\n", time.as_secs_f64());
     }
     header(out, "content-type", b"text/plain");
-    number(out, "content-length", answer.reason.len() as u128 + 1);
+    number(out, "content-length", refused.reason.len() as u128 + 1);
     out.put_slice(connection.as_bytes());
     out.put_slice(b"\r\n");
-    out.put_slice(answer.reason.as_bytes());
+    out.put_slice(refused.reason.as_bytes());
     out.put_slice(b"\n");
 }
 
--- a/cornelstand/src/platform/objects.rs
+++ b/cornelstand/src/platform/objects.rs
@@ -145,7 +145,7 @@
         let name = AccountName::from(account.name.as_str());
         keys.extend(account.api_keys.iter().map(|k| (k.clone(), name.clone())));
     }
-    let catalog = Catalog {
+    Ok(Catalog {
         version: spec.version,
         routes: routes.collect(),
         services: services.map(|s| (s.name.clone(), s)).collect(),
@@ -153,8 +153,7 @@
         keys,
         keyed: spec.tenants.is_some(),
         ..Catalog::default()
-    };
-    Ok(catalog.index())
+    })
 }
 
 fn route(spec: RouteSpec) -> GatewayRoute {
--- a/cornelstand/src/platform/store.rs
+++ b/cornelstand/src/platform/store.rs
@@ -9,8 +9,6 @@
 use snafu::{ResultExt, Snafu};
 use tokio::time::timeout;
 
-use crate::gateway::message::{Head, MessageError};
-use crate::gateway::outlet::write_all;
 use crate::gateway::upstream::{ReadError, Upstream};
 use crate::platform::objects::StoreObject;
 
@@ -45,14 +43,6 @@
     Unreadable { source: serde_json::Error },
 }
 
-impl From<MessageError> for StoreCallError {
-    fn from(error: MessageError) -> Self {
-        Self::NoAnswer {
-            reason: error.to_string(),
-        }
-    }
-}
-
 impl From<ReadError> for StoreCallError {
     fn from(error: ReadError) -> Self {
         Self::NoAnswer {
@@ -226,7 +216,7 @@
         }
         request.put_slice(b"\r\n");
         request.put_slice(body);
-        let exchange = exchange(&mut connection, method, &request);
+        let exchange = connection.exchange(method, &request, (HEAD_BYTES, BODY_BYTES));
         let late = |_| StoreCallError::NoAnswer {
             reason: "timed out".into(),
         };
@@ -243,18 +233,6 @@
     }
 }
 
-async fn exchange(
-    connection: &mut Upstream,
-    method: &str,
-    request: &[u8],
-) -> Result<(Head, Bytes), StoreCallError> {
-    write_all(&connection.stream, request).await?;
-    let head = connection.answer_head(HEAD_BYTES).await?;
-    let mut reader = head.answer_body(method)?;
-    let body = connection.whole_body(&mut reader, BODY_BYTES).await?;
-    Ok((head, body))
-}
-
 fn read_object(value: Value) -> Option<StoreObject> {
     match serde_json::from_value(value) {
         Ok(object) => Some(object),
--- a/cornelstand/src/platform/tests/wire.rs
+++ b/cornelstand/src/platform/tests/wire.rs
@@ -220,7 +220,7 @@
         "limits": { "max_header_bytes": 16384, "tokens_per_s": 390_000 },
         "tenants": [{ "name": "ada", "api_keys": ["k1", "k2"] }],
     });
-    let catalog = read_config(&spec).expect("valid");
+    let catalog = read_config(&spec).expect("valid").index();
     assert_eq!(catalog.version, 7);
     assert_eq!(catalog.keys.len(), 2);
     let name = |host, path| catalog.route(host, path).map(|r| r.name.as_str());
