Work out placement rules once for each pass of the queue, and log inputs only where they are logged

Found by reading the change. The line of a placed request summed the whole queue and its rate for fields that only the line of a refused one has; the struct that carried them goes, and the two lines ask for what they show. A place knows what was charged for it, so the placed line takes its cost from there: for the rest of a broken stream it now shows the rest, where it showed the whole answer. A doc line over the width is wrapped.

Ruled out: a change of decisions.

--- a/cornelstand/src/gateway/acquire.rs
+++ b/cornelstand/src/gateway/acquire.rs
@@ -39,11 +39,12 @@
     } else {
         waiting
     };
+    let cost = waiting.cost();
     let gives_up = gate.clock.instant(waiting.gives_up).min(call.deadline);
     let mut ticket = match gate.enqueue(waiting, &call.tried) {
         Ok(ticket) => ticket,
         Err(after) => {
-            log_refusal(gate, call);
+            log_refusal(gate, call, cost);
             return refuse_place(call, "others come first", after);
         }
     };
@@ -68,21 +69,19 @@
         return Acquired::Place(place);
     }
     let after = gate.withdraw(ticket.id);
-    log_refusal(gate, call);
+    log_refusal(gate, call, cost);
     refuse_place(call, "no endpoint had room in time", after)
 }
 
 /// Logs what a refusal for want of a place was based on.
-fn log_refusal(gate: &Gate, call: &Call) {
-    let state = gate.state.borrow();
-    let account = call.account_name();
-    let inputs = state
-        .admission
-        .inputs(gate.now(), &account, &call.service, call.prompt.as_ref());
+fn log_refusal(gate: &Gate, call: &Call, cost: f64) {
+    let admission = &gate.state.borrow().admission;
+    let (now, account, service) = (gate.now(), call.account_name(), &call.service);
     tracing::info!(
-        event = "no_place", request = %call.id(), %account, service = %call.service,
-        cost = inputs.cost, attained = inputs.attained, least = inputs.least, queued = inputs.queued,
-        rate = inputs.rate, waiting = state.admission.len(),
+        event = "no_place", request = %call.id(), %account, %service, cost,
+        attained = admission.attained(now, &account), least = admission.least(service),
+        queued = admission.queued(service), rate = admission.rate(now, service),
+        waiting = admission.len(),
     );
 }
 
--- a/cornelstand/src/gateway/admission.rs
+++ b/cornelstand/src/gateway/admission.rs
@@ -35,8 +35,8 @@
 const RETURN_MAX: Duration = Duration::from_secs(8);
 /// Time constant of what was refused lately, which shows that places are scarce.
 const SCARCE_MEMORY: Duration = Duration::from_millis(300);
-/// Time of all endpoints, in seconds, that accounts have to want before those ahead of them leave places to them:
-/// a single request that no endpoint suits stops nobody.
+/// Time of all endpoints, in seconds, that accounts have to want before those ahead of them leave
+/// places to them: a single request that no endpoint suits stops nobody.
 const WANTED_TIME: f64 = 0.02;
 /// Most entries that tell which accounts want places.
 const WANTS: usize = 32;
@@ -148,32 +148,13 @@
         self
     }
 
+    /// Counted tokens: each read once, and each generated twice.
     pub(crate) fn cost(&self) -> f64 {
-        counted(self.prompt.as_ref())
+        let tokens = |p: &Prompt| f64::from(p.input) + OUTPUT_COST * f64::from(p.output);
+        self.prompt.as_ref().map_or(1.0, tokens)
     }
 }
 
-/// Counted tokens of a request: each read once, and each generated twice.
-fn counted(prompt: Option<&Prompt>) -> f64 {
-    let tokens = |p: &Prompt| f64::from(p.input) + OUTPUT_COST * f64::from(p.output);
-    prompt.map_or(1.0, tokens)
-}
-
-/// What the decisions on the requests of an account at a service are based on, for the log.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct AdmissionInputs {
-    /// Counted tokens of the request.
-    pub(crate) cost: f64,
-    /// Counted tokens that the account attained in the last seconds.
-    pub(crate) attained: f64,
-    /// The same of the most deserving account that wants a place at a peer, if any does.
-    pub(crate) least: Option<f64>,
-    /// Counted tokens of all requests that wait here.
-    pub(crate) queued: f64,
-    /// Counted tokens a second that can be expected to get places here.
-    pub(crate) rate: f64,
-}
-
 /// Counted tokens a second that the endpoints of a service do.
 #[derive(Clone, Copy, Debug, Default)]
 struct Capacity {
@@ -277,7 +258,7 @@
 
     /// Whether a request has to leave places to a more deserving one at another instance.
     pub(crate) fn must_yield(&self, now: Moment, waiting: &Waiting) -> bool {
-        let least = self.wanting.get(&waiting.service);
+        let least = self.least(&waiting.service);
         let Some(least) = least.filter(|_| waiting.prompt.is_some() && !waiting.goes_on) else {
             return false;
         };
@@ -390,28 +371,21 @@
         self.capacity.insert(service.clone(), Capacity { all, due });
     }
 
-    /// What decides on a request of `account` at `service`.
-    pub(crate) fn inputs(
-        &self,
-        now: Moment,
-        account: &AccountName,
-        service: &ServiceName,
-        prompt: Option<&Prompt>,
-    ) -> AdmissionInputs {
+    /// What the account at a peer has attained to which others leave places, if there is one.
+    pub(crate) fn least(&self, service: &ServiceName) -> Option<f64> {
+        self.wanting.get(service).copied()
+    }
+
+    /// Counted tokens of all requests to a service that wait here.
+    pub(crate) fn queued(&self, service: &ServiceName) -> f64 {
         let waiting = self.waiting.iter().map(|(_, w)| w);
         let waiting = waiting.filter(|w| w.service == *service);
-        AdmissionInputs {
-            cost: counted(prompt),
-            attained: self.attained(now, account),
-            least: self.wanting.get(service).copied(),
-            queued: waiting.map(Waiting::cost).sum(),
-            rate: self.rate(now, service),
-        }
+        waiting.map(Waiting::cost).sum()
     }
 
     /// Counted tokens a second that can be expected to get places at this instance: what got some
     /// lately, and at least its part of what the endpoints do.
-    fn rate(&self, now: Moment, service: &ServiceName) -> f64 {
+    pub(crate) fn rate(&self, now: Moment, service: &ServiceName) -> f64 {
         let rate = self.rates.get(service);
         let sum = rate.map_or(0.0, |r| r.get(now, RATE_MEMORY));
         let due = self.capacity.get(service).map_or(0.0, |c| c.due);
--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -487,12 +487,11 @@
         return;
     };
     let account = call.account_name();
-    let inputs = state
-        .admission
-        .inputs(gate.now(), &account, &call.service, call.prompt.as_ref());
     tracing::info!(
         event = "placed", request = %call.id(), endpoint = %endpoint.record.name, %account,
-        ahead = place.ahead(), cost = inputs.cost, attained = inputs.attained, least = inputs.least,
+        ahead = place.ahead(), cost = place.charged,
+        attained = state.admission.attained(gate.now(), &account),
+        least = state.admission.least(&call.service),
         waiting = state.admission.len(), version = call.version,
     );
 }
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -171,12 +171,15 @@
         tried: &[EndpointIndex],
     ) -> Result<Ticket, Duration> {
         let now = self.now();
+        let service = waiting.service.clone();
         let (grant, granted) = oneshot::channel();
         let mut state = self.state.borrow_mut();
         let id = state.admission.push(waiting);
         let tried = tried.to_vec();
         state.grants.insert(id, Waiter { tried, grant });
-        self.grant_one(&mut state, now, id);
+        if let Some(rules) = self.rules(&state, &service) {
+            self.grant_one(&mut state, now, id, &rules);
+        }
         if state.grants.contains_key(&id) && state.admission.is_hopeless(now, id) {
             return Err(state.refuse(now, id));
         }
@@ -205,14 +208,23 @@
     }
 
     fn grant(&self, state: &mut State, now: Moment) {
+        let mut services: HashMap<ServiceName, Option<PlacementRules>> = HashMap::new();
         for id in state.admission.order(now) {
-            self.grant_one(state, now, id);
+            let Some(waiting) = state.admission.get(id) else {
+                continue;
+            };
+            let service = waiting.service.clone();
+            let rules = services.entry(service);
+            let rules = rules.or_insert_with_key(|service| self.rules(state, service));
+            if let Some(rules) = rules {
+                self.grant_one(state, now, id, rules);
+            }
         }
     }
 
     /// Gives a place to a request if there is one.
-    fn grant_one(&self, state: &mut State, now: Moment, id: WaitId) {
-        let Some((index, waiting)) = self.find_place(state, now, id) else {
+    fn grant_one(&self, state: &mut State, now: Moment, id: WaitId, rules: &PlacementRules) {
+        let Some((index, waiting)) = find_place(state, now, id, rules) else {
             return;
         };
         let prompt = waiting.prompt.as_ref();
@@ -232,31 +244,6 @@
         }
     }
 
-    fn find_place(
-        &self,
-        state: &State,
-        now: Moment,
-        id: WaitId,
-    ) -> Option<(EndpointIndex, Waiting)> {
-        let waiting = state.admission.get(id)?;
-        if state.admission.must_yield(now, waiting) {
-            return None;
-        }
-        let mut rules = self.rules(state, &waiting.service)?;
-        rules.kept_only = now < waiting.spreads;
-        rules.left = waiting.ends.since(now);
-        let tried = &state.grants.get(&id)?.tried;
-        let directory = &state.directory;
-        let index = state.endpoints.choose(
-            now,
-            &waiting.service,
-            waiting.prompt.as_ref(),
-            &rules,
-            |index, record| !tried.contains(&index) && !directory.is_evacuated(&record.centre),
-        );
-        Some((index.ok()?, waiting.clone()))
-    }
-
     /// Whether any endpoint of a service could take a request now or later.
     pub(crate) fn has_endpoint(&self, service: &ServiceName) -> bool {
         let state = self.state.borrow();
@@ -267,6 +254,7 @@
         state.endpoints.of(service).any(is_usable)
     }
 
+    /// What placement has to know of a service, the same for all its requests.
     fn rules(&self, state: &State, service: &ServiceName) -> Option<PlacementRules> {
         let catalog = state.directory.catalog();
         let spec: &GatewayService = catalog.services.get(service)?;
@@ -474,3 +462,29 @@
         }
     }
 }
+
+/// Endpoint for a request that waits, if one has room and no other request comes first.
+fn find_place(
+    state: &State,
+    now: Moment,
+    id: WaitId,
+    rules: &PlacementRules,
+) -> Option<(EndpointIndex, Waiting)> {
+    let waiting = state.admission.get(id)?;
+    if state.admission.must_yield(now, waiting) {
+        return None;
+    }
+    let mut rules = rules.clone();
+    rules.kept_only = now < waiting.spreads;
+    rules.left = waiting.ends.since(now);
+    let tried = &state.grants.get(&id)?.tried;
+    let directory = &state.directory;
+    let index = state.endpoints.choose(
+        now,
+        &waiting.service,
+        waiting.prompt.as_ref(),
+        &rules,
+        |index, record| !tried.contains(&index) && !directory.is_evacuated(&record.centre),
+    );
+    Some((index.ok()?, waiting.clone()))
+}
