Give the tests of the way of a request one frame

Each test set up its own local task set, two built the same near and far endpoints, two the same engine under two names, one through an alias of the endpoint's type.

--- a/cornelstand/src/platform/tests/path.rs
+++ b/cornelstand/src/platform/tests/path.rs
@@ -17,6 +17,11 @@
     Endpoint, PATIENCE, Step, answer, chunk, event, read_request, stream_head,
 };
 
+/// Runs a test whose tasks stay on its thread.
+async fn local(test: impl Future<Output = ()>) {
+    LocalSet::new().run_until(test).await;
+}
+
 /// An instance that listens for callers.
 async fn entry(gate: &Rc<Gate>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
@@ -56,6 +61,15 @@
     answer.split(' ').nth(1).unwrap_or("none")
 }
 
+/// An entry with two endpoints of the orders; the one of its own data centre comes first.
+async fn with_near_and_far(near: SocketAddr, far: SocketAddr) -> (Rc<Gate>, SocketAddr) {
+    let mut record_far = record("o-2", ORDERS, far);
+    record_far.centre = "south".into();
+    let gate = gate("one", vec![record("o-1", ORDERS, near), record_far]);
+    let address = entry(&gate).await;
+    (gate, address)
+}
+
 async fn with_orders(scripts: Vec<Vec<Step>>) -> (Rc<Gate>, SocketAddr, Endpoint) {
     let endpoint = Endpoint::start(scripts).await;
     let gate = gate("one", vec![record("o-1", ORDERS, endpoint.address)]);
@@ -65,18 +79,17 @@
 
 #[tokio::test]
 async fn a_call_is_answered_with_the_endpoints_bytes() {
-    LocalSet::new()
-        .run_until(async {
-            let script = vec![Step::Read, Step::Write(answer("a1", "", "done"))];
-            let (_gate, address, endpoint) = with_orders(vec![script]).await;
-            let text = ask(address, &request("/book/1", "a1")).await;
-            assert!(text.starts_with("HTTP/1.1 200 OK\r\n") && text.ends_with("\r\n\r\ndone"));
-            let sent = endpoint.requests.borrow()[0].clone();
-            assert!(sent.contains("x-cornelstand-expect-instance: o-1\r\n"));
-            assert!(sent.contains("x-cornelstand-tenant: ada\r\n"));
-            assert!(!sent.contains("key-a"));
-        })
-        .await;
+    local(async {
+        let script = vec![Step::Read, Step::Write(answer("a1", "", "done"))];
+        let (_gate, address, endpoint) = with_orders(vec![script]).await;
+        let text = ask(address, &request("/book/1", "a1")).await;
+        assert!(text.starts_with("HTTP/1.1 200 OK\r\n") && text.ends_with("\r\n\r\ndone"));
+        let sent = endpoint.requests.borrow()[0].clone();
+        assert!(sent.contains("x-cornelstand-expect-instance: o-1\r\n"));
+        assert!(sent.contains("x-cornelstand-tenant: ada\r\n"));
+        assert!(!sent.contains("key-a"));
+    })
+    .await;
 }
 
 #[rstest]
@@ -111,14 +124,13 @@
     #[case] instead: &str,
     #[case] expected: &str,
 ) {
-    LocalSet::new()
-        .run_until(async {
-            let (_gate, address, endpoint) = with_orders(Vec::new()).await;
-            let text = request(path, "a1").replacen(part, instead, usize::from(!part.is_empty()));
-            assert_eq!(status(&ask(address, &text).await), expected);
-            assert_eq!(endpoint.count(), 0);
-        })
-        .await;
+    local(async {
+        let (_gate, address, endpoint) = with_orders(Vec::new()).await;
+        let text = request(path, "a1").replacen(part, instead, usize::from(!part.is_empty()));
+        assert_eq!(status(&ask(address, &text).await), expected);
+        assert_eq!(endpoint.count(), 0);
+    })
+    .await;
 }
 
 #[rstest]
@@ -135,154 +147,147 @@
 #[case::nothing("")]
 #[tokio::test]
 async fn a_call_that_may_have_run_is_never_sent_again(#[case] wire: &str) {
-    LocalSet::new()
-        .run_until(async {
-            let script = vec![Step::Read, Step::Write(wire.to_owned())];
-            let (_gate, address, endpoint) = with_orders(vec![script.clone(), script]).await;
-            assert_eq!(
-                status(&ask(address, &request("/book/1", "a1")).await),
-                "502"
-            );
-            assert_eq!(endpoint.count(), 1);
-        })
-        .await;
+    local(async {
+        let script = vec![Step::Read, Step::Write(wire.to_owned())];
+        let (_gate, address, endpoint) = with_orders(vec![script.clone(), script]).await;
+        assert_eq!(
+            status(&ask(address, &request("/book/1", "a1")).await),
+            "502"
+        );
+        assert_eq!(endpoint.count(), 1);
+    })
+    .await;
 }
 
 #[tokio::test]
 async fn a_reset_answer_without_length_is_not_taken_for_a_whole_one() {
-    LocalSet::new()
-        .run_until(async {
+    local(async {
             let head = "HTTP/1.1 200 OK\r\nX-Cornelstand-Attempt-Id: a1\r\nX-Cornelstand-Server-Stamp: s\r\n\r\nhalf";
             let script = vec![Step::Read, Step::Write(head.into()), Step::Pause(50), Step::Reset];
             let (_gate, address, _endpoint) = with_orders(vec![script]).await;
             assert_eq!(status(&ask(address, &request("/book/1", "a1")).await), "502");
-        })
-        .await;
+    })
+    .await;
 }
 
 #[tokio::test]
 async fn an_answer_without_length_ends_with_its_connection() {
-    LocalSet::new()
-        .run_until(async {
+    local(async {
             let head = "HTTP/1.1 200 OK\r\nX-Cornelstand-Attempt-Id: a1\r\nX-Cornelstand-Server-Stamp: s\r\n\r\nwhole";
             let (_gate, address, _endpoint) = with_orders(vec![vec![Step::Read, Step::Write(head.into())]]).await;
             let text = ask(address, &request("/book/1", "a1")).await;
             assert!(text.ends_with("\r\n\r\nwhole") && status(&text) == "200");
-        })
-        .await;
+    })
+    .await;
 }
 
 #[tokio::test]
 async fn an_idempotent_call_is_tried_again_after_a_failure() {
-    LocalSet::new()
-        .run_until(async {
+    local(async {
             let failed = "HTTP/1.1 500 Oops\r\nX-Cornelstand-Attempt-Id: a1\r\nX-Cornelstand-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n";
             let bad = Endpoint::start(vec![vec![Step::Read, Step::Write(failed.into())]]).await;
             let good = Endpoint::start(vec![vec![Step::Read, Step::Write(answer("a1", "", "ok"))]]).await;
-            // The least loaded endpoint of the own data centre comes first.
-            let mut far = record("o-2", ORDERS, good.address);
-            far.centre = "south".into();
-            let gate = gate("one", vec![record("o-1", ORDERS, bad.address), far]);
-            let address = entry(&gate).await;
+            let (_gate, address) = with_near_and_far(bad.address, good.address).await;
             assert_eq!(status(&ask(address, &request("/stock/1", "a1")).await), "200");
             assert_eq!((bad.count(), good.count()), (1, 1));
-        })
-        .await;
+    })
+    .await;
 }
 
 #[tokio::test]
 async fn the_failure_of_an_endpoint_is_passed_on_if_no_other_is_left() {
-    LocalSet::new()
-        .run_until(async {
+    local(async {
             let failed = "HTTP/1.1 500 Oops\r\nX-Cornelstand-Attempt-Id: a1\r\nX-Cornelstand-Server-Stamp: s\r\nContent-Length: 4\r\n\r\nhelp";
             let (_gate, address, _endpoint) = with_orders(vec![vec![Step::Read, Step::Write(failed.into())]]).await;
             let text = ask(address, &request("/stock/1", "a1")).await;
             assert!(text.starts_with("HTTP/1.1 500 ") && text.ends_with("help"));
             assert!(text.contains("X-Cornelstand-Server-Stamp: s"));
-        })
-        .await;
+    })
+    .await;
 }
 
 #[tokio::test]
 async fn a_refusal_of_an_endpoint_is_a_refusal_with_a_time_to_return() {
-    LocalSet::new()
-        .run_until(async {
-            let full =
-                "HTTP/1.1 503 Busy\r\nX-Cornelstand-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-            let (_gate, address, endpoint) =
-                with_orders(vec![vec![Step::Read, Step::Write(full.into())]]).await;
-            let text = ask(address, &request("/book/1", "a1")).await;
-            assert_eq!(status(&text), "503");
-            assert!(text.contains("retry-after: "));
-            assert_eq!(endpoint.count(), 1);
-        })
-        .await;
+    local(async {
+        let full =
+            "HTTP/1.1 503 Busy\r\nX-Cornelstand-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        let (_gate, address, endpoint) =
+            with_orders(vec![vec![Step::Read, Step::Write(full.into())]]).await;
+        let text = ask(address, &request("/book/1", "a1")).await;
+        assert_eq!(status(&text), "503");
+        assert!(text.contains("retry-after: "));
+        assert_eq!(endpoint.count(), 1);
+    })
+    .await;
 }
 
 #[tokio::test]
 async fn a_late_answer_to_an_earlier_request_is_passed_over() {
-    LocalSet::new()
-        .run_until(async {
-            let script = vec![
-                Step::Read,
-                Step::Write(answer("a1", "", "first")),
-                Step::Read,
-                Step::Write(answer("a1", "", "first, again")),
-                Step::Write(answer("a2", "", "second")),
-            ];
-            let (_gate, address, endpoint) = with_orders(vec![script]).await;
-            let first = ask(address, &request("/book/1", "a1")).await;
-            let second = ask(address, &request("/book/2", "a2")).await;
-            assert!(first.ends_with("\r\n\r\nfirst") && second.ends_with("\r\n\r\nsecond"));
-            assert_eq!(endpoint.count(), 2);
-        })
-        .await;
+    local(async {
+        let script = vec![
+            Step::Read,
+            Step::Write(answer("a1", "", "first")),
+            Step::Read,
+            Step::Write(answer("a1", "", "first, again")),
+            Step::Write(answer("a2", "", "second")),
+        ];
+        let (_gate, address, endpoint) = with_orders(vec![script]).await;
+        let first = ask(address, &request("/book/1", "a1")).await;
+        let second = ask(address, &request("/book/2", "a2")).await;
+        assert!(first.ends_with("\r\n\r\nfirst") && second.ends_with("\r\n\r\nsecond"));
+        assert_eq!(endpoint.count(), 2);
+    })
+    .await;
 }
 
 #[tokio::test]
 async fn a_connection_with_bytes_left_is_not_used_again() {
-    LocalSet::new()
-        .run_until(async {
-            let doubled = answer("a1", "", "first") + &answer("a1", "", "extra");
-            let scripts = vec![
-                vec![Step::Read, Step::Write(doubled), Step::AwaitClose],
-                vec![Step::Read, Step::Write(answer("a2", "", "second"))],
-            ];
-            let (_gate, address, endpoint) = with_orders(scripts).await;
-            assert!(
-                ask(address, &request("/book/1", "a1"))
-                    .await
-                    .ends_with("\r\n\r\nfirst")
-            );
-            assert!(
-                ask(address, &request("/book/2", "a2"))
-                    .await
-                    .ends_with("\r\n\r\nsecond")
-            );
-            assert_eq!(endpoint.count(), 2);
-        })
-        .await;
+    local(async {
+        let doubled = answer("a1", "", "first") + &answer("a1", "", "extra");
+        let scripts = vec![
+            vec![Step::Read, Step::Write(doubled), Step::AwaitClose],
+            vec![Step::Read, Step::Write(answer("a2", "", "second"))],
+        ];
+        let (_gate, address, endpoint) = with_orders(scripts).await;
+        assert!(
+            ask(address, &request("/book/1", "a1"))
+                .await
+                .ends_with("\r\n\r\nfirst")
+        );
+        assert!(
+            ask(address, &request("/book/2", "a2"))
+                .await
+                .ends_with("\r\n\r\nsecond")
+        );
+        assert_eq!(endpoint.count(), 2);
+    })
+    .await;
 }
 
 #[tokio::test]
 async fn an_endpoint_that_refuses_connections_costs_no_attempt() {
-    LocalSet::new()
-        .run_until(async {
-            let closed = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
-            let nowhere = closed.local_addr().expect("bound");
-            drop(closed);
-            let good =
-                Endpoint::start(vec![vec![Step::Read, Step::Write(answer("a1", "", "ok"))]]).await;
-            let mut far = record("o-2", ORDERS, good.address);
-            far.centre = "south".into();
-            let gate = gate("one", vec![record("o-1", ORDERS, nowhere), far]);
-            let address = entry(&gate).await;
-            assert_eq!(
-                status(&ask(address, &request("/book/1", "a1")).await),
-                "200"
-            );
-        })
-        .await;
+    local(async {
+        let closed = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+        let nowhere = closed.local_addr().expect("bound");
+        drop(closed);
+        let good =
+            Endpoint::start(vec![vec![Step::Read, Step::Write(answer("a1", "", "ok"))]]).await;
+        let (_gate, address) = with_near_and_far(nowhere, good.address).await;
+        assert_eq!(
+            status(&ask(address, &request("/book/1", "a1")).await),
+            "200"
+        );
+    })
+    .await;
+}
+
+/// An entry with one engine under two names, whose connections play the scripts in order.
+async fn with_two_names(scripts: Vec<Vec<Step>>) -> (Rc<Gate>, SocketAddr, Endpoint) {
+    let engine = Endpoint::start(scripts).await;
+    let records = ["m-0", "m-1"].map(|name| record(name, MODELS, engine.address));
+    let gate = gate("one", records.to_vec());
+    let address = entry(&gate).await;
+    (gate, address, engine)
 }
 
 async fn with_engines(scripts: Vec<Vec<Vec<Step>>>) -> (Rc<Gate>, SocketAddr, Vec<Endpoint>) {
@@ -299,77 +304,68 @@
 
 #[tokio::test]
 async fn events_of_a_stream_arrive_whole_and_in_order() {
-    LocalSet::new()
-        .run_until(async {
-            let (first, second) = (event(1), event(2));
-            let script = vec![
-                Step::Read,
-                Step::Write(stream_head("a1")),
-                Step::Write(chunk(&first[..9])),
-                Step::Pause(20),
-                Step::Write(chunk(&(first[9..].to_owned() + &second))),
-                Step::Write("0\r\n\r\n".into()),
-            ];
-            let (_gate, address, _engines) = with_engines(vec![vec![script]]).await;
-            let text = ask(address, &request("/digest/1", "a1")).await;
-            let body = text.split_once("\r\n\r\n").expect("a head").1;
-            let both = first + &second;
-            assert_eq!(body, format!("{}0\r\n\r\n", chunk(&both)));
-        })
-        .await;
+    local(async {
+        let (first, second) = (event(1), event(2));
+        let script = vec![
+            Step::Read,
+            Step::Write(stream_head("a1")),
+            Step::Write(chunk(&first[..9])),
+            Step::Pause(20),
+            Step::Write(chunk(&(first[9..].to_owned() + &second))),
+            Step::Write("0\r\n\r\n".into()),
+        ];
+        let (_gate, address, _engines) = with_engines(vec![vec![script]]).await;
+        let text = ask(address, &request("/digest/1", "a1")).await;
+        let body = text.split_once("\r\n\r\n").expect("a head").1;
+        let both = first + &second;
+        assert_eq!(body, format!("{}0\r\n\r\n", chunk(&both)));
+    })
+    .await;
 }
 
 #[tokio::test]
 async fn a_stream_that_cannot_go_on_is_visibly_cut_and_runs_once() {
-    LocalSet::new()
-        .run_until(async {
-            let script = vec![
-                Step::Read,
-                Step::Write(stream_head("a1") + &chunk(&event(1))),
-                Step::Pause(30),
-                Step::Reset,
-            ];
-            let (_gate, address, engines) =
-                with_engines(vec![vec![script.clone()], vec![script]]).await;
-            let text = ask(address, &request("/digest/1", "a1")).await;
-            assert!(text.contains("piece 1") && !text.contains("0\r\n\r\n"));
-            assert_eq!(engines.iter().map(Endpoint::count).sum::<usize>(), 1);
-        })
-        .await;
+    local(async {
+        let script = vec![
+            Step::Read,
+            Step::Write(stream_head("a1") + &chunk(&event(1))),
+            Step::Pause(30),
+            Step::Reset,
+        ];
+        let (_gate, address, engines) =
+            with_engines(vec![vec![script.clone()], vec![script]]).await;
+        let text = ask(address, &request("/digest/1", "a1")).await;
+        assert!(text.contains("piece 1") && !text.contains("0\r\n\r\n"));
+        assert_eq!(engines.iter().map(Endpoint::count).sum::<usize>(), 1);
+    })
+    .await;
 }
 
 #[tokio::test]
 async fn the_connection_of_a_stream_that_no_endpoint_goes_on_with_is_closed() {
-    LocalSet::new()
-        .run_until(async {
-            let broken = vec![
-                Step::Read,
-                Step::Write(stream_head("a1") + &chunk(&event(1))),
-                Step::Pause(30),
-                Step::Reset,
-            ];
-            let full =
-                "HTTP/1.1 503 Busy\r\nX-Cornelstand-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-            let scripts = vec![broken, vec![Step::Read, Step::Write(full.into())]];
-            let endpoint = Endpoint::start(scripts).await;
-            let records = vec![
-                record("m-0", MODELS, endpoint.address),
-                record("m-1", MODELS, endpoint.address),
-            ];
-            let gate = gate("one", records);
-            let address = entry(&gate).await;
-            let mut caller = connect(address).await;
-            let request = request("/quote/1", "a1");
-            caller.write_all(request.as_bytes()).await.expect("sent");
-            let mut text = String::new();
-            timeout(Duration::from_secs(3), caller.read_to_string(&mut text))
-                .await
-                .expect("the connection is closed")
-                .expect("read");
-            assert!(text.contains("piece 1") && !text.contains("0\r\n\r\n"));
-            assert_eq!(endpoint.count(), 2);
-        })
-        .await;
+    local(async {
+        let broken = vec![
+            Step::Read,
+            Step::Write(stream_head("a1") + &chunk(&event(1))),
+            Step::Pause(30),
+            Step::Reset,
+        ];
+        let full =
+            "HTTP/1.1 503 Busy\r\nX-Cornelstand-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        let scripts = vec![broken, vec![Step::Read, Step::Write(full.into())]];
+        let (_gate, address, endpoint) = with_two_names(scripts).await;
+        let mut caller = connect(address).await;
+        let request = request("/quote/1", "a1");
+        caller.write_all(request.as_bytes()).await.expect("sent");
+        let mut text = String::new();
+        timeout(Duration::from_secs(3), caller.read_to_string(&mut text))
+            .await
+            .expect("the connection is closed")
+            .expect("read");
+        assert!(text.contains("piece 1") && !text.contains("0\r\n\r\n"));
+        assert_eq!(endpoint.count(), 2);
+    })
+    .await;
 }
 
 #[rstest]
@@ -377,151 +373,136 @@
 #[case::silence(Step::AwaitClose)]
 #[tokio::test]
 async fn a_resumable_stream_goes_on_elsewhere_without_a_torn_or_doubled_event(#[case] fault: Step) {
-    LocalSet::new()
-        .run_until(async {
-            let torn = event(2)[..7].to_owned();
-            let broken = vec![
-                Step::Read,
-                Step::Write(stream_head("a1") + &chunk(&(event(1) + &torn))),
-                Step::Pause(30),
-                fault,
-            ];
-            let rest = stream_head("a1") + &chunk(&event(2)) + &chunk(&event(3)) + "0\r\n\r\n";
-            // Either engine may come first; the second request of the pair resumes.
-            let scripts = vec![broken, vec![Step::Read, Step::Write(rest)]];
-            let listener = Shared::start(scripts).await;
-            let records = vec![
-                record("m-0", MODELS, listener.address),
-                record("m-1", MODELS, listener.address),
-            ];
-            let gate = gate("one", records);
-            let address = entry(&gate).await;
-            let text = ask(address, &request("/quote/1", "a1")).await;
-            let body = text.split_once("\r\n\r\n").expect("a head").1;
-            let events: Vec<&str> = body.lines().filter(|l| l.starts_with("data")).collect();
-            assert_eq!(events, ["data: piece 1", "data: piece 2", "data: piece 3"]);
-            assert!(body.ends_with("0\r\n\r\n"));
-            assert!(listener.requests.borrow()[1].contains("last-event-id: 1\r\n"));
-        })
-        .await;
+    local(async {
+        let torn = event(2)[..7].to_owned();
+        let broken = vec![
+            Step::Read,
+            Step::Write(stream_head("a1") + &chunk(&(event(1) + &torn))),
+            Step::Pause(30),
+            fault,
+        ];
+        let rest = stream_head("a1") + &chunk(&event(2)) + &chunk(&event(3)) + "0\r\n\r\n";
+        // Either engine may come first; the second request of the pair resumes.
+        let scripts = vec![broken, vec![Step::Read, Step::Write(rest)]];
+        let (_gate, address, listener) = with_two_names(scripts).await;
+        let text = ask(address, &request("/quote/1", "a1")).await;
+        let body = text.split_once("\r\n\r\n").expect("a head").1;
+        let events: Vec<&str> = body.lines().filter(|l| l.starts_with("data")).collect();
+        assert_eq!(events, ["data: piece 1", "data: piece 2", "data: piece 3"]);
+        assert!(body.ends_with("0\r\n\r\n"));
+        assert!(listener.requests.borrow()[1].contains("last-event-id: 1\r\n"));
+    })
+    .await;
 }
 
-/// An endpoint under two names, whose connections play the scripts in order.
-type Shared = Endpoint;
-
 #[tokio::test]
 async fn the_connection_to_the_endpoint_is_closed_when_the_caller_leaves() {
-    LocalSet::new()
-        .run_until(async {
-            let script = vec![
-                Step::Read,
-                Step::Write(stream_head("a1") + &chunk(&event(1))),
-                Step::AwaitClose,
-            ];
-            let (gate, address, engines) = with_engines(vec![vec![script]]).await;
-            let mut caller = connect(address).await;
-            caller
-                .write_all(request("/digest/1", "a1").as_bytes())
-                .await
-                .expect("sent");
-            let mut some = [0; 64];
-            caller
-                .read_exact(&mut some)
-                .await
-                .expect("the answer begins");
-            drop(caller);
-            timeout(PATIENCE, async {
-                while engines[0].closes.get() == 0 || gate.active.get() > 0 {
-                    sleep(Duration::from_millis(5)).await;
-                }
-            })
+    local(async {
+        let script = vec![
+            Step::Read,
+            Step::Write(stream_head("a1") + &chunk(&event(1))),
+            Step::AwaitClose,
+        ];
+        let (gate, address, engines) = with_engines(vec![vec![script]]).await;
+        let mut caller = connect(address).await;
+        caller
+            .write_all(request("/digest/1", "a1").as_bytes())
+            .await
+            .expect("sent");
+        let mut some = [0; 64];
+        caller
+            .read_exact(&mut some)
             .await
-            .expect("the endpoint is told");
+            .expect("the answer begins");
+        drop(caller);
+        timeout(PATIENCE, async {
+            while engines[0].closes.get() == 0 || gate.active.get() > 0 {
+                sleep(Duration::from_millis(5)).await;
+            }
         })
-        .await;
+        .await
+        .expect("the endpoint is told");
+    })
+    .await;
 }
 
 #[tokio::test]
 async fn two_requests_on_one_connection_get_their_own_answers() {
-    LocalSet::new()
-        .run_until(async {
-            let script = vec![
-                Step::Read,
-                Step::Write(answer("a1", "", "first")),
-                Step::Read,
-                Step::Write(answer("a2", "", "second")),
-            ];
-            let (_gate, address, _endpoint) = with_orders(vec![script]).await;
-            let both = request("/book/1", "a1")
-                + &request("/book/2", "a2").replacen("Host:", "Connection: close\r\nHost:", 1);
-            let mut caller = connect(address).await;
-            caller.write_all(both.as_bytes()).await.expect("sent");
-            let mut text = String::new();
-            timeout(PATIENCE, caller.read_to_string(&mut text))
-                .await
-                .expect("an end")
-                .expect("read");
-            let (first, second) = (text.find("first"), text.find("second"));
-            assert!(first.is_some() && first < second);
-        })
-        .await;
+    local(async {
+        let script = vec![
+            Step::Read,
+            Step::Write(answer("a1", "", "first")),
+            Step::Read,
+            Step::Write(answer("a2", "", "second")),
+        ];
+        let (_gate, address, _endpoint) = with_orders(vec![script]).await;
+        let both = request("/book/1", "a1")
+            + &request("/book/2", "a2").replacen("Host:", "Connection: close\r\nHost:", 1);
+        let mut caller = connect(address).await;
+        caller.write_all(both.as_bytes()).await.expect("sent");
+        let mut text = String::new();
+        timeout(PATIENCE, caller.read_to_string(&mut text))
+            .await
+            .expect("an end")
+            .expect("read");
+        let (first, second) = (text.find("first"), text.find("second"));
+        assert!(first.is_some() && first < second);
+    })
+    .await;
 }
 
 #[tokio::test]
 async fn a_request_that_crashed_two_endpoints_is_refused() {
-    LocalSet::new()
-        .run_until(async {
-            let mut records = Vec::new();
-            for name in ["m-0", "m-1", "m-2"] {
-                let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
-                records.push(record(name, MODELS, listener.local_addr().expect("bound")));
-                tokio::task::spawn_local(async move {
-                    let (mut stream, _) = listener.accept().await.expect("accept");
-                    drop(listener);
-                    read_request(&mut stream).await;
-                    socket2::SockRef::from(&stream)
-                        .set_linger(Some(Duration::ZERO))
-                        .expect("a socket option");
-                });
-            }
-            let gate = gate("one", records);
-            let address = entry(&gate).await;
-            let mut statuses = Vec::new();
-            for id in ["a1", "a2", "a3"] {
-                statuses.push(status(&ask(address, &request("/digest/1", id)).await).to_owned());
-            }
-            assert_eq!(statuses, ["502", "502", "503"]);
-        })
-        .await;
+    local(async {
+        let mut records = Vec::new();
+        for name in ["m-0", "m-1", "m-2"] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+            records.push(record(name, MODELS, listener.local_addr().expect("bound")));
+            tokio::task::spawn_local(async move {
+                let (mut stream, _) = listener.accept().await.expect("accept");
+                drop(listener);
+                read_request(&mut stream).await;
+                socket2::SockRef::from(&stream)
+                    .set_linger(Some(Duration::ZERO))
+                    .expect("a socket option");
+            });
+        }
+        let gate = gate("one", records);
+        let address = entry(&gate).await;
+        let mut statuses = Vec::new();
+        for id in ["a1", "a2", "a3"] {
+            statuses.push(status(&ask(address, &request("/digest/1", id)).await).to_owned());
+        }
+        assert_eq!(statuses, ["502", "502", "503"]);
+    })
+    .await;
 }
 
 #[tokio::test]
 async fn a_service_without_endpoints_is_refused_at_once() {
-    LocalSet::new()
-        .run_until(async {
-            let gate = gate("one", Vec::new());
-            let address = entry(&gate).await;
-            let text = ask(address, &request("/digest/1", "a1")).await;
-            assert_eq!(status(&text), "503");
-            assert!(text.contains("retry-after: "));
-        })
-        .await;
+    local(async {
+        let gate = gate("one", Vec::new());
+        let address = entry(&gate).await;
+        let text = ask(address, &request("/digest/1", "a1")).await;
+        assert_eq!(status(&text), "503");
+        assert!(text.contains("retry-after: "));
+    })
+    .await;
 }
 
 #[tokio::test]
 async fn an_endpoint_in_a_data_centre_that_is_taken_out_gets_nothing() {
-    LocalSet::new()
-        .run_until(async {
-            let (gate, address, endpoint) = with_orders(Vec::new()).await;
-            gate.state
-                .borrow_mut()
-                .directory
-                .set_evacuated(["north".into()].into());
-            assert_eq!(
-                status(&ask(address, &request("/book/1", "a1")).await),
-                "503"
-            );
-            assert_eq!(endpoint.count(), 0);
-        })
-        .await;
+    local(async {
+        let (gate, address, endpoint) = with_orders(Vec::new()).await;
+        gate.state
+            .borrow_mut()
+            .directory
+            .set_evacuated(["north".into()].into());
+        assert_eq!(
+            status(&ask(address, &request("/book/1", "a1")).await),
+            "503"
+        );
+        assert_eq!(endpoint.count(), 0);
+    })
+    .await;
 }
