Take leaving and rest from answers, and end bytes without end

Marks outlive the entry in the store (lapse and return with the same start), peers are told as with suspicions, and what waits for such an endpoint ends at once with the time at which the first one is back.

Bytes without end: interim answers and foreign answers came in a loop that never gave the thread back (the test of 103s hung for good on the old code); an event without end grew without bound; empty lines before a request passed by the limit of the head's time; a body that came byte by byte had no end. Each is bounded now. A stream's silence is counted from its last event, not its last byte, and follows the pauses of its route: 1.5 s cut sound streams of routes with pauses of 800 ms.

Ruled out: heads, chunk lines and trailers of endpoints were bounded already; their tests pass on the old code apart from the delay. All tests of endless.rs and notices.rs were run on the old code first: they failed but for the three of callers' heads and the bounded bodies.

--- a/cornelstand/src/gateway/acquire.rs
+++ b/cornelstand/src/gateway/acquire.rs
@@ -9,10 +9,14 @@
 use crate::gateway::gate::Gate;
 use crate::gateway::outlet::Outlet;
 use crate::gateway::placement::{Place, PlaceEnd};
+use crate::moment::Moment;
 
 /// When a caller should come back that met a service without a usable endpoint.
 const NO_ENDPOINT_RETURN: Duration = Duration::from_secs(1);
 
+/// Shortest time after which a caller should come back whose endpoints rest.
+const REST_RETURN: Duration = Duration::from_millis(20);
+
 /// What the wait for a place ended with.
 pub(crate) enum Acquired {
     Place(Place),
@@ -22,9 +26,6 @@
 
 /// Waits for a place of a request, or for the reason to refuse it.
 pub(crate) async fn acquire(gate: &Gate, call: &mut Call, outlet: &mut Outlet) -> Acquired {
-    if !gate.has_endpoint(&call.service) {
-        return refuse_place(call, "no endpoint can be used", NO_ENDPOINT_RETURN);
-    }
     let started = Instant::now();
     let now = gate.now();
     let account = call.account_name();
@@ -39,7 +40,10 @@
     } else {
         waiting
     };
-    let cost = waiting.cost();
+    if let Some(refused) = unservable(gate, call, waiting.gives_up) {
+        return refused;
+    }
+    let (cost, patience) = (waiting.cost(), waiting.gives_up);
     let gives_up = gate.clock.instant(waiting.gives_up).min(call.deadline);
     let mut ticket = match gate.enqueue(waiting, &call.tried) {
         Ok(ticket) => ticket,
@@ -69,10 +73,26 @@
         return Acquired::Place(place);
     }
     let after = gate.withdraw(ticket.id);
+    if let Some(refused) = unservable(gate, call, patience) {
+        return refused;
+    }
     log_refusal(gate, call, cost);
     refuse_place(call, "no endpoint had room in time", after)
 }
 
+/// Refusal of a request that no endpoint will take before `gives_up`.
+fn unservable(gate: &Gate, call: &Call, gives_up: Moment) -> Option<Acquired> {
+    let (reason, after) = match gate.opens(&call.service, &call.tried) {
+        Some(opens) if opens <= gives_up => return None,
+        Some(opens) => (
+            "the endpoints asked for a rest",
+            opens.since(gate.now()).max(REST_RETURN),
+        ),
+        None => ("no endpoint can be used", NO_ENDPOINT_RETURN),
+    };
+    Some(refuse_place(call, reason, after))
+}
+
 /// Logs what a refusal for want of a place was based on.
 fn log_refusal(gate: &Gate, call: &Call, cost: f64) {
     let admission = &gate.state.borrow().admission;
--- a/cornelstand/src/gateway/admin.rs
+++ b/cornelstand/src/gateway/admin.rs
@@ -5,7 +5,7 @@
 
 use bytes::BytesMut;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
 use crate::gateway::connection::accepted;
 use crate::gateway::gate::Gate;
@@ -15,7 +15,7 @@
 
 /// Largest head of a question, in bytes.
 const HEAD_BYTES: usize = 8 * 1024;
-/// Longest time between two questions on a connection.
+/// Longest time until the next question on a connection is complete.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// What a listener answers.
@@ -37,10 +37,11 @@
 
 async fn serve(gate: Rc<Gate>, stream: TcpStream, role: Role) {
     let mut input = BytesMut::new();
+    let mut until = Instant::now() + IDLE_TIMEOUT;
     loop {
         let head = match Head::request(&mut input, HEAD_BYTES) {
             Ok(Some(head)) => head,
-            Ok(None) => match timeout(IDLE_TIMEOUT, read_into(&stream, &mut input)).await {
+            Ok(None) => match timeout_at(until, read_into(&stream, &mut input)).await {
                 Ok(Ok(count)) if count > 0 => continue,
                 _ => return,
             },
@@ -57,6 +58,7 @@
         if write_all(&stream, &out).await.is_err() || !head.keeps_alive() {
             return;
         }
+        until = Instant::now() + IDLE_TIMEOUT;
     }
 }
 
--- a/cornelstand/src/gateway/catalog.rs
+++ b/cornelstand/src/gateway/catalog.rs
@@ -35,6 +35,8 @@
     pub(crate) timeout: Duration,
     /// Time to the answer, or to the first event, that callers expect.
     pub(crate) objective: Duration,
+    /// Longest pause between two events of a stream that callers expect.
+    pub(crate) pause: Duration,
     /// Most endpoints that one request may be sent to.
     pub(crate) attempts: u32,
     /// Services with their weights.
@@ -43,7 +45,19 @@
     pub(crate) public: bool,
 }
 
+/// Shortest silence after which callers of a stream give up, as the platform states it.
+const SILENCE_MIN: Duration = Duration::from_secs(2);
+/// The same in objectives and in expected pauses.
+const SILENCE_OBJECTIVES: u32 = 4;
+const SILENCE_PAUSES: u32 = 8;
+
 impl GatewayRoute {
+    /// Silence after which callers of a stream give up.
+    pub(crate) fn silence(&self) -> Duration {
+        let objectives = self.objective * SILENCE_OBJECTIVES;
+        SILENCE_MIN.max(objectives).max(self.pause * SILENCE_PAUSES)
+    }
+
     /// Whether a request may be sent again after it may have run.
     pub(crate) fn is_repeatable(&self) -> bool {
         match self.kind {
--- a/cornelstand/src/gateway/connection.rs
+++ b/cornelstand/src/gateway/connection.rs
@@ -14,11 +14,14 @@
 use crate::gateway::number::{float, gauge};
 use crate::gateway::outlet::Outlet;
 use crate::gateway::upstream::{read_into, tune};
+use crate::platform::headers::read_call;
 
 /// Pause after an error of accepting that is not the connection's own.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Longest time for which bytes are taken in behind a request that was refused.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
+/// Longest time for a body whose caller names no deadline; large ones take some seconds.
+const BODY_TIMEOUT: Duration = Duration::from_mins(1);
 /// Descriptors that are left for connections to endpoints, the store and files.
 const RESERVED_DESCRIPTORS: usize = 900;
 /// Part of the connections from which callers are asked to close theirs after an answer.
@@ -151,6 +154,8 @@
         sent.map_err(|_| NoRequest::Over)?;
     }
     let mut body = BytesMut::new();
+    let patience = read_call(&head).ok().and_then(|fields| fields.patience);
+    let ends = arrived + patience.unwrap_or(BODY_TIMEOUT);
     loop {
         reader.read(&mut outlet.input, &mut body)?;
         if body.len() > limits.body_bytes {
@@ -160,11 +165,15 @@
             return Ok((head, body.freeze(), arrived));
         }
         let until = Instant::now() + limits.idle_time;
-        more(outlet, until).await?;
+        more(outlet, until.min(ends)).await?;
     }
 }
 
 async fn more(outlet: &mut Outlet, until: Instant) -> Result<(), NoRequest> {
+    // A read that is always ready would pass by the timeout.
+    if Instant::now() >= until {
+        return Err(NoRequest::Slow);
+    }
     let read = read_into(&outlet.stream, &mut outlet.input);
     match timeout_at(until, read).await {
         Ok(Ok(0) | Err(_)) => Err(NoRequest::Over),
--- a/cornelstand/src/gateway/endpoint_state.rs
+++ b/cornelstand/src/gateway/endpoint_state.rs
@@ -8,6 +8,7 @@
 use derive_more::IsVariant;
 
 use crate::gateway::directory::EndpointRecord;
+use crate::gateway::notices::Noted;
 use crate::moment::Moment;
 
 /// Milliseconds to read one prompt token before anything was measured; common engines read 20 to
@@ -118,6 +119,8 @@
     pub(crate) failing: f64,
     pub(crate) tried: Moment,
     pub(crate) cold_sends: VecDeque<Moment>,
+    /// What its answers, or peers, said of it.
+    pub(crate) noted: Noted,
 }
 
 impl EndpointState {
@@ -134,6 +137,7 @@
             failing: 0.0,
             tried: Moment::default(),
             cold_sends: VecDeque::new(),
+            noted: Noted::default(),
         }
     }
 
@@ -155,7 +159,12 @@
     }
 
     pub(crate) fn is_usable(&self, now: Moment) -> bool {
-        !self.record.leaving && now >= self.out_until
+        !self.is_leaving() && now >= self.out_until.max(self.noted.rests_until)
+    }
+
+    /// Whether the store or the endpoint itself says that it leaves.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.record.leaving || self.noted.leaving
     }
 
     /// Whether the limit of a cold endpoint allows one more request of this instance.
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -11,6 +11,7 @@
 use crate::gateway::catalog::GatewayService;
 use crate::gateway::directory::{Directory, EndpointChange};
 use crate::gateway::metrics::GatewayMetrics;
+use crate::gateway::notices::Notice;
 use crate::gateway::number::{float, gauge, short};
 use crate::gateway::outputs::Outputs;
 use crate::gateway::peers::{Beat, Digest, PeerLoad, Peers, endpoint_key};
@@ -244,14 +245,47 @@
         }
     }
 
-    /// Whether any endpoint of a service could take a request now or later.
-    pub(crate) fn has_endpoint(&self, service: &ServiceName) -> bool {
-        let state = self.state.borrow();
-        let directory = &state.directory;
-        let is_usable = |e: &crate::gateway::endpoint_state::EndpointState| {
-            !e.record.leaving && !directory.is_evacuated(&e.record.centre)
-        };
-        state.endpoints.of(service).any(is_usable)
+    /// When an endpoint of a service that was not `tried` takes requests, `now` if one does, or
+    /// nothing if none will.
+    pub(crate) fn opens(&self, service: &ServiceName, tried: &[EndpointIndex]) -> Option<Moment> {
+        opens(&self.state.borrow(), self.now(), service, tried)
+    }
+
+    /// Takes in what the endpoint of `place` said of itself.
+    pub(crate) fn note(&self, place: &Place, notice: Notice) {
+        if notice == Notice::default() {
+            return;
+        }
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let is_news = state.endpoints.note(now, place, notice);
+        if let Some(endpoint) = state.endpoints.get(place.index) {
+            let endpoint = &endpoint.record.name;
+            if is_news {
+                tracing::info!(event = "endpoint_leaves", %endpoint, source = "answer");
+            }
+            if let Some(rest) = notice.rest {
+                tracing::info!(event = "endpoint_rests", %endpoint, rest_ms = rest.as_millis());
+            }
+        }
+        if is_news || notice.rest.is_some() {
+            release_unservable(&mut state, now);
+        }
+        drop(state);
+        if is_news {
+            self.news.notify_one();
+        }
+    }
+
+    /// Takes in endpoints that a peer knows to leave.
+    fn note_leaving(state: &mut State, now: Moment, endpoints: &[u32]) {
+        let news = state.endpoints.note_leaving(now, endpoints);
+        for endpoint in &news {
+            tracing::info!(event = "endpoint_leaves", %endpoint, source = "peer");
+        }
+        if !news.is_empty() {
+            release_unservable(state, now);
+        }
     }
 
     /// What placement has to know of a service, the same for all its requests.
@@ -327,6 +361,7 @@
                 }
             }
         }
+        release_unservable(&mut state, now);
         drop(state);
         self.serve_queue();
     }
@@ -380,7 +415,9 @@
     pub(crate) fn hear_centre(&self, digest: Digest) -> bool {
         let now = self.now();
         self.metrics.beats.inc();
-        self.state.borrow_mut().peers.hear_centre(now, digest)
+        let mut state = self.state.borrow_mut();
+        Self::note_leaving(&mut state, now, &digest.leaving);
+        state.peers.hear_centre(now, digest)
     }
 
     /// What this data centre does, for the others.
@@ -399,6 +436,7 @@
         for suspicion in &beat.suspicions {
             state.suspects.merge(now, suspicion.clone());
         }
+        Self::note_leaving(state, now, &beat.leaving);
         let name = beat.instance.clone();
         let is_near = beat.centre == self.settings.borrow().centre;
         if state.peers.hear(now, address, beat) && is_near {
@@ -459,10 +497,40 @@
                 .map(|(s, time)| (s.clone(), short(time)))
                 .collect(),
             suspicions: suspicions.into_iter().filter(|s| s.age < TOLD).collect(),
+            leaving: state.endpoints.leaving(now),
         }
     }
 }
 
+/// When an endpoint of a service that was not `tried` takes requests, `now` if one does, or nothing
+/// if none will.
+fn opens(
+    state: &State,
+    now: Moment,
+    service: &ServiceName,
+    tried: &[EndpointIndex],
+) -> Option<Moment> {
+    let directory = &state.directory;
+    state.endpoints.opens(now, service, |index, record| {
+        !tried.contains(&index) && !directory.is_evacuated(&record.centre)
+    })
+}
+
+/// Ends the wait of requests that no endpoint will take before they give up.
+fn release_unservable(state: &mut State, now: Moment) {
+    let is_unservable = |id: &WaitId| {
+        let (Some(waiting), Some(waiter)) = (state.admission.get(*id), state.grants.get(id)) else {
+            return false;
+        };
+        let opens = opens(state, now, &waiting.service, &waiter.tried);
+        opens.is_none_or(|o| o > waiting.gives_up)
+    };
+    let ended: Vec<WaitId> = state.grants.keys().copied().filter(is_unservable).collect();
+    for id in ended {
+        state.grants.remove(&id);
+    }
+}
+
 /// Endpoint for a request that waits, if one has room and no other request comes first.
 fn find_place(
     state: &State,
--- a/cornelstand/src/gateway/mod.rs
+++ b/cornelstand/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 pub(crate) mod logs;
 pub(crate) mod message;
 pub(crate) mod metrics;
+pub(crate) mod notices;
 pub(crate) mod number;
 pub(crate) mod outlet;
 pub(crate) mod outputs;
--- a/cornelstand/src/gateway/peers.rs
+++ b/cornelstand/src/gateway/peers.rs
@@ -62,6 +62,8 @@
     /// the sender, by service.
     pub(crate) token_times: Vec<(ServiceName, f32)>,
     pub(crate) suspicions: Vec<Suspicion>,
+    /// Endpoints that said lately that they leave, by [`endpoint_key`].
+    pub(crate) leaving: Vec<u32>,
 }
 
 /// Load that an instance put on one endpoint.
@@ -109,6 +111,8 @@
     pub(crate) attained: Vec<(AccountName, f32)>,
     pub(crate) wanting: Vec<(ServiceName, Vec<Want>)>,
     pub(crate) suspicions: Vec<Suspicion>,
+    /// Endpoints that said lately that they leave, by [`endpoint_key`].
+    pub(crate) leaving: Vec<u32>,
 }
 
 /// A message between instances.
@@ -248,6 +252,7 @@
                 .map(|(s, wants)| (s, join_wants(wants)))
                 .collect(),
             suspicions: own.suspicions.clone(),
+            leaving: own.leaving.clone(),
             order: (own.incarnation, own.number),
             beliefs: own.beliefs,
             version: own.version,
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -16,6 +16,8 @@
 
 use crate::gateway::directory::EndpointRecord;
 use crate::gateway::endpoint_state::{EndpointState, Home, KeptPart, Load, Prompt};
+use crate::gateway::notices::{Notice, Notices};
+use crate::gateway::peers::endpoint_key;
 use crate::moment::Moment;
 use crate::name::{CentreName, EndpointName, ServiceName};
 
@@ -106,6 +108,8 @@
 #[derive(Debug)]
 pub(crate) struct Place {
     pub(crate) index: EndpointIndex,
+    /// See [`endpoint_key`].
+    key: u32,
     born: u64,
     sent: Moment,
     load: Load,
@@ -172,6 +176,7 @@
     states: Vec<Option<EndpointState>>,
     names: HashMap<EndpointName, EndpointIndex>,
     services: HashMap<ServiceName, Vec<EndpointIndex>>,
+    notices: Notices,
 }
 
 impl Endpoints {
@@ -227,7 +232,62 @@
         self.names.insert(record.name.clone(), index);
         let indices = self.services.entry(record.service.clone()).or_default();
         indices.push(index);
-        self.states.push(Some(EndpointState::new(now, record)));
+        let mut state = EndpointState::new(now, record);
+        state.noted = self.notices.get(endpoint_key(&state.record));
+        self.states.push(Some(state));
+    }
+
+    /// Takes in what the endpoint of `place` said of itself. Returns whether it is news that it
+    /// leaves.
+    pub(crate) fn note(&mut self, now: Moment, place: &Place, notice: Notice) -> bool {
+        let is_news = self.notices.note(now, place.key, notice);
+        let noted = self.notices.get(place.key);
+        if let Some(state) = self.state_of(place) {
+            state.noted = noted;
+        }
+        is_news
+    }
+
+    /// Takes in endpoints that peers know to leave. Returns those that were not known to.
+    pub(crate) fn note_leaving(&mut self, now: Moment, endpoints: &[u32]) -> Vec<EndpointName> {
+        let notice = Notice {
+            leaving: true,
+            rest: None,
+        };
+        let news = endpoints.iter().copied();
+        let news: Vec<u32> = news
+            .filter(|e| self.notices.note(now, *e, notice))
+            .collect();
+        if news.is_empty() {
+            return Vec::new();
+        }
+        let mut names = Vec::new();
+        for state in self.states.iter_mut().flatten() {
+            if news.contains(&endpoint_key(&state.record)) {
+                state.noted.leaving = true;
+                names.push(state.record.name.clone());
+            }
+        }
+        names
+    }
+
+    /// Endpoints that peers should know to leave, by [`endpoint_key`].
+    pub(crate) fn leaving(&self, now: Moment) -> Vec<u32> {
+        self.notices.told(now)
+    }
+
+    /// When the first endpoint of a service takes requests again, `now` if one does, or nothing if
+    /// none will.
+    pub(crate) fn opens(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+        is_allowed: impl Fn(EndpointIndex, &EndpointRecord) -> bool,
+    ) -> Option<Moment> {
+        let indices = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        let states = indices.iter().filter_map(|i| Some((*i, self.get(*i)?)));
+        let fit = states.filter(|(i, s)| !s.is_leaving() && is_allowed(*i, &s.record));
+        fit.map(|(_, s)| s.noted.rests_until.max(now)).min()
     }
 
     pub(crate) fn remove(&mut self, name: &EndpointName) {
@@ -347,6 +407,7 @@
         }
         Some(Place {
             index,
+            key: endpoint_key(&state.record),
             born: state.record.born,
             sent: now,
             load,
@@ -426,6 +487,7 @@
 
     /// Drops parts that no engine keeps any more.
     pub(crate) fn forget_parts(&mut self, now: Moment) {
+        self.notices.forget(now);
         for state in self.states.iter_mut().flatten() {
             state.forget(now);
         }
--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -9,7 +9,7 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use derive_more::IsVariant;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, timeout_at};
 
 use crate::gateway::call::Call;
 use crate::gateway::gate::Gate;
@@ -27,8 +27,13 @@
 const HEAD_BYTES: usize = 64 * 1024;
 /// Largest answer of a call that is held until it is whole, in bytes.
 const CALL_BYTES: usize = 16 * 1024 * 1024;
-/// Silence after which a stream that may be resumed goes on elsewhere; callers give up at 2 s.
-const RESUME_SILENCE: Duration = Duration::from_millis(1_500);
+/// Largest event of a stream, in bytes; what is longer is taken for bytes without end.
+const EVENT_BYTES: usize = 256 * 1024;
+/// Most answers to earlier requests that are passed over on a connection.
+const FOREIGN_COUNT: u32 = 4;
+/// Part of the silence that callers bear after which a stream goes on elsewhere, which leaves as
+/// much for its next event there.
+const RESUME_PART: f64 = 0.5;
 
 /// How an attempt ended.
 #[derive(Debug, IsVariant)]
@@ -161,18 +166,36 @@
     Some((record.address, record.name.as_str().to_owned()))
 }
 
+/// Until when a request waits for the next event after one at `progressed`.
+fn silence_end(call: &Call, progressed: Instant) -> Instant {
+    if call.may_resume() {
+        let silence = call.route.silence().mul_f64(RESUME_PART);
+        call.deadline.min(progressed + silence)
+    } else {
+        call.deadline
+    }
+}
+
 /// Waits for `work`, the caller's leave or the deadline.
 async fn race<T>(
     work: impl Future<Output = T>,
     outlet: &mut Outlet,
     deadline: Instant,
 ) -> Result<T, Stop> {
-    tokio::select! {
-        biased;
-        result = work => Ok(result),
-        () = outlet.gone() => Err(Stop::Gone),
-        () = sleep_until(deadline) => Err(Stop::Late),
+    let either = async {
+        tokio::select! {
+            biased;
+            result = work => Ok(result),
+            () = outlet.gone() => Err(Stop::Gone),
+        }
+    };
+    // Work that is always ready would pass by the timeout.
+    if Instant::now() >= deadline {
+        return Err(Stop::Late);
     }
+    timeout_at(deadline, either)
+        .await
+        .unwrap_or(Err(Stop::Late))
 }
 
 /// A request on its connection.
@@ -194,9 +217,11 @@
         request: &[u8],
     ) -> Result<Attempt, Stop> {
         self.send(request, call, outlet).await?;
+        let mut foreign = 0;
         loop {
             let head = self.head(call, outlet).await?;
             let answer = read_answer(&head);
+            self.gate.note(place, answer.notice);
             let is_foreign = answer.request.is_some_and(|id| id != call.request);
             let mut body = head
                 .answer_body(call.head.method())
@@ -205,6 +230,10 @@
                 // A late answer to an earlier request on this connection.
                 tracing::info!(event = "foreign_answer", request = %call.id(), address = %self.address);
                 self.is_reusable = false;
+                foreign += 1;
+                if foreign > FOREIGN_COUNT {
+                    return Ok(Attempt::Lost("foreign answers"));
+                }
                 self.whole(&mut body, call, outlet).await?;
                 continue;
             }
@@ -250,12 +279,7 @@
     }
 
     async fn head(&mut self, call: &Call, outlet: &mut Outlet) -> Result<Head, Stop> {
-        let silence = Instant::now() + RESUME_SILENCE.max(call.route.objective * 2);
-        let until = if call.may_resume() {
-            call.deadline.min(silence)
-        } else {
-            call.deadline
-        };
+        let until = silence_end(call, Instant::now());
         let head = self.upstream.answer_head(HEAD_BYTES);
         match race(head, outlet, until).await {
             Ok(head) => Ok(head?),
@@ -287,6 +311,7 @@
         let mut out = BytesMut::new();
         let mut is_closed = false;
         let mut is_first = true;
+        let mut progressed = Instant::now();
         loop {
             body.read(&mut self.upstream.input, &mut pending)
                 .map_err(ReadError::from)?;
@@ -298,6 +323,7 @@
             };
             if whole > 0 || is_end {
                 let events = pending.split_to(whole);
+                progressed = Instant::now();
                 let count = memchr::memmem::find_iter(&events, b"\n\n").count();
                 let count = u32::try_from(count).unwrap_or(u32::MAX);
                 let tokens = count.saturating_mul(call.stride);
@@ -314,23 +340,23 @@
             if is_end {
                 return Ok(Attempt::Delivered(head.status()));
             }
-            is_closed = self.more(&body, call, outlet).await?;
+            if pending.len() > EVENT_BYTES {
+                return Ok(Attempt::Lost("endless event"));
+            }
+            is_closed = self.more(&body, call, outlet, progressed).await?;
         }
     }
 
-    /// Reads more of a stream. Returns whether the body ended with its connection.
+    /// Reads more of a stream whose last event came at `progressed`: single bytes are no progress.
+    /// Returns whether the body ended with its connection.
     async fn more(
         &mut self,
         body: &BodyReader,
         call: &Call,
         outlet: &mut Outlet,
+        progressed: Instant,
     ) -> Result<bool, Stop> {
-        let silence = Instant::now() + RESUME_SILENCE;
-        let until = if call.may_resume() {
-            call.deadline.min(silence)
-        } else {
-            call.deadline
-        };
+        let until = silence_end(call, progressed);
         match race(self.upstream.read_more(), outlet, until).await {
             Ok(Ok(())) => Ok(false),
             Ok(Err(ReadError::Closed)) if body.is_until_close() => Ok(true),
--- a/cornelstand/src/gateway/tests.rs
+++ b/cornelstand/src/gateway/tests.rs
@@ -65,6 +65,7 @@
         resumable: false,
         timeout: Duration::from_secs(5),
         objective: Duration::from_millis(400),
+        pause: Duration::from_millis(400),
         attempts: 2,
         targets: vec![(ServiceName::from(service), 1)],
         public: false,
--- a/cornelstand/src/gateway/tests/peers.rs
+++ b/cornelstand/src/gateway/tests/peers.rs
@@ -52,6 +52,7 @@
         )],
         token_times: vec![(ServiceName::from("models"), 20.0)],
         suspicions: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
--- a/cornelstand/src/platform/headers.rs
+++ b/cornelstand/src/platform/headers.rs
@@ -9,6 +9,7 @@
 use crate::gateway::catalog::EngineSpec;
 use crate::gateway::endpoint_state::{Prompt, PromptPart};
 use crate::gateway::message::{Head, reason};
+use crate::gateway::notices::Notice;
 
 /// Identity of one try of a caller. The platform calls it an attempt; a caller that tries again
 /// sends a new one.
@@ -32,9 +33,16 @@
 const STAMP: &str = "x-cornelstand-server-stamp";
 /// Says that the endpoint did not run the request.
 const NOT_RUN: &str = "x-cornelstand-not-executed";
+/// Says that the endpoint leaves; any other value than `1` says nothing.
+const LEAVING: &str = "server-leaving";
+/// Says for how many seconds the endpoint wants nothing from this instance; may be a fraction.
+const RETRY_AFTER: &str = "retry-after";
 /// Says how long an idle connection stays open, in seconds.
 const KEEP_ALIVE: &str = "keep-alive";
 
+/// Longest rest that is taken for meant, in seconds.
+const REST_MAX_S: f64 = 3_600.0;
+
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [&str; 10] = [
     "connection",
@@ -208,6 +216,8 @@
     pub(crate) is_encoded: bool,
     /// Time for which the connection may stay idle.
     pub(crate) idle: Option<Duration>,
+    /// What the endpoint says of itself.
+    pub(crate) notice: Notice,
 }
 
 /// Reads the headers of an answer.
@@ -225,7 +235,31 @@
         not_run: head.values(NOT_RUN).next().is_some() || head.status() == 421,
         is_encoded: head.values("content-encoding").next().is_some(),
         idle: idle.map(Duration::from_secs),
+        notice: Notice {
+            leaving: head.get(LEAVING) == Some("1"),
+            rest: head
+                .get(RETRY_AFTER)
+                .filter(|_| head.status() == 503)
+                .and_then(rest),
+        },
+    }
+}
+
+/// Rest that an endpoint asks for; what is no time, or none at all, asks for nothing.
+fn rest(text: &str) -> Option<Duration> {
+    let Some(seconds) = text
+        .parse()
+        .ok()
+        .filter(|s: &f64| s.is_finite() && *s >= 0.0)
+    else {
+        tracing::info!(event = "rest_unreadable", text);
+        return None;
+    };
+    if seconds > REST_MAX_S {
+        tracing::info!(event = "rest_shortened", seconds, most = REST_MAX_S);
     }
+    let rest = Duration::from_secs_f64(seconds.min(REST_MAX_S));
+    (!rest.is_zero()).then_some(rest)
 }
 
 /// How the body of an answer to a caller is framed.
--- a/cornelstand/src/platform/objects.rs
+++ b/cornelstand/src/platform/objects.rs
@@ -65,6 +65,9 @@
     kind: KindSpec,
     timeout_ms: u64,
     target_latency_ms: u64,
+    /// Longest pause between two events.
+    #[serde(default)]
+    gap_aim_ms: u64,
     #[serde(default = "one")]
     max_attempts: u32,
     service: Option<String>,
@@ -176,6 +179,7 @@
         resumable: spec.resumable,
         timeout: Duration::from_millis(spec.timeout_ms),
         objective: Duration::from_millis(spec.target_latency_ms),
+        pause: Duration::from_millis(spec.gap_aim_ms),
         attempts: spec.max_attempts.max(1),
         targets,
         public: spec.public,
--- a/cornelstand/src/platform/tests.rs
+++ b/cornelstand/src/platform/tests.rs
@@ -1,5 +1,7 @@
 //! What the platform writes and reads, byte by byte.
 
+mod endless;
+mod notices;
 mod path;
 mod scripted;
 mod wire;
--- /dev/null
+++ b/cornelstand/src/platform/tests/notices.rs
@@ -0,0 +1,202 @@
+//! What endpoints say of themselves in their answers: that they leave, or that they want a rest.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rstest::rstest;
+use tokio::time::{Instant, sleep};
+
+use crate::gateway::directory::EndpointRecord;
+use crate::gateway::gate::Gate;
+use crate::gateway::tests::{ORDERS, list, record};
+use crate::platform::tests::path::{ask, local, request, status, with_near_and_far, with_orders};
+use crate::platform::tests::scripted::{Endpoint, Step, answer};
+
+const LEAVING: &str = "Server-Leaving: 1\r\n";
+
+/// Scripts that answer the requests `ids`, one on each connection, with `extra` headers.
+fn answers(ids: &[&str], extra: &str) -> Vec<Vec<Step>> {
+    let script = |id: &&str| vec![Step::Read, Step::Write(answer(id, extra, "done"))];
+    ids.iter().map(script).collect()
+}
+
+/// A refusal without a run that asks for a rest.
+fn refusal(id: &str, rest: &str) -> Vec<Step> {
+    let text = format!(
+        "HTTP/1.1 503 Full\r\nX-Cornelstand-Attempt-Id: {id}\r\nX-Cornelstand-Not-Executed: 1\r\n\
+         Retry-After: {rest}\r\nContent-Length: 0\r\n\r\n"
+    );
+    vec![Step::Read, Step::Write(text)]
+}
+
+fn pair(near: &Endpoint, far: &Endpoint, born: u64) -> Vec<EndpointRecord> {
+    let mut first = record("o-1", ORDERS, near.address);
+    first.born = born;
+    let mut second = record("o-2", ORDERS, far.address);
+    second.centre = "south".into();
+    vec![first, second]
+}
+
+async fn near_and_far(
+    near: Vec<Vec<Step>>,
+    far: Vec<Vec<Step>>,
+) -> (Rc<Gate>, std::net::SocketAddr, Endpoint, Endpoint) {
+    let near = Endpoint::start(near).await;
+    let far = Endpoint::start(far).await;
+    let (gate, address) = with_near_and_far(near.address, far.address).await;
+    (gate, address, near, far)
+}
+
+#[rstest]
+#[case::answer("200 OK", "X-Cornelstand-Server-Stamp: s\r\n")]
+#[case::failure("500 Oops", "X-Cornelstand-Server-Stamp: s\r\n")]
+#[case::refusal("503 Full", "X-Cornelstand-Not-Executed: 1\r\n")]
+#[tokio::test]
+async fn an_endpoint_that_says_it_leaves_gets_no_more(#[case] phrase: &str, #[case] extra: &str) {
+    local(async {
+        let text = format!(
+            "HTTP/1.1 {phrase}\r\nX-Cornelstand-Attempt-Id: a1\r\n{extra}{LEAVING}Content-Length: 0\r\n\r\n"
+        );
+        let near = vec![vec![Step::Read, Step::Write(text)]];
+        let far = answers(&["a2", "a3"], "");
+        let (gate, address, near, far) = near_and_far(near, far).await;
+        ask(address, &request("/book/1", "a1")).await;
+        assert_eq!(status(&ask(address, &request("/book/1", "a2")).await), "200");
+        // The store goes on to call it ready, or forgets it for a while.
+        list(&gate, pair(&near, &far, 1)[1..].to_vec());
+        list(&gate, pair(&near, &far, 1));
+        assert_eq!(status(&ask(address, &request("/book/1", "a3")).await), "200");
+        assert_eq!((near.count(), far.count()), (1, 2));
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn the_head_of_a_stream_tells_that_its_endpoint_leaves() {
+    local(async {
+        let (gate, address, _engines) =
+            crate::platform::tests::path::with_engines(vec![vec![vec![
+                Step::Read,
+                Step::Write(
+                    crate::platform::tests::scripted::stream_head("a1").replacen(
+                        "Content-Type",
+                        "Server-Leaving: 1\r\nContent-Type",
+                        1,
+                    ),
+                ),
+                Step::Write(crate::platform::tests::scripted::chunk(
+                    "id: 1\ndata: x\n\n",
+                )),
+                Step::Pause(400),
+                Step::Write("0\r\n\r\n".into()),
+            ]]])
+            .await;
+        let stream =
+            tokio::task::spawn_local(async move { ask(address, &request("/quote/1", "a1")).await });
+        sleep(Duration::from_millis(200)).await;
+        let started = Instant::now();
+        let text = ask(address, &request("/quote/1", "a2")).await;
+        assert_eq!(status(&text), "503");
+        assert!(
+            started.elapsed() < Duration::from_millis(100),
+            "refused at once"
+        );
+        // The running stream ends as it would have.
+        let text = stream.await.expect("a caller");
+        assert!(text.ends_with("0\r\n\r\n"), "{text}");
+        drop(gate);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn an_endpoint_started_again_does_not_leave() {
+    local(async {
+        let near = [answers(&["a1"], LEAVING), answers(&["a2"], "")].concat();
+        let (gate, address, near, far) = near_and_far(near, Vec::new()).await;
+        ask(address, &request("/book/1", "a1")).await;
+        list(&gate, pair(&near, &far, 2));
+        assert_eq!(
+            status(&ask(address, &request("/book/1", "a2")).await),
+            "200"
+        );
+        assert_eq!((near.count(), far.count()), (2, 0));
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn an_endpoint_that_asks_for_a_rest_gets_nothing_until_its_end() {
+    local(async {
+        let near = [vec![refusal("a1", "1.2")], answers(&["a3"], "")].concat();
+        let far = answers(&["a1", "a2"], "");
+        let (gate, address, near, far) = near_and_far(near, far).await;
+        // The refused call moves on at once.
+        let started = Instant::now();
+        assert_eq!(
+            status(&ask(address, &request("/stock/1", "a1")).await),
+            "200"
+        );
+        assert!(started.elapsed() < Duration::from_millis(300));
+        list(&gate, pair(&near, &far, 1)[1..].to_vec());
+        list(&gate, pair(&near, &far, 1));
+        assert_eq!(
+            status(&ask(address, &request("/stock/1", "a2")).await),
+            "200"
+        );
+        assert_eq!((near.count(), far.count()), (1, 2));
+        sleep(Duration::from_millis(1_300)).await;
+        assert_eq!(
+            status(&ask(address, &request("/stock/1", "a3")).await),
+            "200"
+        );
+        assert_eq!((near.count(), far.count()), (2, 2));
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn callers_are_told_when_the_first_of_resting_endpoints_is_back() {
+    local(async {
+        let near = vec![refusal("a1", "3")];
+        let far = vec![refusal("a2", "2")];
+        let (_gate, address, near, far) = near_and_far(near, far).await;
+        ask(address, &request("/book/1", "a1")).await;
+        ask(address, &request("/book/1", "a2")).await;
+        let started = Instant::now();
+        let text = ask(address, &request("/book/1", "a3")).await;
+        assert_eq!(status(&text), "503");
+        assert!(started.elapsed() < Duration::from_millis(100), "not held");
+        let after = text
+            .split("retry-after: ")
+            .nth(1)
+            .and_then(|t| t.split("\r\n").next());
+        let after: f64 = after.and_then(|a| a.parse().ok()).expect("a time");
+        assert!((1.5..=2.0).contains(&after), "{after}");
+        assert_eq!((near.count(), far.count()), (1, 1));
+    })
+    .await;
+}
+
+#[rstest]
+#[case::none("0")]
+#[case::negative("-4")]
+#[case::date("Fri, 04 Dec 2026 09:00:00 GMT")]
+#[case::infinite("inf")]
+#[tokio::test]
+async fn an_unusable_rest_is_none(#[case] rest: &str) {
+    local(async {
+        let scripts = [vec![refusal("a1", rest)], answers(&["a2"], "")].concat();
+        let (_gate, address, endpoint) = with_orders(scripts).await;
+        assert_eq!(
+            status(&ask(address, &request("/book/1", "a1")).await),
+            "503"
+        );
+        assert_eq!(
+            status(&ask(address, &request("/book/1", "a2")).await),
+            "200"
+        );
+        assert_eq!(endpoint.count(), 2);
+    })
+    .await;
+}
--- a/cornelstand/src/platform/tests/path.rs
+++ b/cornelstand/src/platform/tests/path.rs
@@ -18,19 +18,19 @@
 };
 
 /// Runs a test whose tasks stay on its thread.
-async fn local(test: impl Future<Output = ()>) {
+pub(super) async fn local(test: impl Future<Output = ()>) {
     LocalSet::new().run_until(test).await;
 }
 
 /// An instance that listens for callers.
-async fn entry(gate: &Rc<Gate>) -> SocketAddr {
+pub(super) async fn entry(gate: &Rc<Gate>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
     let address = listener.local_addr().expect("bound");
     tokio::task::spawn_local(connection::accept(gate.clone(), listener));
     address
 }
 
-fn request(path: &str, id: &str) -> String {
+pub(super) fn request(path: &str, id: &str) -> String {
     format!(
         "POST {path} HTTP/1.1\r\nHost: shop.example\r\nX-Cornelstand-Attempt-Id: {id}\r\n\
          X-Cornelstand-Deadline-Ms: 5000\r\nX-Cornelstand-Credential: key-a\r\n\
@@ -38,14 +38,14 @@
     )
 }
 
-async fn connect(address: SocketAddr) -> TcpStream {
+pub(super) async fn connect(address: SocketAddr) -> TcpStream {
     TcpStream::connect(address)
         .await
         .expect("the entry listens")
 }
 
 /// Sends a request that asks for the connection's close and reads all that comes.
-async fn ask(address: SocketAddr, request: &str) -> String {
+pub(super) async fn ask(address: SocketAddr, request: &str) -> String {
     let request = request.replacen("Host:", "Connection: close\r\nHost:", 1);
     let mut stream = connect(address).await;
     stream.write_all(request.as_bytes()).await.expect("sent");
@@ -57,12 +57,12 @@
     String::from_utf8_lossy(&text).into_owned()
 }
 
-fn status(answer: &str) -> &str {
+pub(super) fn status(answer: &str) -> &str {
     answer.split(' ').nth(1).unwrap_or("none")
 }
 
 /// An entry with two endpoints of the orders; the one of its own data centre comes first.
-async fn with_near_and_far(near: SocketAddr, far: SocketAddr) -> (Rc<Gate>, SocketAddr) {
+pub(super) async fn with_near_and_far(near: SocketAddr, far: SocketAddr) -> (Rc<Gate>, SocketAddr) {
     let mut record_far = record("o-2", ORDERS, far);
     record_far.centre = "south".into();
     let gate = gate("one", vec![record("o-1", ORDERS, near), record_far]);
@@ -70,7 +70,7 @@
     (gate, address)
 }
 
-async fn with_orders(scripts: Vec<Vec<Step>>) -> (Rc<Gate>, SocketAddr, Endpoint) {
+pub(super) async fn with_orders(scripts: Vec<Vec<Step>>) -> (Rc<Gate>, SocketAddr, Endpoint) {
     let endpoint = Endpoint::start(scripts).await;
     let gate = gate("one", vec![record("o-1", ORDERS, endpoint.address)]);
     let address = entry(&gate).await;
@@ -290,7 +290,9 @@
     (gate, address, engine)
 }
 
-async fn with_engines(scripts: Vec<Vec<Vec<Step>>>) -> (Rc<Gate>, SocketAddr, Vec<Endpoint>) {
+pub(super) async fn with_engines(
+    scripts: Vec<Vec<Vec<Step>>>,
+) -> (Rc<Gate>, SocketAddr, Vec<Endpoint>) {
     let mut engines = Vec::new();
     for script in scripts {
         engines.push(Endpoint::start(script).await);
