Keep a revision for each kind of belief

Both kinds shared one mark, so it told beliefs of revision 324 without the evacuation of the same revision; front-dock-a-27 took them and then found no peer with a higher revision until 7.79 s. Ruled out: a lost message and a slow pull (the adoption took 53 ms), an instance away from the store (dock-a-1, -2 and -19 had the evacuation at 2.3 s).

Each kind has its own mark, and only what is newer is taken over. The test plays the two watching instances. a_lapsed_entry_that_a_peer_handed_over now marks its listing, as every instance does; its bounds stay.

--- a/cornelstand/src/gateway/directory.rs
+++ b/cornelstand/src/gateway/directory.rs
@@ -72,12 +72,12 @@
     evacuated: BTreeSet<CentreName>,
     store: StoreState,
     listed: bool,
-    mark: Mark,
+    marks: Marks,
     /// How often the beliefs of a peer were taken over.
     adoptions: u64,
 }
 
-/// Which endpoints and evacuations an instance believes in.
+/// Which state of one kind of belief an instance has.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct Mark {
     /// Revision of the store at the last change.
@@ -86,6 +86,36 @@
     pub(crate) hash: u64,
 }
 
+impl Mark {
+    fn is_newer(self, other: Self) -> bool {
+        self.hash != other.hash && self.revision > other.revision
+    }
+
+    /// Moves on to `hash` as seen at `revision`. Returns whether it is another one.
+    fn advance(&mut self, revision: u64, hash: u64) -> bool {
+        let has_changed = hash != self.hash;
+        if has_changed {
+            *self = Self { revision, hash };
+        }
+        has_changed
+    }
+}
+
+/// Which beliefs an instance has. Each kind is watched by itself, so the revision of one says nothing
+/// of the other.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct Marks {
+    pub(crate) endpoints: Mark,
+    pub(crate) evacuations: Mark,
+}
+
+impl Marks {
+    /// Whether beliefs with these marks are newer in some kind.
+    pub(crate) fn are_newer(self, other: Self) -> bool {
+        self.endpoints.is_newer(other.endpoints) || self.evacuations.is_newer(other.evacuations)
+    }
+}
+
 /// An endpoint as an instance hands it to another one.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct BelievedEndpoint {
@@ -100,7 +130,7 @@
     pub(crate) catalog: Catalog,
     pub(crate) endpoints: Vec<BelievedEndpoint>,
     pub(crate) evacuated: BTreeSet<CentreName>,
-    pub(crate) mark: Mark,
+    pub(crate) marks: Marks,
 }
 
 impl Directory {
@@ -111,7 +141,7 @@
             evacuated: BTreeSet::new(),
             store: StoreState::Away,
             listed: false,
-            mark: Mark::default(),
+            marks: Marks::default(),
             adoptions: 0,
         }
     }
@@ -285,16 +315,16 @@
             catalog: (*self.catalog).clone(),
             endpoints: self.endpoints.values().map(believed).collect(),
             evacuated: self.evacuated.clone(),
-            mark: self.mark,
+            marks: self.marks,
         }
     }
 
-    pub(crate) fn mark(&self) -> Mark {
-        self.mark
+    pub(crate) fn marks(&self) -> Marks {
+        self.marks
     }
 
-    /// Notes that the beliefs are those of the store at `revision`. Returns whether they changed.
-    pub(crate) fn set_mark(&mut self, revision: u64) -> bool {
+    /// Notes that the endpoints are those of the store at `revision`. Returns whether they changed.
+    pub(crate) fn mark_endpoints(&mut self, revision: u64) -> bool {
         let mut hash = Xxh3::new();
         for (name, known) in &self.endpoints {
             let record = &known.record;
@@ -307,23 +337,31 @@
             ];
             hash.update(&flags.map(u8::from));
         }
+        self.marks.endpoints.advance(revision, hash.digest())
+    }
+
+    /// Notes that the evacuations are those of the store at `revision`. Returns whether they changed.
+    pub(crate) fn mark_evacuations(&mut self, revision: u64) -> bool {
+        let mut hash = Xxh3::new();
         for centre in &self.evacuated {
             hash.update(centre.as_str().as_bytes());
+            hash.update(&[0]);
         }
-        let hash = hash.digest();
-        let has_changed = hash != self.mark.hash;
-        if has_changed {
-            self.mark = Mark { revision, hash };
-        }
-        has_changed
+        self.marks.evacuations.advance(revision, hash.digest())
     }
 
-    /// Takes over what a peer believes of endpoints and evacuations.
+    /// Takes over what a peer believes of endpoints and evacuations, as far as it is newer.
     pub(crate) fn adopt(&mut self, now: Moment, beliefs: Beliefs) -> Vec<EndpointChange> {
-        self.listed = true;
         self.adoptions += 1;
-        self.mark = beliefs.mark;
-        self.evacuated = beliefs.evacuated;
+        if beliefs.marks.evacuations.is_newer(self.marks.evacuations) {
+            self.marks.evacuations = beliefs.marks.evacuations;
+            self.evacuated = beliefs.evacuated;
+        }
+        if !beliefs.marks.endpoints.is_newer(self.marks.endpoints) {
+            return Vec::new();
+        }
+        self.listed = true;
+        self.marks.endpoints = beliefs.marks.endpoints;
         let gone = self.gone(beliefs.endpoints.iter().map(|b| &b.record));
         let removed = gone.into_iter().map(|name| {
             self.endpoints.remove(&name);
--- a/cornelstand/src/gateway/follow.rs
+++ b/cornelstand/src/gateway/follow.rs
@@ -163,7 +163,7 @@
             let changes = state.directory.list_endpoints(gate.now(), records);
             drop(state);
             gate.apply(changes);
-            note_mark(gate, revision);
+            note_endpoints(gate, revision);
         }
         Followed::Evacuations => {
             let names = objects.iter().filter(|o| !o.metadata.deleting);
@@ -196,7 +196,7 @@
             };
             drop(state);
             gate.apply(change.into_iter().collect());
-            note_mark(gate, revision);
+            note_endpoints(gate, revision);
         }
         Followed::Evacuations => {
             let centre = CentreName::from(object.metadata.name.as_str());
@@ -220,13 +220,16 @@
         let centres = state.directory.evacuated();
         tracing::info!(event = "centres_out", ?centres, revision);
     }
+    let has_changed = state.directory.mark_evacuations(revision);
     drop(state);
-    note_mark(gate, revision);
+    if has_changed {
+        gate.news.notify_one();
+    }
 }
 
-/// Lets the peers know if endpoints or evacuations have changed.
-fn note_mark(gate: &Gate, revision: u64) {
-    if gate.state.borrow_mut().directory.set_mark(revision) {
+/// Lets the peers know if endpoints have changed.
+fn note_endpoints(gate: &Gate, revision: u64) {
+    if gate.state.borrow_mut().directory.mark_endpoints(revision) {
         gate.news.notify_one();
     }
 }
@@ -392,7 +395,7 @@
     let now = gate.now();
     let informed = state
         .peers
-        .better_informed(now, centre, state.directory.mark());
+        .better_informed(now, centre, state.directory.marks());
     let ahead = state.peers.ahead(now, state.directory.catalog().version);
     informed
         .filter(|_| follows)
@@ -420,14 +423,15 @@
     let catalog = std::mem::take(&mut beliefs.catalog);
     take_catalog(gate, catalog, "peer", 0);
     let mut state = gate.state.borrow_mut();
-    let is_newer = beliefs.mark.revision > state.directory.mark().revision;
+    let is_newer = beliefs.marks.are_newer(state.directory.marks());
     drop(state);
     if !is_newer || !follows_peers(gate) {
         return;
     }
     state = gate.state.borrow_mut();
     tracing::info!(
-        event = "beliefs_adopted", %address, revision = beliefs.mark.revision,
+        event = "beliefs_adopted", %address, revision = beliefs.marks.endpoints.revision,
+        evacuation_revision = beliefs.marks.evacuations.revision,
         endpoints = beliefs.endpoints.len(), evacuated = ?beliefs.evacuated,
     );
     let changes = state.directory.adopt(gate.now(), beliefs);
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -482,7 +482,7 @@
             incarnation: self.incarnation,
             number: state.beats,
             store_time: state.directory.store_time(now),
-            mark: state.directory.mark(),
+            marks: state.directory.marks(),
             beliefs: settings.control.unwrap_or(settings.readiness),
             version: state.directory.catalog().version,
             stopping: self.stopping.get(),
--- a/cornelstand/src/gateway/peers.rs
+++ b/cornelstand/src/gateway/peers.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::admission::{Want, join_wants};
-use crate::gateway::directory::{EndpointRecord, Mark};
+use crate::gateway::directory::{EndpointRecord, Marks};
 use crate::gateway::endpoint_state::Load;
 use crate::gateway::number::{float, short, whole};
 use crate::gateway::settings::GatewaySettings;
@@ -48,7 +48,7 @@
     /// Time for which the store has answered the sender, if it does.
     pub(crate) store_time: Option<Duration>,
     /// Endpoints and evacuations that the sender believes in.
-    pub(crate) mark: Mark,
+    pub(crate) marks: Marks,
     /// Address of the sender's beliefs.
     pub(crate) beliefs: SocketAddr,
     /// Version of the configuration in force at the sender.
@@ -366,16 +366,17 @@
         join_wanting(beats.chain(self.digests(now, centre).flat_map(|d| &d.wanting)))
     }
 
-    /// Instance of `centre` whose endpoints are newer than `mark`.
+    /// Instance of `centre` that believes something newer than what `marks` tell.
     pub(crate) fn better_informed(
         &self,
         now: Moment,
         centre: &CentreName,
-        mark: Mark,
+        marks: Marks,
     ) -> Option<SocketAddr> {
         let near = self.live(now).filter(|b| b.centre == *centre);
-        let newer = near.filter(|b| b.mark.hash != mark.hash && b.mark.revision > mark.revision);
-        newer.max_by_key(|b| b.mark.revision).map(|b| b.beliefs)
+        let newer = near.filter(|b| b.marks.are_newer(marks));
+        let revisions = |b: &&Beat| (b.marks.evacuations.revision, b.marks.endpoints.revision);
+        newer.max_by_key(revisions).map(|b| b.beliefs)
     }
 
     /// Mean of the longest times between two tokens at live peers, in milliseconds, with their number.
--- a/cornelstand/src/gateway/tests/directory.rs
+++ b/cornelstand/src/gateway/tests/directory.rs
@@ -1,8 +1,11 @@
 //! Beliefs: no version goes back, and entries that lapse around an outage are kept for a while.
 
+use std::collections::BTreeSet;
+
 use crate::gateway::directory::{Directory, EndpointChange, EndpointRecord};
 use crate::gateway::tests::{MODELS, catalog, record};
 use crate::moment::Moment;
+use crate::name::CentreName;
 
 fn at(ms: u64) -> Moment {
     Moment(ms * 1_000)
@@ -108,6 +111,7 @@
     peer.lose_store();
     peer.regain_store(at(20_000));
     peer.remove_endpoint(at(20_100), &"a".into());
+    peer.mark_endpoints(9);
     let mut directory = Directory::new();
     directory.adopt(at(5_000), peer.beliefs(at(20_200)));
     assert!(directory.expire(at(5_900)).is_empty());
@@ -142,3 +146,31 @@
     let changes = directory.list_endpoints(at(20_010), Vec::new());
     assert_eq!(changes, [EndpointChange::Removed("a".into())]);
 }
+
+/// scale-1 of tessel-counter-large: the watch of evacuations answered 2.2 s late at a watching
+/// instance, whose endpoints had moved on to the same revision; another one took its beliefs for
+/// newer, and then took nothing more for 5 s.
+#[test]
+fn newer_endpoints_do_not_hide_an_evacuation() {
+    let watching = |evacuated: &[&str]| {
+        let mut directory = Directory::new();
+        directory.regain_store(at(0));
+        directory.list_endpoints(at(0), vec![entry("a")]);
+        directory.set_evacuated(BTreeSet::new());
+        directory.mark_evacuations(319);
+        directory.set_evacuated(evacuated.iter().map(|c| CentreName::from(*c)).collect());
+        directory.mark_evacuations(324);
+        directory.mark_endpoints(324);
+        directory
+    };
+    let (late, informed) = (watching(&[]), watching(&["south"]));
+    let mut other = Directory::new();
+    other.adopt(at(10), late.beliefs(at(10)));
+    assert!(informed.marks().are_newer(other.marks()));
+    other.adopt(at(20), informed.beliefs(at(20)));
+    assert!(other.is_evacuated(&"south".into()));
+    // The late one has nothing newer.
+    assert!(!late.marks().are_newer(other.marks()));
+    other.adopt(at(30), late.beliefs(at(30)));
+    assert!(other.is_evacuated(&"south".into()));
+}
--- a/cornelstand/src/gateway/tests/peers.rs
+++ b/cornelstand/src/gateway/tests/peers.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::gateway::admission::Want;
-use crate::gateway::directory::Mark;
+use crate::gateway::directory::Marks;
 use crate::gateway::peers::{Beat, PeerLoad, Peers};
 use crate::gateway::tests::settings;
 use crate::moment::Moment;
@@ -31,7 +31,7 @@
         incarnation: 1,
         number,
         store_time: Some(Duration::from_secs(9)),
-        mark: Mark::default(),
+        marks: Marks::default(),
         beliefs: address(),
         version: number,
         stopping: false,
