Tell peers which parts of prompts engines keep

An instance knew only what it had sent itself: it took the first home of a part for keeping it (so 26,000 tokens to read counted as 1,900, and the learned pace was off), sent to the second home at once, and read again there.

--- a/cornelstand/src/gateway/endpoint_state.rs
+++ b/cornelstand/src/gateway/endpoint_state.rs
@@ -9,15 +9,17 @@
 
 use crate::gateway::directory::EndpointRecord;
 use crate::gateway::notices::Noted;
+use crate::gateway::residency::TOLD_TOKENS;
 use crate::moment::Moment;
 
 /// Milliseconds to read one prompt token before anything was measured; common engines read 20 to
 /// 60 tokens in a millisecond.
 const FIRST_PACE: f64 = 0.024;
-/// Part of a shared prompt that its second home is expected to keep.
-const SECOND_HOME: f64 = 0.6;
 /// Shared tokens that are not worth a wait.
 const SMALL_PART: f64 = 400.0;
+/// Time after which peers are told again that a part is in use, below the one for which they take it
+/// for kept.
+const TELL_AGAIN: Duration = Duration::from_secs(4);
 /// Time for which an engine is taken to keep a part after its last use.
 const KEPT: Duration = Duration::from_secs(12);
 /// Window of the limit of cold endpoints.
@@ -101,6 +103,8 @@
     /// Requests of this instance that use it now.
     pub(crate) users: u32,
     pub(crate) used: Moment,
+    /// When peers were told last.
+    pub(crate) told: Option<Moment>,
 }
 
 /// One endpoint with what is known of it.
@@ -147,6 +151,33 @@
         total
     }
 
+    /// Notes that a request uses a part. Returns whether peers should be told.
+    pub(crate) fn use_part(&mut self, now: Moment, part: PromptPart) -> bool {
+        let kept = self.parts.entry(part.id).or_insert(KeptPart {
+            users: 0,
+            used: now,
+            told: None,
+        });
+        kept.users += 1;
+        kept.used = now;
+        let is_due = kept.told.is_none_or(|t| now.since(t) >= TELL_AGAIN);
+        if is_due && part.tokens >= TOLD_TOKENS {
+            kept.told = Some(now);
+        }
+        is_due && part.tokens >= TOLD_TOKENS
+    }
+
+    /// Notes that a peer's request used a part.
+    pub(crate) fn hear_part(&mut self, now: Moment, part: u64) {
+        let kept = self.parts.entry(part).or_insert(KeptPart {
+            users: 0,
+            used: now,
+            told: None,
+        });
+        kept.used = now;
+        kept.told = Some(now);
+    }
+
     /// Drops parts that the engine does not keep any more, and sends that no limit counts.
     pub(crate) fn forget(&mut self, now: Moment) {
         let is_kept = |k: &KeptPart| k.users > 0 || now.since(k.used) < KEPT;
@@ -178,8 +209,8 @@
     }
 
     /// Whether the endpoint is expected to keep what others share of `prompt`.
-    pub(crate) fn keeps(&self, now: Moment, prompt: &Prompt, home: Home) -> bool {
-        home.is_first() || self.lacking(now, prompt) < SMALL_PART
+    pub(crate) fn keeps(&self, now: Moment, prompt: &Prompt) -> bool {
+        self.lacking(now, prompt) < SMALL_PART
     }
 
     /// Shared tokens of `prompt` that are not kept here, as far as this instance knows.
@@ -194,10 +225,10 @@
     }
 
     /// Tokens of `prompt` that have to be read here, and how many of them others may share.
-    pub(crate) fn missing(&self, now: Moment, prompt: &Prompt, home: Home) -> (f64, f64) {
+    pub(crate) fn missing(&self, now: Moment, prompt: &Prompt) -> (f64, f64) {
         let shared: u32 = prompt.shared().iter().map(|p| p.tokens).sum();
         let own = f64::from(prompt.input.saturating_sub(shared));
-        let lacking = self.lacking(now, prompt) * home.lacking_part();
+        let lacking = self.lacking(now, prompt);
         (own + lacking, lacking)
     }
 
@@ -221,14 +252,3 @@
     Second,
     None,
 }
-
-impl Home {
-    /// Part of the shared tokens that is expected to be missing if this instance sent none there.
-    pub(crate) fn lacking_part(self) -> f64 {
-        match self {
-            Self::First => 0.0,
-            Self::Second => 1.0 - SECOND_HOME,
-            Self::None => 1.0,
-        }
-    }
-}
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -417,6 +417,7 @@
         self.metrics.beats.inc();
         let mut state = self.state.borrow_mut();
         Self::note_leaving(&mut state, now, &digest.leaving);
+        state.endpoints.hear_residents(now, &digest.residents);
         state.peers.hear_centre(now, digest)
     }
 
@@ -437,6 +438,7 @@
             state.suspects.merge(now, suspicion.clone());
         }
         Self::note_leaving(state, now, &beat.leaving);
+        state.endpoints.hear_residents(now, &beat.residents);
         let name = beat.instance.clone();
         let is_near = beat.centre == self.settings.borrow().centre;
         if state.peers.hear(now, address, beat) && is_near {
@@ -498,6 +500,7 @@
                 .collect(),
             suspicions: suspicions.into_iter().filter(|s| s.age < TOLD).collect(),
             leaving: state.endpoints.leaving(now),
+            residents: state.endpoints.residents(now),
         }
     }
 }
--- a/cornelstand/src/gateway/mod.rs
+++ b/cornelstand/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 pub(crate) mod peers_link;
 pub(crate) mod placement;
 pub(crate) mod relay;
+pub(crate) mod residency;
 pub(crate) mod settings;
 pub(crate) mod upstream;
 
--- a/cornelstand/src/gateway/peers.rs
+++ b/cornelstand/src/gateway/peers.rs
@@ -16,6 +16,7 @@
 use crate::gateway::directory::{EndpointRecord, Marks};
 use crate::gateway::endpoint_state::Load;
 use crate::gateway::number::{float, short, whole};
+use crate::gateway::residency::{Resident, join_residents};
 use crate::gateway::settings::GatewaySettings;
 use crate::moment::Moment;
 use crate::name::{AccountName, CentreName, InstanceName, ServiceName};
@@ -64,6 +65,8 @@
     pub(crate) suspicions: Vec<Suspicion>,
     /// Endpoints that said lately that they leave, by [`endpoint_key`].
     pub(crate) leaving: Vec<u32>,
+    /// Parts of prompts that the sender's requests brought to engines lately.
+    pub(crate) residents: Vec<Resident>,
 }
 
 /// Load that an instance put on one endpoint.
@@ -113,6 +116,8 @@
     pub(crate) suspicions: Vec<Suspicion>,
     /// Endpoints that said lately that they leave, by [`endpoint_key`].
     pub(crate) leaving: Vec<u32>,
+    /// Parts of prompts that requests of the data centre brought to engines lately.
+    pub(crate) residents: Vec<Resident>,
 }
 
 /// A message between instances.
@@ -253,6 +258,7 @@
                 .collect(),
             suspicions: own.suspicions.clone(),
             leaving: own.leaving.clone(),
+            residents: join_residents(beats.iter().flat_map(|b| &b.residents)),
             order: (own.incarnation, own.number),
             beliefs: own.beliefs,
             version: own.version,
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -15,9 +15,10 @@
 use derive_more::IsVariant;
 
 use crate::gateway::directory::EndpointRecord;
-use crate::gateway::endpoint_state::{EndpointState, Home, KeptPart, Load, Prompt};
+use crate::gateway::endpoint_state::{EndpointState, Home, Load, Prompt};
 use crate::gateway::notices::{Notice, Notices};
 use crate::gateway::peers::endpoint_key;
+use crate::gateway::residency::{ResidencyNews, Resident};
 use crate::moment::Moment;
 use crate::name::{CentreName, EndpointName, ServiceName};
 
@@ -177,6 +178,8 @@
     names: HashMap<EndpointName, EndpointIndex>,
     services: HashMap<ServiceName, Vec<EndpointIndex>>,
     notices: Notices,
+    residents: ResidencyNews,
+    keys: HashMap<u32, EndpointIndex>,
 }
 
 impl Endpoints {
@@ -233,7 +236,9 @@
         let indices = self.services.entry(record.service.clone()).or_default();
         indices.push(index);
         let mut state = EndpointState::new(now, record);
-        state.noted = self.notices.get(endpoint_key(&state.record));
+        let key = endpoint_key(&state.record);
+        state.noted = self.notices.get(key);
+        self.keys.insert(key, index);
         self.states.push(Some(state));
     }
 
@@ -271,6 +276,21 @@
         names
     }
 
+    /// Parts that peers should know to be kept.
+    pub(crate) fn residents(&self, now: Moment) -> Vec<Resident> {
+        self.residents.told(now)
+    }
+
+    /// Takes in parts that requests of peers brought to engines.
+    pub(crate) fn hear_residents(&mut self, now: Moment, residents: &[Resident]) {
+        for resident in residents {
+            let index = self.keys.get(&resident.endpoint).copied();
+            if let Some(state) = index.and_then(|i| self.states[i].as_mut()) {
+                state.hear_part(now, resident.part);
+            }
+        }
+    }
+
     /// Endpoints that peers should know to leave, by [`endpoint_key`].
     pub(crate) fn leaving(&self, now: Moment) -> Vec<u32> {
         self.notices.told(now)
@@ -294,9 +314,11 @@
         let Some(index) = self.names.remove(name) else {
             return;
         };
-        if let Some(state) = self.states[index].take()
-            && let Some(indices) = self.services.get_mut(&state.record.service)
-        {
+        let Some(state) = self.states[index].take() else {
+            return;
+        };
+        self.keys.remove(&endpoint_key(&state.record));
+        if let Some(indices) = self.services.get_mut(&state.record.service) {
             indices.retain(|i| *i != index);
         }
     }
@@ -339,6 +361,9 @@
         if usable.is_empty() {
             return Err(NoPlace::NoEndpoint);
         }
+        // A part that an engine keeps is worth a wait; one that none keeps is read at a home.
+        let is_kept = |p: &Prompt| usable.iter().any(|(_, s)| s.keeps(now, p));
+        let is_kept = prompt.is_some_and(is_kept);
         let least = usable.iter().map(|(_, s)| s.failing).fold(1.0, f64::min);
         // Endpoints that fail more than others are taken if nothing else has room.
         let mut best: Option<(bool, f64, EndpointIndex)> = None;
@@ -346,8 +371,8 @@
             let home = homes.of(index);
             let cost = match prompt {
                 Some(_) if !has_time(state, rules) => None,
-                Some(p) if !may_spread(state, rules, home) && !state.keeps(now, p, home) => None,
-                Some(prompt) => engine_cost(now, state, prompt, rules, home),
+                Some(p) if !may_read(state, rules, home, is_kept) && !state.keeps(now, p) => None,
+                Some(prompt) => engine_cost(now, state, prompt, rules),
                 None => plain_cost(state),
             };
             let Some(mut cost) = cost.filter(|_| state.bears(now, rules.cold_share)) else {
@@ -373,12 +398,6 @@
         index: EndpointIndex,
         prompt: Option<&Prompt>,
     ) -> Option<Place> {
-        let anchor = prompt.and_then(Prompt::anchor);
-        let homes = anchor.map_or(Homes::default(), |anchor| {
-            let service = self.get(index).map(|s| &s.record.service);
-            let indices = service.and_then(|s| self.services.get(s));
-            self.homes(now, indices.map_or(&[][..], Vec::as_slice), anchor)
-        });
         let state = self.states.get_mut(index)?.as_mut()?;
         let mut load = Load {
             running: 1,
@@ -386,16 +405,16 @@
         };
         let mut parts = Vec::new();
         if let Some(prompt) = prompt {
-            load.waiting = state.missing(now, prompt, homes.of(index)).0;
+            load.waiting = state.missing(now, prompt).0;
             load.memory = state.memory(prompt);
             for part in prompt.shared() {
-                let kept = state.parts.entry(part.id);
-                let kept = kept.or_insert(KeptPart {
-                    users: 0,
-                    used: now,
-                });
-                kept.users += 1;
-                kept.used = now;
+                if state.use_part(now, *part) {
+                    let resident = Resident {
+                        endpoint: endpoint_key(&state.record),
+                        part: part.id,
+                    };
+                    self.residents.push(now, resident);
+                }
                 parts.push(part.id);
             }
         }
@@ -530,12 +549,17 @@
     load.token_time <= rules.token_time && load.running < state.record.slots
 }
 
-/// Whether a request may go to an engine that has to read its shared part: after a wait, or at once
-/// to the second home, and if the engine has time to spare. Under load that time serves more requests
-/// whose parts are kept.
-fn may_spread(state: &EndpointState, rules: &PlacementRules, home: Home) -> bool {
+/// Whether a request may go to an engine that has to read its shared part. One that no engine keeps is
+/// read at its first home, or at its second home if that has time to spare; one that is kept
+/// somewhere is read again only after a wait, by an engine with time to spare. Under load that time
+/// serves more requests whose parts are kept.
+fn may_read(state: &EndpointState, rules: &PlacementRules, home: Home, is_kept: bool) -> bool {
     let load = state.total();
-    (!rules.kept_only || home.is_second())
+    let is_home = !is_kept && !home.is_none();
+    if is_home && home.is_first() {
+        return true;
+    }
+    (!rules.kept_only || is_home)
         && load.waiting * state.pace < SPREAD_QUEUE
         && load.token_time < rules.token_time * SPREAD_PART
 }
@@ -546,7 +570,6 @@
     state: &EndpointState,
     prompt: &Prompt,
     rules: &PlacementRules,
-    home: Home,
 ) -> Option<f64> {
     let load = state.total();
     let memory = rules.memory? * MEMORY_PART;
@@ -558,7 +581,7 @@
     if output_time > rules.left.as_secs_f64() * 1e3 * OUTPUT_PART {
         return None;
     }
-    let (missing, shared) = state.missing(now, prompt, home);
+    let (missing, shared) = state.missing(now, prompt);
     let own = missing * state.pace;
     let wait = load.waiting * state.pace;
     let limit = (rules.objective.as_secs_f64() * 1e3 * QUEUE_PART).min(QUEUE_MAX);
--- a/cornelstand/src/gateway/tests/peers.rs
+++ b/cornelstand/src/gateway/tests/peers.rs
@@ -53,6 +53,7 @@
         token_times: vec![(ServiceName::from("models"), 20.0)],
         suspicions: Vec::new(),
         leaving: Vec::new(),
+        residents: Vec::new(),
     }
 }
 
