Let two instances of a data centre at a time ask a store that is away

Every instance whose entry could not be written asked each 0.5 s as well, and forgot that it was registered whenever a listing failed. Ruled out: heartbeats (an entry that only moves its sequence ends no watch).

Instances that the store failed lately come last, so others try in turn, two at a time; the fleet's own entries are tried again every 4 s at the most, with spread; endpoint changes are taken 150 ms together; the wait of a watch follows the platform's contact time instead of a constant for the first sites. The test plays an outage over 30 instances and fails on the old order (all 30 watch). The test of leadership says "lost" now where it said "no time known".

--- a/cornelstand/src/gateway/directory.rs
+++ b/cornelstand/src/gateway/directory.rs
@@ -25,6 +25,10 @@
 /// 2 s later.
 const REMOVAL_GRACE: Duration = Duration::from_millis(1_200);
 
+/// Time after a failed call to the store for which an instance leaves it to others to ask, beyond a few
+/// time-outs of theirs.
+const LOSS_MEMORY: Duration = Duration::from_secs(10);
+
 /// One endpoint as its own entry describes it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct EndpointRecord {
@@ -60,7 +64,8 @@
 /// How long the store has answered.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum StoreState {
-    Away,
+    /// Since when it has failed this instance, if it was asked.
+    Away(Option<Moment>),
     BackSince(Moment),
 }
 
@@ -139,7 +144,7 @@
             catalog: Rc::new(Catalog::default()),
             endpoints: BTreeMap::new(),
             evacuated: BTreeSet::new(),
-            store: StoreState::Away,
+            store: StoreState::Away(None),
             listed: false,
             marks: Marks::default(),
             adoptions: 0,
@@ -169,16 +174,24 @@
     }
 
     /// Notes that the store does not answer. Returns whether it did before.
-    pub(crate) fn lose_store(&mut self) -> bool {
-        let was_there = self.store != StoreState::Away;
-        self.store = StoreState::Away;
+    pub(crate) fn lose_store(&mut self, now: Moment) -> bool {
+        let was_there = self.has_store();
+        self.store = StoreState::Away(Some(now));
         was_there
     }
 
+    /// Whether the store has failed this instance lately.
+    pub(crate) fn is_store_lost(&self, now: Moment) -> bool {
+        match self.store {
+            StoreState::Away(Some(failed)) => now.since(failed) < LOSS_MEMORY,
+            StoreState::Away(None) | StoreState::BackSince(_) => false,
+        }
+    }
+
     /// Notes that the store answers, and has answered this instance or a peer since `since`. Returns
     /// whether it did not answer this instance before.
     pub(crate) fn regain_store(&mut self, since: Moment) -> bool {
-        let was_away = self.store == StoreState::Away;
+        let was_away = !self.has_store();
         if was_away {
             self.store = StoreState::BackSince(since);
         }
@@ -188,13 +201,13 @@
     /// Time for which the store has answered, if it does.
     pub(crate) fn store_time(&self, now: Moment) -> Option<Duration> {
         match self.store {
-            StoreState::Away => None,
+            StoreState::Away(_) => None,
             StoreState::BackSince(since) => Some(now.since(since)),
         }
     }
 
     pub(crate) fn has_store(&self) -> bool {
-        self.store != StoreState::Away
+        matches!(self.store, StoreState::BackSince(_))
     }
 
     /// Takes in a full listing of the endpoints.
@@ -227,7 +240,7 @@
     fn lapse(&self, now: Moment) -> Moment {
         match self.store {
             StoreState::BackSince(moment) => moment.after(LAPSE_GRACE),
-            StoreState::Away => now.after(LAPSE_GRACE),
+            StoreState::Away(_) => now.after(LAPSE_GRACE),
         }
     }
 
--- a/cornelstand/src/gateway/follow.rs
+++ b/cornelstand/src/gateway/follow.rs
@@ -25,9 +25,14 @@
 };
 use crate::platform::store::{Change, StoreCallError, StoreClient};
 
-/// Longest wait of a watch. With the store's slack it bounds how long a silent one goes unnoticed,
-/// below the platform's time for a configuration to be in force.
-const WATCH_WAIT: Duration = Duration::from_millis(2_200);
+/// Time by which the wait of a watch stays below the one that the platform grants to notice a lost
+/// connection: a watch that went silent is given up when its wait and the store's slack are over.
+const WATCH_MARGIN: Duration = Duration::from_millis(800);
+/// Shortest wait of a watch.
+const WATCH_MIN: Duration = Duration::from_millis(500);
+/// Pause after a change of the endpoints, so that those that come close together take one call; far
+/// below the time in which an endpoint that leaves has to be known.
+const CHANGES_PAUSE: Duration = Duration::from_millis(150);
 /// Time after the instances were listed until the first beats have told which one leads.
 const FIRST_BEATS: Duration = Duration::from_millis(700);
 /// Time between two listings of the instances by one that does not lead.
@@ -36,6 +41,8 @@
 const PAUSE_FIRST: Duration = Duration::from_millis(60);
 /// Longest such pause: entries that lapsed are back about 2 s after the store's return.
 const PAUSE_MAX: Duration = Duration::from_millis(500);
+/// Longest pause after a failed call that concerns the fleet's own entries, which every instance makes.
+const INSTANCE_PAUSE_MAX: Duration = Duration::from_secs(4);
 /// Time between two listings of the instances. New ones also make themselves known by beats.
 const INSTANCE_PERIOD: Duration = Duration::from_secs(10);
 /// Pause between two looks at whether a peer knows more.
@@ -91,9 +98,12 @@
         let result = step(&gate, &mut client, followed, revision).await;
         note_call(&gate, followed, &result);
         match result {
-            Ok(next) => {
+            Ok((next, has_changed)) => {
                 revision = Some(next);
                 pause = PAUSE_FIRST;
+                if has_changed && followed == Followed::Endpoints {
+                    sleep(CHANGES_PAUSE).await;
+                }
             }
             Err(StoreCallError::HistoryGone) => revision = None,
             Err(_) => {
@@ -110,23 +120,25 @@
     client: &mut StoreClient,
     followed: Followed,
     revision: Option<u64>,
-) -> Result<u64, StoreCallError> {
+) -> Result<(u64, bool), StoreCallError> {
     let kind = followed.kind();
     let Some(revision) = revision else {
         let (objects, revision) = client.list(kind).await?;
         regain(gate, followed);
         take_listing(gate, followed, &objects, revision);
-        return Ok(revision);
+        return Ok((revision, false));
     };
-    let (changes, revision) = client.watch(kind, revision, WATCH_WAIT).await?;
+    let contact = gate.settings.borrow().contact;
+    let wait = contact.saturating_sub(WATCH_MARGIN).max(WATCH_MIN);
+    let (changes, revision) = client.watch(kind, revision, wait).await?;
     regain(gate, followed);
     for change in &changes {
         take_change(gate, followed, change, revision);
     }
-    Ok(revision)
+    Ok((revision, !changes.is_empty()))
 }
 
-fn note_call(gate: &Gate, followed: Followed, result: &Result<u64, StoreCallError>) {
+fn note_call(gate: &Gate, followed: Followed, result: &Result<(u64, bool), StoreCallError>) {
     let calls = &gate.metrics.store_calls;
     let Err(error) = result else {
         calls.with_label_values(&["answered"]).inc();
@@ -137,7 +149,7 @@
         tracing::info!(event = "store_history_gone", %followed);
         return;
     }
-    if gate.state.borrow_mut().directory.lose_store() {
+    if gate.state.borrow_mut().directory.lose_store(gate.now()) {
         tracing::warn!(event = "store_lost", %followed, %error);
     }
 }
@@ -282,7 +294,7 @@
 /// Keeps this instance's entry in the store and finds the others.
 pub(crate) async fn follow_instances(gate: Rc<Gate>) {
     let mut client = StoreClient::new(gate.settings.borrow().store);
-    let mut is_registered = false;
+    let (mut is_registered, mut is_listed) = (false, false);
     let mut is_first = true;
     let mut pause = PAUSE_FIRST;
     loop {
@@ -294,19 +306,18 @@
             }
         }
         match client.list(INSTANCE_KIND).await {
-            Ok((objects, _)) => list_instances(&gate, &objects),
-            Err(error) => {
-                tracing::info!(event = "instances_unread", %error);
-                is_registered = false;
+            Ok((objects, _)) => {
+                is_listed = true;
+                list_instances(&gate, &objects);
             }
+            Err(error) => tracing::info!(event = "instances_unread", %error),
         }
         if is_first && is_registered && gate.state.borrow().peers.is_large() {
             sleep(FIRST_BEATS).await;
         }
         is_first = false;
         gate.introduced.set(true);
-        if is_registered {
-            pause = PAUSE_FIRST;
+        if is_registered && is_listed {
             let period = if gate.leads() {
                 INSTANCE_PERIOD
             } else {
@@ -314,8 +325,8 @@
             };
             sleep(period).await;
         } else {
-            sleep(pause).await;
-            pause = (pause * 2).min(PAUSE_MAX);
+            sleep(pause.mul_f64(0.5 + rand::random::<f64>())).await;
+            pause = (pause * 2).min(INSTANCE_PAUSE_MAX);
         }
     }
 }
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -393,8 +393,9 @@
     /// Whether this instance watches the store; in a large fleet two of each data centre do, so that
     /// one whose watch hangs delays nobody.
     pub(crate) fn watches(&self) -> bool {
-        let settings = self.settings.borrow();
-        self.state.borrow().peers.watches(self.now(), &settings)
+        let (state, now) = (self.state.borrow(), self.now());
+        let is_lost = state.directory.is_store_lost(now);
+        state.peers.watches(now, &self.settings.borrow(), is_lost)
     }
 
     /// Since when the store has answered this instance or a peer of its data centre.
@@ -407,8 +408,9 @@
 
     /// Whether this instance tells the other data centres what is done here.
     pub(crate) fn leads(&self) -> bool {
-        let settings = self.settings.borrow();
-        self.state.borrow().peers.leads(self.now(), &settings)
+        let (state, now) = (self.state.borrow(), self.now());
+        let is_lost = state.directory.is_store_lost(now);
+        state.peers.leads(now, &self.settings.borrow(), is_lost)
     }
 
     /// Takes in what another data centre does. Returns whether it is news.
@@ -484,6 +486,7 @@
             incarnation: self.incarnation,
             number: state.beats,
             store_time: state.directory.store_time(now),
+            store_lost: state.directory.is_store_lost(now),
             marks: state.directory.marks(),
             beliefs: settings.control.unwrap_or(settings.readiness),
             version: state.directory.catalog().version,
--- a/cornelstand/src/gateway/peers.rs
+++ b/cornelstand/src/gateway/peers.rs
@@ -48,6 +48,8 @@
     pub(crate) number: u64,
     /// Time for which the store has answered the sender, if it does.
     pub(crate) store_time: Option<Duration>,
+    /// Whether the store has failed the sender lately.
+    pub(crate) store_lost: bool,
     /// Endpoints and evacuations that the sender believes in.
     pub(crate) marks: Marks,
     /// Address of the sender's beliefs.
@@ -211,21 +213,24 @@
     }
 
     /// Whether the instance with `settings` speaks for its data centre.
-    pub(crate) fn leads(&self, now: Moment, settings: &GatewaySettings) -> bool {
-        !self.is_large() || self.before(now, settings) == 0
+    pub(crate) fn leads(&self, now: Moment, settings: &GatewaySettings, is_lost: bool) -> bool {
+        !self.is_large() || self.before(now, settings, is_lost) == 0
     }
 
     /// Whether the instance with `settings` watches the store.
-    pub(crate) fn watches(&self, now: Moment, settings: &GatewaySettings) -> bool {
-        !self.is_large() || self.before(now, settings) < WATCHERS
+    pub(crate) fn watches(&self, now: Moment, settings: &GatewaySettings, is_lost: bool) -> bool {
+        !self.is_large() || self.before(now, settings, is_lost) < WATCHERS
     }
 
-    /// Number of instances of the same data centre that would rather lead.
-    fn before(&self, now: Moment, settings: &GatewaySettings) -> usize {
-        let own = rank(&settings.instance, settings.cores);
+    /// Number of instances of the same data centre that would rather lead. Those that the store has
+    /// failed come last, in the same order: so the others try it in turn, and while it is away for
+    /// all, no more ask than watch in calm times.
+    fn before(&self, now: Moment, settings: &GatewaySettings, is_lost: bool) -> usize {
+        let own = (!is_lost, rank(&settings.instance, settings.cores));
         let near = self.live(now).filter(|b| b.centre == settings.centre);
-        let fit = near.filter(|b| b.store_time.is_some() && !b.stopping);
-        fit.filter(|b| rank(&b.instance, b.cores) > own).count()
+        let fit = near.filter(|b| !b.stopping);
+        let keys = fit.map(|b| (!b.store_lost, rank(&b.instance, b.cores)));
+        keys.filter(|key| *key > own).count()
     }
 
     /// Longest time for which the store has answered a live peer of `centre`.
--- a/cornelstand/src/gateway/settings.rs
+++ b/cornelstand/src/gateway/settings.rs
@@ -28,6 +28,9 @@
     pub(crate) store: SocketAddr,
     /// Time between a stop signal and the end of the process.
     pub(crate) grace: Duration,
+    /// Time after which the platform holds an instance that could not reach the store for informed
+    /// again.
+    pub(crate) contact: Duration,
     pub(crate) retry: RetryRule,
     /// Part of the stated rate that a cold endpoint bears.
     pub(crate) cold_over: f64,
--- a/cornelstand/src/gateway/tests.rs
+++ b/cornelstand/src/gateway/tests.rs
@@ -43,6 +43,7 @@
         seeds: Vec::new(),
         store: any,
         grace: Duration::from_secs(8),
+        contact: Duration::from_secs(3),
         retry: RetryRule {
             ratio: 0.2,
             slack: 50.0,
--- a/cornelstand/src/gateway/tests/directory.rs
+++ b/cornelstand/src/gateway/tests/directory.rs
@@ -38,7 +38,7 @@
     let mut directory = Directory::new();
     directory.regain_store(at(0));
     directory.list_endpoints(at(0), vec![entry("a"), entry("b")]);
-    directory.lose_store();
+    directory.lose_store(at(0));
     directory.regain_store(at(20_000));
     let changes = directory.list_endpoints(at(20_010), vec![entry("b")]);
     assert_eq!(changes, [EndpointChange::Lapsed("a".into())]);
@@ -56,7 +56,7 @@
     let mut directory = Directory::new();
     directory.regain_store(at(0));
     directory.list_endpoints(at(0), vec![entry("a")]);
-    directory.lose_store();
+    directory.lose_store(at(0));
     directory.regain_store(at(13_500));
     directory.list_endpoints(at(13_510), vec![entry("a")]);
     directory.remove_endpoint(at(13_940), &"a".into());
@@ -72,7 +72,7 @@
     let mut directory = Directory::new();
     directory.regain_store(at(0));
     directory.list_endpoints(at(0), vec![entry("a")]);
-    directory.lose_store();
+    directory.lose_store(at(0));
     directory.regain_store(at(20_000));
     directory.list_endpoints(at(20_010), Vec::new());
     assert!(directory.put_endpoint(entry("a")).is_some());
@@ -86,7 +86,7 @@
     let mut leaving = entry("a");
     leaving.leaving = true;
     directory.list_endpoints(at(0), vec![leaving]);
-    directory.lose_store();
+    directory.lose_store(at(0));
     directory.regain_store(at(20_000));
     let changes = directory.list_endpoints(at(20_010), Vec::new());
     assert_eq!(changes, [EndpointChange::Removed("a".into())]);
@@ -108,7 +108,7 @@
     let mut peer = Directory::new();
     peer.regain_store(at(0));
     peer.list_endpoints(at(0), vec![entry("a"), entry("b")]);
-    peer.lose_store();
+    peer.lose_store(at(0));
     peer.regain_store(at(20_000));
     peer.remove_endpoint(at(20_100), &"a".into());
     peer.mark_endpoints(9);
@@ -130,7 +130,7 @@
     directory.regain_store(at(0));
     directory.list_endpoints(at(0), vec![entry("a")]);
     let before = directory.adoptions();
-    directory.lose_store();
+    directory.lose_store(at(0));
     directory.adopt(at(1_000), Directory::new().beliefs(at(1_000)));
     assert_ne!(directory.adoptions(), before);
 }
@@ -140,7 +140,7 @@
     let mut directory = Directory::new();
     directory.regain_store(at(0));
     directory.list_endpoints(at(0), vec![entry("a")]);
-    directory.lose_store();
+    directory.lose_store(at(0));
     // A peer had the store all the while.
     directory.regain_store(at(20_000).before(std::time::Duration::from_secs(9)));
     let changes = directory.list_endpoints(at(20_010), Vec::new());
--- a/cornelstand/src/gateway/tests/peers.rs
+++ b/cornelstand/src/gateway/tests/peers.rs
@@ -31,6 +31,7 @@
         incarnation: 1,
         number,
         store_time: Some(Duration::from_secs(9)),
+        store_lost: false,
         marks: Marks::default(),
         beliefs: address(),
         version: number,
@@ -125,7 +126,7 @@
 #[test]
 fn in_a_small_fleet_every_instance_watches_and_hears_all() {
     let peers = fleet(3);
-    assert!(peers.leads(at(0), &settings("north-9")));
+    assert!(peers.leads(at(0), &settings("north-9"), false));
     assert_eq!(peers.listeners(&north()).len(), 6);
 }
 
@@ -136,17 +137,17 @@
     small.cores = 0.12;
     let mut large = settings("north-9");
     large.cores = 2.0;
-    assert!(!peers.leads(at(0), &small));
-    assert!(peers.leads(at(0), &large));
-    assert!(peers.leads(at(5_000), &small));
+    assert!(!peers.leads(at(0), &small, false));
+    assert!(peers.leads(at(0), &large, false));
+    assert!(peers.leads(at(5_000), &small, false));
     for i in 0..8 {
         let mut beat = beat(&format!("north-{i}"), 2, 1);
-        beat.store_time = (i % 2 == 0).then_some(Duration::from_secs(9));
+        beat.store_lost = i % 2 != 0;
         beat.stopping = i % 2 == 0;
         beat.cores = 0.5;
         peers.hear(at(10), address(), beat);
     }
-    assert!(peers.leads(at(10), &small));
+    assert!(peers.leads(at(10), &small, false));
 }
 
 #[test]
@@ -193,13 +194,13 @@
     let mut peers = fleet(8);
     let mut second = settings("north-9");
     second.cores = 0.3;
-    assert!(!peers.leads(at(0), &second) && peers.watches(at(0), &second));
+    assert!(!peers.leads(at(0), &second, false) && peers.watches(at(0), &second, false));
     let mut third = settings("north-8");
     third.cores = 0.25;
     let mut beat = beat("north-9", 1, 1);
     beat.cores = 0.3;
     peers.hear(at(0), address(), beat);
-    assert!(!peers.watches(at(0), &third));
+    assert!(!peers.watches(at(0), &third, false));
 }
 
 #[test]
@@ -215,3 +216,33 @@
     );
     assert_eq!(peers.store_time(at(0), &south), None);
 }
+
+/// large/tessel-counter-large: when the two watching instances lost the store, all others of the data
+/// centre began to ask it and to lead, up to 14,803 calls on a day.
+#[test]
+fn while_the_store_is_away_two_instances_at_a_time_ask_it() {
+    let names: Vec<String> = (0..30).map(|i| format!("north-{i}")).collect();
+    let mut lost = vec![false; names.len()];
+    let (mut asked, mut number) = (std::collections::BTreeSet::new(), 0);
+    for round in 0..20 {
+        let mut peers = Peers::default();
+        for (name, is_lost) in names.iter().zip(&lost) {
+            number += 1;
+            let mut beat = beat(name, number, 1);
+            (beat.store_time, beat.store_lost) = (None, *is_lost);
+            peers.hear(at(round), address(), beat);
+        }
+        let watching = (0..names.len()).filter(|i| {
+            let mut own = settings(&names[*i]);
+            own.cores = 0.25;
+            peers.watches(at(round), &own, lost[*i])
+        });
+        let watching: Vec<usize> = watching.collect();
+        assert_eq!(watching.len(), 2, "round {round}");
+        for i in watching {
+            lost[i] = true;
+            asked.insert(i);
+        }
+    }
+    assert_eq!(asked.len(), names.len(), "each tries in its turn");
+}
--- a/cornelstand/src/platform/settings.rs
+++ b/cornelstand/src/platform/settings.rs
@@ -14,6 +14,7 @@
 
 /// Settings that the platform states for each deployment; used if a file leaves one out.
 const DEFAULT_GRACE_S: f64 = 8.0;
+const DEFAULT_CONTACT_MS: f64 = 3_000.0;
 const DEFAULT_RETRY_RATIO: f64 = 0.2;
 const DEFAULT_RETRY_WINDOW_S: f64 = 10.0;
 const DEFAULT_COLD_OVER: f64 = 1.5;
@@ -73,6 +74,7 @@
         seeds: file.addresses("seeds")?,
         store: file.value("platform.address", "an address")?,
         grace: file.seconds("bounds.grace_s", DEFAULT_GRACE_S)?,
+        contact: file.milliseconds("bounds.contact_ms", DEFAULT_CONTACT_MS)?,
         retry: RetryRule {
             ratio: file.number("bounds.retry_budget_ratio", DEFAULT_RETRY_RATIO)?,
             slack: file.number("bounds.budget_slack", 0.0)?,
@@ -132,6 +134,11 @@
         self.number(key, default).map(Duration::from_secs_f64)
     }
 
+    fn milliseconds(&self, key: &'static str, default: f64) -> Result<Duration, SettingsFileError> {
+        self.number(key, default)
+            .map(|ms| Duration::from_secs_f64(ms / 1e3))
+    }
+
     fn addresses(&self, key: &'static str) -> Result<Vec<SocketAddr>, SettingsFileError> {
         let list = self.0.get(key).copied().unwrap_or_default();
         let parts = list.split(',').filter(|p| !p.trim().is_empty());
