Catch up after a pause before new requests are served

Cause: a process that was stopped for 1.4 s wakes with a request in one socket and a change of the configuration in another, and which comes first is chance: a request with a revoked key ran (test with SIGSTOP on the real process, which fails without the mend on a kept connection; on a new connection it passed, since accepting takes a turn more). Now a pause of 1 s or more, suspensions of the machine included, is noticed by the first tick or request after it, and requests are refused as not run for 0.3 s with that time to come back. Logged as paused.

Tried and found sound, with tests that stay: a stop of a process under load with kept connections until it is gone (no request that ran was left without its answer), and a request whose caller left in a pause.

--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -15,6 +15,7 @@
 use crate::gateway::gate::{Closing, Gate};
 use crate::gateway::message::Head;
 use crate::gateway::outlet::Outlet;
+use crate::gateway::pauses::boot_time;
 use crate::gateway::placement::{EndpointIndex, Place, PlaceEnd};
 use crate::gateway::relay::{self, Attempt, HeldAnswer, NotRun};
 use crate::name::{AccountName, Fingerprint, ServiceName};
@@ -181,6 +182,9 @@
         let after = Some(UNCONFIGURED_RETURN);
         return Err(Refused::new(503, "no configuration is known yet", after));
     }
+    if let Some(left) = gate.pauses.catches_up(boot_time()) {
+        return Err(Refused::new(503, "this instance was paused", Some(left)));
+    }
     let host = head.get("host").unwrap_or_default();
     let path = head.target().split('?').next().unwrap_or_default();
     let route = catalog.route(host, path).cloned();
--- a/cornelstand/src/gateway/daemon.rs
+++ b/cornelstand/src/gateway/daemon.rs
@@ -19,6 +19,7 @@
 use crate::gateway::logs::LogBuffer;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::number::float;
+use crate::gateway::pauses::boot_time;
 use crate::gateway::{connection, peers_link};
 use crate::platform::settings::{SettingsFileError, read_settings};
 
@@ -211,6 +212,9 @@
         sleep(TICK).await;
         let lag = due.elapsed().as_secs_f64();
         gate.metrics.lag.observe(lag);
+        if let Some(pause) = gate.pauses.tick(boot_time()) {
+            tracing::warn!(event = "paused", pause_ms = pause.as_millis());
+        }
         gate.lag
             .set(gate.lag.get() + LAG_WEIGHT * (lag * 1e3 - gate.lag.get()));
         let requests = gate.metrics.requests.get();
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -14,6 +14,7 @@
 use crate::gateway::notices::Notice;
 use crate::gateway::number::{float, gauge, short};
 use crate::gateway::outputs::Outputs;
+use crate::gateway::pauses::PauseWatch;
 use crate::gateway::peers::{Beat, Digest, PeerLoad, Peers, endpoint_key};
 use crate::gateway::placement::{EndpointIndex, Endpoints, Place, PlaceEnd, PlacementRules};
 use crate::gateway::settings::GatewaySettings;
@@ -100,6 +101,8 @@
 }
 
 /// Requests that a stopping instance refuses.
+    /// Notices that the process was paused.
+    pub(crate) pauses: PauseWatch,
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Closing {
     Nothing,
@@ -149,6 +152,7 @@
         }
     }
 
+            pauses: PauseWatch::default(),
     pub(crate) fn now(&self) -> Moment {
         self.clock.now()
     }
--- a/cornelstand/src/gateway/mod.rs
+++ b/cornelstand/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 pub(crate) mod number;
 pub(crate) mod outlet;
 pub(crate) mod outputs;
+pub(crate) mod pauses;
 pub(crate) mod peers;
 pub(crate) mod peers_link;
 pub(crate) mod placement;
--- a/cornelstand/src/gateway/tests.rs
+++ b/cornelstand/src/gateway/tests.rs
@@ -6,6 +6,7 @@
 mod heavy_load;
 mod message;
 mod outputs;
+mod pauses;
 mod peers;
 mod placement;
 
--- a/cornelstand/tests/gateway/main.rs
+++ b/cornelstand/tests/gateway/main.rs
@@ -5,9 +5,11 @@
 
 use std::time::Duration;
 
-use platform::{EVENTS, World};
+use platform::{EVENTS, KEY, World};
 use rustix::process::Signal;
 use stand_ins::{EndpointFaults, StoreFaults};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep};
 
 fn whole_stream() -> String {
@@ -109,6 +111,149 @@
     }
 }
 
+/// What became of one request on a connection of its caller.
+enum Fate {
+    /// The head of an answer came, and whether it closes the connection.
+    Answered { closes: bool },
+    /// The connection ended before any byte of an answer.
+    Unanswered,
+}
+
+fn call(id: &str) -> String {
+    format!(
+        "POST /book/1 HTTP/1.1\r\nhost: shop.example\r\nx-cornelstand-attempt-id: {id}\r\n\
+         x-cornelstand-deadline-ms: 8000\r\nx-cornelstand-credential: {KEY}\r\n\
+         content-length: 4\r\n\r\nbody"
+    )
+}
+
+async fn exchange(stream: &mut TcpStream, id: &str) -> Fate {
+    if stream.write_all(call(id).as_bytes()).await.is_err() {
+        return Fate::Unanswered;
+    }
+    let mut text = Vec::new();
+    loop {
+        match stream.read_buf(&mut text).await {
+            Ok(count) if count > 0 => {}
+            _ => return Fate::Unanswered,
+        }
+        let answer = String::from_utf8_lossy(&text).to_ascii_lowercase();
+        let Some((head, body)) = answer.split_once("\r\n\r\n") else {
+            continue;
+        };
+        let length = head.split("content-length: ").nth(1);
+        let length = length.and_then(|l| l.split("\r\n").next()?.parse().ok());
+        if body.len() >= length.expect("a length") {
+            let closes = head.contains("connection: close");
+            return Fate::Answered { closes };
+        }
+    }
+}
+
+/// Callers that keep their connections and go on until the process is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_under_load_leaves_no_request_that_ran_without_its_answer() {
+    let mut world = World::start(1);
+    world.await_ready(0, true).await;
+    let front = world.instances[0].front();
+    let callers = (0..16).map(|caller| {
+        tokio::spawn(async move {
+            let (mut answered, mut unanswered) = (0, Vec::new());
+            // A refused connection means that the process is gone.
+            while let Ok(mut stream) = TcpStream::connect(front).await {
+                loop {
+                    let id = format!("{caller}-{}", answered + unanswered.len());
+                    match exchange(&mut stream, &id).await {
+                        Fate::Answered { closes } => {
+                            answered += 1;
+                            if closes {
+                                break;
+                            }
+                        }
+                        Fate::Unanswered => {
+                            unanswered.push(id);
+                            break;
+                        }
+                    }
+                }
+            }
+            (answered, unanswered)
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    sleep(Duration::from_millis(300)).await;
+    world.instances[0].signal(Signal::TERM);
+    let ended = Instant::now() + Duration::from_secs(8);
+    while !world.instances[0].has_ended() {
+        assert!(Instant::now() < ended, "it ends within its grace time");
+        sleep(Duration::from_millis(20)).await;
+    }
+    let ran = |id: &String| world.endpoints.values().any(|e| e.runs().contains_key(id));
+    for caller in callers {
+        let (answered, unanswered) = caller.await.expect("a caller");
+        assert!(answered > 20, "{answered}");
+        let cut: Vec<_> = unanswered.iter().filter(|id| ran(id)).collect();
+        assert!(cut.is_empty(), "ran and were not answered: {cut:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_revoked_during_a_pause_opens_nothing_after_it() {
+    let world = World::start(1);
+    world.await_ready(0, true).await;
+    for round in 0..6 {
+        let version = 9 + 2 * round;
+        let front = world.instances[0].front();
+        let mut stream = TcpStream::connect(front).await.expect("accepted");
+        let before = exchange(&mut stream, &format!("o-{round}")).await;
+        assert!(matches!(before, Fate::Answered { closes: false }));
+        world.instances[0].signal(Signal::STOP);
+        sleep(Duration::from_millis(1_300)).await;
+        // The request waits at the instance beside the change when that goes on.
+        let id = format!("p-{round}");
+        stream.write_all(call(&id).as_bytes()).await.expect("sent");
+        world.configure(version, false);
+        sleep(Duration::from_millis(100)).await;
+        world.instances[0].signal(Signal::CONT);
+        let mut text = [0; 12];
+        stream.read_exact(&mut text).await.expect("an answer");
+        assert_ne!(&text, b"HTTP/1.1 200");
+        assert!(!world.endpoints.values().any(|e| e.runs().contains_key(&id)));
+        world.configure(version + 1, true);
+        sleep(Duration::from_millis(600)).await;
+        let (status, _) = world
+            .ask(0, "/book/1", &format!("q-{round}"))
+            .await
+            .expect("an answer");
+        assert_eq!(status, 200, "it serves again");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_instance_runs_nothing_whose_caller_left() {
+    let world = World::start(1);
+    world.await_ready(0, true).await;
+    world.instances[0].signal(Signal::STOP);
+    sleep(Duration::from_millis(100)).await;
+    let mut stream = TcpStream::connect(world.instances[0].front())
+        .await
+        .expect("accepted");
+    stream
+        .write_all(call("gone").as_bytes())
+        .await
+        .expect("sent");
+    drop(stream);
+    sleep(Duration::from_millis(100)).await;
+    world.instances[0].signal(Signal::CONT);
+    sleep(Duration::from_millis(500)).await;
+    assert!(
+        !world
+            .endpoints
+            .values()
+            .any(|e| e.runs().contains_key("gone"))
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_instance_that_starts_without_the_store_takes_its_beliefs_from_a_peer() {
     let mut world = World::start(2);
