Do not show a stream that ends in an event as whole

A stream without length that ended with its connection in the middle of an event was closed for the caller like a whole one (the test fails on the old code). It counts as lost now, and goes on elsewhere where it may. Tried and found sound, with a test that stays: an answer under way goes on when its endpoint's entry vanishes from the store, and is not started again.

--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -316,6 +316,10 @@
             body.read(&mut self.upstream.input, &mut pending)
                 .map_err(ReadError::from)?;
             let is_end = body.is_done() || is_closed;
+            // A body that ends with its connection may have been cut off there.
+            if is_closed && !pending.is_empty() && !pending.ends_with(b"\n\n") {
+                return Ok(Attempt::Lost("closed in an event"));
+            }
             let whole = if is_end {
                 pending.len()
             } else {
--- a/cornelstand/src/platform/tests/path.rs
+++ b/cornelstand/src/platform/tests/path.rs
@@ -12,7 +12,7 @@
 
 use crate::gateway::connection;
 use crate::gateway::gate::Gate;
-use crate::gateway::tests::{MODELS, ORDERS, gate, record};
+use crate::gateway::tests::{MODELS, ORDERS, gate, list, record};
 use crate::platform::tests::scripted::{
     Endpoint, PATIENCE, Step, answer, chunk, event, read_request, stream_head,
 };
@@ -508,3 +508,48 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn a_stream_that_ends_with_its_connection_in_an_event_is_not_shown_as_whole() {
+    local(async {
+        let head = stream_head("a1").replacen("Transfer-Encoding: chunked\r\n", "", 1);
+        let cut = vec![
+            Step::Read,
+            Step::Write(head + &event(1) + "id: 2\ndata: pi"),
+        ];
+        let (_gate, address, _engines) = with_engines(vec![vec![cut]]).await;
+        let text = ask(address, &request("/digest/1", "a1")).await;
+        assert!(
+            text.contains("piece 1") && !text.ends_with("0\r\n\r\n"),
+            "{text}"
+        );
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn an_answer_under_way_goes_on_though_its_endpoint_is_silent_in_the_store() {
+    local(async {
+        let slow = vec![
+            Step::Read,
+            Step::Write(stream_head("a1")),
+            Step::Write(chunk(&event(1))),
+            Step::Pause(300),
+            Step::Write(chunk(&event(2))),
+            Step::Write("0\r\n\r\n".into()),
+        ];
+        let (gate, address, engines) = with_engines(vec![vec![slow], vec![]]).await;
+        let asked =
+            tokio::task::spawn_local(async move { ask(address, &request("/quote/1", "a1")).await });
+        sleep(Duration::from_millis(150)).await;
+        // Its entry and all others are gone, as after heartbeats that came too late.
+        list(&gate, Vec::new());
+        let text = asked.await.expect("a caller");
+        assert!(
+            text.contains("piece 2") && text.ends_with("0\r\n\r\n"),
+            "{text}"
+        );
+        assert_eq!((engines[0].count(), engines[1].count()), (1, 0));
+    })
+    .await;
+}
