Wait for the engine that keeps a part for as long as the request waits

Now a request waits for that engine for all of its wait. Another one reads the part only once about three requests found no place for it within 2 s (a hot key).

--- a/cornelstand/src/gateway/admission.rs
+++ b/cornelstand/src/gateway/admission.rs
@@ -27,8 +27,11 @@
 const WAIT_PART: f64 = 0.45;
 /// Time that a stream which broke off may wait: callers leave after a pause of 2 s or more.
 const GOING_ON_WAIT: Duration = Duration::from_millis(900);
-/// Part of its objective for which a request waits for an endpoint that keeps its shared part.
-const KEPT_PART: f64 = 0.3;
+/// Part of its objective for which a request waits for an endpoint that keeps its shared part: all of
+/// its wait, since reading the part once more takes the engines' time from several others. Parts that
+/// are asked for more than their engine can serve get another one; see
+/// [`crate::gateway::placement::Endpoints::is_wanted`].
+const KEPT_PART: f64 = WAIT_PART;
 /// Shortest time after which a refused caller should come back: about one round of a place.
 const RETURN_MIN: Duration = Duration::from_millis(400);
 /// Longest such time; beyond it the estimate says nothing.
@@ -96,7 +99,7 @@
         self.sum * (-age / memory.as_secs_f64()).exp()
     }
 
-    pub(super) fn add(&mut self, now: Moment, amount: f64, memory: Duration) {
+    pub(crate) fn add(&mut self, now: Moment, amount: f64, memory: Duration) {
         self.sum = self.get(now, memory) + amount;
         self.at = now;
     }
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -64,6 +64,9 @@
             return Duration::ZERO;
         };
         self.admission.note_refusal(now, &waiting);
+        if let Some(prompt) = &waiting.prompt {
+            self.endpoints.note_wanted(now, prompt);
+        }
         self.admission.return_after(now, &waiting.account)
     }
 }
@@ -98,11 +101,11 @@
     /// Wakes the sender of beats when something changed that peers should know at once.
     pub(crate) news: Notify,
     pub(crate) connections: Cell<usize>,
+    /// Notices that the process was paused.
+    pub(crate) pauses: PauseWatch,
 }
 
 /// Requests that a stopping instance refuses.
-    /// Notices that the process was paused.
-    pub(crate) pauses: PauseWatch,
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Closing {
     Nothing,
@@ -149,10 +152,10 @@
             introduced: Cell::new(false),
             news: Notify::new(),
             connections: Cell::new(0),
+            pauses: PauseWatch::default(),
         }
     }
 
-            pauses: PauseWatch::default(),
     pub(crate) fn now(&self) -> Moment {
         self.clock.now()
     }
@@ -553,7 +556,9 @@
         return None;
     }
     let mut rules = rules.clone();
-    rules.kept_only = now < waiting.spreads;
+    let prompt = waiting.prompt.as_ref();
+    let is_wanted = prompt.is_some_and(|p| state.endpoints.is_wanted(now, p));
+    rules.kept_only = now < waiting.spreads && !is_wanted;
     rules.left = waiting.ends.since(now);
     let tried = &state.grants.get(&id)?.tried;
     let directory = &state.directory;
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -14,6 +14,7 @@
 
 use derive_more::IsVariant;
 
+use crate::gateway::admission::Fading;
 use crate::gateway::directory::EndpointRecord;
 use crate::gateway::endpoint_state::{EndpointState, Home, Load, Prompt};
 use crate::gateway::notices::{Notice, Notices};
@@ -50,6 +51,12 @@
 const SPREAD_QUEUE: f64 = 30.0;
 /// Part of the longest time between tokens up to which such an engine counts as free.
 const SPREAD_PART: f64 = 0.7;
+/// Time constant of the requests that found no place where their part is kept.
+const WANTED_MEMORY: Duration = Duration::from_secs(2);
+/// Such requests from which another engine reads the part.
+const WANTED_COUNT: f64 = 3.0;
+/// Such requests, faded, that are forgotten.
+const WANTED_LEAST: f64 = 0.1;
 /// First time for which an endpoint that refused a connection gets nothing.
 const OUT_FIRST: Duration = Duration::from_millis(250);
 /// Longest such time.
@@ -179,6 +186,8 @@
     services: HashMap<ServiceName, Vec<EndpointIndex>>,
     notices: Notices,
     residents: ResidencyNews,
+    /// Requests for each part, by its identity, that were refused lately though an engine keeps it.
+    wanted: HashMap<u64, Fading>,
     keys: HashMap<u32, EndpointIndex>,
 }
 
@@ -276,6 +285,23 @@
         names
     }
 
+    /// Notes that a request found no place where its shared part is kept.
+    pub(crate) fn note_wanted(&mut self, now: Moment, prompt: &Prompt) {
+        if let Some(anchor) = prompt.anchor() {
+            self.wanted
+                .entry(anchor)
+                .or_default()
+                .add(now, 1.0, WANTED_MEMORY);
+        }
+    }
+
+    /// Whether so many requests found no place where their shared part is kept that another engine
+    /// should read it.
+    pub(crate) fn is_wanted(&self, now: Moment, prompt: &Prompt) -> bool {
+        let wanted = prompt.anchor().and_then(|a| self.wanted.get(&a));
+        wanted.is_some_and(|w| w.get(now, WANTED_MEMORY) >= WANTED_COUNT)
+    }
+
     /// Parts that peers should know to be kept.
     pub(crate) fn residents(&self, now: Moment) -> Vec<Resident> {
         self.residents.told(now)
@@ -507,6 +533,8 @@
     /// Drops parts that no engine keeps any more.
     pub(crate) fn forget_parts(&mut self, now: Moment) {
         self.notices.forget(now);
+        self.wanted
+            .retain(|_, w| w.get(now, WANTED_MEMORY) >= WANTED_LEAST);
         for state in self.states.iter_mut().flatten() {
             state.forget(now);
         }
--- a/cornelstand/src/gateway/tests/placement.rs
+++ b/cornelstand/src/gateway/tests/placement.rs
@@ -337,3 +337,23 @@
         place.prompt_tokens()
     );
 }
+
+/// A key that gets much of the traffic: one engine cannot serve all that is asked of its part.
+#[test]
+fn a_part_that_many_were_refused_is_read_by_another_engine() {
+    let mut endpoints = engines(3);
+    let prompt = prompt(7, 12_000);
+    for refused in 1..=4 {
+        assert!(
+            !endpoints.is_wanted(at(refused * 100), &prompt),
+            "after {}",
+            refused - 1
+        );
+        endpoints.note_wanted(at(refused * 100), &prompt);
+    }
+    assert!(endpoints.is_wanted(at(400), &prompt));
+    // A burst that is over leaves the part where it is.
+    assert!(!endpoints.is_wanted(at(5_000), &prompt));
+    endpoints.forget_parts(at(20_000));
+    assert!(!endpoints.is_wanted(at(20_000), &prompt));
+}
