--- a/cornelstand/src/gateway/acquire.rs
+++ b/cornelstand/src/gateway/acquire.rs
@@ -80,13 +80,14 @@
     refuse_place(call, "no endpoint had room in time", after)
 }
 
-/// Refusal of a request that no endpoint will take before `gives_up`.
+/// Refusal of a request that no endpoint will take before `gives_up`, or now if that has passed.
 fn unservable(gate: &Gate, call: &Call, gives_up: Moment) -> Option<Acquired> {
-    let (reason, after) = match gate.opens(&call.service, &call.tried) {
-        Some(opens) if opens <= gives_up => return None,
+    let now = gate.now();
+    let (reason, after) = match gate.opens(now, &call.service, &call.tried) {
+        Some(opens) if opens <= gives_up.max(now) => return None,
         Some(opens) => (
             "the endpoints asked for a rest",
-            opens.since(gate.now()).max(REST_RETURN),
+            opens.since(now).max(REST_RETURN),
         ),
         None => ("no endpoint can be used", NO_ENDPOINT_RETURN),
     };
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -254,8 +254,13 @@
 
     /// When an endpoint of a service that was not `tried` takes requests, `now` if one does, or
     /// nothing if none will.
-    pub(crate) fn opens(&self, service: &ServiceName, tried: &[EndpointIndex]) -> Option<Moment> {
-        opens(&self.state.borrow(), self.now(), service, tried)
+    pub(crate) fn opens(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+        tried: &[EndpointIndex],
+    ) -> Option<Moment> {
+        opens(&self.state.borrow(), now, service, tried)
     }
 
     /// Takes in what the endpoint of `place` said of itself.
--- a/cornelstand/src/platform/tests/notices.rs
+++ b/cornelstand/src/platform/tests/notices.rs
@@ -8,9 +8,11 @@
 
 use crate::gateway::directory::EndpointRecord;
 use crate::gateway::gate::Gate;
-use crate::gateway::tests::{ORDERS, list, record};
-use crate::platform::tests::path::{ask, local, request, status, with_near_and_far, with_orders};
-use crate::platform::tests::scripted::{Endpoint, Step, answer};
+use crate::gateway::tests::{MODELS, ORDERS, gate, list, record};
+use crate::platform::tests::path::{
+    ask, entry, local, request, status, with_engines, with_near_and_far, with_orders,
+};
+use crate::platform::tests::scripted::{Endpoint, Step, answer, chunk, stream_head};
 
 const LEAVING: &str = "Server-Leaving: 1\r\n";
 
@@ -74,23 +76,18 @@
 #[tokio::test]
 async fn the_head_of_a_stream_tells_that_its_endpoint_leaves() {
     local(async {
-        let (gate, address, _engines) =
-            crate::platform::tests::path::with_engines(vec![vec![vec![
-                Step::Read,
-                Step::Write(
-                    crate::platform::tests::scripted::stream_head("a1").replacen(
-                        "Content-Type",
-                        "Server-Leaving: 1\r\nContent-Type",
-                        1,
-                    ),
-                ),
-                Step::Write(crate::platform::tests::scripted::chunk(
-                    "id: 1\ndata: x\n\n",
-                )),
-                Step::Pause(400),
-                Step::Write("0\r\n\r\n".into()),
-            ]]])
-            .await;
+        let (gate, address, _engines) = with_engines(vec![vec![vec![
+            Step::Read,
+            Step::Write(stream_head("a1").replacen(
+                "Content-Type",
+                "Server-Leaving: 1\r\nContent-Type",
+                1,
+            )),
+            Step::Write(chunk("id: 1\ndata: x\n\n")),
+            Step::Pause(400),
+            Step::Write("0\r\n\r\n".into()),
+        ]]])
+        .await;
         let stream =
             tokio::task::spawn_local(async move { ask(address, &request("/quote/1", "a1")).await });
         sleep(Duration::from_millis(200)).await;
@@ -200,3 +197,34 @@
     })
     .await;
 }
+
+/// The engine is busy, and nobody rests: the time to come back is that of the account.
+#[tokio::test]
+async fn a_request_that_waited_in_vain_is_not_sent_back_at_once() {
+    local(async {
+        let busy = vec![
+            Step::Read,
+            Step::Write(stream_head("a1")),
+            Step::Write(chunk("id: 1\ndata: x\n\n")),
+            Step::AwaitClose,
+        ];
+        let engine = Endpoint::start(vec![busy]).await;
+        let mut engine = record("m-1", MODELS, engine.address);
+        engine.slots = 1;
+        let gate = gate("one", vec![engine]);
+        let address = entry(&gate).await;
+        let _running =
+            tokio::task::spawn_local(async move { ask(address, &request("/quote/1", "a1")).await });
+        sleep(Duration::from_millis(100)).await;
+        let text = ask(address, &request("/quote/1", "a2")).await;
+        assert_eq!(status(&text), "503");
+        assert!(text.ends_with("no endpoint had room in time\n"), "{text}");
+        let after = text
+            .split("retry-after: ")
+            .nth(1)
+            .and_then(|t| t.split("\r\n").next());
+        let after: f64 = after.and_then(|a| a.parse().ok()).expect("a time");
+        assert!(after >= 0.4, "{after}");
+    })
+    .await;
+}
