--- a/cornelstand/src/gateway/endpoint_state.rs
+++ b/cornelstand/src/gateway/endpoint_state.rs
@@ -107,6 +107,16 @@
     pub(crate) told: Option<Moment>,
 }
 
+impl KeptPart {
+    fn new(now: Moment) -> Self {
+        Self {
+            users: 0,
+            used: now,
+            told: None,
+        }
+    }
+}
+
 /// One endpoint with what is known of it.
 #[derive(Debug)]
 pub(crate) struct EndpointState {
@@ -153,27 +163,20 @@
 
     /// Notes that a request uses a part. Returns whether peers should be told.
     pub(crate) fn use_part(&mut self, now: Moment, part: PromptPart) -> bool {
-        let kept = self.parts.entry(part.id).or_insert(KeptPart {
-            users: 0,
-            used: now,
-            told: None,
-        });
+        let kept = self.parts.entry(part.id).or_insert(KeptPart::new(now));
         kept.users += 1;
         kept.used = now;
         let is_due = kept.told.is_none_or(|t| now.since(t) >= TELL_AGAIN);
         if is_due && part.tokens >= TOLD_TOKENS {
             kept.told = Some(now);
+            return true;
         }
-        is_due && part.tokens >= TOLD_TOKENS
+        false
     }
 
     /// Notes that a peer's request used a part.
     pub(crate) fn hear_part(&mut self, now: Moment, part: u64) {
-        let kept = self.parts.entry(part).or_insert(KeptPart {
-            users: 0,
-            used: now,
-            told: None,
-        });
+        let kept = self.parts.entry(part).or_insert(KeptPart::new(now));
         kept.used = now;
         kept.told = Some(now);
     }
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -289,17 +289,6 @@
         }
     }
 
-    /// Takes in endpoints that a peer knows to leave.
-    fn note_leaving(state: &mut State, now: Moment, endpoints: &[u32]) {
-        let news = state.endpoints.note_leaving(now, endpoints);
-        for endpoint in &news {
-            tracing::info!(event = "endpoint_leaves", %endpoint, source = "peer");
-        }
-        if !news.is_empty() {
-            release_unservable(state, now);
-        }
-    }
-
     /// What placement has to know of a service, the same for all its requests.
     fn rules(&self, state: &State, service: &ServiceName) -> Option<PlacementRules> {
         let catalog = state.directory.catalog();
@@ -430,7 +419,7 @@
         let now = self.now();
         self.metrics.beats.inc();
         let mut state = self.state.borrow_mut();
-        Self::note_leaving(&mut state, now, &digest.leaving);
+        note_leaving(&mut state, now, &digest.leaving);
         state.endpoints.hear_residents(now, &digest.residents);
         state.peers.hear_centre(now, digest)
     }
@@ -451,7 +440,7 @@
         for suspicion in &beat.suspicions {
             state.suspects.merge(now, suspicion.clone());
         }
-        Self::note_leaving(state, now, &beat.leaving);
+        note_leaving(state, now, &beat.leaving);
         state.endpoints.hear_residents(now, &beat.residents);
         let name = beat.instance.clone();
         let is_near = beat.centre == self.settings.borrow().centre;
@@ -534,6 +523,17 @@
     })
 }
 
+/// Takes in endpoints that a peer knows to leave.
+fn note_leaving(state: &mut State, now: Moment, endpoints: &[u32]) {
+    let news = state.endpoints.note_leaving(now, endpoints);
+    for endpoint in &news {
+        tracing::info!(event = "endpoint_leaves", %endpoint, source = "peer");
+    }
+    if !news.is_empty() {
+        release_unservable(state, now);
+    }
+}
+
 /// Ends the wait of requests that no endpoint will take before they give up.
 fn release_unservable(state: &mut State, now: Moment) {
     let is_unservable = |id: &WaitId| {
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -579,8 +579,9 @@
 
 /// Whether a request may go to an engine that has to read its shared part. One that no engine keeps is
 /// read at its first home, or at its second home if that has time to spare; one that is kept
-/// somewhere is read again only after a wait, by an engine with time to spare. Under load that time
-/// serves more requests whose parts are kept.
+/// somewhere is waited for there, and read again by an engine with time to spare if it is wanted more
+/// than that, or for a stream that broke off. Under load the time serves more requests whose parts are
+/// kept.
 fn may_read(state: &EndpointState, rules: &PlacementRules, home: Home, is_kept: bool) -> bool {
     let load = state.total();
     let is_home = !is_kept && !home.is_none();
--- a/measure/src/capacity_page.rs
+++ b/measure/src/capacity_page.rs
@@ -44,9 +44,9 @@
 }
 
 const HEAD: &str = "\
-# Capacity
+# Capacity of `cornelstand serve`
 
-<!-- Written by `measure capacity --from docs/capacity.json --page docs/CAPACITY.md`. Change the
+<!-- Written by `measure capacity --from docs/capacity.json --page docs/design/serve-capacity.md`. Change the
 program or the points, not this page. -->
 
 What each role costs at 400 nodes before 600 replicas on 4,800 accelerators, 2,700 requests and
@@ -59,8 +59,8 @@
 ones and have never run. Processor time is what the kernel counts for the threads, not time on the
 clock, as the machine was shared; a busy machine still makes caches colder and figures higher.
 Bytes are those of the links' streams, both directions added, without TCP and IP headers.
-All points are in [capacity.json](capacity.json); `measure capacity --json docs/capacity.json --page
-docs/CAPACITY.md` repeats all of it in about fifteen minutes, `--step NAME` one step.
+All points are in [capacity.json](../capacity.json); `measure capacity --json docs/capacity.json --page
+docs/design/serve-capacity.md` repeats all of it in about fifteen minutes, `--step NAME` one step.
 ";
 
 const NOT_MEASURED: &str = "\
