Log a pause whoever notices it first

Cause: the line was written by the tick alone, and a request that comes before it ends the pause without a line, though the page on operations sends the reader of "this instance was paused" to it. The watch logs itself now. Its guard against a first request before the first tick did nothing: a first call only notes that the process runs.

--- a/cornelstand/src/gateway/daemon.rs
+++ b/cornelstand/src/gateway/daemon.rs
@@ -212,9 +212,7 @@
         sleep(TICK).await;
         let lag = due.elapsed().as_secs_f64();
         gate.metrics.lag.observe(lag);
-        if let Some(pause) = gate.pauses.tick(boot_time()) {
-            tracing::warn!(event = "paused", pause_ms = pause.as_millis());
-        }
+        gate.pauses.tick(boot_time());
         gate.lag
             .set(gate.lag.get() + LAG_WEIGHT * (lag * 1e3 - gate.lag.get()));
         let requests = gate.metrics.requests.get();
--- a/cornelstand/src/gateway/pauses.rs
+++ b/cornelstand/src/gateway/pauses.rs
@@ -23,22 +23,21 @@
 }
 
 impl PauseWatch {
-    /// Notes that the process runs. Returns the length of a pause that has just ended.
+    /// Notes that the process runs. Logs and returns the length of a pause that has just ended.
     pub(crate) fn tick(&self, now: Duration) -> Option<Duration> {
         let ran = self.ran.replace(Some(now))?;
         let pause = now.saturating_sub(ran);
         if pause < PAUSE_MIN {
             return None;
         }
+        tracing::warn!(event = "paused", pause_ms = pause.as_millis());
         self.catches_up.set(now + CATCH_UP);
         Some(pause)
     }
 
     /// Time for which changes are still taken in after a pause, also one that no tick has noticed.
     pub(crate) fn catches_up(&self, now: Duration) -> Option<Duration> {
-        if self.ran.get().is_some() {
-            self.tick(now);
-        }
+        self.tick(now);
         let left = self.catches_up.get().saturating_sub(now);
         (!left.is_zero()).then_some(left)
     }
