--- a/cornelstand/src/gateway/pauses.rs
+++ b/cornelstand/src/gateway/pauses.rs
@@ -37,7 +37,10 @@
 
     /// Time for which changes are still taken in after a pause, also one that no tick has noticed.
     pub(crate) fn catches_up(&self, now: Duration) -> Option<Duration> {
-        self.tick(now);
+        // Until the process ticks, the time between two requests is no pause.
+        if self.ran.get().is_some() {
+            self.tick(now);
+        }
         let left = self.catches_up.get().saturating_sub(now);
         (!left.is_zero()).then_some(left)
     }
