Work out what engines lack, and their keys, once

A choice of an engine looked up the parts of a prompt up to three times at each engine (is it kept anywhere, is it kept here, what has to be read); it is done once now. The key of a lifetime was hashed from its name for all endpoints whenever the peers' load was taken in, and kept beside the start in each place; the state of an endpoint holds it. Endpoints that peers tell of are found by that key instead of a look at all. The first endpoint that takes requests ends the look for one. The headers of a request are read a second time only if its body is still on the way.

--- a/cornelstand/src/gateway/connection.rs
+++ b/cornelstand/src/gateway/connection.rs
@@ -154,8 +154,7 @@
         sent.map_err(|_| NoRequest::Over)?;
     }
     let mut body = BytesMut::new();
-    let patience = read_call(&head).ok().and_then(|fields| fields.patience);
-    let ends = arrived + patience.unwrap_or(BODY_TIMEOUT);
+    let mut ends = None;
     loop {
         reader.read(&mut outlet.input, &mut body)?;
         if body.len() > limits.body_bytes {
@@ -164,11 +163,18 @@
         if reader.is_done() {
             return Ok((head, body.freeze(), arrived));
         }
+        let ends = *ends.get_or_insert_with(|| arrived + body_time(&head));
         let until = Instant::now() + limits.idle_time;
         more(outlet, until.min(ends)).await?;
     }
 }
 
+/// Longest time for a body, from the first byte of its request.
+fn body_time(head: &Head) -> Duration {
+    let patience = read_call(head).ok().and_then(|fields| fields.patience);
+    patience.unwrap_or(BODY_TIMEOUT)
+}
+
 async fn more(outlet: &mut Outlet, until: Instant) -> Result<(), NoRequest> {
     // A read that is always ready would pass by the timeout.
     if Instant::now() >= until {
--- a/cornelstand/src/gateway/endpoint_state.rs
+++ b/cornelstand/src/gateway/endpoint_state.rs
@@ -9,14 +9,13 @@
 
 use crate::gateway::directory::EndpointRecord;
 use crate::gateway::notices::Noted;
+use crate::gateway::peers::endpoint_key;
 use crate::gateway::residency::TOLD_TOKENS;
 use crate::moment::Moment;
 
 /// Milliseconds to read one prompt token before anything was measured; common engines read 20 to
 /// 60 tokens in a millisecond.
 const FIRST_PACE: f64 = 0.024;
-/// Shared tokens that are not worth a wait.
-const SMALL_PART: f64 = 400.0;
 /// Time after which peers are told again that a part is in use, below the one for which they take it
 /// for kept.
 const TELL_AGAIN: Duration = Duration::from_secs(4);
@@ -58,6 +57,12 @@
         self
     }
 
+    /// Tokens that no other request shares.
+    pub(crate) fn own(&self) -> f64 {
+        let shared: u32 = self.shared().iter().map(|p| p.tokens).sum();
+        f64::from(self.input.saturating_sub(shared))
+    }
+
     /// Deepest shared part, by which requests are drawn together.
     pub(crate) fn anchor(&self) -> Option<u64> {
         self.shared().last().map(|p| p.id)
@@ -121,6 +126,8 @@
 #[derive(Debug)]
 pub(crate) struct EndpointState {
     pub(crate) record: Rc<EndpointRecord>,
+    /// See [`endpoint_key`].
+    pub(crate) key: u32,
     pub(crate) cold_until: Moment,
     pub(crate) own: Load,
     pub(crate) peers: Load,
@@ -141,6 +148,7 @@
     pub(crate) fn new(now: Moment, record: Rc<EndpointRecord>) -> Self {
         Self {
             cold_until: now.after(record.cold),
+            key: endpoint_key(&record),
             record,
             own: Load::default(),
             peers: Load::default(),
@@ -211,11 +219,6 @@
         recent < share as usize
     }
 
-    /// Whether the endpoint is expected to keep what others share of `prompt`.
-    pub(crate) fn keeps(&self, now: Moment, prompt: &Prompt) -> bool {
-        self.lacking(now, prompt) < SMALL_PART
-    }
-
     /// Shared tokens of `prompt` that are not kept here, as far as this instance knows.
     pub(crate) fn lacking(&self, now: Moment, prompt: &Prompt) -> f64 {
         let is_kept = |p: &&PromptPart| {
@@ -227,14 +230,6 @@
         shared[kept..].iter().map(|p| f64::from(p.tokens)).sum()
     }
 
-    /// Tokens of `prompt` that have to be read here, and how many of them others may share.
-    pub(crate) fn missing(&self, now: Moment, prompt: &Prompt) -> (f64, f64) {
-        let shared: u32 = prompt.shared().iter().map(|p| p.tokens).sum();
-        let own = f64::from(prompt.input.saturating_sub(shared));
-        let lacking = self.lacking(now, prompt);
-        (own + lacking, lacking)
-    }
-
     /// Memory that `prompt` adds to what runs here.
     pub(crate) fn memory(&self, prompt: &Prompt) -> f64 {
         let is_used = |p: &&PromptPart| self.parts.get(&p.id).is_some_and(|k| k.users > 0);
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -15,7 +15,7 @@
 use crate::gateway::number::{float, gauge, short};
 use crate::gateway::outputs::Outputs;
 use crate::gateway::pauses::PauseWatch;
-use crate::gateway::peers::{Beat, Digest, PeerLoad, Peers, endpoint_key};
+use crate::gateway::peers::{Beat, Digest, PeerLoad, Peers};
 use crate::gateway::placement::{EndpointIndex, Endpoints, Place, PlaceEnd, PlacementRules};
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::upstream::Pool;
@@ -456,7 +456,7 @@
         let state = &mut *state;
         let centre = &self.settings.borrow().centre;
         let loads = state.peers.loads(now, centre);
-        let load = |r: &_| loads.get(&endpoint_key(r)).copied().unwrap_or_default();
+        let load = |key| loads.get(&key).copied().unwrap_or_default();
         state.endpoints.set_peers(load);
         state.outputs.set_peers(state.peers.token_times(now));
         state
@@ -474,7 +474,7 @@
         let mut state = self.state.borrow_mut();
         state.beats += 1;
         let loads = state.endpoints.own_loads();
-        let loads = loads.map(|(record, load)| PeerLoad::new(endpoint_key(record), load));
+        let loads = loads.map(|(key, load)| PeerLoad::new(key, load));
         let wanting = state.admission.wanting(now);
         let attained = state.admission.own(now);
         let attained = attained.filter(|(_, sum)| *sum >= 1.0);
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -18,7 +18,6 @@
 use crate::gateway::directory::EndpointRecord;
 use crate::gateway::endpoint_state::{EndpointState, Home, Load, Prompt};
 use crate::gateway::notices::{Notice, Notices};
-use crate::gateway::peers::endpoint_key;
 use crate::gateway::residency::{ResidencyNews, Resident};
 use crate::moment::Moment;
 use crate::name::{CentreName, EndpointName, ServiceName};
@@ -43,6 +42,8 @@
 const OWN_PART: f64 = 0.4;
 /// Cost of crossing data centres, in milliseconds of engine time: the price of the bytes.
 const CROSS_COST: f64 = 12.0;
+/// Shared tokens that are not worth a wait.
+const SMALL_PART: f64 = 400.0;
 /// Weight of shared tokens that are read again: they take the engine's time from all others.
 const AGAIN_WEIGHT: f64 = 2.0;
 /// Cost of a request that runs beside, in milliseconds: it slows each step.
@@ -116,9 +117,8 @@
 #[derive(Debug)]
 pub(crate) struct Place {
     pub(crate) index: EndpointIndex,
-    /// See [`endpoint_key`].
+    /// Lifetime of the endpoint; see [`EndpointState::key`].
     key: u32,
-    born: u64,
     sent: Moment,
     load: Load,
     /// Counted tokens that the account was charged for it.
@@ -245,9 +245,8 @@
         let indices = self.services.entry(record.service.clone()).or_default();
         indices.push(index);
         let mut state = EndpointState::new(now, record);
-        let key = endpoint_key(&state.record);
-        state.noted = self.notices.get(key);
-        self.keys.insert(key, index);
+        state.noted = self.notices.get(state.key);
+        self.keys.insert(state.key, index);
         self.states.push(Some(state));
     }
 
@@ -268,16 +267,11 @@
             leaving: true,
             rest: None,
         };
-        let news = endpoints.iter().copied();
-        let news: Vec<u32> = news
-            .filter(|e| self.notices.note(now, *e, notice))
-            .collect();
-        if news.is_empty() {
-            return Vec::new();
-        }
         let mut names = Vec::new();
-        for state in self.states.iter_mut().flatten() {
-            if news.contains(&endpoint_key(&state.record)) {
+        for key in endpoints {
+            if self.notices.note(now, *key, notice)
+                && let Some(state) = self.by_key(*key)
+            {
                 state.noted.leaving = true;
                 names.push(state.record.name.clone());
             }
@@ -285,6 +279,11 @@
         names
     }
 
+    /// The listed endpoint with a key.
+    fn by_key(&mut self, key: u32) -> Option<&mut EndpointState> {
+        self.states.get_mut(*self.keys.get(&key)?)?.as_mut()
+    }
+
     /// Notes that a request found no place where its shared part is kept.
     pub(crate) fn note_wanted(&mut self, now: Moment, prompt: &Prompt) {
         if let Some(anchor) = prompt.anchor() {
@@ -310,14 +309,13 @@
     /// Takes in parts that requests of peers brought to engines.
     pub(crate) fn hear_residents(&mut self, now: Moment, residents: &[Resident]) {
         for resident in residents {
-            let index = self.keys.get(&resident.endpoint).copied();
-            if let Some(state) = index.and_then(|i| self.states[i].as_mut()) {
+            if let Some(state) = self.by_key(resident.endpoint) {
                 state.hear_part(now, resident.part);
             }
         }
     }
 
-    /// Endpoints that peers should know to leave, by [`endpoint_key`].
+    /// Endpoints that peers should know to leave, by [`EndpointState::key`].
     pub(crate) fn leaving(&self, now: Moment) -> Vec<u32> {
         self.notices.told(now)
     }
@@ -333,7 +331,15 @@
         let indices = self.services.get(service).map_or(&[][..], Vec::as_slice);
         let states = indices.iter().filter_map(|i| Some((*i, self.get(*i)?)));
         let fit = states.filter(|(i, s)| !s.is_leaving() && is_allowed(*i, &s.record));
-        fit.map(|(_, s)| s.noted.rests_until.max(now)).min()
+        let mut first = None;
+        for (_, state) in fit {
+            let opens = state.noted.rests_until.max(now);
+            if opens == now {
+                return Some(now);
+            }
+            first = Some(first.map_or(opens, |f| opens.min(f)));
+        }
+        first
     }
 
     pub(crate) fn remove(&mut self, name: &EndpointName) {
@@ -343,24 +349,24 @@
         let Some(state) = self.states[index].take() else {
             return;
         };
-        self.keys.remove(&endpoint_key(&state.record));
+        self.keys.remove(&state.key);
         if let Some(indices) = self.services.get_mut(&state.record.service) {
             indices.retain(|i| *i != index);
         }
     }
 
-    /// Replaces what peers hold at the endpoints.
-    pub(crate) fn set_peers(&mut self, load: impl Fn(&EndpointRecord) -> Load) {
+    /// Replaces what peers hold at the endpoints, by [`EndpointState::key`].
+    pub(crate) fn set_peers(&mut self, load: impl Fn(u32) -> Load) {
         for state in self.states.iter_mut().flatten() {
-            state.peers = load(&state.record);
+            state.peers = load(state.key);
         }
     }
 
-    /// Own load at the endpoints that hold any.
-    pub(crate) fn own_loads(&self) -> impl Iterator<Item = (&EndpointRecord, Load)> {
+    /// Own load at the endpoints that hold any, by [`EndpointState::key`].
+    pub(crate) fn own_loads(&self) -> impl Iterator<Item = (u32, Load)> {
         let states = self.states.iter().flatten();
         let busy = states.filter(|s| s.own.running > 0);
-        busy.map(|s| (s.record.as_ref(), s.own))
+        busy.map(|s| (s.key, s.own))
     }
 
     /// Endpoint with the least cost for a request, without taking it.
@@ -383,22 +389,24 @@
             state.is_usable(now) && is_allowed(*index, &state.record)
         };
         let listed = indices.iter().filter_map(|i| Some((*i, self.get(*i)?)));
-        let usable: Vec<_> = listed.filter(is_usable).collect();
+        let usable = listed.filter(is_usable);
+        let lacking = |s: &EndpointState| prompt.map_or(0.0, |p| s.lacking(now, p));
+        let usable: Vec<_> = usable.map(|(i, s)| (i, s, lacking(s))).collect();
         if usable.is_empty() {
             return Err(NoPlace::NoEndpoint);
         }
         // A part that an engine keeps is worth a wait; one that none keeps is read at a home.
-        let is_kept = |p: &Prompt| usable.iter().any(|(_, s)| s.keeps(now, p));
-        let is_kept = prompt.is_some_and(is_kept);
-        let least = usable.iter().map(|(_, s)| s.failing).fold(1.0, f64::min);
+        let is_kept = usable.iter().any(|(_, _, lacking)| *lacking < SMALL_PART);
+        let least = usable.iter().map(|(_, s, _)| s.failing).fold(1.0, f64::min);
         // Endpoints that fail more than others are taken if nothing else has room.
         let mut best: Option<(bool, f64, EndpointIndex)> = None;
-        for (index, state) in usable {
+        for (index, state, lacking) in usable {
             let home = homes.of(index);
+            let must_read = lacking >= SMALL_PART;
             let cost = match prompt {
                 Some(_) if !has_time(state, rules) => None,
-                Some(p) if !may_read(state, rules, home, is_kept) && !state.keeps(now, p) => None,
-                Some(prompt) => engine_cost(now, state, prompt, rules),
+                Some(_) if must_read && !may_read(state, rules, home, is_kept) => None,
+                Some(prompt) => engine_cost(state, prompt, lacking, rules),
                 None => plain_cost(state),
             };
             let Some(mut cost) = cost.filter(|_| state.bears(now, rules.cold_share)) else {
@@ -431,12 +439,12 @@
         };
         let mut parts = Vec::new();
         if let Some(prompt) = prompt {
-            load.waiting = state.missing(now, prompt).0;
+            load.waiting = prompt.own() + state.lacking(now, prompt);
             load.memory = state.memory(prompt);
             for part in prompt.shared() {
                 if state.use_part(now, *part) {
                     let resident = Resident {
-                        endpoint: endpoint_key(&state.record),
+                        endpoint: state.key,
                         part: part.id,
                     };
                     self.residents.push(now, resident);
@@ -452,8 +460,7 @@
         }
         Some(Place {
             index,
-            key: endpoint_key(&state.record),
-            born: state.record.born,
+            key: state.key,
             sent: now,
             load,
             charged: 0.0,
@@ -542,7 +549,7 @@
 
     fn state_of(&mut self, place: &Place) -> Option<&mut EndpointState> {
         let state = self.states.get_mut(place.index)?.as_mut()?;
-        (state.record.born == place.born).then_some(state)
+        (state.key == place.key).then_some(state)
     }
 
     /// Endpoints that requests with `anchor` are drawn to, the same at all instances.
@@ -593,11 +600,12 @@
         && load.token_time < rules.token_time * SPREAD_PART
 }
 
-/// Milliseconds of engine time and waiting that a request costs at an engine that has room.
+/// Milliseconds of engine time and waiting that a request costs at an engine that has room, and
+/// lacks so many tokens of its shared part.
 fn engine_cost(
-    now: Moment,
     state: &EndpointState,
     prompt: &Prompt,
+    lacking: f64,
     rules: &PlacementRules,
 ) -> Option<f64> {
     let load = state.total();
@@ -610,14 +618,13 @@
     if output_time > rules.left.as_secs_f64() * 1e3 * OUTPUT_PART {
         return None;
     }
-    let (missing, shared) = state.missing(now, prompt);
-    let own = missing * state.pace;
+    let own = (prompt.own() + lacking) * state.pace;
     let wait = load.waiting * state.pace;
     let limit = (rules.objective.as_secs_f64() * 1e3 * QUEUE_PART).min(QUEUE_MAX);
     if load.waiting > 0.0 && wait > limit - own.min(limit * OWN_PART) {
         return None;
     }
-    let again = shared * state.pace * (AGAIN_WEIGHT - 1.0);
+    let again = lacking * state.pace * (AGAIN_WEIGHT - 1.0);
     Some(wait + own + again + f64::from(load.running) * BESIDE_COST)
 }
 
