Log what instances hold against requests, and where it comes from

The lines could not tell the hypotheses of the incident apart: a crash was logged where it was seen, and nothing showed which instance learned of it, from whom, or when it forgot. No decision changes.

- Counters of changes by source, and of recent suspicions that a beat had no room for.

--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -463,6 +463,7 @@
         state.endpoints.get(place.index).map(|e| e.record.clone())
     };
     let Some(record) = record else {
+        tracing::info!(event = "loss_unexamined", request = %call.id(), fingerprint = %call.fingerprint);
         return;
     };
     gate.examine(call.fingerprint, &record.name, record.born, record.address)
@@ -497,6 +498,7 @@
         attained = state.admission.attained(gate.now(), &account),
         least = state.admission.least(&call.service),
         waiting = state.admission.len(), version = call.version,
+        fingerprint = %call.fingerprint, crashes = state.suspects.crashes(call.fingerprint),
     );
 }
 
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -9,6 +9,7 @@
 use crate::gateway::admission::{Admission, WaitId, Waiting};
 use crate::gateway::budget::{RetryShare, cold_share};
 use crate::gateway::catalog::GatewayService;
+use crate::gateway::containment::{Source, hear_suspicions};
 use crate::gateway::directory::{Directory, EndpointChange};
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::notices::Notice;
@@ -437,9 +438,7 @@
         self.metrics.beats.inc();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
-        for suspicion in &beat.suspicions {
-            state.suspects.merge(now, suspicion.clone());
-        }
+        hear_suspicions(state, &self.metrics, now, Source::Beat, &beat.suspicions);
         note_leaving(state, now, &beat.leaving);
         state.endpoints.hear_residents(now, &beat.residents);
         let name = beat.instance.clone();
@@ -478,7 +477,13 @@
         let wanting = state.admission.wanting(now);
         let attained = state.admission.own(now);
         let attained = attained.filter(|(_, sum)| *sum >= 1.0);
-        let suspicions = state.suspects.suspicions(now, BEAT_SUSPICIONS);
+        let mut suspicions = state.suspects.suspicions(now, usize::MAX);
+        suspicions.retain(|s| s.age < TOLD);
+        let untold = suspicions.len().saturating_sub(BEAT_SUSPICIONS);
+        self.metrics
+            .untold
+            .inc_by(u64::try_from(untold).unwrap_or(u64::MAX));
+        suspicions.truncate(BEAT_SUSPICIONS);
         Beat {
             instance: settings.instance.clone(),
             centre: settings.centre.clone(),
@@ -502,7 +507,7 @@
                 .own_times()
                 .map(|(s, time)| (s.clone(), short(time)))
                 .collect(),
-            suspicions: suspicions.into_iter().filter(|s| s.age < TOLD).collect(),
+            suspicions,
             leaving: state.endpoints.leaving(now),
             residents: state.endpoints.residents(now),
         }
--- a/cornelstand/src/gateway/metrics.rs
+++ b/cornelstand/src/gateway/metrics.rs
@@ -20,6 +20,10 @@
     pub(crate) losses: IntCounter,
     pub(crate) store_calls: IntCounterVec,
     pub(crate) beats: IntCounter,
+    /// Changes of what is held against requests, by where they come from.
+    pub(crate) suspicions: IntCounterVec,
+    /// Recent suspicions that a message had no room for.
+    pub(crate) untold: IntCounter,
     pub(crate) connections: IntGauge,
     pub(crate) waiting: IntGauge,
     pub(crate) version: IntGauge,
@@ -74,6 +78,15 @@
                 "result",
             )?,
             beats: counter("cornelstand_beats_total", "Beats of peers taken in")?,
+            suspicions: counters(
+                "cornelstand_suspicions_total",
+                "Changes of what is held against requests",
+                "source",
+            )?,
+            untold: counter(
+                "cornelstand_suspicions_untold_total",
+                "Recent suspicions that a message had no room for",
+            )?,
             connections: gauge("cornelstand_connections", "Open connections of callers")?,
             waiting: gauge("cornelstand_waiting", "Requests that wait for a place")?,
             version: gauge("cornelstand_config_version", "Configuration in force")?,
--- a/cornelstand/src/suspect.rs
+++ b/cornelstand/src/suspect.rs
@@ -155,6 +155,12 @@
         Standing::Refused(left)
     }
 
+    /// Number of endpoints lost to `request` in its present round.
+    #[must_use]
+    pub fn crashes(&self, request: Fingerprint) -> usize {
+        self.entries.get(&request).map_or(0, |e| e.crashes.len())
+    }
+
     /// Tells whether the trial that `instance` wants may begin.
     #[must_use]
     pub fn may_begin(&self, now: Moment, request: Fingerprint, instance: &InstanceName) -> bool {
