Reproduce a request that goes on crashing endpoints in large fleets

Fleets of 2, 59 and 195 instances in simulated time, which tell one another by their own messages; a request comes again every 400 ms at any instance and ends the endpoint that runs it. What a message does is separated from its socket for this.

The bound is three.

--- a/cornelstand/src/gateway/peers_link.rs
+++ b/cornelstand/src/gateway/peers_link.rs
@@ -18,7 +18,7 @@
 /// Datagrams that an instance takes in a second from its data centre: some 2% of a small processor.
 const DATAGRAMS: f64 = 150.0;
 /// Time between two digests of a data centre.
-const DIGEST_PERIOD: Duration = Duration::from_millis(80);
+pub(crate) const DIGEST_PERIOD: Duration = Duration::from_millis(80);
 /// Largest datagram, in bytes.
 const DATAGRAM_BYTES: usize = 60 * 1024;
 
@@ -35,7 +35,7 @@
 
 /// Time until the next beat. Instances with more requests send more often, because others have to
 /// know more of them; all together send a fixed number.
-fn beat_period(gate: &Gate) -> Duration {
+pub(crate) fn beat_period(gate: &Gate) -> Duration {
     let centre = gate.settings.borrow().centre.clone();
     let state = gate.state.borrow();
     let listeners = state.peers.listeners(&centre).len();
@@ -48,66 +48,92 @@
     Duration::from_secs_f64(1.0 / rate).clamp(BEAT_PERIOD, BEAT_MAX)
 }
 
-/// Sends one beat.
-pub(crate) fn send_beat(gate: &Gate, socket: &UdpSocket) {
-    let beat = gate.beat();
-    let listeners = gate.state.borrow().peers.listeners(&beat.centre);
-    send(socket, &Message::Beat(beat), &listeners);
+/// A message, and where it goes.
+#[derive(Debug)]
+pub(crate) struct Packet {
+    pub(crate) bytes: Vec<u8>,
+    pub(crate) addresses: Vec<SocketAddr>,
 }
 
-/// Tells the other data centres what is done in this one, while this instance leads it.
-pub(crate) async fn send_digests(gate: Rc<Gate>, socket: Rc<UdpSocket>) {
-    loop {
-        sleep(DIGEST_PERIOD).await;
-        if !gate.state.borrow().peers.is_large() || !gate.leads() {
-            continue;
+impl Packet {
+    fn new(message: &Message, addresses: Vec<SocketAddr>) -> Option<Self> {
+        match postcard::to_stdvec(message) {
+            Ok(bytes) => Some(Self { bytes, addresses }),
+            Err(error) => {
+                tracing::error!(event = "message_unwritten", %error);
+                None
+            }
         }
-        let digest = gate.digest();
-        let state = gate.state.borrow();
-        let leaders = state.peers.other_leaders(&digest.centre, digest.order.1);
-        drop(state);
-        send(&socket, &Message::Digest(digest), &leaders);
     }
 }
 
-fn send(socket: &UdpSocket, message: &Message, addresses: &[SocketAddr]) {
-    let bytes = match postcard::to_stdvec(message) {
-        Ok(bytes) => bytes,
-        Err(error) => {
-            tracing::error!(event = "message_unwritten", %error);
-            return;
-        }
-    };
-    for address in addresses {
-        // The next message replaces one that is lost.
-        if let Err(error) = socket.try_send_to(&bytes, *address) {
-            tracing::debug!(event = "message_unsent", %address, %error);
-        }
+/// The beat to send now.
+pub(crate) fn beat_packet(gate: &Gate) -> Option<Packet> {
+    let beat = gate.beat();
+    let listeners = gate.state.borrow().peers.listeners(&beat.centre);
+    Packet::new(&Message::Beat(beat), listeners)
+}
+
+/// The digest to send now, while this instance tells the other data centres what is done in its own.
+pub(crate) fn digest_packet(gate: &Gate) -> Option<Packet> {
+    if !gate.state.borrow().peers.is_large() || !gate.leads() {
+        return None;
     }
+    let digest = gate.digest();
+    let state = gate.state.borrow();
+    let leaders = state.peers.other_leaders(&digest.centre, digest.order.1);
+    Packet::new(&Message::Digest(digest), leaders)
 }
 
-/// Takes in a message, and passes the digest of another data centre on in this one.
-fn take(gate: &Gate, socket: &UdpSocket, address: SocketAddr, bytes: &[u8]) {
+/// Takes in a message. Returns where it is passed on to: the digest of another data centre goes to
+/// the instances of this one.
+pub(crate) fn take(gate: &Gate, address: SocketAddr, bytes: &[u8]) -> Vec<SocketAddr> {
     let message = match postcard::from_bytes::<Message>(bytes) {
         Ok(message) => message,
         Err(error) => {
             tracing::warn!(event = "message_unreadable", %address, %error);
-            return;
+            return Vec::new();
         }
     };
     match message {
-        Message::Beat(beat) => gate.hear(address, beat),
+        Message::Beat(beat) => {
+            gate.hear(address, beat);
+            Vec::new()
+        }
         Message::Digest(digest) => {
             let centre = gate.settings.borrow().centre.clone();
-            let listeners = gate.state.borrow().peers.listeners(&centre);
+            let mut listeners = gate.state.borrow().peers.listeners(&centre);
             let is_passed_on = listeners.contains(&address);
-            if gate.hear_centre(digest) && !is_passed_on {
-                for listener in listeners {
-                    if let Err(error) = socket.try_send_to(bytes, listener) {
-                        tracing::debug!(event = "message_unsent", address = %listener, %error);
-                    }
-                }
+            if !gate.hear_centre(digest) || is_passed_on {
+                listeners.clear();
             }
+            listeners
+        }
+    }
+}
+
+/// Sends one beat.
+pub(crate) fn send_beat(gate: &Gate, socket: &UdpSocket) {
+    if let Some(packet) = beat_packet(gate) {
+        send(socket, &packet.bytes, &packet.addresses);
+    }
+}
+
+/// Tells the other data centres what is done in this one, while this instance leads it.
+pub(crate) async fn send_digests(gate: Rc<Gate>, socket: Rc<UdpSocket>) {
+    loop {
+        sleep(DIGEST_PERIOD).await;
+        if let Some(packet) = digest_packet(&gate) {
+            send(&socket, &packet.bytes, &packet.addresses);
+        }
+    }
+}
+
+fn send(socket: &UdpSocket, bytes: &[u8], addresses: &[SocketAddr]) {
+    for address in addresses {
+        // The next message replaces one that is lost.
+        if let Err(error) = socket.try_send_to(bytes, *address) {
+            tracing::debug!(event = "message_unsent", %address, %error);
         }
     }
 }
@@ -125,7 +151,8 @@
         }
         let mut is_any = false;
         while let Ok((length, address)) = socket.try_recv_from(&mut buffer) {
-            take(&gate, &socket, address, &buffer[..length]);
+            let bytes = &buffer[..length];
+            send(&socket, bytes, &take(&gate, address, bytes));
             is_any = true;
         }
         if is_any {
--- a/cornelstand/src/gateway/tests.rs
+++ b/cornelstand/src/gateway/tests.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod budget;
+mod containment;
 mod directory;
 mod heavy_load;
 mod message;
--- /dev/null
+++ b/cornelstand/src/gateway/tests/containment.rs
@@ -0,0 +1,249 @@
+//! Requests that crash endpoints, in whole fleets: instances tell one another by their own messages,
+//! in simulated time, and every send of the request ends an endpoint.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use tokio::time::advance;
+
+use crate::gateway::gate::Gate;
+use crate::gateway::metrics::GatewayMetrics;
+use crate::gateway::peers_link::{
+    DIGEST_PERIOD, Packet, beat_packet, beat_period, digest_packet, take,
+};
+use crate::gateway::tests::settings;
+use crate::name::{CentreName, EndpointName, Fingerprint};
+
+/// Step of the simulated time.
+const STEP: Duration = Duration::from_millis(10);
+/// Time that a datagram takes, in steps.
+const FLIGHT: u64 = 1;
+/// Bound within which instances that are in touch know what others do, as the platform states it.
+const CONTACT: Duration = Duration::from_secs(4);
+/// Endpoints that may end before a request is refused everywhere, as the platform counts.
+const MAX_ENDED: usize = 3;
+/// Further sends that the platform allows later than [`CONTACT`] after that.
+const MAX_LATE: usize = 3;
+/// The request that ends every endpoint that runs it.
+const FATAL: Fingerprint = Fingerprint(1 << 40);
+/// Requests that ran at an endpoint when it ended: as many as an engine has slots.
+const INNOCENTS: u64 = 64;
+
+/// Who runs, and what harms their messages.
+#[derive(Clone, Copy, Debug)]
+struct Plan {
+    centres: usize,
+    count: usize,
+    seed: u64,
+    /// Requests that run beside at each endpoint that ends.
+    innocents: u64,
+    /// Part of the datagrams that are lost.
+    loss: f64,
+}
+
+impl Plan {
+    fn new(centres: usize, count: usize) -> Self {
+        Self {
+            centres,
+            count,
+            seed: 1,
+            innocents: 0,
+            loss: 0.0,
+        }
+    }
+}
+
+struct Member {
+    gate: Rc<Gate>,
+    address: SocketAddr,
+    beat_due: u64,
+    digest_due: u64,
+}
+
+/// Instances and the datagrams between them.
+struct Fleet {
+    plan: Plan,
+    members: Vec<Member>,
+    flying: BTreeMap<u64, Vec<(SocketAddr, usize, Rc<Vec<u8>>)>>,
+    indices: BTreeMap<SocketAddr, usize>,
+    step: u64,
+    rng: ChaCha8Rng,
+    /// When each endpoint ended.
+    ended: Vec<Duration>,
+}
+
+fn steps(time: Duration) -> u64 {
+    u64::try_from(time.as_millis() / STEP.as_millis()).expect("short")
+}
+
+impl Fleet {
+    fn start(plan: Plan) -> Self {
+        let members: Vec<Member> = (0..plan.count).map(|i| member(plan, i, 1)).collect();
+        let indices = members.iter().enumerate().map(|(i, m)| (m.address, i));
+        let mut fleet = Self {
+            indices: indices.collect(),
+            plan,
+            members,
+            flying: BTreeMap::new(),
+            step: 0,
+            rng: ChaCha8Rng::seed_from_u64(plan.seed),
+            ended: Vec::new(),
+        };
+        (0..plan.count).for_each(|i| fleet.introduce(i));
+        fleet
+    }
+
+    /// Tells an instance of all others, as the store does.
+    fn introduce(&mut self, index: usize) {
+        let mut state = self.members[index].gate.state.borrow_mut();
+        for (_, other) in self.members.iter().enumerate().filter(|(i, _)| *i != index) {
+            let settings = other.gate.settings.borrow();
+            let (name, centre) = (settings.instance.clone(), settings.centre.clone());
+            state
+                .peers
+                .list(name, other.address, centre, settings.cores);
+        }
+    }
+
+    /// Replaces an instance by one that knows nothing.
+    fn restart(&mut self, index: usize) {
+        self.members[index] = member(self.plan, index, 2 + self.step);
+        self.introduce(index);
+    }
+
+    fn send(&mut self, from: usize, packet: &Packet) {
+        let bytes = Rc::new(packet.bytes.clone());
+        for address in &packet.addresses {
+            if self.rng.random_bool(self.plan.loss) {
+                continue;
+            }
+            let to = self.indices[address];
+            let due = self.flying.entry(self.step + FLIGHT).or_default();
+            due.push((self.members[from].address, to, bytes.clone()));
+        }
+    }
+
+    /// Lets one step pass.
+    async fn pass(&mut self) {
+        advance(STEP).await;
+        self.step += 1;
+        for (from, to, bytes) in self.flying.remove(&self.step).unwrap_or_default() {
+            let addresses = take(&self.members[to].gate, from, &bytes);
+            let packet = Packet {
+                bytes: bytes.to_vec(),
+                addresses,
+            };
+            self.send(to, &packet);
+        }
+        for index in 0..self.members.len() {
+            let member = &self.members[index];
+            let mut packets = Vec::new();
+            if self.step >= member.beat_due {
+                packets.extend(beat_packet(&member.gate));
+                let period = beat_period(&member.gate);
+                self.members[index].beat_due = self.step + steps(period);
+            }
+            if self.step >= self.members[index].digest_due {
+                packets.extend(digest_packet(&self.members[index].gate));
+                self.members[index].digest_due = self.step + steps(DIGEST_PERIOD);
+            }
+            packets.iter().for_each(|p| self.send(index, p));
+        }
+    }
+
+    async fn wait(&mut self, time: Duration) {
+        for _ in 0..steps(time) {
+            self.pass().await;
+        }
+    }
+
+    fn time(&self) -> Duration {
+        STEP * u32::try_from(self.step).expect("short")
+    }
+
+    /// Sends the fatal request through an instance. Its endpoint ends with all that runs there.
+    fn attack(&mut self, index: usize) {
+        if self.members[index].gate.refused_for(FATAL).is_some() {
+            return;
+        }
+        let number = u64::try_from(self.ended.len()).expect("few");
+        self.ended.push(self.time());
+        let endpoint = EndpointName::from(format!("e-{number}").as_str());
+        for innocent in 0..self.plan.innocents {
+            let at = self.rng.random_range(0..self.members.len());
+            let request = Fingerprint(number * INNOCENTS + innocent);
+            self.members[at].gate.note_crash(request, &endpoint, 1);
+        }
+        self.members[index].gate.note_crash(FATAL, &endpoint, 1);
+    }
+
+    /// Instances that would send a request.
+    fn willing(&self, request: Fingerprint) -> usize {
+        let willing = |m: &&Member| m.gate.refused_for(request).is_none();
+        self.members.iter().filter(willing).count()
+    }
+
+    /// Sends of the fatal request later than [`CONTACT`] after it ended its third endpoint.
+    fn late(&self) -> usize {
+        let third = self.ended.get(MAX_ENDED - 1);
+        third.map_or(0, |t| {
+            let late = self.ended.iter().filter(|e| **e > *t + CONTACT);
+            late.count()
+        })
+    }
+}
+
+fn member(plan: Plan, index: usize, incarnation: u64) -> Member {
+    let centre = index % plan.centres;
+    let mut settings = settings(&format!("{centre}-{index:03}"));
+    settings.centre = CentreName::from(format!("c-{centre}").as_str());
+    settings.cores = if index < plan.centres * 2 { 0.5 } else { 0.12 };
+    let metrics = GatewayMetrics::new().expect("metrics are defined once");
+    let offset = u64::try_from(index).expect("few");
+    Member {
+        gate: Rc::new(Gate::new(settings, metrics, incarnation)),
+        address: ([10, 0, 0, u8::try_from(index).expect("below 256")], 7_400).into(),
+        beat_due: offset % 7,
+        digest_due: offset % 8,
+    }
+}
+
+/// The request comes again every 400 ms, each time at another instance.
+async fn attack_in_series(fleet: &mut Fleet, count: usize) {
+    for _ in 0..count {
+        let at = fleet.rng.random_range(0..fleet.members.len());
+        fleet.attack(at);
+        fleet.wait(Duration::from_millis(400)).await;
+    }
+}
+
+fn assert_contained(fleet: &Fleet) {
+    let plan = fleet.plan;
+    let (ended, late) = (fleet.ended.len(), fleet.late());
+    assert!(
+        ended <= MAX_ENDED && late <= MAX_LATE,
+        "{plan:?}: {ended} endpoints ended, {late} sends came later than {CONTACT:?}"
+    );
+}
+
+#[rstest]
+#[case::small(Plan::new(2, 2))]
+#[case::large(Plan::new(5, 59))]
+#[case::hundreds(Plan::new(3, 195))]
+#[tokio::test(start_paused = true)]
+async fn a_request_that_crashes_endpoints_is_refused_in_all_data_centres(#[case] plan: Plan) {
+    let mut fleet = Fleet::start(plan);
+    fleet.wait(Duration::from_secs(1)).await;
+    attack_in_series(&mut fleet, 30).await;
+    assert_contained(&fleet);
+    assert_eq!(
+        fleet.willing(FATAL),
+        0,
+        "instances that would still send it"
+    );
+}
