Take in what other data centres hold against requests

Callers' endpoints went down one after the other: a request that crashes what runs it was refused only in the data centres that had each lost two endpoints to it.

Cause: digests carried suspicions, and the code that takes a digest in did not read them. Beats and digests were taken in by two lists of statements, of which one was left behind. What both tell for their receivers to keep is one struct now, taken in by one function that names every field, so that a new field that nobody reads does not compile without a warning.

Leaving endpoints and kept parts of prompts, which take the same way, were read already.

--- a/cornelstand/src/gateway/containment.rs
+++ b/cornelstand/src/gateway/containment.rs
@@ -25,6 +25,8 @@
     Own,
     #[display("beat")]
     Beat,
+    #[display("digest")]
+    Digest,
 }
 
 impl Gate {
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -16,7 +16,7 @@
 use crate::gateway::number::{float, gauge, short};
 use crate::gateway::outputs::Outputs;
 use crate::gateway::pauses::PauseWatch;
-use crate::gateway::peers::{Beat, Digest, PeerLoad, Peers};
+use crate::gateway::peers::{Beat, Digest, News, PeerLoad, Peers};
 use crate::gateway::placement::{EndpointIndex, Endpoints, Place, PlaceEnd, PlacementRules};
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::upstream::Pool;
@@ -420,8 +420,7 @@
         let now = self.now();
         self.metrics.beats.inc();
         let mut state = self.state.borrow_mut();
-        note_leaving(&mut state, now, &digest.leaving);
-        state.endpoints.hear_residents(now, &digest.residents);
+        self.hear_news(&mut state, now, Source::Digest, &digest.news);
         state.peers.hear_centre(now, digest)
     }
 
@@ -438,9 +437,7 @@
         self.metrics.beats.inc();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
-        hear_suspicions(state, &self.metrics, now, Source::Beat, &beat.suspicions);
-        note_leaving(state, now, &beat.leaving);
-        state.endpoints.hear_residents(now, &beat.residents);
+        self.hear_news(state, now, Source::Beat, &beat.news);
         let name = beat.instance.clone();
         let is_near = beat.centre == self.settings.borrow().centre;
         if state.peers.hear(now, address, beat) && is_near {
@@ -448,6 +445,18 @@
         }
     }
 
+    /// Takes in what a message tells, whichever kind it is.
+    fn hear_news(&self, state: &mut State, now: Moment, source: Source, news: &News) {
+        let News {
+            suspicions,
+            leaving,
+            residents,
+        } = news;
+        hear_suspicions(state, &self.metrics, now, source, suspicions);
+        note_leaving(state, now, leaving);
+        state.endpoints.hear_residents(now, residents);
+    }
+
     /// Takes the peers' load into the decisions.
     pub(crate) fn count_peers(&self) {
         let now = self.now();
@@ -507,9 +516,11 @@
                 .own_times()
                 .map(|(s, time)| (s.clone(), short(time)))
                 .collect(),
-            suspicions,
-            leaving: state.endpoints.leaving(now),
-            residents: state.endpoints.residents(now),
+            news: News {
+                suspicions,
+                leaving: state.endpoints.leaving(now),
+                residents: state.endpoints.residents(now),
+            },
         }
     }
 }
--- a/cornelstand/src/gateway/peers.rs
+++ b/cornelstand/src/gateway/peers.rs
@@ -64,10 +64,17 @@
     /// Longest times between two tokens for long answers to end in time, in milliseconds, as seen at
     /// the sender, by service.
     pub(crate) token_times: Vec<(ServiceName, f32)>,
+    pub(crate) news: News,
+}
+
+/// What a message tells for its receivers to keep, beside what its sender does now.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub(crate) struct News {
+    /// What is held against requests.
     pub(crate) suspicions: Vec<Suspicion>,
     /// Endpoints that said lately that they leave, by [`endpoint_key`].
     pub(crate) leaving: Vec<u32>,
-    /// Parts of prompts that the sender's requests brought to engines lately.
+    /// Parts of prompts that requests brought to engines lately.
     pub(crate) residents: Vec<Resident>,
 }
 
@@ -115,11 +122,7 @@
     pub(crate) loads: Vec<PeerLoad>,
     pub(crate) attained: Vec<(AccountName, f32)>,
     pub(crate) wanting: Vec<(ServiceName, Vec<Want>)>,
-    pub(crate) suspicions: Vec<Suspicion>,
-    /// Endpoints that said lately that they leave, by [`endpoint_key`].
-    pub(crate) leaving: Vec<u32>,
-    /// Parts of prompts that requests of the data centre brought to engines lately.
-    pub(crate) residents: Vec<Resident>,
+    pub(crate) news: News,
 }
 
 /// A message between instances.
@@ -261,9 +264,11 @@
                 .into_iter()
                 .map(|(s, wants)| (s, join_wants(wants)))
                 .collect(),
-            suspicions: own.suspicions.clone(),
-            leaving: own.leaving.clone(),
-            residents: join_residents(beats.iter().flat_map(|b| &b.residents)),
+            news: News {
+                suspicions: own.news.suspicions.clone(),
+                leaving: own.news.leaving.clone(),
+                residents: join_residents(beats.iter().flat_map(|b| &b.news.residents)),
+            },
             order: (own.incarnation, own.number),
             beliefs: own.beliefs,
             version: own.version,
--- a/cornelstand/src/gateway/tests/containment.rs
+++ b/cornelstand/src/gateway/tests/containment.rs
@@ -110,12 +110,6 @@
         }
     }
 
-    /// Replaces an instance by one that knows nothing.
-    fn restart(&mut self, index: usize) {
-        self.members[index] = member(self.plan, index, 2 + self.step);
-        self.introduce(index);
-    }
-
     fn send(&mut self, from: usize, packet: &Packet) {
         let bytes = Rc::new(packet.bytes.clone());
         for address in &packet.addresses {
--- a/cornelstand/src/gateway/tests/heavy_load.rs
+++ b/cornelstand/src/gateway/tests/heavy_load.rs
@@ -327,7 +327,7 @@
                     let address = ([10, 0, 1, k as u8], 7_400).into();
                     let mut beat = beat.clone();
                     if policy == Policy::Untold {
-                        beat.residents.clear();
+                        beat.news.residents.clear();
                     }
                     gate.hear(address, beat);
                 }
--- a/cornelstand/src/gateway/tests/peers.rs
+++ b/cornelstand/src/gateway/tests/peers.rs
@@ -5,7 +5,7 @@
 
 use crate::gateway::admission::Want;
 use crate::gateway::directory::Marks;
-use crate::gateway::peers::{Beat, PeerLoad, Peers};
+use crate::gateway::peers::{Beat, News, PeerLoad, Peers};
 use crate::gateway::tests::settings;
 use crate::moment::Moment;
 use crate::name::{AccountName, CentreName, InstanceName, ServiceName};
@@ -52,9 +52,7 @@
             }],
         )],
         token_times: vec![(ServiceName::from("models"), 20.0)],
-        suspicions: Vec::new(),
-        leaving: Vec::new(),
-        residents: Vec::new(),
+        news: News::default(),
     }
 }
 
