Tell every suspicion a few times, refused requests first

With other requests running beside the one that crashes endpoints, each send of it ended one more, in all data centres and in small fleets too.

Cause: a beat had room for the four suspicions with the latest change. One crash makes suspects of up to 64 requests, and each that is answered later becomes the latest again by being cleared. The suspicion that mattered was not among the four within the 5 s in which suspicions were told, and nothing told it after that.

Changes wait for their turn in a queue now, are told three times each, those of refused requests first; beats have room for 32, digests for 64 and queue for themselves. A peer that counts too few to refuse a request is told again. What waits too long is counted.

--- a/cornelstand/src/gateway/containment.rs
+++ b/cornelstand/src/gateway/containment.rs
@@ -1,34 +1,43 @@
 //! Requests that crash the endpoints that run them.
 //!
 //! An attempt that broke off counts as a crash if its endpoint does not take a connection right
-//! afterwards. What is known of the request goes to the peers with the next beat.
+//! afterwards. What is known of the request goes to the peers with the next messages.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use derive_more::Display;
+use derive_more::IsVariant;
 
 use crate::gateway::gate::{Gate, State};
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::upstream::Upstream;
 use crate::moment::Moment;
 use crate::name::{BootId, EndpointName, Fingerprint};
-use crate::suspect::{Crash, Standing, Suspicion};
+use crate::suspect::{Crash, MAX_CRASHES, Standing, Suspects, Suspicion};
 
 /// Longest wait for an endpoint to take a connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Where a belief about a request comes from.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, IsVariant, PartialEq)]
 pub(crate) enum Source {
-    #[display("own")]
+    /// This instance saw it.
     Own,
-    #[display("beat")]
     Beat,
-    #[display("digest")]
     Digest,
 }
 
+impl Source {
+    /// Name in log lines and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Beat => "beat",
+            Self::Digest => "digest",
+        }
+    }
+}
+
 impl Gate {
     /// Time for which a request is refused because it crashed endpoints.
     pub(crate) fn refused_for(&self, request: Fingerprint) -> Option<Duration> {
@@ -63,75 +72,104 @@
         };
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let change = Change::before(&state, now, request, Source::Own);
-        state.suspects.note(now, request, crash);
+        let noted = state.learn(&self.metrics, now, Source::Own, request, |suspects| {
+            suspects.note(now, request, crash);
+        });
         tracing::info!(
-            event = "endpoint_crashed", %endpoint, fingerprint = %request,
-            crashes = state.suspects.crashes(request),
+            event = "endpoint_crashed", %endpoint, fingerprint = %request, crashes = noted.crashes,
         );
-        change.log(&state, &self.metrics, now);
+        drop(state);
+        self.news.notify_one();
     }
 
     /// Clears a request that was answered whole.
     pub(crate) fn absolve(&self, request: Fingerprint) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let change = Change::before(&state, now, request, Source::Own);
-        state.suspects.clear(now, request);
-        change.log(&state, &self.metrics, now);
+        state.learn(&self.metrics, now, Source::Own, request, |suspects| {
+            suspects.clear(now, request);
+        });
     }
 }
 
-/// Takes in what a peer holds against requests.
-pub(crate) fn hear_suspicions(
-    state: &mut State,
-    metrics: &GatewayMetrics,
-    now: Moment,
-    source: Source,
-    suspicions: &[Suspicion],
-) {
-    for told in suspicions {
-        let change = Change::before(state, now, told.fingerprint, source);
-        state.suspects.merge(now, told.clone());
-        change.log(state, metrics, now);
-    }
-}
-
-/// What was held against a request before something was learned of it.
-struct Change {
-    request: Fingerprint,
-    source: Source,
+/// What is held against a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Held {
     crashes: usize,
-    was_refused: bool,
+    is_refused: bool,
 }
 
-impl Change {
-    fn before(state: &State, now: Moment, request: Fingerprint, source: Source) -> Self {
+impl Held {
+    fn of(suspects: &Suspects, now: Moment, request: Fingerprint) -> Self {
         Self {
-            request,
-            source,
-            crashes: state.suspects.crashes(request),
-            was_refused: state.suspects.check(now, request).is_refused(),
+            crashes: suspects.crashes(request),
+            is_refused: suspects.check(now, request).is_refused(),
         }
     }
+}
 
-    /// Counts a change, and logs one that decides whether the request is refused.
-    fn log(self, state: &State, metrics: &GatewayMetrics, now: Moment) {
-        let crashes = state.suspects.crashes(self.request);
-        if crashes == self.crashes {
-            return;
+impl State {
+    /// Takes in what a peer holds against requests.
+    pub(crate) fn hear_suspicions(
+        &mut self,
+        metrics: &GatewayMetrics,
+        now: Moment,
+        source: Source,
+        suspicions: &[Suspicion],
+    ) {
+        for told in suspicions {
+            let request = told.fingerprint;
+            let held = self.learn(metrics, now, source, request, |suspects| {
+                suspects.merge(now, told.clone());
+            });
+            // The peer counts too few to refuse it, and is told again.
+            if held.is_refused && told.crashes.len() < MAX_CRASHES {
+                let news = &mut self.suspicion_news;
+                let outbox = if source.is_digest() {
+                    &mut news.digests
+                } else {
+                    &mut news.beats
+                };
+                outbox.push(now, request, true);
+            }
+        }
+    }
+
+    /// Changes what is held against a request, and lets those know whom the news did not reach.
+    fn learn(
+        &mut self,
+        metrics: &GatewayMetrics,
+        now: Moment,
+        source: Source,
+        request: Fingerprint,
+        change: impl FnOnce(&mut Suspects),
+    ) -> Held {
+        let before = Held::of(&self.suspects, now, request);
+        change(&mut self.suspects);
+        let after = Held::of(&self.suspects, now, request);
+        if after == before {
+            return after;
+        }
+        metrics.suspicions.with_label_values(&[source.name()]).inc();
+        let news = &mut self.suspicion_news;
+        if source.is_own() {
+            news.beats.push(now, request, after.is_refused);
+        }
+        // A digest was passed on to the whole data centre, and came to the others, too.
+        if !source.is_digest() {
+            news.digests.push(now, request, after.is_refused);
         }
-        let source = self.source.to_string();
-        metrics.suspicions.with_label_values(&[&source]).inc();
-        let is_refused = state.suspects.check(now, self.request).is_refused();
-        let (event, fingerprint) = match (self.was_refused, is_refused) {
-            (false, true) => ("request_barred", self.request),
-            (true, false) => ("request_cleared", self.request),
+        let (crashes, fingerprint) = (after.crashes, request);
+        let event = match (before.is_refused, after.is_refused) {
+            (false, true) => "request_barred",
+            (true, false) => "request_cleared",
             _ => {
-                tracing::debug!(event = "suspicion", fingerprint = %self.request, source, crashes);
-                return;
+                tracing::debug!(event = "suspicion", %fingerprint, source = source.name(), crashes);
+                return after;
             }
         };
-        tracing::info!(event, %fingerprint, source, crashes, before = self.crashes);
+        let before = before.crashes;
+        tracing::info!(event, %fingerprint, source = source.name(), crashes, before);
+        after
     }
 }
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -9,7 +9,7 @@
 use crate::gateway::admission::{Admission, WaitId, Waiting};
 use crate::gateway::budget::{RetryShare, cold_share};
 use crate::gateway::catalog::GatewayService;
-use crate::gateway::containment::{Source, hear_suspicions};
+use crate::gateway::containment::Source;
 use crate::gateway::directory::{Directory, EndpointChange};
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::notices::Notice;
@@ -19,16 +19,12 @@
 use crate::gateway::peers::{Beat, Digest, News, PeerLoad, Peers};
 use crate::gateway::placement::{EndpointIndex, Endpoints, Place, PlaceEnd, PlacementRules};
 use crate::gateway::settings::GatewaySettings;
+use crate::gateway::suspicion_news::{Outbox, SuspicionNews};
 use crate::gateway::upstream::Pool;
 use crate::moment::{Clock, Moment};
 use crate::name::{AccountName, ServiceName};
 use crate::suspect::Suspects;
 
-/// Most suspicions in a beat, so that it fits a datagram.
-const BEAT_SUSPICIONS: usize = 4;
-/// Age up to which a suspicion is told.
-const TOLD: Duration = Duration::from_secs(5);
-
 /// Lateness of timers up to which nothing is refused for it, in milliseconds.
 const LAG_FREE: f64 = 45.0;
 /// Further lateness at which the most is refused, in milliseconds: events of running streams may be
@@ -50,6 +46,7 @@
     pub(crate) retries: RetryShare,
     pub(crate) peers: Peers,
     pub(crate) suspects: Suspects,
+    pub(crate) suspicion_news: SuspicionNews,
     pub(crate) pool: Pool,
     pub(crate) outputs: Outputs,
     grants: HashMap<WaitId, Waiter>,
@@ -139,6 +136,7 @@
                 retries: RetryShare::default(),
                 peers: Peers::default(),
                 suspects: Suspects::default(),
+                suspicion_news: SuspicionNews::default(),
                 pool: Pool::default(),
                 outputs: Outputs::default(),
                 grants: HashMap::new(),
@@ -426,8 +424,8 @@
 
     /// What this data centre does, for the others.
     pub(crate) fn digest(&self) -> Digest {
-        let own = self.beat();
         let now = self.now();
+        let own = self.tell(now, |news| &mut news.digests);
         self.state.borrow().peers.digest(now, &own)
     }
 
@@ -452,7 +450,7 @@
             leaving,
             residents,
         } = news;
-        hear_suspicions(state, &self.metrics, now, source, suspicions);
+        state.hear_suspicions(&self.metrics, now, source, suspicions);
         note_leaving(state, now, leaving);
         state.endpoints.hear_residents(now, residents);
     }
@@ -477,22 +475,23 @@
 
     /// The beat to send now.
     pub(crate) fn beat(&self) -> Beat {
-        let now = self.now();
+        self.tell(self.now(), |news| &mut news.beats)
+    }
+
+    /// What this instance does and knows, with the suspicions that `outbox` holds for the message.
+    fn tell(&self, now: Moment, outbox: impl Fn(&mut SuspicionNews) -> &mut Outbox) -> Beat {
         let settings = self.settings.borrow();
         let mut state = self.state.borrow_mut();
+        let state = &mut *state;
         state.beats += 1;
+        let outbox = outbox(&mut state.suspicion_news);
+        let suspicions = outbox.take(now, &state.suspects);
+        self.metrics.untold.inc_by(outbox.take_untold());
         let loads = state.endpoints.own_loads();
         let loads = loads.map(|(key, load)| PeerLoad::new(key, load));
         let wanting = state.admission.wanting(now);
         let attained = state.admission.own(now);
         let attained = attained.filter(|(_, sum)| *sum >= 1.0);
-        let mut suspicions = state.suspects.suspicions(now, usize::MAX);
-        suspicions.retain(|s| s.age < TOLD);
-        let untold = suspicions.len().saturating_sub(BEAT_SUSPICIONS);
-        self.metrics
-            .untold
-            .inc_by(u64::try_from(untold).unwrap_or(u64::MAX));
-        suspicions.truncate(BEAT_SUSPICIONS);
         Beat {
             instance: settings.instance.clone(),
             centre: settings.centre.clone(),
--- /dev/null
+++ b/cornelstand/src/gateway/suspicion_news.rs
@@ -0,0 +1,127 @@
+//! Which suspicions the next message tells.
+//!
+//! A crash makes suspects of all requests that ran at the endpoint, and a message has room for some of
+//! them. So each change of what is held against a request waits for its turn and is told a few times,
+//! because messages get lost; requests that are refused come first.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::moment::Moment;
+use crate::name::Fingerprint;
+use crate::suspect::{Suspects, Suspicion};
+
+/// Times that a change is told: with one message in ten lost, one change in a thousand is.
+const REPEATS: u32 = 3;
+/// Time after which a change is no news any more; the platform grants 3 s for it to be known.
+const NEWS_TIME: Duration = Duration::from_secs(5);
+/// Most changes that wait; each is told within [`NEWS_TIME`] by the slowest sender of beats.
+const MAX_WAITING: usize = 512;
+/// Suspicions for which a beat has room: some 50 bytes each, and a crash makes up to 64 suspects.
+const BEAT_ROOM: usize = 32;
+/// Suspicions for which a digest has room; it tells those of a whole data centre.
+const DIGEST_ROOM: usize = 64;
+
+/// Changes that wait to be told in one kind of message.
+#[derive(Debug)]
+pub(crate) struct Outbox {
+    room: usize,
+    refused: VecDeque<Change>,
+    others: VecDeque<Change>,
+    /// Changes that were dropped before they were told once.
+    untold: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Change {
+    request: Fingerprint,
+    since: Moment,
+    /// Times that it still has to be told.
+    left: u32,
+}
+
+impl Outbox {
+    fn new(room: usize) -> Self {
+        Self {
+            room,
+            refused: VecDeque::new(),
+            others: VecDeque::new(),
+            untold: 0,
+        }
+    }
+
+    /// Notes that what is held against `request` has changed.
+    pub(crate) fn push(&mut self, now: Moment, request: Fingerprint, is_refused: bool) {
+        self.refused.retain(|c| c.request != request);
+        self.others.retain(|c| c.request != request);
+        let queue = if is_refused {
+            &mut self.refused
+        } else {
+            &mut self.others
+        };
+        queue.push_back(Change {
+            request,
+            since: now,
+            left: REPEATS,
+        });
+        if queue.len() > MAX_WAITING {
+            let dropped = queue.pop_front();
+            self.untold += u64::from(dropped.is_some_and(Change::is_untold));
+        }
+    }
+
+    /// Suspicions for the message to send at `now`.
+    pub(crate) fn take(&mut self, now: Moment, suspects: &Suspects) -> Vec<Suspicion> {
+        let mut requests = Vec::new();
+        for queue in [&mut self.refused, &mut self.others] {
+            for _ in 0..queue.len() {
+                if requests.len() >= self.room {
+                    break;
+                }
+                let Some(mut change) = queue.pop_front() else {
+                    break;
+                };
+                if now.since(change.since) >= NEWS_TIME {
+                    self.untold += u64::from(change.is_untold());
+                    continue;
+                }
+                requests.push(change.request);
+                change.left -= 1;
+                if change.left > 0 {
+                    queue.push_back(change);
+                }
+            }
+        }
+        let told = requests.into_iter();
+        told.filter_map(|r| suspects.suspicion(now, r)).collect()
+    }
+
+    /// Changes that were never told, since the last call.
+    pub(crate) fn take_untold(&mut self) -> u64 {
+        std::mem::take(&mut self.untold)
+    }
+}
+
+impl Change {
+    fn is_untold(self) -> bool {
+        self.left == REPEATS
+    }
+}
+
+/// What waits to be told, by kind of message.
+#[derive(Debug)]
+pub(crate) struct SuspicionNews {
+    /// To the instances that get beats.
+    pub(crate) beats: Outbox,
+    /// To other data centres, if this instance sends digests.
+    pub(crate) digests: Outbox,
+}
+
+impl Default for SuspicionNews {
+    fn default() -> Self {
+        Self {
+            beats: Outbox::new(BEAT_ROOM),
+            digests: Outbox::new(DIGEST_ROOM),
+        }
+    }
+}
--- a/cornelstand/src/gateway/tests/containment.rs
+++ b/cornelstand/src/gateway/tests/containment.rs
@@ -16,8 +16,11 @@
 use crate::gateway::peers_link::{
     DIGEST_PERIOD, Packet, beat_packet, beat_period, digest_packet, take,
 };
+use crate::gateway::suspicion_news::SuspicionNews;
 use crate::gateway::tests::settings;
+use crate::moment::Moment;
 use crate::name::{CentreName, EndpointName, Fingerprint};
+use crate::suspect::{Crash, Suspects};
 
 /// Step of the simulated time.
 const STEP: Duration = Duration::from_millis(10);
@@ -58,6 +61,13 @@
     }
 }
 
+struct Datagram {
+    from: SocketAddr,
+    /// Index of the member that gets it.
+    to: usize,
+    bytes: Rc<[u8]>,
+}
+
 struct Member {
     gate: Rc<Gate>,
     address: SocketAddr,
@@ -69,12 +79,15 @@
 struct Fleet {
     plan: Plan,
     members: Vec<Member>,
-    flying: BTreeMap<u64, Vec<(SocketAddr, usize, Rc<Vec<u8>>)>>,
+    /// Datagrams by the step in which they arrive.
+    flying: BTreeMap<u64, Vec<Datagram>>,
     indices: BTreeMap<SocketAddr, usize>,
     step: u64,
     rng: ChaCha8Rng,
     /// When each endpoint ended.
     ended: Vec<Duration>,
+    /// Innocent requests that wait to be served again, with the instances that lost them.
+    lost: Vec<(usize, Fingerprint)>,
 }
 
 fn steps(time: Duration) -> u64 {
@@ -93,6 +106,7 @@
             step: 0,
             rng: ChaCha8Rng::seed_from_u64(plan.seed),
             ended: Vec::new(),
+            lost: Vec::new(),
         };
         (0..plan.count).for_each(|i| fleet.introduce(i));
         fleet
@@ -111,14 +125,18 @@
     }
 
     fn send(&mut self, from: usize, packet: &Packet) {
-        let bytes = Rc::new(packet.bytes.clone());
+        let bytes: Rc<[u8]> = packet.bytes.as_slice().into();
         for address in &packet.addresses {
             if self.rng.random_bool(self.plan.loss) {
                 continue;
             }
             let to = self.indices[address];
             let due = self.flying.entry(self.step + FLIGHT).or_default();
-            due.push((self.members[from].address, to, bytes.clone()));
+            due.push(Datagram {
+                from: self.members[from].address,
+                to,
+                bytes: bytes.clone(),
+            });
         }
     }
 
@@ -126,7 +144,7 @@
     async fn pass(&mut self) {
         advance(STEP).await;
         self.step += 1;
-        for (from, to, bytes) in self.flying.remove(&self.step).unwrap_or_default() {
+        for Datagram { from, to, bytes } in self.flying.remove(&self.step).unwrap_or_default() {
             let addresses = take(&self.members[to].gate, from, &bytes);
             let packet = Packet {
                 bytes: bytes.to_vec(),
@@ -146,7 +164,9 @@
                 packets.extend(digest_packet(&self.members[index].gate));
                 self.members[index].digest_due = self.step + steps(DIGEST_PERIOD);
             }
-            packets.iter().for_each(|p| self.send(index, p));
+            for packet in &packets {
+                self.send(index, packet);
+            }
         }
     }
 
@@ -172,10 +192,23 @@
             let at = self.rng.random_range(0..self.members.len());
             let request = Fingerprint(number * INNOCENTS + innocent);
             self.members[at].gate.note_crash(request, &endpoint, 1);
+            self.lost.push((at, request));
         }
         self.members[index].gate.note_crash(FATAL, &endpoint, 1);
     }
 
+    /// Serves what ran at the endpoint that ended last, each request at the instance that lost it.
+    fn serve_innocents(&mut self) {
+        for (at, request) in std::mem::take(&mut self.lost) {
+            let gate = &self.members[at].gate;
+            assert!(
+                gate.refused_for(request).is_none(),
+                "an innocent request is refused"
+            );
+            gate.absolve(request);
+        }
+    }
+
     /// Instances that would send a request.
     fn willing(&self, request: Fingerprint) -> usize {
         let willing = |m: &&Member| m.gate.refused_for(request).is_none();
@@ -207,12 +240,15 @@
     }
 }
 
-/// The request comes again every 400 ms, each time at another instance.
+/// The request comes again every 400 ms, each time at another instance. What ran beside it is
+/// served meanwhile.
 async fn attack_in_series(fleet: &mut Fleet, count: usize) {
     for _ in 0..count {
         let at = fleet.rng.random_range(0..fleet.members.len());
         fleet.attack(at);
-        fleet.wait(Duration::from_millis(400)).await;
+        fleet.wait(Duration::from_millis(200)).await;
+        fleet.serve_innocents();
+        fleet.wait(Duration::from_millis(200)).await;
     }
 }
 
@@ -241,3 +277,55 @@
         "instances that would still send it"
     );
 }
+
+#[test]
+fn suspicions_beyond_the_room_of_a_message_are_told_by_the_next_ones_and_refused_requests_first() {
+    let mut suspects = Suspects::default();
+    let mut news = SuspicionNews::default();
+    let count = 100;
+    for number in 0..count {
+        let crash = Crash {
+            endpoint: EndpointName::from("e"),
+            boot: None,
+        };
+        suspects.note(Moment(0), Fingerprint(number), crash);
+        news.beats
+            .push(Moment(0), Fingerprint(number), number == count - 1);
+    }
+    let mut told = vec![0; usize::try_from(count).expect("few")];
+    for message in 0..20 {
+        let suspicions = news.beats.take(Moment(message), &suspects);
+        assert!(message > 0 || suspicions[0].fingerprint == Fingerprint(count - 1));
+        for suspicion in suspicions {
+            told[usize::try_from(suspicion.fingerprint.0).expect("few")] += 1;
+        }
+    }
+    assert!(told.iter().all(|times| *times == 3), "{told:?}");
+    assert_eq!(news.beats.take_untold(), 0);
+}
+
+#[rstest]
+#[case::small(Plan::new(2, 2), 0.0)]
+#[case::large(Plan::new(5, 59), 0.0)]
+#[case::hundreds(Plan::new(3, 195), 0.0)]
+#[case::lossy(Plan::new(5, 59), 0.05)]
+#[tokio::test(start_paused = true)]
+async fn innocent_requests_beside_it_leave_room_to_tell_of_the_one_that_crashes_endpoints(
+    #[case] plan: Plan,
+    #[case] loss: f64,
+) {
+    let plan = Plan {
+        innocents: INNOCENTS,
+        loss,
+        ..plan
+    };
+    let mut fleet = Fleet::start(plan);
+    fleet.wait(Duration::from_secs(1)).await;
+    attack_in_series(&mut fleet, 30).await;
+    assert_contained(&fleet);
+    assert_eq!(
+        fleet.willing(FATAL),
+        0,
+        "instances that would still send it"
+    );
+}
