Ask again right before a request is sent whether it crashes endpoints

A request that waited for its place, or a stream that waited to go on elsewhere, was still sent after its second crash had become known, because that was asked only when the request was opened.

The question is asked where a wait begins, and once more between the opening of the connection and the first byte, so nothing lies between the answer and the send. A request that was not sent says so.

--- a/cornelstand/src/gateway/acquire.rs
+++ b/cornelstand/src/gateway/acquire.rs
@@ -5,7 +5,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::gateway::admission::Waiting;
-use crate::gateway::call::{Call, Refused};
+use crate::gateway::call::{CRASHED, Call, Refused};
 use crate::gateway::gate::Gate;
 use crate::gateway::outlet::Outlet;
 use crate::gateway::placement::{Place, PlaceEnd};
@@ -26,6 +26,9 @@
 
 /// Waits for a place of a request, or for the reason to refuse it.
 pub(crate) async fn acquire(gate: &Gate, call: &mut Call, outlet: &mut Outlet) -> Acquired {
+    if let Some(left) = gate.refused_for(call.fingerprint) {
+        return refuse_place(call, CRASHED, left);
+    }
     let started = Instant::now();
     let now = gate.now();
     let account = call.account_name();
--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -30,6 +30,8 @@
 /// When a caller should come back that met an overloaded instance: at once, since the balancer sends
 /// the next try to another one.
 const SHED_RETURN: Duration = Duration::from_millis(20);
+/// Why a request that crashed endpoints is refused.
+pub(crate) const CRASHED: &str = "the request crashed endpoints";
 /// Longest identifier of an event that is kept for resuming, in bytes.
 const EVENT_ID_BYTES: usize = 128;
 
@@ -48,7 +50,7 @@
     pub(crate) stride: u32,
     pub(crate) deadline: Instant,
     arrived: Instant,
-    fingerprint: Fingerprint,
+    pub(crate) fingerprint: Fingerprint,
     version: u64,
     /// Times that the request was sent to an endpoint.
     pub(crate) sends: u32,
@@ -213,11 +215,7 @@
     let service = service.ok_or(Refused::new(503, "the route has no service", None))?;
     let fingerprint = fingerprint(account.as_ref(), head.target(), &body);
     if let Some(left) = gate.refused_for(fingerprint) {
-        return Err(Refused::new(
-            503,
-            "the request crashed endpoints",
-            Some(left),
-        ));
+        return Err(Refused::new(503, CRASHED, Some(left)));
     }
     let engine = catalog
         .services
@@ -250,7 +248,7 @@
     })
 }
 
-fn fingerprint(account: Option<&AccountName>, target: &str, body: &[u8]) -> Fingerprint {
+pub(crate) fn fingerprint(account: Option<&AccountName>, target: &str, body: &[u8]) -> Fingerprint {
     let mut hash = Xxh3::new();
     hash.update(account.map_or("", AccountName::as_str).as_bytes());
     hash.update(&[0]);
@@ -416,11 +414,11 @@
         Attempt::Delivered(_) | Attempt::Failed(_) | Attempt::Lost(_) => PlaceEnd::Failed,
         Attempt::NotRun(NotRun::Unreachable | NotRun::Moved) => PlaceEnd::Unreachable,
         Attempt::NotRun(NotRun::Busy) => PlaceEnd::Busy,
-        Attempt::Gone | Attempt::Late => PlaceEnd::Neutral,
+        Attempt::Gone | Attempt::Late | Attempt::NotRun(NotRun::Barred) => PlaceEnd::Neutral,
     }
 }
 
-/// A connection that was refused costs nothing; an endpoint that refused the request counts.
+/// What was not sent costs nothing; an endpoint that refused the request counts.
 fn after_not_run(gate: &Gate, call: &mut Call, reason: NotRun, is_sent: bool) -> Next {
     if !is_sent {
         return Next::Again;
@@ -434,6 +432,7 @@
     let reason = match reason {
         NotRun::Busy => "the endpoint has no room",
         NotRun::Moved | NotRun::Unreachable => "the endpoint is gone",
+        NotRun::Barred => CRASHED,
     };
     // An earlier attempt may have run.
     let status = if call.sends == 1 { 503 } else { 502 };
--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -61,6 +61,8 @@
     Busy,
     /// Another endpoint has its address.
     Moved,
+    /// It was not sent: meanwhile it is known to crash endpoints.
+    Barred,
 }
 
 /// An answer that was read whole.
@@ -132,6 +134,9 @@
     if outlet.is_gone() {
         return Attempt::Gone;
     }
+    if gate.refused_for(call.fingerprint).is_some() {
+        return Attempt::NotRun(NotRun::Barred);
+    }
     let mut request = BytesMut::new();
     let passing = Passing {
         endpoint: &endpoint,
