Let only a success clear a request that crashed endpoints

A request under which an endpoint had ended was sent on once another endpoint had answered it with a failure: any whole answer cleared it, and the clearing replaced what all other instances had counted. An endpoint that fails a part of its requests says nothing about a request that it did not begin to run.

The decision stands in one place now, Suspects::answer, for the gateway and for serve, which had the same cause.

a_failure_of_an_endpoint_does_not_clear_a_request_that_crashes_others fails before (502, 500, 502, 502) and passes now (503 at the end). 216 tests of the library and 108 of the entry pass.

--- a/cornelstand/src/containment.rs
+++ b/cornelstand/src/containment.rs
@@ -119,10 +119,10 @@
         self.core.spread(self.fingerprint).await;
     }
 
-    /// A whole answer clears the request.
-    pub(crate) fn clear(&self) {
+    /// Takes in a whole answer, which may clear the request.
+    pub(crate) fn note_answer(&self, status: u16) {
         let now = self.core.clock.now();
-        self.core.suspects().clear(now, self.fingerprint);
+        self.core.suspects().answer(now, self.fingerprint, status);
     }
 }
 
--- a/cornelstand/src/deliver.rs
+++ b/cornelstand/src/deliver.rs
@@ -201,7 +201,7 @@
         match delivered {
             Delivered::Whole => {
                 self.record("answered", leg.flight.grant().endpoint.as_str());
-                self.clear();
+                self.note_answer(status.as_u16());
                 leg.flight.end(self.ending(status));
                 let open = reader.finish();
                 self.record_answer(keep.map(Keep::recorded)).await;
--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -377,7 +377,7 @@
     }
     match attempt {
         Attempt::Delivered(status) => {
-            gate.absolve(call.fingerprint);
+            gate.note_answer(call.fingerprint, status);
             Next::End(Outcome {
                 name: if status < 400 { "served" } else { "failed" },
                 status,
--- a/cornelstand/src/gateway/containment.rs
+++ b/cornelstand/src/gateway/containment.rs
@@ -82,12 +82,12 @@
         self.news.notify_one();
     }
 
-    /// Clears a request that was answered whole.
-    pub(crate) fn absolve(&self, request: Fingerprint) {
+    /// Takes in a whole answer, which may clear the request.
+    pub(crate) fn note_answer(&self, request: Fingerprint, status: u16) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         state.learn(&self.metrics, now, Source::Own, request, |suspects| {
-            suspects.clear(now, request);
+            suspects.answer(now, request, status);
         });
     }
 }
--- a/cornelstand/src/gateway/tests/containment.rs
+++ b/cornelstand/src/gateway/tests/containment.rs
@@ -205,7 +205,7 @@
                 gate.refused_for(request).is_none(),
                 "an innocent request is refused"
             );
-            gate.absolve(request);
+            gate.note_answer(request, 200);
         }
     }
 
--- a/cornelstand/src/platform/tests/crashes.rs
+++ b/cornelstand/src/platform/tests/crashes.rs
@@ -1,7 +1,11 @@
 //! Requests that crash the endpoints that run them, over real connections.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use socket2::SockRef;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::time::sleep;
 
 use crate::gateway::call::fingerprint;
@@ -10,7 +14,7 @@
 use crate::gateway::tests::{ORDERS, gate, record};
 use crate::name::{AccountName, EndpointName, Fingerprint};
 use crate::platform::tests::path::{ask, entry, local, request, status};
-use crate::platform::tests::scripted::{Endpoint, Step, answer};
+use crate::platform::tests::scripted::{Endpoint, Step, accept, answer, read_request};
 
 /// Fingerprint of [`request`] for a path.
 fn print(path: &str) -> Fingerprint {
@@ -55,3 +59,49 @@
     })
     .await;
 }
+
+/// Endpoints that run a request and are down from then on, or answer it with a failure of their own.
+async fn endpoint(kind: Option<&str>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let address = listener.local_addr().expect("bound");
+    let answer = kind.map(str::to_owned);
+    tokio::task::spawn_local(async move {
+        let mut stream = accept(&listener).await;
+        if answer.is_none() {
+            drop(listener);
+        }
+        read_request(&mut stream).await;
+        match answer {
+            Some(text) => stream.write_all(text.as_bytes()).await.expect("written"),
+            None => SockRef::from(&stream)
+                .set_linger(Some(Duration::ZERO))
+                .expect("a socket option"),
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn a_failure_of_an_endpoint_does_not_clear_a_request_that_crashes_others() {
+    local(async {
+        let failure = "HTTP/1.1 500 Oops\r\nX-Cornelstand-Attempt-Id: a2\r\n\
+                       X-Cornelstand-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n";
+        let mut records = Vec::new();
+        for (name, kind) in [
+            ("o-1", None),
+            ("o-2", Some(failure)),
+            ("o-3", None),
+            ("o-4", None),
+        ] {
+            records.push(record(name, ORDERS, endpoint(kind).await));
+        }
+        let gate = gate("one", records);
+        let address = entry(&gate).await;
+        let mut statuses = Vec::new();
+        for id in ["a1", "a2", "a3", "a4"] {
+            statuses.push(status(&ask(address, &request("/book/1", id)).await).to_owned());
+        }
+        assert_eq!(statuses, ["502", "500", "502", "503"]);
+    })
+    .await;
+}
--- a/cornelstand/tests/entry/suspects.rs
+++ b/cornelstand/tests/entry/suspects.rs
@@ -58,6 +58,18 @@
     assert_eq!(other.check(at(1), REQUEST), Standing::Clear);
 }
 
+#[test]
+fn only_a_success_clears_a_request() {
+    let mut suspects = Suspects::default();
+    suspects.note(at(0), REQUEST, crash("a"));
+    for status in [400, 429, 500, 502, 504] {
+        suspects.answer(at(1), REQUEST, status);
+        assert_eq!(suspects.check(at(1), REQUEST), Standing::Suspect);
+    }
+    suspects.answer(at(1), REQUEST, 200);
+    assert_eq!(suspects.check(at(1), REQUEST), Standing::Clear);
+}
+
 #[test]
 fn a_trial_of_a_lost_instance_does_not_block_for_ever() {
     let mut suspects = Suspects::default();
