Tell refused requests again in turn, to instances that started later

Each restart of an instance, or of a whole data centre, cost endpoints again: an instance that starts knows of no suspicion, and suspicions were told for 5 s after their last change only.

Each message tells four refused requests again, in turn. An instance in a large fleet hears some 150 messages a second, so it knows a few hundred refused requests within the contact time.

--- a/cornelstand/src/gateway/suspicion_news.rs
+++ b/cornelstand/src/gateway/suspicion_news.rs
@@ -2,7 +2,8 @@
 //!
 //! A crash makes suspects of all requests that ran at the endpoint, and a message has room for some of
 //! them. So each change of what is held against a request waits for its turn and is told a few times,
-//! because messages get lost; requests that are refused come first.
+//! because messages get lost; requests that are refused come first. All that are refused are told
+//! again in turn, to instances that started later or were cut off meanwhile.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -22,12 +23,19 @@
 /// Suspicions for which a digest has room; it tells those of a whole data centre.
 const DIGEST_ROOM: usize = 64;
 
+/// Refused requests that a message tells again, besides its news. An instance that starts hears some
+/// 150 beats a second in a large fleet, and 25 of each peer in a small one: a few hundred requests
+/// within the 3 s that the platform grants it.
+const REFRESHED: usize = 4;
+
 /// Changes that wait to be told in one kind of message.
 #[derive(Debug)]
 pub(crate) struct Outbox {
     room: usize,
     refused: VecDeque<Change>,
     others: VecDeque<Change>,
+    /// Refused request that was told again last.
+    refreshed: Option<Fingerprint>,
     /// Changes that were dropped before they were told once.
     untold: u64,
 }
@@ -46,6 +54,7 @@
             room,
             refused: VecDeque::new(),
             others: VecDeque::new(),
+            refreshed: None,
             untold: 0,
         }
     }
@@ -92,10 +101,22 @@
                 }
             }
         }
+        requests.extend(self.refresh(now, suspects));
         let told = requests.into_iter();
         told.filter_map(|r| suspects.suspicion(now, r)).collect()
     }
 
+    /// The refused requests whose turn it is to be told again.
+    fn refresh(&mut self, now: Moment, suspects: &Suspects) -> Vec<Fingerprint> {
+        let mut refused: Vec<Fingerprint> = suspects.refused(now).collect();
+        refused.sort_unstable();
+        let next = refused.partition_point(|r| self.refreshed.is_some_and(|last| *r <= last));
+        refused.rotate_left(next);
+        refused.truncate(REFRESHED);
+        self.refreshed = refused.last().copied().or(self.refreshed);
+        refused
+    }
+
     /// Changes that were never told, since the last call.
     pub(crate) fn take_untold(&mut self) -> u64 {
         std::mem::take(&mut self.untold)
--- a/cornelstand/src/gateway/tests/containment.rs
+++ b/cornelstand/src/gateway/tests/containment.rs
@@ -124,6 +124,12 @@
         }
     }
 
+    /// Replaces an instance by one that knows nothing.
+    fn restart(&mut self, index: usize) {
+        self.members[index] = member(self.plan, index, 2 + self.step);
+        self.introduce(index);
+    }
+
     fn send(&mut self, from: usize, packet: &Packet) {
         let bytes: Rc<[u8]> = packet.bytes.as_slice().into();
         for address in &packet.addresses {
@@ -329,3 +335,75 @@
         "instances that would still send it"
     );
 }
+
+/// Ends endpoints until the request is refused, and lets more time pass than news is told for.
+async fn contained(plan: Plan) -> Fleet {
+    let mut fleet = Fleet::start(plan);
+    fleet.wait(Duration::from_secs(1)).await;
+    attack_in_series(&mut fleet, 4).await;
+    fleet.wait(Duration::from_secs(7)).await;
+    fleet
+}
+
+#[rstest]
+#[case::small(Plan::new(2, 2))]
+#[case::large(Plan::new(5, 59))]
+#[case::hundreds(Plan::new(3, 195))]
+#[tokio::test(start_paused = true)]
+async fn an_instance_that_starts_later_learns_which_requests_are_refused(#[case] plan: Plan) {
+    let mut fleet = contained(plan).await;
+    let ended = fleet.ended.len();
+    for _ in 0..4 {
+        let at = fleet.rng.random_range(0..plan.count);
+        fleet.restart(at);
+        fleet.wait(CONTACT).await;
+        fleet.attack(at);
+    }
+    assert_eq!(
+        fleet.ended.len(),
+        ended,
+        "endpoints that ended after restarts"
+    );
+    assert_contained(&fleet);
+}
+
+#[rstest]
+#[case::large(Plan::new(5, 59))]
+#[tokio::test(start_paused = true)]
+async fn a_data_centre_that_starts_again_learns_from_the_others_which_requests_are_refused(
+    #[case] plan: Plan,
+) {
+    let mut fleet = contained(plan).await;
+    let ended = fleet.ended.len();
+    let centre: Vec<usize> = (0..plan.count).filter(|i| i % plan.centres == 0).collect();
+    for at in &centre {
+        fleet.restart(*at);
+    }
+    fleet.wait(CONTACT).await;
+    for at in centre {
+        fleet.attack(at);
+    }
+    assert_eq!(
+        fleet.ended.len(),
+        ended,
+        "endpoints that ended after the restart"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn when_all_instances_start_again_at_once_the_request_is_contained_once_more() {
+    let plan = Plan::new(5, 59);
+    let mut fleet = contained(plan).await;
+    for at in 0..plan.count {
+        fleet.restart(at);
+    }
+    fleet.wait(CONTACT).await;
+    attack_in_series(&mut fleet, 12).await;
+    // What all have forgotten costs as many endpoints as the first time.
+    assert!(fleet.late() <= MAX_LATE, "{} sends came late", fleet.late());
+    assert_eq!(
+        fleet.willing(FATAL),
+        0,
+        "instances that would still send it"
+    );
+}
--- a/cornelstand/src/suspect.rs
+++ b/cornelstand/src/suspect.rs
@@ -161,6 +161,12 @@
         self.entries.get(&request).map_or(0, |e| e.crashes.len())
     }
 
+    /// Requests that are refused at `now`, in no order.
+    pub fn refused(&self, now: Moment) -> impl Iterator<Item = Fingerprint> {
+        let requests = self.entries.keys().copied();
+        requests.filter(move |r| self.check(now, *r).is_refused())
+    }
+
     /// Tells whether the trial that `instance` wants may begin.
     #[must_use]
     pub fn may_begin(&self, now: Moment, request: Fingerprint, instance: &InstanceName) -> bool {
