Count a crash though the endpoint is back before its loss is noticed

A crash was not held against its request when the instance noticed the loss late, because it was busy or paused: the endpoint took connections again by then, or its entry was gone, and nothing was counted.

The entry is kept from before the attempt. A loss counts as a crash if the endpoint is down, or if the store has told of another start under its name or at its address meanwhile.

--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -366,7 +366,14 @@
 ) -> Next {
     let before = call.sends;
     log_place(gate, call, &place);
-    let attempt = relay::attempt(gate, call, outlet, &mut place).await;
+    // The entry may be gone when the attempt ends.
+    let Some(endpoint) = gate.record(&place) else {
+        gate.end(&place, PlaceEnd::Unreachable);
+        gate.refund(&call.account_name(), &place);
+        call.tried.push(place.index);
+        return Next::Again;
+    };
+    let attempt = relay::attempt(gate, call, outlet, &mut place, &endpoint).await;
     let is_sent = call.sends > before;
     gate.end(&place, place_end(&attempt));
     if !attempt.is_delivered() {
@@ -403,7 +410,8 @@
         Attempt::Lost(reason) => {
             gate.metrics.losses.inc();
             call.tried.push(place.index);
-            after_loss(gate, call, &place, reason).await
+            gate.examine(call.fingerprint, &endpoint).await;
+            after_loss(gate, call, reason)
         }
     }
 }
@@ -445,8 +453,7 @@
     Next::Answer(Refused::new(status, reason, Some(after)))
 }
 
-async fn after_loss(gate: &Rc<Gate>, call: &mut Call, place: &Place, reason: &'static str) -> Next {
-    examine(gate, call, place).await;
+fn after_loss(gate: &Gate, call: &Call, reason: &'static str) -> Next {
     if call.may_try_again() && gate.refused_for(call.fingerprint).is_none() && repeat(gate, call) {
         return Next::Again;
     }
@@ -456,19 +463,6 @@
     Next::Answer(Refused::new(502, "the answer was lost", None))
 }
 
-async fn examine(gate: &Rc<Gate>, call: &Call, place: &Place) {
-    let record = {
-        let state = gate.state.borrow();
-        state.endpoints.get(place.index).map(|e| e.record.clone())
-    };
-    let Some(record) = record else {
-        tracing::info!(event = "loss_unexamined", request = %call.id(), fingerprint = %call.fingerprint);
-        return;
-    };
-    gate.examine(call.fingerprint, &record.name, record.born, record.address)
-        .await;
-}
-
 /// Takes a repeat out of the instance's share of the retry budget.
 fn repeat(gate: &Gate, call: &Call) -> bool {
     let rule = gate.settings.borrow().retry;
--- a/cornelstand/src/gateway/containment.rs
+++ b/cornelstand/src/gateway/containment.rs
@@ -1,13 +1,13 @@
 //! Requests that crash the endpoints that run them.
 //!
 //! An attempt that broke off counts as a crash if its endpoint does not take a connection right
-//! afterwards. What is known of the request goes to the peers with the next messages.
+//! afterwards, or is known to have started again. What is known of the request goes to the peers with the next messages.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use derive_more::IsVariant;
 
+use crate::gateway::directory::EndpointRecord;
 use crate::gateway::gate::{Gate, State};
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::upstream::Upstream;
@@ -48,20 +48,16 @@
         }
     }
 
-    /// Counts a crash against a request if its endpoint is down.
-    pub(crate) async fn examine(
-        &self,
-        request: Fingerprint,
-        endpoint: &EndpointName,
-        born: u64,
-        address: SocketAddr,
-    ) -> bool {
-        if Upstream::connect(address, PROBE_TIMEOUT).await.is_ok() {
+    /// Counts a crash against a request if the endpoint that ran it is down, or has started again.
+    pub(crate) async fn examine(&self, request: Fingerprint, ran: &EndpointRecord) {
+        let is_up = Upstream::connect(ran.address, PROBE_TIMEOUT).await.is_ok();
+        let has_restarted = self.state.borrow().endpoints.is_replaced(ran);
+        if is_up && !has_restarted {
+            let endpoint = &ran.name;
             tracing::info!(event = "endpoint_survived", %endpoint, fingerprint = %request);
-            return false;
+            return;
         }
-        self.note_crash(request, endpoint, born);
-        true
+        self.note_crash(request, &ran.name, ran.born);
     }
 
     /// Counts a crash against a request.
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::sync::{Notify, oneshot};
@@ -10,7 +11,7 @@
 use crate::gateway::budget::{RetryShare, cold_share};
 use crate::gateway::catalog::GatewayService;
 use crate::gateway::containment::Source;
-use crate::gateway::directory::{Directory, EndpointChange};
+use crate::gateway::directory::{Directory, EndpointChange, EndpointRecord};
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::notices::Notice;
 use crate::gateway::number::{float, gauge, short};
@@ -331,6 +332,13 @@
         self.serve_queue();
     }
 
+    /// Entry of the endpoint of `place`.
+    pub(crate) fn record(&self, place: &Place) -> Option<Rc<EndpointRecord>> {
+        let state = self.state.borrow();
+        let endpoint = state.endpoints.get(place.index)?;
+        Some(endpoint.record.clone())
+    }
+
     /// Takes back the charge for a place at an endpoint that did not run the request.
     pub(crate) fn refund(&self, account: &AccountName, place: &Place) {
         let now = self.now();
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -206,6 +206,15 @@
         indices.iter().filter_map(|i| self.get(*i))
     }
 
+    /// Whether an endpoint has started again since `record`, under its name or at its address.
+    pub(crate) fn is_replaced(&self, record: &EndpointRecord) -> bool {
+        let mut listed = self.states.iter().flatten().map(|s| &s.record);
+        listed.any(|r| {
+            let is_same = r.name == record.name && r.born == record.born;
+            !is_same && (r.name == record.name || r.address == record.address)
+        })
+    }
+
     /// Load of the usable endpoints of a service, on average.
     pub(crate) fn summary(&self, now: Moment, service: &ServiceName) -> Summary {
         let usable = self.of(service).filter(|s| s.is_usable(now));
--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::gateway::call::Call;
+use crate::gateway::directory::EndpointRecord;
 use crate::gateway::gate::Gate;
 use crate::gateway::message::{BodyReader, Head};
 use crate::gateway::outlet::{CallerGone, Outlet, write_all};
@@ -112,10 +113,9 @@
     call: &mut Call,
     outlet: &mut Outlet,
     place: &mut Place,
+    record: &EndpointRecord,
 ) -> Attempt {
-    let Some((address, endpoint)) = target(gate, place) else {
-        return Attempt::NotRun(NotRun::Moved);
-    };
+    let (address, endpoint) = (record.address, record.name.as_str());
     let pooled = gate.state.borrow_mut().pool.take(address);
     let mut upstream = if let Some(upstream) = pooled {
         upstream
@@ -139,7 +139,7 @@
     }
     let mut request = BytesMut::new();
     let passing = Passing {
-        endpoint: &endpoint,
+        endpoint,
         account: call.account.as_ref().map(crate::name::AccountName::as_str),
         left: call.deadline.saturating_duration_since(Instant::now()),
         resumes: call.resumes(),
@@ -165,12 +165,6 @@
     attempt
 }
 
-fn target(gate: &Gate, place: &Place) -> Option<(SocketAddr, String)> {
-    let state = gate.state.borrow();
-    let record = &state.endpoints.get(place.index)?.record;
-    Some((record.address, record.name.as_str().to_owned()))
-}
-
 /// Until when a request waits for the next event after one at `progressed`.
 fn silence_end(call: &Call, progressed: Instant) -> Instant {
     if call.may_resume() {
--- a/cornelstand/src/platform/tests/crashes.rs
+++ b/cornelstand/src/platform/tests/crashes.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rstest::rstest;
 use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -11,7 +12,7 @@
 use crate::gateway::call::fingerprint;
 use crate::gateway::gate::Gate;
 use crate::gateway::placement::{Place, PlaceEnd};
-use crate::gateway::tests::{ORDERS, gate, record};
+use crate::gateway::tests::{ORDERS, gate, list, record};
 use crate::name::{AccountName, EndpointName, Fingerprint};
 use crate::platform::tests::path::{ask, entry, local, request, status};
 use crate::platform::tests::scripted::{Endpoint, Step, accept, answer, read_request};
@@ -105,3 +106,45 @@
     })
     .await;
 }
+
+/// An endpoint that loses its first connection and takes the next ones, as one does that starts again
+/// before the loss is noticed.
+async fn reborn() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let address = listener.local_addr().expect("bound");
+    tokio::task::spawn_local(async move {
+        let mut first = accept(&listener).await;
+        read_request(&mut first).await;
+        sleep(Duration::from_millis(100)).await;
+        drop(first);
+        while listener.accept().await.is_ok() {}
+    });
+    address
+}
+
+#[rstest]
+#[case::same_name("o-1", 2, true)]
+#[case::other_name("o-9", 2, true)]
+#[case::same_lifetime("o-1", 1, false)]
+#[tokio::test]
+async fn an_endpoint_that_is_back_before_its_loss_is_noticed_counts_as_crashed(
+    #[case] name: &str,
+    #[case] born: u64,
+    #[case] is_crash: bool,
+) {
+    local(async {
+        let address = reborn().await;
+        let gate = gate("one", vec![record("o-1", ORDERS, address)]);
+        let front = entry(&gate).await;
+        let asked =
+            tokio::task::spawn_local(async move { ask(front, &request("/book/1", "a1")).await });
+        sleep(Duration::from_millis(50)).await;
+        let mut again = record(name, ORDERS, address);
+        again.born = born;
+        list(&gate, vec![again]);
+        assert_eq!(status(&asked.await.expect("a caller")), "502");
+        let crashes = gate.state.borrow().suspects.crashes(print("/book/1"));
+        assert_eq!(crashes, usize::from(is_crash));
+    })
+    .await;
+}
