Reach a data centre whose two largest instances are silent

A data centre heard nothing from the others while the two instances that are most likely to lead it were down or cut off: digests went to these two in turn, whoever led there. That holds for all that takes this way, so its instances went on sending requests that crash endpoints, and knew neither loads nor leaving endpoints of the others.

A digest names its sender now. The others send to that one and to the second in line; while they hear no digest of a data centre they send to each of its instances in turn.

a_data_centre_whose_two_largest_instances_are_silent_still_hears_the_others fails before (10 of 10 other instances of the data centre unaware at 59, 63 of 63 at 195) and passes now. 109 tests of the gateway pass.

--- a/cornelstand/src/gateway/daemon.rs
+++ b/cornelstand/src/gateway/daemon.rs
@@ -12,14 +12,13 @@
 use tracing_subscriber::EnvFilter;
 
 use crate::gateway::admin::{self, Role};
-use crate::gateway::follow::{
-    Followed, deregister, follow, follow_instances, follow_peers, peer_address,
-};
+use crate::gateway::follow::{Followed, deregister, follow, follow_instances, follow_peers};
 use crate::gateway::gate::{Closing, Gate};
 use crate::gateway::logs::LogBuffer;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::number::float;
 use crate::gateway::pauses::boot_time;
+use crate::gateway::settings::peer_address;
 use crate::gateway::{connection, peers_link};
 use crate::platform::settings::{SettingsFileError, read_settings};
 
--- a/cornelstand/src/gateway/follow.rs
+++ b/cornelstand/src/gateway/follow.rs
@@ -16,7 +16,7 @@
 use crate::gateway::catalog::Catalog;
 use crate::gateway::directory::{Beliefs, EndpointRecord};
 use crate::gateway::gate::Gate;
-use crate::gateway::settings::GatewaySettings;
+use crate::gateway::settings::{GatewaySettings, peer_address};
 use crate::gateway::upstream::Upstream;
 use crate::name::{CentreName, EndpointName, InstanceName};
 use crate::platform::objects::{
@@ -358,11 +358,6 @@
     }
 }
 
-/// Address at which this instance takes beats.
-pub(crate) fn peer_address(settings: &GatewaySettings) -> SocketAddr {
-    SocketAddr::new(settings.callers.ip(), *settings.peer_ports.start())
-}
-
 fn list_instances(gate: &Gate, objects: &[StoreObject]) {
     let own = gate.settings.borrow().instance.clone();
     let mut state = gate.state.borrow_mut();
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -19,7 +19,7 @@
 use crate::gateway::pauses::PauseWatch;
 use crate::gateway::peers::{Beat, Digest, News, PeerLoad, Peers};
 use crate::gateway::placement::{EndpointIndex, Endpoints, Place, PlaceEnd, PlacementRules};
-use crate::gateway::settings::GatewaySettings;
+use crate::gateway::settings::{GatewaySettings, peer_address};
 use crate::gateway::suspicion_news::{Outbox, SuspicionNews};
 use crate::gateway::upstream::Pool;
 use crate::moment::{Clock, Moment};
@@ -434,7 +434,8 @@
     pub(crate) fn digest(&self) -> Digest {
         let now = self.now();
         let own = self.tell(now, |news| &mut news.digests);
-        self.state.borrow().peers.digest(now, &own)
+        let sender = peer_address(&self.settings.borrow());
+        self.state.borrow().peers.digest(now, &own, sender)
     }
 
     /// Takes in a beat of a peer.
--- a/cornelstand/src/gateway/peers.rs
+++ b/cornelstand/src/gateway/peers.rs
@@ -114,6 +114,8 @@
     pub(crate) centre: CentreName,
     /// Start of the sender's process, and a count of its digests.
     pub(crate) order: (u64, u64),
+    /// Address at which the sender takes messages; the digest may come from one that passed it on.
+    pub(crate) sender: SocketAddr,
     /// Address of the sender's beliefs.
     pub(crate) beliefs: SocketAddr,
     /// Version of the configuration in force at the sender.
@@ -242,8 +244,8 @@
         near.filter_map(|b| b.store_time).max()
     }
 
-    /// The sum of a data centre: the beats of its live instances and the `own` one.
-    pub(crate) fn digest(&self, now: Moment, own: &Beat) -> Digest {
+    /// The sum of a data centre: the beats of its live instances and the `own` one of `sender`.
+    pub(crate) fn digest(&self, now: Moment, own: &Beat, sender: SocketAddr) -> Digest {
         let near = self.live(now).filter(|b| b.centre == own.centre);
         let beats: Vec<&Beat> = near.chain([own]).collect();
         let loads = sum_loads(beats.iter().flat_map(|b| &b.loads));
@@ -270,29 +272,40 @@
                 residents: join_residents(beats.iter().flat_map(|b| &b.news.residents)),
             },
             order: (own.incarnation, own.number),
+            sender,
             beliefs: own.beliefs,
             version: own.version,
             centre: own.centre.clone(),
         }
     }
 
-    /// Instances to which the leader of `centre` sends the digest numbered `number`: in turn the
-    /// two of each other data centre that are most likely to lead there.
-    pub(crate) fn other_leaders(&self, centre: &CentreName, number: u64) -> Vec<SocketAddr> {
+    /// Instances to which the leader of `centre` sends the digest numbered `number`, one of each other
+    /// data centre: in turn the leader that is heard and the one that is second to lead, or, while
+    /// none is heard, each instance there.
+    pub(crate) fn other_leaders(
+        &self,
+        now: Moment,
+        centre: &CentreName,
+        number: u64,
+    ) -> Vec<SocketAddr> {
         let mut others: HashMap<&CentreName, Vec<(Rank, SocketAddr)>> = HashMap::new();
         for (name, peer) in self.peers.iter().filter(|(_, p)| p.centre != *centre) {
             let ranked = others.entry(&peer.centre).or_default();
             ranked.push((rank(name, peer.cores), peer.address));
         }
-        let turn = usize::from(number % 2 == 1);
-        let pick = |mut ranked: Vec<(Rank, SocketAddr)>| {
+        let pick = |(other, mut ranked): (&CentreName, Vec<(Rank, SocketAddr)>)| {
             ranked.sort_by_key(|(rank, _)| std::cmp::Reverse(*rank));
-            ranked
-                .get(turn)
-                .or(ranked.first())
-                .map(|(_, address)| *address)
+            let heard = self.digests(now, centre).find(|d| d.centre == *other);
+            let count = u64::try_from(ranked.len()).unwrap_or(u64::MAX);
+            let turn = match heard {
+                Some(digest) if number.is_multiple_of(2) => return Some(digest.sender),
+                Some(_) => 1.min(count - 1),
+                None => number % count,
+            };
+            let (_, address) = ranked.get(usize::try_from(turn).ok()?)?;
+            Some(*address)
         };
-        others.into_values().filter_map(pick).collect()
+        others.into_iter().filter_map(pick).collect()
     }
 
     /// Addresses to which beats go.
--- a/cornelstand/src/gateway/peers_link.rs
+++ b/cornelstand/src/gateway/peers_link.rs
@@ -81,7 +81,9 @@
     }
     let digest = gate.digest();
     let state = gate.state.borrow();
-    let leaders = state.peers.other_leaders(&digest.centre, digest.order.1);
+    let leaders = state
+        .peers
+        .other_leaders(gate.now(), &digest.centre, digest.order.1);
     Packet::new(&Message::Digest(digest), leaders)
 }
 
--- a/cornelstand/src/gateway/settings.rs
+++ b/cornelstand/src/gateway/settings.rs
@@ -43,3 +43,8 @@
     /// Memory of the process, in bytes.
     pub(crate) memory: usize,
 }
+
+/// Address at which this instance takes messages.
+pub(crate) fn peer_address(settings: &GatewaySettings) -> SocketAddr {
+    SocketAddr::new(settings.callers.ip(), *settings.peer_ports.start())
+}
--- a/cornelstand/src/gateway/tests/containment.rs
+++ b/cornelstand/src/gateway/tests/containment.rs
@@ -86,6 +86,8 @@
     rng: ChaCha8Rng,
     /// When each endpoint ended.
     ended: Vec<Duration>,
+    /// Instances that no datagram leaves or reaches.
+    silent: Vec<usize>,
     /// Innocent requests that wait to be served again, with the instances that lost them.
     lost: Vec<(usize, Fingerprint)>,
 }
@@ -106,6 +108,7 @@
             step: 0,
             rng: ChaCha8Rng::seed_from_u64(plan.seed),
             ended: Vec::new(),
+            silent: Vec::new(),
             lost: Vec::new(),
         };
         (0..plan.count).for_each(|i| fleet.introduce(i));
@@ -137,6 +140,9 @@
                 continue;
             }
             let to = self.indices[address];
+            if self.silent.contains(&from) || self.silent.contains(&to) {
+                continue;
+            }
             let due = self.flying.entry(self.step + FLIGHT).or_default();
             due.push(Datagram {
                 from: self.members[from].address,
@@ -236,11 +242,14 @@
     let mut settings = settings(&format!("{centre}-{index:03}"));
     settings.centre = CentreName::from(format!("c-{centre}").as_str());
     settings.cores = if index < plan.centres * 2 { 0.5 } else { 0.12 };
+    let address = SocketAddr::from(([10, 0, 0, u8::try_from(index).expect("below 256")], 7_400));
+    settings.callers = address;
+    settings.peer_ports = 7_400..=7_400;
     let metrics = GatewayMetrics::new().expect("metrics are defined once");
     let offset = u64::try_from(index).expect("few");
     Member {
         gate: Rc::new(Gate::new(settings, metrics, incarnation)),
-        address: ([10, 0, 0, u8::try_from(index).expect("below 256")], 7_400).into(),
+        address,
         beat_due: offset % 7,
         digest_due: offset % 8,
     }
@@ -407,3 +416,22 @@
         "instances that would still send it"
     );
 }
+
+#[rstest]
+#[case::large(Plan::new(5, 59))]
+#[case::hundreds(Plan::new(3, 195))]
+#[tokio::test(start_paused = true)]
+async fn a_data_centre_whose_two_largest_instances_are_silent_still_hears_the_others(
+    #[case] plan: Plan,
+) {
+    let mut fleet = Fleet::start(plan);
+    fleet.silent = vec![0, plan.centres];
+    fleet.wait(Duration::from_secs(3)).await;
+    for _ in 0..2 {
+        fleet.attack(1);
+    }
+    fleet.wait(CONTACT).await;
+    let unaware = (0..plan.count).filter(|i| !fleet.silent.contains(i));
+    let unaware = unaware.filter(|i| fleet.members[*i].gate.refused_for(FATAL).is_none());
+    assert_eq!(unaware.count(), 0, "instances that would still send it");
+}
--- a/cornelstand/src/gateway/tests/peers.rs
+++ b/cornelstand/src/gateway/tests/peers.rs
@@ -153,7 +153,7 @@
     let peers = fleet(8);
     let mut own = beat("south-9", 7, 5);
     own.centre = CentreName::from("south");
-    let digest = peers.digest(at(0), &own);
+    let digest = peers.digest(at(0), &own, address());
     assert_eq!((digest.members, digest.loads[0].running), (9, 8 + 5));
     let mut elsewhere = fleet(8);
     assert!(elsewhere.hear_centre(at(0), digest.clone()));
@@ -166,7 +166,7 @@
     let peers = fleet(8);
     assert_eq!(peers.listeners(&north()).len(), 8);
     let leaders: Vec<_> = (0..2)
-        .map(|turn| peers.other_leaders(&north(), turn))
+        .map(|turn| peers.other_leaders(at(0), &north(), turn))
         .collect();
     assert_eq!((leaders[0].len(), leaders[1].len()), (1, 1));
     assert_ne!(leaders[0], leaders[1]);
@@ -180,7 +180,7 @@
     let mut own = beat("south-9", 7, 5);
     own.centre = CentreName::from("south");
     own.version = 9;
-    let digest = peers.digest(at(0), &own);
+    let digest = peers.digest(at(0), &own, address());
     assert_eq!(peers.ahead(at(0), 4), None);
     peers.hear_centre(at(0), digest);
     assert_eq!(peers.ahead(at(0), 4).map(|(version, _)| version), Some(9));
