Count an endpoint that starts again unknown to the store each time

A request could end the same endpoint again and again: a crash counts once for each listed lifetime, and an endpoint that starts again under its name, while the store is away or before its entry is renewed, still has the old one.

A loss of a request that was sent after the same crash was known is another crash: the endpoint took the request, so it had started again.

--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -410,7 +410,8 @@
         Attempt::Lost(reason) => {
             gate.metrics.losses.inc();
             call.tried.push(place.index);
-            gate.examine(call.fingerprint, &endpoint).await;
+            gate.examine(call.fingerprint, &endpoint, place.sent())
+                .await;
             after_loss(gate, call, reason)
         }
     }
--- a/cornelstand/src/gateway/containment.rs
+++ b/cornelstand/src/gateway/containment.rs
@@ -12,7 +12,7 @@
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::upstream::Upstream;
 use crate::moment::Moment;
-use crate::name::{BootId, EndpointName, Fingerprint};
+use crate::name::{BootId, Fingerprint};
 use crate::suspect::{Crash, MAX_CRASHES, Standing, Suspects, Suspicion};
 
 /// Longest wait for an endpoint to take a connection.
@@ -48,8 +48,9 @@
         }
     }
 
-    /// Counts a crash against a request if the endpoint that ran it is down, or has started again.
-    pub(crate) async fn examine(&self, request: Fingerprint, ran: &EndpointRecord) {
+    /// Counts a crash against a request if the endpoint that ran it, sent at `sent`, is down or has
+    /// started again.
+    pub(crate) async fn examine(&self, request: Fingerprint, ran: &EndpointRecord, sent: Moment) {
         let is_up = Upstream::connect(ran.address, PROBE_TIMEOUT).await.is_ok();
         let has_restarted = self.state.borrow().endpoints.is_replaced(ran);
         if is_up && !has_restarted {
@@ -57,16 +58,26 @@
             tracing::info!(event = "endpoint_survived", %endpoint, fingerprint = %request);
             return;
         }
-        self.note_crash(request, &ran.name, ran.born);
+        let mut crash = Crash {
+            endpoint: ran.name.clone(),
+            boot: Some(BootId(ran.born)),
+        };
+        // It took the request after that crash, so this start of it is one that is not listed yet.
+        if self
+            .state
+            .borrow()
+            .suspects
+            .was_known(sent, request, &crash)
+        {
+            crash.boot = None;
+        }
+        self.note_crash(request, crash);
     }
 
     /// Counts a crash against a request.
-    pub(crate) fn note_crash(&self, request: Fingerprint, endpoint: &EndpointName, born: u64) {
-        let crash = Crash {
-            endpoint: endpoint.clone(),
-            boot: Some(BootId(born)),
-        };
+    pub(crate) fn note_crash(&self, request: Fingerprint, crash: Crash) {
         let now = self.now();
+        let endpoint = crash.endpoint.clone();
         let mut state = self.state.borrow_mut();
         let noted = state.learn(&self.metrics, now, Source::Own, request, |suspects| {
             suspects.note(now, request, crash);
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -132,6 +132,11 @@
 }
 
 impl Place {
+    /// When the place was taken.
+    pub(crate) fn sent(&self) -> Moment {
+        self.sent
+    }
+
     /// Prompt tokens that the endpoint has to read for the request.
     pub(crate) fn prompt_tokens(&self) -> f64 {
         self.load.waiting
--- a/cornelstand/src/gateway/tests.rs
+++ b/cornelstand/src/gateway/tests.rs
@@ -22,7 +22,8 @@
 use crate::gateway::gate::Gate;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::settings::GatewaySettings;
-use crate::name::{AccountName, CentreName, EndpointName, InstanceName, ServiceName};
+use crate::name::{AccountName, BootId, CentreName, EndpointName, InstanceName, ServiceName};
+use crate::suspect::Crash;
 
 /// Service with engines.
 pub(crate) const MODELS: &str = "models";
@@ -134,6 +135,14 @@
     }
 }
 
+/// Crash of an endpoint in its first lifetime.
+pub(crate) fn crash(endpoint: &str) -> Crash {
+    Crash {
+        endpoint: EndpointName::from(endpoint),
+        boot: Some(BootId(1)),
+    }
+}
+
 /// An instance that knows `records` and the configuration.
 pub(crate) fn gate(instance: &str, records: Vec<EndpointRecord>) -> Rc<Gate> {
     let metrics = GatewayMetrics::new().expect("metrics are defined once");
--- a/cornelstand/src/gateway/tests/containment.rs
+++ b/cornelstand/src/gateway/tests/containment.rs
@@ -17,10 +17,10 @@
     DIGEST_PERIOD, Packet, beat_packet, beat_period, digest_packet, take,
 };
 use crate::gateway::suspicion_news::SuspicionNews;
-use crate::gateway::tests::settings;
+use crate::gateway::tests::{crash, settings};
 use crate::moment::Moment;
-use crate::name::{CentreName, EndpointName, Fingerprint};
-use crate::suspect::{Crash, Suspects};
+use crate::name::{CentreName, Fingerprint};
+use crate::suspect::Suspects;
 
 /// Step of the simulated time.
 const STEP: Duration = Duration::from_millis(10);
@@ -199,14 +199,14 @@
         }
         let number = u64::try_from(self.ended.len()).expect("few");
         self.ended.push(self.time());
-        let endpoint = EndpointName::from(format!("e-{number}").as_str());
+        let crash = crash(&format!("e-{number}"));
         for innocent in 0..self.plan.innocents {
             let at = self.rng.random_range(0..self.members.len());
             let request = Fingerprint(number * INNOCENTS + innocent);
-            self.members[at].gate.note_crash(request, &endpoint, 1);
+            self.members[at].gate.note_crash(request, crash.clone());
             self.lost.push((at, request));
         }
-        self.members[index].gate.note_crash(FATAL, &endpoint, 1);
+        self.members[index].gate.note_crash(FATAL, crash);
     }
 
     /// Serves what ran at the endpoint that ended last, each request at the instance that lost it.
@@ -299,11 +299,7 @@
     let mut news = SuspicionNews::default();
     let count = 100;
     for number in 0..count {
-        let crash = Crash {
-            endpoint: EndpointName::from("e"),
-            boot: None,
-        };
-        suspects.note(Moment(0), Fingerprint(number), crash);
+        suspects.note(Moment(0), Fingerprint(number), crash("e"));
         news.beats
             .push(Moment(0), Fingerprint(number), number == count - 1);
     }
--- a/cornelstand/src/platform/tests/crashes.rs
+++ b/cornelstand/src/platform/tests/crashes.rs
@@ -12,8 +12,8 @@
 use crate::gateway::call::fingerprint;
 use crate::gateway::gate::Gate;
 use crate::gateway::placement::{Place, PlaceEnd};
-use crate::gateway::tests::{ORDERS, gate, list, record};
-use crate::name::{AccountName, EndpointName, Fingerprint};
+use crate::gateway::tests::{ORDERS, crash, gate, list, record};
+use crate::name::{AccountName, Fingerprint};
 use crate::platform::tests::path::{ask, entry, local, request, status};
 use crate::platform::tests::scripted::{Endpoint, Step, accept, answer, read_request};
 
@@ -32,12 +32,6 @@
     places
 }
 
-fn crash(gate: &Gate, request: Fingerprint, endpoints: &[&str]) {
-    for endpoint in endpoints {
-        gate.note_crash(request, &EndpointName::from(*endpoint), 1);
-    }
-}
-
 #[tokio::test]
 async fn a_waiting_request_that_is_known_to_crash_endpoints_meanwhile_is_not_sent() {
     local(async {
@@ -49,7 +43,9 @@
         let asked =
             tokio::task::spawn_local(async move { ask(address, &request("/book/1", "a1")).await });
         sleep(Duration::from_millis(60)).await;
-        crash(&gate, print("/book/1"), &["e-1", "e-2"]);
+        for endpoint in ["e-1", "e-2"] {
+            gate.note_crash(print("/book/1"), crash(endpoint));
+        }
         for place in &places {
             gate.end(place, PlaceEnd::Neutral);
         }
@@ -148,3 +144,39 @@
     })
     .await;
 }
+
+/// An endpoint that every request ends, and that is back at its address 350 ms later.
+async fn fragile() -> SocketAddr {
+    let mut listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let address = listener.local_addr().expect("bound");
+    tokio::task::spawn_local(async move {
+        loop {
+            let mut stream = accept(&listener).await;
+            drop(listener);
+            read_request(&mut stream).await;
+            SockRef::from(&stream)
+                .set_linger(Some(Duration::ZERO))
+                .expect("a socket option");
+            drop(stream);
+            sleep(Duration::from_millis(350)).await;
+            listener = TcpListener::bind(address).await.expect("the port is free");
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn an_endpoint_that_starts_again_unknown_to_the_store_counts_each_time() {
+    local(async {
+        let gate = gate("one", vec![record("o-1", ORDERS, fragile().await)]);
+        let address = entry(&gate).await;
+        let mut statuses = Vec::new();
+        for id in ["a1", "a2", "a3"] {
+            statuses.push(status(&ask(address, &request("/book/1", id)).await).to_owned());
+            sleep(Duration::from_millis(600)).await;
+        }
+        assert_eq!(statuses, ["502", "502", "503"]);
+        assert_eq!(gate.state.borrow().suspects.crashes(print("/book/1")), 2);
+    })
+    .await;
+}
--- a/cornelstand/src/suspect.rs
+++ b/cornelstand/src/suspect.rs
@@ -161,6 +161,13 @@
         self.entries.get(&request).map_or(0, |e| e.crashes.len())
     }
 
+    /// Whether `crash` was held against `request` before `sent`.
+    #[must_use]
+    pub fn was_known(&self, sent: Moment, request: Fingerprint, crash: &Crash) -> bool {
+        let entry = self.entries.get(&request);
+        entry.is_some_and(|e| e.changed < sent && e.crashes.contains(crash))
+    }
+
     /// Requests that are refused at `now`, in no order.
     pub fn refused(&self, now: Moment) -> impl Iterator<Item = Fingerprint> {
         let requests = self.entries.keys().copied();
