Tell all peers directly when a request begins to be refused

A caller that came back at once, after its attempt and the one that went on from it had ended two endpoints, ended more: the news takes some 0.3 s through beats and digests in a large fleet.

An instance that begins to refuse a request by a crash of its own sends that to all peers in one datagram each.

Copies that arrive at many instances before the first crash is known are sent, as before.

--- a/cornelstand/src/gateway/containment.rs
+++ b/cornelstand/src/gateway/containment.rs
@@ -25,6 +25,7 @@
     Own,
     Beat,
     Digest,
+    Alarm,
 }
 
 impl Source {
@@ -34,6 +35,7 @@
             Self::Own => "own",
             Self::Beat => "beat",
             Self::Digest => "digest",
+            Self::Alarm => "alarm",
         }
     }
 }
@@ -87,6 +89,9 @@
         );
         drop(state);
         self.news.notify_one();
+        if noted.is_refused {
+            self.alarm.notify_one();
+        }
     }
 
     /// Takes in a whole answer, which may clear the request.
@@ -161,9 +166,12 @@
         let news = &mut self.suspicion_news;
         if source.is_own() {
             news.beats.push(now, request, after.is_refused);
+            if after.is_refused {
+                news.alarms.push(now, request, true);
+            }
         }
-        // A digest was passed on to the whole data centre, and came to the others, too.
-        if !source.is_digest() {
+        // The other data centres have what came by a digest or an alarm.
+        if matches!(source, Source::Own | Source::Beat) {
             news.digests.push(now, request, after.is_refused);
         }
         let (crashes, fingerprint) = (after.crashes, request);
--- a/cornelstand/src/gateway/daemon.rs
+++ b/cornelstand/src/gateway/daemon.rs
@@ -187,6 +187,10 @@
         gate.clone(),
         peers.clone(),
     )));
+    spawn(Box::pin(peers_link::send_alarms(
+        gate.clone(),
+        peers.clone(),
+    )));
     spawn(Box::pin(peers_link::hear_beats(
         gate.clone(),
         peers.clone(),
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -24,7 +24,7 @@
 use crate::gateway::upstream::Pool;
 use crate::moment::{Clock, Moment};
 use crate::name::{AccountName, ServiceName};
-use crate::suspect::Suspects;
+use crate::suspect::{Suspects, Suspicion};
 
 /// Lateness of timers up to which nothing is refused for it, in milliseconds.
 const LAG_FREE: f64 = 45.0;
@@ -99,6 +99,8 @@
     pub(crate) introduced: Cell<bool>,
     /// Wakes the sender of beats when something changed that peers should know at once.
     pub(crate) news: Notify,
+    /// Wakes the sender of alarms.
+    pub(crate) alarm: Notify,
     pub(crate) connections: Cell<usize>,
     /// Notices that the process was paused.
     pub(crate) pauses: PauseWatch,
@@ -151,6 +153,7 @@
             activity: Cell::new(0.0),
             introduced: Cell::new(false),
             news: Notify::new(),
+            alarm: Notify::new(),
             connections: Cell::new(0),
             pauses: PauseWatch::default(),
         }
@@ -438,6 +441,24 @@
         self.state.borrow().peers.digest(now, &own, sender)
     }
 
+    /// What all peers should know at once, if there is anything.
+    pub(crate) fn alarms(&self) -> Vec<Suspicion> {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        let outbox = &mut state.suspicion_news.alarms;
+        let suspicions = outbox.take_news(now, &state.suspects);
+        self.metrics.untold.inc_by(outbox.take_untold());
+        suspicions
+    }
+
+    /// Takes in an alarm of a peer.
+    pub(crate) fn hear_alarm(&self, suspicions: &[Suspicion]) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        state.hear_suspicions(&self.metrics, now, Source::Alarm, suspicions);
+    }
+
     /// Takes in a beat of a peer.
     pub(crate) fn hear(&self, address: std::net::SocketAddr, beat: Beat) {
         let now = self.now();
--- a/cornelstand/src/gateway/peers.rs
+++ b/cornelstand/src/gateway/peers.rs
@@ -132,6 +132,8 @@
 pub(crate) enum Message {
     Beat(Beat),
     Digest(Digest),
+    /// What peers everywhere should know before a caller can come back.
+    Alarm(Vec<Suspicion>),
 }
 
 #[derive(Debug)]
@@ -318,6 +320,11 @@
         near.map(|p| p.address).collect()
     }
 
+    /// Addresses of all peers.
+    pub(crate) fn all(&self) -> Vec<SocketAddr> {
+        self.peers.values().map(|p| p.address).collect()
+    }
+
     /// Requests a second of all live peers in a data centre.
     pub(crate) fn activity(&self, now: Moment, centre: &CentreName) -> f64 {
         let near = self.live(now).filter(|b| b.centre == *centre);
--- a/cornelstand/src/gateway/peers_link.rs
+++ b/cornelstand/src/gateway/peers_link.rs
@@ -87,6 +87,16 @@
     Packet::new(&Message::Digest(digest), leaders)
 }
 
+/// The alarm to send now, if there is any.
+pub(crate) fn alarm_packet(gate: &Gate) -> Option<Packet> {
+    let suspicions = gate.alarms();
+    if suspicions.is_empty() {
+        return None;
+    }
+    let all = gate.state.borrow().peers.all();
+    Packet::new(&Message::Alarm(suspicions), all)
+}
+
 /// Takes in a message. Returns where it is passed on to: the digest of another data centre goes to
 /// the instances of this one.
 pub(crate) fn take(gate: &Gate, address: SocketAddr, bytes: &[u8]) -> Vec<SocketAddr> {
@@ -111,6 +121,10 @@
             }
             listeners
         }
+        Message::Alarm(suspicions) => {
+            gate.hear_alarm(&suspicions);
+            Vec::new()
+        }
     }
 }
 
@@ -131,6 +145,17 @@
     }
 }
 
+/// Sends alarms to all peers.
+pub(crate) async fn send_alarms(gate: Rc<Gate>, socket: Rc<UdpSocket>) {
+    loop {
+        gate.alarm.notified().await;
+        if let Some(packet) = alarm_packet(&gate) {
+            send(&socket, &packet.bytes, &packet.addresses);
+        }
+        sleep(BEAT_PERIOD).await;
+    }
+}
+
 fn send(socket: &UdpSocket, bytes: &[u8], addresses: &[SocketAddr]) {
     for address in addresses {
         // The next message replaces one that is lost.
--- a/cornelstand/src/gateway/suspicion_news.rs
+++ b/cornelstand/src/gateway/suspicion_news.rs
@@ -32,6 +32,7 @@
 #[derive(Debug)]
 pub(crate) struct Outbox {
     room: usize,
+    repeats: u32,
     refused: VecDeque<Change>,
     others: VecDeque<Change>,
     /// Refused request that was told again last.
@@ -46,12 +47,14 @@
     since: Moment,
     /// Times that it still has to be told.
     left: u32,
+    is_told: bool,
 }
 
 impl Outbox {
-    fn new(room: usize) -> Self {
+    fn new(room: usize, repeats: u32) -> Self {
         Self {
             room,
+            repeats,
             refused: VecDeque::new(),
             others: VecDeque::new(),
             refreshed: None,
@@ -71,16 +74,29 @@
         queue.push_back(Change {
             request,
             since: now,
-            left: REPEATS,
+            left: self.repeats,
+            is_told: false,
         });
         if queue.len() > MAX_WAITING {
             let dropped = queue.pop_front();
-            self.untold += u64::from(dropped.is_some_and(Change::is_untold));
+            self.untold += u64::from(dropped.is_some_and(|c| !c.is_told));
         }
     }
 
-    /// Suspicions for the message to send at `now`.
+    /// Suspicions for the message to send at `now`: changes, and refused requests whose turn it is.
     pub(crate) fn take(&mut self, now: Moment, suspects: &Suspects) -> Vec<Suspicion> {
+        let mut requests = self.take_changes(now);
+        requests.extend(self.refresh(now, suspects));
+        told(now, &requests, suspects)
+    }
+
+    /// Suspicions for a message of changes alone.
+    pub(crate) fn take_news(&mut self, now: Moment, suspects: &Suspects) -> Vec<Suspicion> {
+        told(now, &self.take_changes(now), suspects)
+    }
+
+    /// Requests whose changes are told at `now`.
+    fn take_changes(&mut self, now: Moment) -> Vec<Fingerprint> {
         let mut requests = Vec::new();
         for queue in [&mut self.refused, &mut self.others] {
             for _ in 0..queue.len() {
@@ -91,19 +107,18 @@
                     break;
                 };
                 if now.since(change.since) >= NEWS_TIME {
-                    self.untold += u64::from(change.is_untold());
+                    self.untold += u64::from(!change.is_told);
                     continue;
                 }
                 requests.push(change.request);
                 change.left -= 1;
+                change.is_told = true;
                 if change.left > 0 {
                     queue.push_back(change);
                 }
             }
         }
-        requests.extend(self.refresh(now, suspects));
-        let told = requests.into_iter();
-        told.filter_map(|r| suspects.suspicion(now, r)).collect()
+        requests
     }
 
     /// The refused requests whose turn it is to be told again.
@@ -123,10 +138,9 @@
     }
 }
 
-impl Change {
-    fn is_untold(self) -> bool {
-        self.left == REPEATS
-    }
+fn told(now: Moment, requests: &[Fingerprint], suspects: &Suspects) -> Vec<Suspicion> {
+    let told = requests.iter();
+    told.filter_map(|r| suspects.suspicion(now, *r)).collect()
 }
 
 /// What waits to be told, by kind of message.
@@ -136,13 +150,16 @@
     pub(crate) beats: Outbox,
     /// To other data centres, if this instance sends digests.
     pub(crate) digests: Outbox,
+    /// To all instances at once: requests that are refused from now on.
+    pub(crate) alarms: Outbox,
 }
 
 impl Default for SuspicionNews {
     fn default() -> Self {
         Self {
-            beats: Outbox::new(BEAT_ROOM),
-            digests: Outbox::new(DIGEST_ROOM),
+            beats: Outbox::new(BEAT_ROOM, REPEATS),
+            digests: Outbox::new(DIGEST_ROOM, REPEATS),
+            alarms: Outbox::new(BEAT_ROOM, 1),
         }
     }
 }
--- a/cornelstand/src/gateway/tests/containment.rs
+++ b/cornelstand/src/gateway/tests/containment.rs
@@ -14,7 +14,7 @@
 use crate::gateway::gate::Gate;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::peers_link::{
-    DIGEST_PERIOD, Packet, beat_packet, beat_period, digest_packet, take,
+    DIGEST_PERIOD, Packet, alarm_packet, beat_packet, beat_period, digest_packet, take,
 };
 use crate::gateway::suspicion_news::SuspicionNews;
 use crate::gateway::tests::{crash, settings};
@@ -166,7 +166,7 @@
         }
         for index in 0..self.members.len() {
             let member = &self.members[index];
-            let mut packets = Vec::new();
+            let mut packets = Vec::from_iter(alarm_packet(&member.gate));
             if self.step >= member.beat_due {
                 packets.extend(beat_packet(&member.gate));
                 let period = beat_period(&member.gate);
@@ -431,3 +431,24 @@
     let unaware = unaware.filter(|i| fleet.members[*i].gate.refused_for(FATAL).is_none());
     assert_eq!(unaware.count(), 0, "instances that would still send it");
 }
+
+#[rstest]
+#[case::small(Plan::new(2, 2))]
+#[case::large(Plan::new(5, 59))]
+#[case::hundreds(Plan::new(3, 195))]
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_comes_back_at_once_after_two_crashes_ends_no_further_endpoints(
+    #[case] plan: Plan,
+) {
+    let mut fleet = Fleet::start(plan);
+    fleet.wait(Duration::from_secs(1)).await;
+    // An attempt that went on elsewhere after its first crash.
+    fleet.attack(0);
+    fleet.attack(0);
+    for _ in 0..20 {
+        fleet.wait(Duration::from_millis(20)).await;
+        let at = fleet.rng.random_range(0..plan.count);
+        fleet.attack(at);
+    }
+    assert_contained(&fleet);
+}
