Test a request that crashes endpoints against a fleet of real processes

15 instances in three data centres, 16 endpoints that die of the request and are back after 0.8 s, 24 innocent streams beside it at any time: the request comes in series, at all instances at once, at an instance that was killed and one that stood still. At most three endpoints may end.

--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -490,6 +490,7 @@
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
+        self.metrics.peers.set(gauge(state.peers.all().len()));
         let centre = &self.settings.borrow().centre;
         let loads = state.peers.loads(now, centre);
         let load = |key| loads.get(&key).copied().unwrap_or_default();
--- a/cornelstand/src/gateway/metrics.rs
+++ b/cornelstand/src/gateway/metrics.rs
@@ -27,6 +27,7 @@
     pub(crate) connections: IntGauge,
     pub(crate) waiting: IntGauge,
     pub(crate) version: IntGauge,
+    pub(crate) peers: IntGauge,
     pub(crate) queue_time: Histogram,
     pub(crate) first_time: Histogram,
     pub(crate) whole_time: Histogram,
@@ -90,6 +91,10 @@
             connections: gauge("cornelstand_connections", "Open connections of callers")?,
             waiting: gauge("cornelstand_waiting", "Requests that wait for a place")?,
             version: gauge("cornelstand_config_version", "Configuration in force")?,
+            peers: gauge(
+                "cornelstand_peers",
+                "Peers that are known, silent ones included",
+            )?,
             queue_time: histogram("cornelstand_queue_seconds", "Time until a place was found")?,
             first_time: histogram("cornelstand_first_seconds", "Time until the answer began")?,
             whole_time: histogram("cornelstand_whole_seconds", "Time until the answer ended")?,
--- a/cornelstand/tests/gateway/main.rs
+++ b/cornelstand/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! The gateway as real processes beside stand-ins of the platform.
 
+mod crashes;
 mod platform;
 mod soak;
 
--- a/cornelstand/tests/gateway/platform/mod.rs
+++ b/cornelstand/tests/gateway/platform/mod.rs
@@ -19,6 +19,11 @@
 pub(crate) const KEY: &str = "key-a";
 pub(crate) const EVENTS: u32 = 12;
 
+/// Data centres of a world with several.
+pub(crate) const CENTRES: [&str; 3] = ["north", "south", "west"];
+/// Time until an endpoint is back that a request has ended.
+pub(crate) const DOWN: Duration = Duration::from_millis(800);
+
 static WORLDS: AtomicU8 = AtomicU8::new(1);
 
 /// One instance of the gateway.
@@ -37,18 +42,26 @@
 }
 
 impl World {
-    /// Starts a world with `count` instances, which may not be ready yet.
+    /// Starts a world with `count` instances in one data centre, which may not be ready yet.
     pub(crate) fn start(count: u8) -> Self {
+        Self::start_in(&CENTRES[..1], count, 2)
+    }
+
+    /// Starts a world with `count` instances over `centres` and so many endpoints of each service.
+    pub(crate) fn start_in(centres: &[&'static str], count: u8, endpoints: u8) -> Self {
+        let names = (1..=endpoints).flat_map(|n| [format!("m-{n}"), format!("o-{n}")]);
+        let names: Vec<String> = names.collect();
         let store = PlatformStore::start().expect("the store starts");
         let mut endpoints = BTreeMap::new();
-        for name in ["m-1", "m-2", "o-1", "o-2"] {
+        for name in &names {
             let endpoint = PlatformEndpoint::start(EndpointSettings {
-                name: name.to_owned(),
+                name: name.clone(),
                 work: Duration::from_millis(5),
                 events: EVENTS,
                 pause: Duration::from_millis(20),
+                down: DOWN,
             });
-            endpoints.insert(name.to_owned(), endpoint.expect("the endpoint starts"));
+            endpoints.insert(name.clone(), endpoint.expect("the endpoint starts"));
         }
         let world = WORLDS.fetch_add(1, Ordering::Relaxed);
         let process = u8::try_from(std::process::id() % 200).expect("below 200");
@@ -67,11 +80,13 @@
                 .expect("a client"),
         };
         this.configure(1, true);
-        for name in ["m-1", "m-2", "o-1", "o-2"] {
+        for name in &names {
             this.list(name, "ready");
         }
         for i in 0..count {
-            let instance = Instance::new(ip(i), this.store.address(), &seeds.join(","));
+            let centre = usize::from(i) % centres.len();
+            let store = this.store.address();
+            let instance = Instance::new(ip(i), store, &seeds.join(","), centres, centre);
             this.instances.push(instance);
         }
         this.instances.iter_mut().for_each(Instance::start);
@@ -115,17 +130,37 @@
         };
         let spec: Value = json!({
             "service": service, "address": self.endpoints[name].address(), "zone": "north",
-            "slots": 64, "state": state, "cold_left_ms": 0, "seq": 1, "born": 1,
+            "slots": 64, "state": state, "cold_left_ms": 0, "seq": 1,
+            "born": 1 + self.endpoints[name].ends().len(),
         });
         self.store.put("servers", name, &spec);
     }
 
+    /// When requests ended endpoints.
+    pub(crate) fn ends(&self) -> Vec<std::time::Instant> {
+        let ends = self.endpoints.values().flat_map(PlatformEndpoint::ends);
+        let mut ends: Vec<_> = ends.collect();
+        ends.sort_unstable();
+        ends
+    }
+
     /// Sends a request through an instance.
     pub(crate) async fn ask(
         &self,
         instance: usize,
         path: &str,
         id: &str,
+    ) -> Result<(u16, String), reqwest::Error> {
+        self.ask_with(instance, path, id, "body").await
+    }
+
+    /// Sends a request with a body through an instance.
+    pub(crate) async fn ask_with(
+        &self,
+        instance: usize,
+        path: &str,
+        id: &str,
+        body: &str,
     ) -> Result<(u16, String), reqwest::Error> {
         let address = self.instances[instance].front();
         let request = self.http.post(format!("http://{address}{path}"));
@@ -135,7 +170,7 @@
             .header("x-cornelstand-deadline-ms", "8000")
             .header("x-cornelstand-credential", KEY)
             .header("x-cornelstand-token-count", "100,60")
-            .body("body");
+            .body(body.to_owned());
         let response = request.send().await?;
         let status = response.status().as_u16();
         Ok((status, response.text().await?))
@@ -155,6 +190,21 @@
         .await;
     }
 
+    /// Waits until an instance knows so many others.
+    pub(crate) async fn await_peers(&self, instance: usize, least: usize) {
+        let ip = self.instances[instance].ip;
+        self.until("peers", async || {
+            let answer = self.http.get(format!("http://{ip}:9464/metrics")).send();
+            let text = async { answer.await.ok()?.text().await.ok() };
+            let text = text.await.unwrap_or_default();
+            let known = text
+                .lines()
+                .find_map(|l| l.strip_prefix("cornelstand_peers "));
+            known.is_some_and(|k| k.parse().is_ok_and(|k: usize| k >= least))
+        })
+        .await;
+    }
+
     /// Waits until `holds`.
     pub(crate) async fn until(&self, what: &str, holds: impl AsyncFn() -> bool) {
         let until = Instant::now() + PATIENCE;
@@ -166,12 +216,14 @@
 }
 
 impl Instance {
-    fn new(ip: Ipv4Addr, store: SocketAddr, seeds: &str) -> Self {
+    fn new(ip: Ipv4Addr, store: SocketAddr, seeds: &str, centres: &[&str], centre: usize) -> Self {
         let folder = std::env::temp_dir().join(format!("cornelstand-gateway-{ip}"));
         std::fs::create_dir_all(&folder).expect("a folder for the test");
         let settings = folder.join("settings.conf");
+        let zones = centres.iter().map(|c| format!("zones.{c}=here\n"));
+        let (zones, zone) = (zones.collect::<String>(), centres[centre]);
         let text = format!(
-            "node=n-{ip}\nzone=north\nzones.north=here\nlisten.front={ip}:8783\n\
+            "node=n-{ip}\nzone={zone}\n{zones}listen.front={ip}:8783\n\
              listen.ready={ip}:8780\nlisten.control={ip}:8785\ninternal_ports=7400,7415\n\
              seeds={seeds}\nlimits.cpu_share=0.25\nlimits.memory_mb=260\nlimits.max_fds=4100\n\
              bounds.grace_s=8\nbounds.budget_slack=50\nplatform.address={store}\n"
--- a/stand-ins/src/host.rs
+++ b/stand-ins/src/host.rs
@@ -47,10 +47,7 @@
 
 impl Host {
     pub(crate) fn bind(listen: SocketAddr) -> Result<Self, StartError> {
-        let listener = TcpListener::bind(listen).context(ListenSnafu { listen })?;
-        listener
-            .set_nonblocking(true)
-            .context(ListenSnafu { listen })?;
+        let listener = bind(listen)?;
         let address = listener.local_addr().context(ListenSnafu { listen })?;
         Ok(Self {
             address,
@@ -101,7 +98,13 @@
         Ok(())
     }
 
-    /// Closes the listener and all connections for good.
+    /// Listens again at the same address after [`Host::stop`].
+    pub(crate) fn listen(&self) -> Result<(), StartError> {
+        self.lock().listener = Some(bind(self.address)?);
+        Ok(())
+    }
+
+    /// Closes the listener and all connections, until [`Host::listen`].
     pub(crate) fn stop(&self) {
         let mut state = self.lock();
         if state.listener.take().is_some() {
@@ -117,6 +120,14 @@
     }
 }
 
+fn bind(listen: SocketAddr) -> Result<TcpListener, StartError> {
+    let listener = TcpListener::bind(listen).context(ListenSnafu { listen })?;
+    listener
+        .set_nonblocking(true)
+        .context(ListenSnafu { listen })?;
+    Ok(listener)
+}
+
 impl Drop for Host {
     fn drop(&mut self) {
         self.stop();
--- a/stand-ins/src/platform_endpoint.rs
+++ b/stand-ins/src/platform_endpoint.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures::StreamExt;
@@ -33,8 +33,13 @@
     pub events: u32,
     /// Pause between two events.
     pub pause: Duration,
+    /// Time until it is back after a [`FATAL`] request.
+    pub down: Duration,
 }
 
+/// Body of a request that ends the endpoint that begins to run it.
+pub const FATAL: &str = "fatal";
+
 /// Faults of an endpoint, switchable while it runs.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct EndpointFaults {
@@ -46,15 +51,17 @@
 
 #[derive(Debug)]
 struct Inner {
+    host: Host,
     settings: EndpointSettings,
     faults: Mutex<EndpointFaults>,
     runs: Mutex<BTreeMap<String, u32>>,
+    /// When it was ended by a request.
+    ends: Mutex<Vec<Instant>>,
 }
 
 /// Fake of an endpoint on the platform.
 #[derive(Debug)]
 pub struct PlatformEndpoint {
-    host: Host,
     inner: Arc<Inner>,
 }
 
@@ -65,21 +72,21 @@
     ///
     /// If the listener or its thread cannot be set up.
     pub fn start(settings: EndpointSettings) -> Result<Self, StartError> {
-        let host = Host::bind((Ipv4Addr::LOCALHOST, 0).into())?;
         let inner = Arc::new(Inner {
+            host: Host::bind((Ipv4Addr::LOCALHOST, 0).into())?,
             settings,
             faults: Mutex::default(),
             runs: Mutex::default(),
+            ends: Mutex::default(),
         });
-        let endpoint = Self { host, inner };
-        endpoint.serve()?;
-        Ok(endpoint)
+        serve(&inner)?;
+        Ok(Self { inner })
     }
 
     /// Where it listens.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
-        self.host.address()
+        self.inner.host.address()
     }
 
     /// Replaces the faults in force.
@@ -93,7 +100,7 @@
     ///
     /// If it cannot start again.
     pub fn crash(&self) -> Result<(), StartError> {
-        self.serve()
+        serve(&self.inner)
     }
 
     /// How often each request ran.
@@ -102,24 +109,56 @@
         lock(&self.inner.runs).clone()
     }
 
-    fn serve(&self) -> Result<(), StartError> {
-        let inner = self.inner.clone();
-        let filter = warp::path::full()
-            .and(warp::header::headers_cloned())
-            .and(warp::body::bytes())
-            .then(move |path: warp::path::FullPath, headers, _body: Bytes| {
-                let inner = inner.clone();
-                async move { answer(&inner, path.as_str(), &headers).await }
-            });
-        self.host.serve(boxed(filter), std::future::pending())
+    /// When requests ended it; each time it starts again.
+    #[must_use]
+    pub fn ends(&self) -> Vec<Instant> {
+        lock(&self.inner.ends).clone()
     }
 }
 
+fn serve(inner: &Arc<Inner>) -> Result<(), StartError> {
+    // The host owns what runs here, so it does not own the host.
+    let weak = Arc::downgrade(inner);
+    let filter = warp::path::full()
+        .and(warp::header::headers_cloned())
+        .and(warp::body::bytes())
+        .then(move |path: warp::path::FullPath, headers, body: Bytes| {
+            let inner = weak.upgrade();
+            async move {
+                match inner {
+                    Some(inner) => answer(&inner, path.as_str(), &headers, &body).await,
+                    None => refusal(StatusCode::SERVICE_UNAVAILABLE),
+                }
+            }
+        });
+    inner.host.serve(boxed(filter), std::future::pending())
+}
+
+/// Ends the endpoint, and starts it again later.
+fn end(inner: &Arc<Inner>) {
+    let mut ends = lock(&inner.ends);
+    let is_down = |end: &Instant| end.elapsed() < inner.settings.down;
+    if ends.last().is_some_and(is_down) {
+        return;
+    }
+    ends.push(Instant::now());
+    drop(ends);
+    let inner = inner.clone();
+    // Its own runtime ends with it.
+    std::thread::spawn(move || {
+        inner.host.stop();
+        std::thread::sleep(inner.settings.down);
+        if let Err(error) = inner.host.listen().and_then(|()| serve(&inner)) {
+            tracing::error!(%error, "the endpoint is not back");
+        }
+    });
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn answer(inner: &Inner, path: &str, headers: &HeaderMap) -> Response {
+async fn answer(inner: &Arc<Inner>, path: &str, headers: &HeaderMap, body: &Bytes) -> Response {
     let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok());
     let settings = &inner.settings;
     let request = text(REQUEST).unwrap_or_default().to_owned();
@@ -131,6 +170,10 @@
         return refusal(StatusCode::SERVICE_UNAVAILABLE);
     }
     *lock(&inner.runs).entry(request.clone()).or_default() += 1;
+    if body.starts_with(FATAL.as_bytes()) {
+        end(inner);
+        return std::future::pending().await;
+    }
     sleep(settings.work).await;
     let after = text("last-event-id").and_then(|id| id.parse().ok());
     let first = after.map_or(1, |id: u32| id + 1);
