--- a/cornelstand/tests/gateway/crashes.rs
+++ b/cornelstand/tests/gateway/crashes.rs
@@ -80,7 +80,9 @@
     let world = World::start_in(&CENTRES, instances(), 8);
     for i in 0..count {
         world.await_ready(i, true).await;
-        world.await_peers(i, count / CENTRES.len() - 1).await;
+        world
+            .await_peers(i, (count / CENTRES.len()).saturating_sub(1))
+            .await;
     }
     sleep(LISTING).await;
     let world = Arc::new(RwLock::new(world));
