Number digests by themselves, so that they take turns

Digests go to two instances of each other data centre in turn, by the parity of their number. The number was that of the beats: with one beat between two digests, as at an instance that sends a beat each 80 ms, all went to the same one, and if that was silent nobody there heard anything.

digests_take_turns_however_many_beats_come_between fails before with one beat between and passes now.

--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -52,6 +52,7 @@
     pub(crate) outputs: Outputs,
     grants: HashMap<WaitId, Waiter>,
     beats: u64,
+    digests: u64,
 }
 
 impl State {
@@ -144,6 +145,7 @@
                 outputs: Outputs::default(),
                 grants: HashMap::new(),
                 beats: 0,
+                digests: 0,
             }),
             stopping: Cell::new(false),
             closing: Cell::new(Closing::Nothing),
@@ -438,7 +440,9 @@
         let now = self.now();
         let own = self.tell(now, |news| &mut news.digests);
         let sender = peer_address(&self.settings.borrow());
-        self.state.borrow().peers.digest(now, &own, sender)
+        let mut state = self.state.borrow_mut();
+        state.digests += 1;
+        state.peers.digest(now, &own, state.digests, sender)
     }
 
     /// What all peers should know at once, if there is anything.
--- a/cornelstand/src/gateway/peers.rs
+++ b/cornelstand/src/gateway/peers.rs
@@ -246,8 +246,15 @@
         near.filter_map(|b| b.store_time).max()
     }
 
-    /// The sum of a data centre: the beats of its live instances and the `own` one of `sender`.
-    pub(crate) fn digest(&self, now: Moment, own: &Beat, sender: SocketAddr) -> Digest {
+    /// The sum of a data centre, for the digest with this number: the beats of its live instances and
+    /// the `own` one of `sender`.
+    pub(crate) fn digest(
+        &self,
+        now: Moment,
+        own: &Beat,
+        number: u64,
+        sender: SocketAddr,
+    ) -> Digest {
         let near = self.live(now).filter(|b| b.centre == own.centre);
         let beats: Vec<&Beat> = near.chain([own]).collect();
         let loads = sum_loads(beats.iter().flat_map(|b| &b.loads));
@@ -273,7 +280,7 @@
                 leaving: own.news.leaving.clone(),
                 residents: join_residents(beats.iter().flat_map(|b| &b.news.residents)),
             },
-            order: (own.incarnation, own.number),
+            order: (own.incarnation, number),
             sender,
             beliefs: own.beliefs,
             version: own.version,
--- a/cornelstand/src/gateway/tests/peers.rs
+++ b/cornelstand/src/gateway/tests/peers.rs
@@ -1,12 +1,13 @@
 //! Beats of peers: their order, their silence and what they add up to.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::gateway::admission::Want;
 use crate::gateway::directory::Marks;
 use crate::gateway::peers::{Beat, News, PeerLoad, Peers};
-use crate::gateway::tests::settings;
+use crate::gateway::tests::{gate, settings};
 use crate::moment::Moment;
 use crate::name::{AccountName, CentreName, InstanceName, ServiceName};
 
@@ -153,7 +154,7 @@
     let peers = fleet(8);
     let mut own = beat("south-9", 7, 5);
     own.centre = CentreName::from("south");
-    let digest = peers.digest(at(0), &own, address());
+    let digest = peers.digest(at(0), &own, 1, address());
     assert_eq!((digest.members, digest.loads[0].running), (9, 8 + 5));
     let mut elsewhere = fleet(8);
     assert!(elsewhere.hear_centre(at(0), digest.clone()));
@@ -174,13 +175,34 @@
     assert_eq!(leaders[0], ["10.0.0.3:7400".parse().expect("an address")]);
 }
 
+#[test]
+fn digests_take_turns_however_many_beats_come_between() {
+    for beats in 0..3 {
+        let gate = gate("north-9", Vec::new());
+        let mut peers = fleet(8);
+        let mut south = beat("south-9", 7, 5);
+        south.centre = CentreName::from("south");
+        let heard = peers.digest(at(0), &south, 1, address());
+        peers.hear_centre(at(0), heard);
+        gate.state.borrow_mut().peers = peers;
+        let mut leaders = BTreeSet::new();
+        for _ in 0..4 {
+            (0..beats).for_each(|_| drop(gate.beat()));
+            let digest = gate.digest();
+            let state = gate.state.borrow();
+            leaders.extend(state.peers.other_leaders(at(0), &north(), digest.order.1));
+        }
+        assert!(leaders.len() > 1, "{beats} beats between: {leaders:?}");
+    }
+}
+
 #[test]
 fn a_newer_configuration_of_another_data_centre_is_known_by_its_digest() {
     let mut peers = fleet(8);
     let mut own = beat("south-9", 7, 5);
     own.centre = CentreName::from("south");
     own.version = 9;
-    let digest = peers.digest(at(0), &own, address());
+    let digest = peers.digest(at(0), &own, 1, address());
     assert_eq!(peers.ahead(at(0), 4), None);
     peers.hear_centre(at(0), digest);
     assert_eq!(peers.ahead(at(0), 4).map(|(version, _)| version), Some(9));
@@ -221,7 +243,7 @@
 fn while_the_store_is_away_two_instances_at_a_time_ask_it() {
     let names: Vec<String> = (0..30).map(|i| format!("north-{i}")).collect();
     let mut lost = vec![false; names.len()];
-    let (mut asked, mut number) = (std::collections::BTreeSet::new(), 0);
+    let (mut asked, mut number) = (BTreeSet::new(), 0);
     for round in 0..20 {
         let mut peers = Peers::default();
         for (name, is_lost) in names.iter().zip(&lost) {
