--- a/cornelstand/src/suspect.rs
+++ b/cornelstand/src/suspect.rs
@@ -2,8 +2,8 @@
 //!
 //! A request is known by its fingerprint. Once an endpoint crashed while it ran the request, the
 //! request may run at one more endpoint, as a *trial*, one at a time over the fleet. If the trial
-//! loses its endpoint, too, the request is refused until it is forgiven; a whole answer of
-//! success clears it, because most requests that were running when an endpoint crashed did not cause it.
+//! loses its endpoint, too, the request is refused until it is forgiven; a whole answer of success
+//! clears it, because most requests that were running when an endpoint crashed did not cause it.
 //!
 //! Instances exchange what they know as [`Suspicion`]s, whose merge gives the same result in any
 //! order. A trial is wanted, made known to the peers with their view taken in return, and then
--- a/cornelstand/tests/gateway/crashes.rs
+++ b/cornelstand/tests/gateway/crashes.rs
@@ -75,7 +75,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn a_request_that_crashes_endpoints_ends_three_in_a_fleet_of_data_centres() {
+async fn a_request_that_crashes_endpoints_ends_at_most_three_in_a_fleet_of_data_centres() {
     let count = usize::from(instances());
     let world = World::start_in(&CENTRES, instances(), 8);
     for i in 0..count {
