Log the prompt parts and the progress of answers that broke off

The lines name fingerprints, of which no guilty one comes twice, and cannot tell a prompt part from a request.

placed has the shared parts, attempt_ended and the new endpoint_probed the progress of the answer (pending, head, begun), and endpoint_probed what the probe said. No decision changed.

--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -107,6 +107,13 @@
         }
     }
 
+    /// Identifiers of the shared parts of the prompt, as written in its header.
+    pub(crate) fn parts_text(&self) -> String {
+        let shared = self.prompt.as_ref().map_or(&[][..], Prompt::shared);
+        let ids: Vec<String> = shared.iter().map(|p| format!("{:x}", p.id)).collect();
+        ids.join(",")
+    }
+
     pub(crate) fn account_name(&self) -> AccountName {
         let anonymous = || AccountName::from(ANONYMOUS_ACCOUNT);
         self.account.clone().unwrap_or_else(anonymous)
@@ -396,7 +403,7 @@
     if !attempt.is_delivered() {
         tracing::info!(
             event = "attempt_ended", request = %call.id(), sends = call.sends, begun = call.has_begun,
-            result = ?LoggedAttempt(&attempt),
+            answer = %place.answer(), result = ?LoggedAttempt(&attempt),
         );
     }
     match attempt {
@@ -429,8 +436,7 @@
         Attempt::Lost(reason) => {
             gate.metrics.lost_responses.inc();
             call.tried.push(place.index);
-            gate.confirm_crash(call.fingerprint, &endpoint, place.sent())
-                .await;
+            gate.confirm_crash(call, &endpoint, &place).await;
             after_loss(gate, call, reason)
         }
     }
@@ -512,6 +518,7 @@
         least = state.admission.min_attained(&call.service),
         waiting = state.admission.len(), version = call.version,
         fingerprint = %call.fingerprint, crashes = state.suspects.crashes(call.fingerprint),
+        parts = %call.parts_text(),
     );
 }
 
--- a/cornelstand/src/gateway/containment.rs
+++ b/cornelstand/src/gateway/containment.rs
@@ -8,9 +8,11 @@
 
 use derive_more::IsVariant;
 
+use crate::gateway::call::Call;
 use crate::gateway::directory::EndpointRecord;
 use crate::gateway::gate::{Gate, State};
 use crate::gateway::metrics::GatewayMetrics;
+use crate::gateway::placement::Place;
 use crate::gateway::upstream::Upstream;
 use crate::moment::Moment;
 use crate::name::{BootId, Fingerprint};
@@ -51,17 +53,18 @@
         }
     }
 
-    /// Counts a crash against a request, sent at `sent`, if the endpoint that ran it is down or has
-    /// restarted.
-    pub(crate) async fn confirm_crash(
-        &self,
-        request: Fingerprint,
-        ran: &EndpointRecord,
-        sent: Moment,
-    ) {
-        let is_up = Upstream::connect(ran.address, PROBE_TIMEOUT).await.is_ok();
+    /// Counts a crash against a request if the endpoint that ran it is down or has restarted.
+    pub(crate) async fn confirm_crash(&self, call: &Call, ran: &EndpointRecord, place: &Place) {
+        let (request, sent) = (call.fingerprint, place.sent());
+        let probe = Upstream::connect(ran.address, PROBE_TIMEOUT).await;
         let has_restarted = self.state.borrow().endpoints.is_replaced(ran);
-        if is_up && !has_restarted {
+        tracing::info!(
+            event = "endpoint_probed", endpoint = %ran.name, request = %call.id(),
+            fingerprint = %request, answer = %place.answer(), has_restarted,
+            error = probe.as_ref().err().map(|e| e.kind().to_string()),
+            parts = %call.parts_text(),
+        );
+        if probe.is_ok() && !has_restarted {
             let endpoint = &ran.name;
             tracing::info!(event = "endpoint_survived", %endpoint, fingerprint = %request);
             return;
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use derive_more::IsVariant;
+use derive_more::{Display, IsVariant};
 
 use crate::gateway::admission::DecayingSum;
 use crate::gateway::directory::EndpointRecord;
@@ -126,7 +126,7 @@
     /// Prompt tokens to read before the response begins.
     ahead: f64,
     parts: Vec<u64>,
-    has_begun: bool,
+    answer: AnswerPhase,
     /// When the last tokens arrived.
     progressed: Moment,
 }
@@ -136,6 +136,16 @@
         self.sent
     }
 
+    /// Progress of the response.
+    pub(crate) fn answer(&self) -> AnswerPhase {
+        self.answer
+    }
+
+    /// Records that the head of the response has arrived.
+    pub(crate) fn note_head(&mut self) {
+        self.answer = self.answer.max(AnswerPhase::Head);
+    }
+
     /// Prompt tokens that the endpoint has to read for the request.
     pub(crate) fn prompt_tokens(&self) -> f64 {
         self.load.unread_tokens
@@ -147,6 +157,20 @@
     }
 }
 
+/// Progress of an endpoint's response to a request.
+#[derive(Clone, Copy, Debug, Display, Eq, IsVariant, Ord, PartialEq, PartialOrd)]
+pub(crate) enum AnswerPhase {
+    /// Nothing has arrived.
+    #[display("pending")]
+    Pending,
+    /// The head has arrived.
+    #[display("head")]
+    Head,
+    /// A complete event, or the head of a response that is not a stream, has arrived.
+    #[display("begun")]
+    Begun,
+}
+
 /// Why no endpoint can take a request.
 #[derive(Clone, Copy, Debug, Eq, IsVariant, PartialEq)]
 pub(crate) enum PlacementError {
@@ -490,16 +514,17 @@
             charged: 0.0,
             ahead,
             parts,
-            has_begun: false,
+            answer: AnswerPhase::Pending,
             progressed: now,
         })
     }
 
     /// Records the beginning of a response.
     pub(crate) fn begin(&mut self, now: Moment, place: &mut Place) {
-        if std::mem::replace(&mut place.has_begun, true) {
+        if place.answer.is_begun() {
             return;
         }
+        place.answer = AnswerPhase::Begun;
         place.progressed = now;
         let Some(state) = self.reserved_state(place) else {
             return;
@@ -537,7 +562,7 @@
             state.own.token_time = 0.0;
         }
         state.own.memory = (state.own.memory - place.load.memory).max(0.0);
-        if !place.has_begun {
+        if !place.answer.is_begun() {
             state.own.unread_tokens = (state.own.unread_tokens - place.load.unread_tokens).max(0.0);
         }
         for part in &place.parts {
--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -247,6 +247,7 @@
             if !is_authentic(&head, &response) {
                 return Ok(Attempt::Lost("no receipt"));
             }
+            place.note_head();
             let is_good = (200..300).contains(&head.status());
             if call.route.kind.is_stream() && is_good {
                 return self.forward_events(&head, body, call, writer, place).await;
