Test that a prompt part that crashes endpoints is contained

The test fails on this code: 15 instances in three data centres, requests that share one prompt part and nothing else, 26 endpoints ended (at most 5).

--- a/cornelstand/tests/gateway/crashes.rs
+++ b/cornelstand/tests/gateway/crashes.rs
@@ -1,5 +1,5 @@
-//! A request that crashes every endpoint that runs it, in a fleet of real processes: several data
-//! centres, leaders and digests.
+//! Requests and prompt parts that crash every endpoint that runs them, in a fleet of real processes:
+//! several data centres, leaders and digests.
 //!
 //! `CORNELSTAND_FLEET` sets another number of instances.
 
@@ -10,7 +10,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
-use stand_ins::FATAL;
+use stand_ins::{FATAL, FATAL_PART};
 use tokio::sync::RwLock;
 use tokio::time::sleep;
 
@@ -24,6 +24,10 @@
 const LISTING_TIME: Duration = Duration::from_secs(11);
 /// Endpoints that may crash before the request is refused everywhere.
 const MAX_CRASHED: usize = 3;
+/// Endpoints that may crash before a prompt part is refused everywhere.
+const MAX_CRASHED_BY_PART: usize = 5;
+/// Shared prompt parts of the innocent requests.
+const SOUND_PARTS: &str = "a:20,b:20";
 /// Innocent requests that run at any time.
 const INNOCENT_STREAMS: usize = 24;
 
@@ -42,7 +46,9 @@
         }
         let at = rng.random_range(0..usize::from(instances()));
         let id = format!("i-{caller}-{number}");
-        let answer = world.read().await.ask_with(at, "/stream/1", &id, &id).await;
+        let parts = format!("{SOUND_PARTS},{caller:x}:60");
+        let world = world.read().await;
+        let answer = world.ask_prompt(at, "/stream/1", &id, &id, &parts).await;
         served += usize::from(answer.is_ok_and(|(status, _)| status == 200));
     }
     served
@@ -74,9 +80,8 @@
         .await;
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn a_request_that_crashes_endpoints_ends_at_most_three_in_a_fleet_of_data_centres() {
-    let count = usize::from(instances());
+/// Starts a fleet whose instances know each other.
+async fn start_fleet(count: usize) -> World {
     let world = World::start_in(&CENTRES, instances(), 8);
     for i in 0..count {
         world.await_ready(i, true).await;
@@ -85,6 +90,13 @@
             .await;
     }
     sleep(LISTING_TIME).await;
+    world
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_endpoints_ends_at_most_three_in_a_fleet_of_data_centres() {
+    let count = usize::from(instances());
+    let world = start_fleet(count).await;
     let world = Arc::new(RwLock::new(world));
     let is_over = Arc::new(AtomicBool::new(false));
     let renewal = tokio::spawn(renew_entries(world.clone(), is_over.clone()));
@@ -130,3 +142,59 @@
         "{served} requests beside it were served"
     );
 }
+
+/// Sends a request of its own with the part that crashes endpoints.
+async fn send_fatal_part(world: &RwLock<World>, at: usize, number: usize) {
+    let id = format!("p-{number}");
+    let parts = format!("{SOUND_PARTS},{FATAL_PART}:20,{number:x}:40");
+    // The answer is ignored: the endpoints record what ran.
+    let _ = world
+        .read()
+        .await
+        .ask_prompt(at, "/stream/1", &id, &id, &parts)
+        .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_prompt_part_that_crashes_endpoints_ends_at_most_five_in_a_fleet_of_data_centres() {
+    let count = usize::from(instances());
+    let world = Arc::new(RwLock::new(start_fleet(count).await));
+    let is_over = Arc::new(AtomicBool::new(false));
+    let renewal = tokio::spawn(renew_entries(world.clone(), is_over.clone()));
+    let innocents =
+        (0..INNOCENT_STREAMS).map(|i| tokio::spawn(run_streams(world.clone(), is_over.clone(), i)));
+    let innocents: Vec<_> = innocents.collect();
+
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for number in 0..12 {
+        let at = rng.random_range(0..count);
+        send_fatal_part(&world, at, number).await;
+        sleep(Duration::from_millis(100)).await;
+    }
+    let at_once = (0..count).map(|at| send_fatal_part(&world, at, 12 + at));
+    futures::future::join_all(at_once).await;
+    world.write().await.instances[0].kill();
+    world.write().await.instances[0].start();
+    world.read().await.await_ready(0, true).await;
+    sleep(CONTACT_TIME).await;
+    send_fatal_part(&world, 0, 12 + count).await;
+
+    let ended = world.read().await.ends().len();
+    assert!(
+        ended > 0 && ended <= MAX_CRASHED_BY_PART,
+        "{ended} endpoints ended"
+    );
+    is_over.store(true, Ordering::Relaxed);
+    renewal.await.expect("entries are renewed");
+    for caller in innocents {
+        caller.await.expect("a caller");
+    }
+    let world = world.read().await;
+    for at in 0..count {
+        let id = format!("s-{at}");
+        let parts = format!("{SOUND_PARTS},{at:x}:60");
+        let answer = world.ask_prompt(at, "/stream/1", &id, &id, &parts).await;
+        let status = answer.expect("an answer").0;
+        assert_eq!(status, 200, "a sound request through instance {at}");
+    }
+}
--- a/cornelstand/tests/gateway/platform/mod.rs
+++ b/cornelstand/tests/gateway/platform/mod.rs
@@ -161,6 +161,18 @@
         path: &str,
         id: &str,
         body: &str,
+    ) -> Result<(u16, String), reqwest::Error> {
+        self.ask_prompt(instance, path, id, body, "").await
+    }
+
+    /// Sends a request with a body and prompt parts through an instance.
+    pub(crate) async fn ask_prompt(
+        &self,
+        instance: usize,
+        path: &str,
+        id: &str,
+        body: &str,
+        parts: &str,
     ) -> Result<(u16, String), reqwest::Error> {
         let address = self.instances[instance].front();
         let request = self.http.post(format!("http://{address}{path}"));
@@ -171,6 +183,11 @@
             .header("x-cornelstand-credential", KEY)
             .header("x-cornelstand-token-count", "100,60")
             .body(body.to_owned());
+        let request = if parts.is_empty() {
+            request
+        } else {
+            request.header("x-cornelstand-prompt-prefix", parts)
+        };
         let response = request.send().await?;
         let status = response.status().as_u16();
         Ok((status, response.text().await?))
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -52,5 +52,7 @@
 pub use object_api::{ObjectApi, ObjectSettings};
 pub use objects::{ObjectCounts, ObjectFaults, Outage};
 pub use plain::{PlainCounts, PlainFaults, PlainService, PlainSettings, Runs, call_digest};
-pub use platform_endpoint::{EndpointFaults, EndpointSettings, FATAL, PlatformEndpoint};
+pub use platform_endpoint::{
+    EndpointFaults, EndpointSettings, FATAL, FATAL_PART, PlatformEndpoint,
+};
 pub use platform_store::{PlatformStore, StoreCounts, StoreFaults};
--- a/stand-ins/src/platform_endpoint.rs
+++ b/stand-ins/src/platform_endpoint.rs
@@ -19,6 +19,8 @@
 const REQUEST: &str = "x-cornelstand-attempt-id";
 /// Header that names the endpoint that the sender means.
 const EXPECTED: &str = "x-cornelstand-expect-instance";
+/// Header with the parts of the prompt, as `ID:TOKENS` separated by commas.
+const PROMPT_PARTS: &str = "x-cornelstand-prompt-prefix";
 /// Path of streams.
 const STREAMS: &str = "/stream/";
 
@@ -40,6 +42,12 @@
 /// Body of a request that ends the endpoint that begins to run it.
 pub const FATAL: &str = "fatal";
 
+/// Prompt part that ends the endpoint that begins to answer a request with it, unless it is the
+/// last one.
+pub const FATAL_PART: &str = "dead";
+/// Time between the head of an answer to a request with [`FATAL_PART`] and the end.
+const FATAL_DELAY: Duration = Duration::from_millis(5);
+
 /// Faults of an endpoint, switchable while it runs.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct EndpointFaults {
@@ -175,6 +183,15 @@
         return std::future::pending().await;
     }
     sleep(settings.work).await;
+    if has_fatal_part(text(PROMPT_PARTS).unwrap_or_default()) {
+        let inner = inner.clone();
+        let events = futures::stream::once(async move {
+            sleep(FATAL_DELAY).await;
+            end(&inner);
+            std::future::pending::<Result<Bytes, std::io::Error>>().await
+        });
+        return stamped(warp::reply::stream(events).into_response(), &request);
+    }
     let after = text("last-event-id").and_then(|id| id.parse().ok());
     let first = after.map_or(1, |id: u32| id + 1);
     let body = if path.starts_with(STREAMS) {
@@ -191,6 +208,13 @@
     stamped(body, &request)
 }
 
+fn has_fatal_part(parts: &str) -> bool {
+    let ids = parts.split(',').filter_map(|p| p.split(':').next());
+    let ids: Vec<&str> = ids.collect();
+    let shared = ids.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.contains(&FATAL_PART)
+}
+
 fn events(settings: &EndpointSettings, first: u32, is_cut: bool) -> Response {
     let (last, pause) = (settings.events, settings.pause);
     let end = if is_cut { first + last / 2 } else { last + 1 };
