Do not take a stream for complete that ends before its first event

Callers saw: status 200 and an empty, properly ended stream, though the endpoint had gone down before it wrote anything. Cause: an answer with neither length nor chunks ends with its connection, and the check that it ends with an event was made only if something was left to check. Class: a broken-off answer shown as a complete success.

The new test fails on the code before (200 and an empty body), passes now (502).

--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -331,6 +331,9 @@
                 .map_err(ReadError::from)?;
             let is_end = body.is_done() || is_closed;
             // A body delimited by connection close may be truncated: it has to end with an event.
+            if is_closed && is_first {
+                return Ok(Attempt::Lost("closed before an event"));
+            }
             if is_closed && !pending.is_empty() && !pending.ends_with(b"\n\n") {
                 return Ok(Attempt::Lost("closed in an event"));
             }
--- a/cornelstand/src/platform/tests/path.rs
+++ b/cornelstand/src/platform/tests/path.rs
@@ -527,6 +527,56 @@
     .await;
 }
 
+/// Head of a stream without length or chunks, which ends with its connection.
+fn unframed_head(id: &str) -> String {
+    stream_head(id).replacen("Transfer-Encoding: chunked\r\n", "", 1)
+}
+
+#[tokio::test]
+async fn a_stream_without_length_or_chunks_ends_with_its_connection() {
+    run_local(async {
+        let text = unframed_head("a1") + &event(1) + &event(2);
+        let script = vec![Step::Read, Step::Write(text)];
+        let (_gate, address, _engines) = with_engines(vec![vec![script]]).await;
+        let text = fetch(address, &request("/digest/1", "a1")).await;
+        assert!(
+            text.contains("piece 2") && text.ends_with("0\r\n\r\n"),
+            "{text}"
+        );
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_stream_closed_within_an_event_is_resumed_after_the_last_complete_one() {
+    run_local(async {
+        let cut = unframed_head("a1") + &event(1) + "id: 2\ndata: pi";
+        let cut = vec![Step::Read, Step::Write(cut)];
+        let rest = unframed_head("a1") + &event(2);
+        let rest = vec![Step::Read, Step::Write(rest)];
+        let (_gate, address, engines) = with_engines(vec![vec![cut], vec![rest]]).await;
+        let text = fetch(address, &request("/quote/1", "a1")).await;
+        assert_eq!(text.matches("piece 1").count(), 1, "{text}");
+        assert_eq!(text.matches("data: pi").count(), 2, "{text}");
+        assert!(text.ends_with("0\r\n\r\n"), "{text}");
+        let requests = engines.iter().flat_map(|e| e.requests.borrow().clone());
+        let resumed = requests.filter(|r| r.to_lowercase().contains("last-event-id: 1"));
+        assert_eq!(resumed.count(), 1);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_stream_closed_before_its_first_event_is_not_shown_as_complete() {
+    run_local(async {
+        let script = vec![Step::Read, Step::Write(unframed_head("a1"))];
+        let (_gate, address, _engines) = with_engines(vec![vec![script]]).await;
+        let text = fetch(address, &request("/digest/1", "a1")).await;
+        assert_eq!(status(&text), "502", "{text}");
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn an_open_response_continues_after_its_endpoint_is_unlisted() {
     run_local(async {
