Reset callers without chunked encoding when their answer breaks off

Callers of HTTP/1.0 saw a stream that had broken off end like a whole one: without chunks its end is that of the connection, which was closed in order. The connection is reset now. The new test fails before (read to the end without an error) and passes now.

--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -317,7 +317,7 @@
     gate.active.set(gate.active.get() - 1);
     // Without a complete response, the connection cannot be reused.
     if outcome.status == 0 {
-        writer.keep_alive = false;
+        writer.abort();
     }
     record_outcome(gate, call, outcome);
 }
--- a/cornelstand/src/gateway/outlet.rs
+++ b/cornelstand/src/gateway/outlet.rs
@@ -77,6 +77,19 @@
         Err(CallerGone)
     }
 
+    /// Marks a response that broke off. Without chunks its end is that of the connection, which is
+    /// therefore reset.
+    pub(crate) fn abort(&mut self) {
+        self.keep_alive = false;
+        if !self.lacks_chunking {
+            return;
+        }
+        let linger = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        if let Err(error) = linger {
+            tracing::debug!(event = "socket_option_refused", %error);
+        }
+    }
+
     /// Connection header line for the response, if one is needed.
     pub(crate) fn connection_header(&self) -> &'static str {
         match (self.keep_alive, self.lacks_chunking) {
--- a/cornelstand/src/platform/tests/path.rs
+++ b/cornelstand/src/platform/tests/path.rs
@@ -577,6 +577,28 @@
     .await;
 }
 
+#[tokio::test]
+async fn a_caller_without_chunks_is_reset_when_its_stream_breaks_off() {
+    run_local(async {
+        let cut = vec![
+            Step::Read,
+            Step::Write(stream_head("a1") + &chunk(&event(1))),
+        ];
+        let (_gate, address, _engines) = with_engines(vec![vec![cut]]).await;
+        let mut caller = TcpStream::connect(address).await.expect("loopback");
+        let request = request("/digest/1", "a1").replacen("HTTP/1.1", "HTTP/1.0", 1);
+        caller.write_all(request.as_bytes()).await.expect("sent");
+        let mut text = Vec::new();
+        let read = caller.read_to_end(&mut text).await;
+        let text = String::from_utf8_lossy(&text);
+        assert!(
+            text.contains("piece 1") && read.is_err(),
+            "{read:?}: {text}"
+        );
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn an_open_response_continues_after_its_endpoint_is_unlisted() {
     run_local(async {
