Let suspicions of requests grow old although instances tell them back and forth

Callers saw: a request that had crashed two endpoints was refused for good instead of for ten minutes, in a fleet that runs on. Now the times of the same events are merged to the earlier one; only a crash that the other did not know replaces a time.

The new test fails before (after ten minutes 0 of 2 and 0 of 6 instances would send the request) and passes now.

--- a/cornelstand/src/gateway/tests/containment.rs
+++ b/cornelstand/src/gateway/tests/containment.rs
@@ -17,6 +17,8 @@
 const MAX_CRASHED: usize = 3;
 /// Further sends that the platform allows later than [`CONTACT_TIME`] after that.
 const MAX_LATE_SENDS: usize = 3;
+/// Time after its last crash for which a request is refused.
+const REFUSAL_TIME: Duration = Duration::from_mins(10);
 /// The request that crashes every endpoint that runs it.
 const FATAL: Fingerprint = Fingerprint(1 << 40);
 /// Requests that ran at an endpoint when it crashed: as many as an engine has slots.
@@ -273,3 +275,18 @@
     }
     assert_contained(&fleet);
 }
+
+#[rstest]
+#[case::small(Plan::new(2, 2))]
+#[case::several(Plan::new(2, 6))]
+#[tokio::test(start_paused = true)]
+async fn a_refused_request_is_tried_again_ten_minutes_after_its_last_crash(#[case] plan: Plan) {
+    let mut fleet = contain(plan).await;
+    assert_eq!(fleet.count_willing(FATAL), 0);
+    fleet.wait(REFUSAL_TIME).await;
+    assert_eq!(
+        fleet.count_willing(FATAL),
+        plan.count,
+        "instances that would send it"
+    );
+}
--- a/cornelstand/src/suspect.rs
+++ b/cornelstand/src/suspect.rs
@@ -10,7 +10,7 @@
 //! one runs or an instance with a lower name has requested one. Two instances that request a trial
 //! at the same time have each received the other's request by then.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, hash_map};
 use std::time::Duration;
 
 use derive_more::IsVariant;
@@ -108,6 +108,8 @@
         }
     }
 
+    /// Merges what another instance knows. Its times are late by the delivery of the message, so those
+    /// of the same events must not replace earlier ones: told back and forth, they would never grow old.
     fn merge(&mut self, other: Self) {
         if other.round < self.round {
             return;
@@ -116,6 +118,20 @@
             *self = other;
             return;
         }
+        self.changed = match (
+            other.crashes.is_subset(&self.crashes),
+            self.crashes.is_subset(&other.crashes),
+        ) {
+            (true, true) => self.changed.min(other.changed),
+            (true, false) => self.changed,
+            (false, true) => other.changed,
+            (false, false) => self.changed.max(other.changed),
+        };
+        self.tried = if self.trials == other.trials {
+            self.tried.min(other.tried)
+        } else {
+            self.tried.max(other.tried)
+        };
         self.crashes.extend(other.crashes);
         while self.crashes.len() > MAX_PER_SUSPICION {
             self.crashes.pop_last();
@@ -127,8 +143,6 @@
         while self.trials.len() > MAX_PER_SUSPICION {
             self.trials.pop_last();
         }
-        self.changed = self.changed.max(other.changed);
-        self.tried = self.tried.max(other.tried);
     }
 }
 
@@ -304,10 +318,12 @@
         if !self.entries.contains_key(&request) {
             self.evict_if_full();
         }
-        let entry = self.entries.entry(request);
-        entry
-            .or_insert_with(|| Entry::new(Moment::default()))
-            .merge(theirs);
+        match self.entries.entry(request) {
+            hash_map::Entry::Vacant(entry) => {
+                entry.insert(theirs);
+            }
+            hash_map::Entry::Occupied(mut entry) => entry.get_mut().merge(theirs),
+        }
     }
 
     /// Removes expired suspicions.
