--- a/cornelstand/src/gateway/prompt_suspects.rs
+++ b/cornelstand/src/gateway/prompt_suspects.rs
@@ -3,7 +3,7 @@
 //! A [`Loss`] is a request whose endpoint crashed before the first event of its answer. Any shared
 //! part of its prompt may be the cause, unless an answer to another request with that part has
 //! begun since. The losses of one crash leave its *suspects*: the parts of those requests whose
-//! answer had come furthest. The parts that are refused are a smallest explanation of the crashes:
+//! answer had come furthest. The parts that are refused are a small set that explains the crashes:
 //! the part that explains most of them is refused, its crashes are set aside, and so on while enough
 //! evidence is left. So a part is not refused for crashes that another one explains, and of parts
 //! that are always seen together the last one is refused, which fewest requests share.
@@ -125,16 +125,16 @@
 
 /// Evidence against one part in one crash.
 #[derive(Clone, Copy, Debug)]
-struct Charge {
-    evidence: u32,
+struct PartEvidence {
+    weight: u32,
     /// Position of the part in the prompt.
     position: usize,
 }
 
-impl Charge {
+impl PartEvidence {
     /// Time for which the evidence counts.
     fn lifetime(self) -> Duration {
-        if self.evidence == DIRECT_EVIDENCE {
+        if self.weight == DIRECT_EVIDENCE {
             DIRECT_LIFETIME
         } else {
             VAGUE_LIFETIME
@@ -144,9 +144,9 @@
 
 /// The suspects of one crash.
 #[derive(Debug)]
-struct Case {
+struct CrashEvidence {
     noticed: Moment,
-    charges: BTreeMap<PartId, Charge>,
+    parts: BTreeMap<PartId, PartEvidence>,
 }
 
 impl PromptSuspects {
@@ -193,7 +193,7 @@
     }
 
     /// Losses that are evidence against refused parts.
-    pub(crate) fn grounds(&self) -> BTreeSet<LossKey> {
+    pub(crate) fn refusing_losses(&self) -> BTreeSet<LossKey> {
         let parts = self.refused.keys();
         parts.flat_map(|p| self.losses_of(*p)).collect()
     }
@@ -283,13 +283,13 @@
         let now = shifted(now, Duration::ZERO);
         self.losses
             .retain(|_, e| now.since(e.noticed) < DIRECT_LIFETIME);
-        let mut cases = self.cases(now);
-        let parts = cases.iter().flat_map(|c| c.charges.keys().copied());
+        let mut crashes = self.crashes(now);
+        let parts = crashes.iter().flat_map(|c| c.parts.keys().copied());
         self.suspected = parts.collect();
         let mut refused = BTreeMap::new();
-        while let Some((part, until)) = strongest(&cases) {
+        while let Some((part, until)) = strongest(&crashes) {
             refused.insert(part, until);
-            cases.retain(|c| !c.charges.contains_key(&part));
+            crashes.retain(|c| !c.parts.contains_key(&part));
         }
         let before = std::mem::replace(&mut self.refused, refused);
         let added = self.refused.keys().filter(|p| !before.contains_key(p));
@@ -304,24 +304,24 @@
     }
 
     /// The crashes whose evidence counts, oldest first.
-    fn cases(&self, now: Moment) -> Vec<Case> {
+    fn crashes(&self, now: Moment) -> Vec<CrashEvidence> {
         let mut by_endpoint: BTreeMap<u32, Vec<&Entry>> = BTreeMap::new();
         for (key, entry) in &self.losses {
             by_endpoint.entry(key.endpoint).or_default().push(entry);
         }
-        let mut cases = Vec::new();
+        let mut crashes = Vec::new();
         for mut entries in by_endpoint.into_values() {
             entries.sort_by_key(|e| e.noticed);
-            let crashes = entries.chunk_by(|a, b| b.noticed.since(a.noticed) < DETECTION_TIME);
-            cases.extend(crashes.map(|losses| self.case(now, losses)));
+            let groups = entries.chunk_by(|a, b| b.noticed.since(a.noticed) < DETECTION_TIME);
+            crashes.extend(groups.map(|losses| self.crash(now, losses)));
         }
-        cases.retain(|c| !c.charges.is_empty());
-        cases.sort_by_key(|c| c.noticed);
-        cases
+        crashes.retain(|c| !c.parts.is_empty());
+        crashes.sort_by_key(|c| c.noticed);
+        crashes
     }
 
     /// The suspects that the losses of one crash leave.
-    fn case(&self, now: Moment, losses: &[&Entry]) -> Case {
+    fn crash(&self, now: Moment, losses: &[&Entry]) -> CrashEvidence {
         let noticed = losses[0].noticed;
         let open = |e: &Entry| -> Vec<(usize, PartId)> {
             let parts = e.parts.iter().copied().enumerate();
@@ -334,50 +334,50 @@
             .iter()
             .filter(|(answer, _)| Some(*answer) == furthest)
             .collect();
-        let mut charges: BTreeMap<PartId, Charge> = BTreeMap::new();
+        let mut parts: BTreeMap<PartId, PartEvidence> = BTreeMap::new();
         for (position, part) in furthest.iter().flat_map(|(_, parts)| parts) {
             let holds = |parts: &[(usize, PartId)]| parts.iter().any(|(_, p)| p == part);
             let is_direct = furthest.len() <= MAX_DIRECT
                 && furthest
                     .iter()
                     .all(|(answer, parts)| answer.is_head() && holds(parts));
-            let evidence = if is_direct {
+            let weight = if is_direct {
                 DIRECT_EVIDENCE
             } else if self.begun.contains_key(part) {
                 LEAST_EVIDENCE
             } else {
                 VAGUE_EVIDENCE
             };
-            let charge = Charge {
-                evidence,
+            let evidence = PartEvidence {
+                weight,
                 position: *position,
             };
-            if now.since(noticed) < charge.lifetime() {
-                let known = charges.entry(*part).or_insert(charge);
+            if now.since(noticed) < evidence.lifetime() {
+                let known = parts.entry(*part).or_insert(evidence);
                 known.position = known.position.max(*position);
             }
         }
-        Case { noticed, charges }
+        CrashEvidence { noticed, parts }
     }
 }
 
 /// The part with most evidence, if it is enough to refuse it, and the time until which it counts.
-fn strongest(cases: &[Case]) -> Option<(PartId, Moment)> {
-    let parts: BTreeSet<PartId> = cases
+fn strongest(crashes: &[CrashEvidence]) -> Option<(PartId, Moment)> {
+    let parts: BTreeSet<PartId> = crashes
         .iter()
-        .flat_map(|c| c.charges.keys().copied())
+        .flat_map(|c| c.parts.keys().copied())
         .collect();
     let (part, sum) = parts
         .into_iter()
-        .map(|part| (part, Sum::of(cases, part)))
-        .max_by_key(|(part, sum)| (sum.evidence, sum.position, *part))?;
-    (sum.evidence >= REFUSAL_EVIDENCE).then_some((part, sum.until?))
+        .map(|part| (part, Sum::of(crashes, part)))
+        .max_by_key(|(part, sum)| (sum.weight, sum.position, *part))?;
+    (sum.weight >= REFUSAL_EVIDENCE).then_some((part, sum.until?))
 }
 
 /// All evidence against one part.
 #[derive(Debug, Default)]
 struct Sum {
-    evidence: u32,
+    weight: u32,
     /// Last position of the part in a prompt.
     position: usize,
     /// Time until which all of the evidence counts.
@@ -385,25 +385,25 @@
 }
 
 impl Sum {
-    /// Adds the evidence of cases in order of time; of each [`COMMON_CAUSE_WINDOW`] the strongest.
-    fn of(cases: &[Case], part: PartId) -> Self {
+    /// Adds the evidence of crashes in order of time; in each [`COMMON_CAUSE_WINDOW`] only the strongest.
+    fn of(crashes: &[CrashEvidence], part: PartId) -> Self {
         let mut sum = Self::default();
         let mut window = Moment::default();
         let mut counted = 0;
-        for case in cases {
-            let Some(charge) = case.charges.get(&part) else {
+        for crash in crashes {
+            let Some(evidence) = crash.parts.get(&part) else {
                 continue;
             };
-            sum.position = sum.position.max(charge.position);
-            if sum.until.is_none() || case.noticed.since(window) >= COMMON_CAUSE_WINDOW {
-                (window, counted) = (case.noticed, 0);
+            sum.position = sum.position.max(evidence.position);
+            if sum.until.is_none() || crash.noticed.since(window) >= COMMON_CAUSE_WINDOW {
+                (window, counted) = (crash.noticed, 0);
             }
-            if charge.evidence <= counted {
+            if evidence.weight <= counted {
                 continue;
             }
-            sum.evidence += charge.evidence - counted;
-            counted = charge.evidence;
-            let until = case.noticed.after(charge.lifetime());
+            sum.weight += evidence.weight - counted;
+            counted = evidence.weight;
+            let until = crash.noticed.after(evidence.lifetime());
             sum.until = Some(sum.until.map_or(until, |u| u.min(until)));
         }
         sum
--- a/cornelstand/src/gateway/suspicion_news.rs
+++ b/cornelstand/src/gateway/suspicion_news.rs
@@ -54,7 +54,12 @@
     /// Subjects for which requests are refused.
     fn refusing(self, now: Moment) -> impl Iterator<Item = Subject> {
         let requests = self.requests.refused(now).map(Subject::from);
-        requests.chain(self.prompts.grounds().into_iter().map(Subject::from))
+        requests.chain(
+            self.prompts
+                .refusing_losses()
+                .into_iter()
+                .map(Subject::from),
+        )
     }
 
     /// Evidence on `subjects`, for other instances.
--- a/cornelstand/src/gateway/tests/prompt_suspects.rs
+++ b/cornelstand/src/gateway/tests/prompt_suspects.rs
@@ -94,7 +94,7 @@
 #[case::three_without_a_head(&VAGUE[..3], &[])]
 #[case::four_without_a_head(&VAGUE, &[3])]
 #[case::at_once(&["1 3 head", "1 3 head", "1 3 head", "1 3 none"], &[])]
-fn the_refused_parts_are_the_smallest_explanation_of_the_crashes(
+fn few_parts_that_explain_the_crashes_are_refused(
     #[case] losses: &[&str],
     #[case] expected: &[u64],
 ) {
@@ -331,6 +331,13 @@
         .await;
     }
 
+    /// Attacks for [`SERIES`] and checks what came of it.
+    async fn assert_contains(&mut self, interval: Duration, parts: &[&[u64]]) {
+        self.attack(SERIES, interval, parts).await;
+        self.assert_contained();
+        self.assert_sound_requests_are_served();
+    }
+
     fn assert_contained(&self) {
         let late = self.crashed.get(MAX_CRASHED - 1).map_or(0, |fifth| {
             let limit = *fifth + CONTACT_TIME;
@@ -384,9 +391,7 @@
     #[values(FIRST, MIDDLE, LAST)] parts: &[&[u64]],
 ) {
     let mut traffic = Traffic::start(plan, &[DEADLY]).await;
-    traffic.attack(SERIES, INTERVAL, parts).await;
-    traffic.assert_contained();
-    traffic.assert_sound_requests_are_served();
+    traffic.assert_contains(INTERVAL, parts).await;
 }
 
 #[rstest]
@@ -395,10 +400,9 @@
 #[tokio::test(start_paused = true)]
 async fn a_deadly_part_that_comes_ten_times_a_second_ends_few_endpoints(#[case] plan: Plan) {
     let mut traffic = Traffic::start(plan, &[DEADLY]).await;
-    let interval = Duration::from_millis(100);
-    traffic.attack(SERIES, interval, LAST).await;
-    traffic.assert_contained();
-    traffic.assert_sound_requests_are_served();
+    traffic
+        .assert_contains(Duration::from_millis(100), LAST)
+        .await;
 }
 
 #[rstest]
@@ -408,9 +412,7 @@
 async fn a_deadly_part_is_contained_though_no_head_of_an_answer_arrives(#[case] plan: Plan) {
     let mut traffic = Traffic::start(plan, &[DEADLY]).await;
     traffic.answer = Pending;
-    traffic.attack(SERIES, INTERVAL, LAST).await;
-    traffic.assert_contained();
-    traffic.assert_sound_requests_are_served();
+    traffic.assert_contains(INTERVAL, LAST).await;
 }
 
 #[rstest]
@@ -420,9 +422,7 @@
 async fn two_deadly_parts_at_once_are_both_contained(#[case] plan: Plan) {
     let mut traffic = Traffic::start(plan, &[DEADLY, OTHER_DEADLY]).await;
     let parts: &[&[u64]] = &[&[COMMON, SESSION, DEADLY], &[COMMON, SESSION, OTHER_DEADLY]];
-    traffic.attack(SERIES, INTERVAL, parts).await;
-    traffic.assert_contained();
-    traffic.assert_sound_requests_are_served();
+    traffic.assert_contains(INTERVAL, parts).await;
 }
 
 #[tokio::test(start_paused = true)]
@@ -446,9 +446,7 @@
         .await;
     assert_eq!(traffic.crashed.len(), 0);
     traffic.deadly.push(DEADLY);
-    traffic.attack(SERIES, INTERVAL, parts).await;
-    traffic.assert_contained();
-    traffic.assert_sound_requests_are_served();
+    traffic.assert_contains(INTERVAL, parts).await;
 }
 
 #[rstest]
