Keep the bound on crashes of a suspicion that a peer tells first

An entry that was not known was taken over whole, without the bound that merging keeps. Read in the diff before the landing; no run showed it.

--- a/cornelstand/src/suspect.rs
+++ b/cornelstand/src/suspect.rs
@@ -10,7 +10,7 @@
 //! one runs or an instance with a lower name has requested one. Two instances that request a trial
 //! at the same time have each received the other's request by then.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, hash_map};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use derive_more::IsVariant;
@@ -318,12 +318,12 @@
         if !self.entries.contains_key(&request) {
             self.evict_if_full();
         }
-        match self.entries.entry(request) {
-            hash_map::Entry::Vacant(entry) => {
-                entry.insert(theirs);
-            }
-            hash_map::Entry::Occupied(mut entry) => entry.get_mut().merge(theirs),
-        }
+        let entry = self.entries.entry(request);
+        let unknown = || Entry {
+            tried: theirs.tried,
+            ..Entry::new(theirs.changed)
+        };
+        entry.or_insert_with(unknown).merge(theirs);
     }
 
     /// Removes expired suspicions.
