Bound the prompt parts that a caller can make the gateway keep, and reword what a newcomer stumbled over

One function gives the last 64 to all four uses; the cut that only losses had is gone. - endpoint_survived said again what endpoint_probed says; one line is left. - Names: RequestEvidence (was Record), PartChange (was Verdict); comments on ages that are relayed, on losses of one crash and on urgent losses. - The raw request of the tests with processes stands in their platform folder, with the other names of the wire.

New tests for what had none. Each fails with its mechanism taken out (tried on the working copy): a queued request is refused at once when a part of its prompt is, the bound on crashes that a peer tells first (100 kept instead of 64), the last 64 parts.

--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -109,10 +109,10 @@
         }
     }
 
-    /// Identifiers of the shared parts of the prompt, as written in its header.
+    /// Identifiers of the last shared parts of the prompt, as written in its header.
     pub(crate) fn parts_text(&self) -> String {
-        let shared = self.prompt.as_ref().map_or(&[][..], Prompt::shared);
-        let ids: Vec<String> = shared.iter().map(|p| format!("{:x}", p.id)).collect();
+        let ids = self.prompt.iter().flat_map(Prompt::shared_ids);
+        let ids: Vec<String> = ids.map(|id| format!("{:x}", id.0)).collect();
         ids.join(",")
     }
 
--- a/cornelstand/src/gateway/containment.rs
+++ b/cornelstand/src/gateway/containment.rs
@@ -17,7 +17,7 @@
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::peers::endpoint_key;
 use crate::gateway::placement::Place;
-use crate::gateway::prompt_suspects::{BegunPart, Loss, LossKey, Verdict};
+use crate::gateway::prompt_suspects::{BegunPart, Loss, LossKey, PartChange};
 use crate::gateway::suspicion_news::CrashNews;
 use crate::gateway::upstream::Upstream;
 use crate::moment::Moment;
@@ -96,8 +96,6 @@
             parts = %call.parts_text(),
         );
         if probe.is_ok() && !has_restarted {
-            let endpoint = &ran.name;
-            tracing::info!(event = "endpoint_survived", %endpoint, fingerprint = %request);
             return;
         }
         let mut crash = Crash {
@@ -206,12 +204,12 @@
 
 /// Evidence against a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-struct Record {
+struct RequestEvidence {
     crashes: usize,
     is_refused: bool,
 }
 
-impl Record {
+impl RequestEvidence {
     fn of(suspects: &Suspects, now: Moment, request: Fingerprint) -> Self {
         Self {
             crashes: suspects.crashes(request),
@@ -243,7 +241,7 @@
             if self.prompt_suspects.record_loss(now, loss) {
                 may_change = true;
                 metrics.suspicions.with_label_values(&[source.name()]).inc();
-                // It names the cause almost alone, so that peers may refuse it after the next one.
+                // Two such losses refuse a part, so peers need each of them before the next crash.
                 let is_urgent = loss.answer.is_head();
                 self.suspicion_updates
                     .push(now, source, loss.key, is_urgent);
@@ -256,9 +254,9 @@
 
     /// Decides anew which prompt parts are refused.
     fn decide_parts(&mut self, now: Moment, source: Source) {
-        for verdict in self.prompt_suspects.decide(now) {
-            match verdict {
-                Verdict::Refused(part) => {
+        for change in self.prompt_suspects.decide(now) {
+            match change {
+                PartChange::Refused(part) => {
                     let losses: Vec<LossKey> = self.prompt_suspects.losses_of(part).collect();
                     for key in &losses {
                         self.suspicion_updates.push(now, source, *key, true);
@@ -268,7 +266,7 @@
                     tracing::info!(event = "part_barred", part = id, source, losses);
                     release_refused(self, now);
                 }
-                Verdict::Cleared(part) => {
+                PartChange::Cleared(part) => {
                     let losses = self.prompt_suspects.count_losses(part);
                     let id = format!("{:x}", part.0);
                     let source = source.name();
@@ -306,10 +304,10 @@
         source: Source,
         request: Fingerprint,
         change: impl FnOnce(&mut Suspects),
-    ) -> Record {
-        let before = Record::of(&self.suspects, now, request);
+    ) -> RequestEvidence {
+        let before = RequestEvidence::of(&self.suspects, now, request);
         change(&mut self.suspects);
-        let after = Record::of(&self.suspects, now, request);
+        let after = RequestEvidence::of(&self.suspects, now, request);
         if after == before {
             return after;
         }
--- a/cornelstand/src/gateway/endpoint_state.rs
+++ b/cornelstand/src/gateway/endpoint_state.rs
@@ -24,6 +24,10 @@
 /// Window of the rate limit of cold endpoints.
 const COLD_LIMIT_WINDOW: Duration = Duration::from_millis(1_100);
 
+/// Most shared parts of a prompt that are logged and may be suspected of crashes. Callers choose how
+/// many there are; the first ones are common to most requests.
+const MAX_SHARED_IDS: usize = 64;
+
 /// A section of a prompt, by which requests with a common prefix are recognised.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct PromptPart {
@@ -48,9 +52,11 @@
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
-    /// Identifiers of the shared parts, in order.
+    /// Identifiers of the last shared parts, at most [`MAX_SHARED_IDS`], in order.
     pub(crate) fn shared_ids(&self) -> impl Iterator<Item = PartId> {
-        self.shared().iter().map(|p| PartId(p.id))
+        let shared = self.shared();
+        let last = &shared[shared.len().saturating_sub(MAX_SHARED_IDS)..];
+        last.iter().map(|p| PartId(p.id))
     }
 
     /// Prompt for resuming a response after `tokens` generated tokens: these become input, and at
--- a/cornelstand/src/gateway/prompt_suspects.rs
+++ b/cornelstand/src/gateway/prompt_suspects.rs
@@ -37,7 +37,7 @@
 /// Time within which several crashes count once, since they may have a common cause: instances
 /// notice the loss of a connection within some milliseconds.
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(100);
-/// Time within which instances detect the same crash. An endpoint needs longer to restart.
+/// Losses of one endpoint lifetime that follow each other within this time belong to one crash.
 const DETECTION_TIME: Duration = Duration::from_secs(1);
 /// Time for which a begun answer is sent to peers, each of which hears every instance within it.
 const BEGUN_LIFETIME: Duration = Duration::from_secs(5);
@@ -47,8 +47,6 @@
 const MAX_BEGUN: usize = 8_192;
 /// Most begun answers in a message.
 const MAX_BEGUN_SENT: usize = 32;
-/// Most parts of one loss; a prompt with more is cut at the front, where parts are shared by most.
-const MAX_PARTS: usize = 64;
 /// Most requests of a crash that are direct evidence. More have received the head of an answer only
 /// where engines send it before they read the prompt.
 const MAX_DIRECT: usize = 3;
@@ -93,8 +91,8 @@
 
 /// When the latest answer to requests with a part began, by where it did.
 ///
-/// Only what this instance or its data centre saw is sent on. A message adds its delivery time to
-/// what it tells, so times that were sent round in circles would never grow old.
+/// Ages learned from another data centre are not sent on: each message adds its delivery time, so an
+/// age that instances relay to each other would never increase.
 #[derive(Clone, Copy, Debug, Default)]
 struct Begun {
     /// At this instance.
@@ -107,7 +105,7 @@
 
 /// A change of the refused parts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Verdict {
+pub(crate) enum PartChange {
     Refused(PartId),
     Cleared(PartId),
 }
@@ -249,7 +247,7 @@
             }
         }
         let entry = Entry {
-            parts: loss.parts[loss.parts.len().saturating_sub(MAX_PARTS)..].to_vec(),
+            parts: loss.parts.clone(),
             answer: loss.answer,
             noticed,
         };
@@ -279,7 +277,7 @@
     }
 
     /// Decides anew which parts are refused.
-    pub(crate) fn decide(&mut self, now: Moment) -> Vec<Verdict> {
+    pub(crate) fn decide(&mut self, now: Moment) -> Vec<PartChange> {
         let now = shifted(now, Duration::ZERO);
         self.losses
             .retain(|_, e| now.since(e.noticed) < DIRECT_LIFETIME);
@@ -294,8 +292,10 @@
         let before = std::mem::replace(&mut self.refused, refused);
         let added = self.refused.keys().filter(|p| !before.contains_key(p));
         let removed = before.keys().filter(|p| !self.refused.contains_key(p));
-        let added = added.map(|p| Verdict::Refused(*p));
-        added.chain(removed.map(|p| Verdict::Cleared(*p))).collect()
+        let added = added.map(|p| PartChange::Refused(*p));
+        added
+            .chain(removed.map(|p| PartChange::Cleared(*p)))
+            .collect()
     }
 
     /// Whether no answer with `part` has begun since the loss.
--- a/cornelstand/src/gateway/tests/fleet.rs
+++ b/cornelstand/src/gateway/tests/fleet.rs
@@ -24,6 +24,7 @@
 pub(crate) const DELIVERY_STEPS: u64 = 1;
 /// Time within which connected instances know what others do, as the platform states it.
 pub(crate) const CONTACT_TIME: Duration = Duration::from_secs(4);
+
 /// Size and message faults of a fleet.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Plan {
@@ -71,7 +72,7 @@
     indices: BTreeMap<SocketAddr, usize>,
     pub(crate) step: u64,
     pub(crate) rng: ChaCha8Rng,
-    /// When each endpoint crashed.
+    /// When the fatal request crashed each endpoint.
     pub(crate) crashed: Vec<Duration>,
     /// Instances cut off from all datagrams.
     pub(crate) isolated: Vec<usize>,
--- a/cornelstand/src/gateway/tests/prompt_suspects.rs
+++ b/cornelstand/src/gateway/tests/prompt_suspects.rs
@@ -203,6 +203,13 @@
     insta::assert_compact_debug_snapshot!(suspects.sizes(), @"(1024, 7709)");
 }
 
+#[test]
+fn the_last_64_shared_parts_of_a_prompt_may_be_suspected() {
+    let parts: Vec<u64> = (0..10_000).collect();
+    let ids: Vec<u64> = prompt(&parts).shared_ids().map(|id| id.0).collect();
+    assert_eq!(ids, parts[10_000 - 64..]);
+}
+
 /// Requests of a fleet in simulated time.
 struct Traffic {
     fleet: Fleet,
@@ -438,7 +445,7 @@
 #[case::small(plan(4, 8, 0.0))]
 #[case::large(plan(5, 59, 0.0))]
 #[tokio::test(start_paused = true)]
-async fn a_part_that_turns_deadly_after_minutes_is_contained(#[case] plan: Plan) {
+async fn a_part_that_turns_deadly_after_it_was_answered_is_contained(#[case] plan: Plan) {
     let mut traffic = Traffic::start(plan, &[]).await;
     let parts: &[&[u64]] = &[&[COMMON, SESSION, DEADLY], &[COMMON, DEADLY, 10]];
     traffic
--- a/cornelstand/src/platform/tests/crashes.rs
+++ b/cornelstand/src/platform/tests/crashes.rs
@@ -7,14 +7,15 @@
 use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
-use crate::gateway::call::fingerprint;
+use crate::gateway::call::{PART_CRASH_REASON, fingerprint};
 use crate::gateway::gate::Gate;
-use crate::gateway::placement::{Place, PlaceEnd};
+use crate::gateway::placement::{AnswerPhase, Place, PlaceEnd};
+use crate::gateway::prompt_suspects::{Loss, LossKey};
 use crate::gateway::tests::{ORDERS, crash, gate, list, record};
-use crate::name::{AccountName, Fingerprint};
-use crate::platform::tests::path::{fetch, listen, request, run_local, status};
+use crate::name::{AccountName, Fingerprint, PartId};
+use crate::platform::tests::path::{fetch, listen, request, run_local, status, with_engines};
 use crate::platform::tests::scripted::{Endpoint, Step, accept, answer, read_request};
 
 /// Fingerprint of [`request`] for `path`.
@@ -26,7 +27,7 @@
 fn take_all_places(gate: &Gate) -> Vec<Place> {
     let mut state = gate.state.borrow_mut();
     let mut places = Vec::new();
-    for _ in 0..12 {
+    for _ in 0..64 {
         places.extend(state.endpoints.take(gate.now(), 0, None));
     }
     places
@@ -59,6 +60,40 @@
     .await;
 }
 
+#[tokio::test]
+async fn a_queued_request_is_refused_at_once_when_a_part_of_its_prompt_is_refused() {
+    run_local(async {
+        let (gate, address, engines) = with_engines(vec![vec![]]).await;
+        let _places = take_all_places(&gate);
+        let request = request("/digest/1", "a1").replacen(
+            "Content-Length:",
+            "X-Cornelstand-Prompt-Prefix: a:40,b:40,c:20\r\nContent-Length:",
+            1,
+        );
+        let started = Instant::now();
+        let asked = tokio::task::spawn_local(async move { fetch(address, &request).await });
+        sleep(Duration::from_millis(30)).await;
+        // Two crashes that are too far apart for a common cause.
+        for endpoint in [1, 2] {
+            gate.note_loss(Loss {
+                key: LossKey {
+                    request: Fingerprint(u64::from(endpoint)),
+                    endpoint,
+                },
+                parts: vec![PartId(0xa), PartId(0xb)],
+                answer: AnswerPhase::Head,
+                age: Duration::from_secs(u64::from(endpoint)),
+            });
+        }
+        let text = asked.await.expect("a caller");
+        assert_eq!(status(&text), "503", "{text}");
+        assert!(text.contains(PART_CRASH_REASON), "{text}");
+        assert!(started.elapsed() < Duration::from_millis(150));
+        assert_eq!(engines[0].count(), 0);
+    })
+    .await;
+}
+
 /// An endpoint that sends `kind` as its response to its first request. Without `kind` it resets
 /// that connection and accepts no other, as if it had crashed and not restarted.
 async fn endpoint(kind: Option<&str>) -> SocketAddr {
--- a/cornelstand/src/suspect.rs
+++ b/cornelstand/src/suspect.rs
@@ -108,8 +108,8 @@
         }
     }
 
-    /// Merges what another instance knows. Its times are late by the delivery of the message, so those
-    /// of the same events must not replace earlier ones: told back and forth, they would never grow old.
+    /// Merges what another instance knows. Its times are late by the delivery of the message, so the
+    /// earlier time of the same events is kept: relayed ages would never increase otherwise.
     fn merge(&mut self, other: Self) {
         if other.round < self.round {
             return;
--- a/cornelstand/tests/entry/suspects.rs
+++ b/cornelstand/tests/entry/suspects.rs
@@ -94,6 +94,18 @@
     );
 }
 
+#[test]
+fn the_crashes_of_a_request_that_a_peer_tells_first_are_bounded() {
+    let mut peer = Suspects::default();
+    for endpoint in 0..100 {
+        peer.record_crash(at(1), REQUEST, crash(&format!("e-{endpoint}")));
+    }
+    let suspicion = peer.suspicion(at(1), REQUEST).expect("suspect");
+    let mut suspects = Suspects::default();
+    suspects.merge(at(1), suspicion);
+    assert_eq!(suspects.crashes(REQUEST), 64);
+}
+
 /// One simulated step of instances that all received the same crashing request.
 #[derive(Clone, Copy, Debug)]
 enum Step {
--- a/cornelstand/tests/gateway/main.rs
+++ b/cornelstand/tests/gateway/main.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use platform::{EVENTS, KEY, World};
+use platform::{EVENTS, World, raw_call};
 use rustix::process::Signal;
 use stand_ins::{EndpointFaults, StoreFaults};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -120,16 +120,8 @@
     Unanswered,
 }
 
-fn call(id: &str) -> String {
-    format!(
-        "POST /book/1 HTTP/1.1\r\nhost: shop.example\r\nx-cornelstand-attempt-id: {id}\r\n\
-         x-cornelstand-deadline-ms: 8000\r\nx-cornelstand-credential: {KEY}\r\n\
-         content-length: 4\r\n\r\nbody"
-    )
-}
-
 async fn exchange(stream: &mut TcpStream, id: &str) -> Outcome {
-    if stream.write_all(call(id).as_bytes()).await.is_err() {
+    if stream.write_all(raw_call(id).as_bytes()).await.is_err() {
         return Outcome::Unanswered;
     }
     let mut text = Vec::new();
@@ -212,7 +204,10 @@
         sleep(Duration::from_millis(1_300)).await;
         // When the instance resumes, it finds the request and the configuration change together.
         let id = format!("p-{round}");
-        stream.write_all(call(&id).as_bytes()).await.expect("sent");
+        stream
+            .write_all(raw_call(&id).as_bytes())
+            .await
+            .expect("sent");
         world.configure(version, false);
         sleep(Duration::from_millis(100)).await;
         world.instances[0].signal(Signal::CONT);
@@ -240,7 +235,7 @@
         .await
         .expect("accepted");
     stream
-        .write_all(call("gone").as_bytes())
+        .write_all(raw_call("gone").as_bytes())
         .await
         .expect("sent");
     drop(stream);
--- a/cornelstand/tests/gateway/platform/mod.rs
+++ b/cornelstand/tests/gateway/platform/mod.rs
@@ -24,6 +24,15 @@
 /// Time until an endpoint restarts after a request crashed it.
 pub(crate) const RESTART_DELAY: Duration = Duration::from_millis(800);
 
+/// A call as written on a connection.
+pub(crate) fn raw_call(id: &str) -> String {
+    format!(
+        "POST /book/1 HTTP/1.1\r\nhost: shop.example\r\nx-cornelstand-attempt-id: {id}\r\n\
+         x-cornelstand-deadline-ms: 8000\r\nx-cornelstand-credential: {KEY}\r\n\
+         content-length: 4\r\n\r\nbody"
+    )
+}
+
 static NEXT_WORLD: AtomicU8 = AtomicU8::new(1);
 
 /// One gateway process.
