--- a/review/kit/cases/stop.rs
+++ b/review/kit/cases/stop.rs
@@ -65,6 +65,8 @@
         .map(|c| c.join().unwrap())
         .filter(|is_lost| *is_lost)
         .count();
+    // The replicas complete what was passed on to them.
+    std::thread::sleep(Duration::from_millis(600));
     Ok(Verdict {
         broken: lost,
         text: format!("{lost} calls that were passed on to a replica were never answered"),
