--- a/review/kit/cases/late.rs
+++ b/review/kit/cases/late.rs
@@ -48,7 +48,7 @@
     for n in 0..CALLS {
         let id = format!("c-{n:02}");
         record.note(format!("client: sends {id}"));
-        wire.send(&request("POST", "/book/2f", &id, 2_500, "", b"ticket"))?;
+        wire.send(&request("POST", "/book/2f", &id, 1_000, "", b"ticket"))?;
         let mut head = wire.head()?.ok_or(io::ErrorKind::UnexpectedEof)?;
         wire.body(&mut head)?;
         record.note(format!("client: {id} got {}", head.status()));
--- a/review/kit/cases/memory.rs
+++ b/review/kit/cases/memory.rs
@@ -109,7 +109,7 @@
         let id = format!("c-{client}-{n:02}");
         record.note(format!("client: sends {id}"));
         let mut ask = || -> io::Result<u16> {
-            wire.send(&request("POST", "/book/2f", &id, 2_500, "", b"ticket"))?;
+            wire.send(&request("POST", "/book/2f", &id, 1_000, "", b"ticket"))?;
             let mut head = wire.head()?.ok_or(io::ErrorKind::UnexpectedEof)?;
             wire.body(&mut head)?;
             Ok(head.status())
--- a/review/kit/cases/mod.rs
+++ b/review/kit/cases/mod.rs
@@ -1,11 +1,10 @@
-//! The cases 1 to 4, and two findings that are no cases: `late` and `memory`.
+//! The cases 1 to 3, and two findings that are no cases: `late` and `memory`.
 
 mod drain;
 mod late;
 mod memory;
 mod mixed;
 mod order;
-mod stop;
 mod streams;
 
 use crate::Verdict;
@@ -17,7 +16,6 @@
         "mixed" => mixed::run(&record, trouble),
         "order" => order::run(&record, trouble),
         "drain" => drain::run(&record, trouble),
-        "stop" => stop::run(&record, trouble),
         "late" => late::run(&record, trouble),
         "memory" => memory::run(&record, trouble),
         _ => return Err(format!("no case {case}")),
--- a/review/kit/cases/order.rs
+++ b/review/kit/cases/order.rs
@@ -57,6 +57,13 @@
     std::thread::sleep(Duration::from_millis(900));
     if trouble {
         replicas[0].crash();
+        // It is back 2 s later, as another lifetime; its old entry goes after three silent intervals.
+        std::thread::sleep(Duration::from_secs(2));
+        let back = Replica::start(record, "i-5", "stitch-models", "dock-a", Arc::new(stream))?;
+        store.put("servers", "i-5", back.entry("ready", 1).as_bytes());
+        record.note("i-5: the crashed replica is back");
+        std::thread::sleep(Duration::from_millis(1_600));
+        store.delete("servers", "i-1");
     }
     let received: Vec<Received> = clients.into_iter().map(|c| c.join().unwrap()).collect();
     let mut broken = 0;
