Gateway: only a continuation follows what the caller has got of a stream

Cause: Exchange::run decided by may_retry alone whether a response goes to the caller. The response to the last attempt was sent with its head, although the caller had got a head and events. Successes were not compared either: a 204 ended the stream as complete, another media type was passed on as events.

Ruled out, by reading and by test: the endings of a begun stream by a refusal, a deadline, a rejection or a loss, which were guarded; cornelstand serve, whose resumption takes only the event stream of its own attempt (its new test passes on the code before).

Change: the call keeps what the caller has got (BegunResponse); a later response has to have its status and media type, or the attempt failed. A failure no longer asks for a retry when no attempt is left.

--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -57,8 +57,8 @@
     /// Number of times the request was sent to an endpoint.
     pub(crate) sends: u32,
     pub(crate) tried: Vec<EndpointIndex>,
-    /// Whether any part of the response was sent to the caller.
-    pub(crate) has_begun: bool,
+    /// The response of which the caller has got any part.
+    pub(crate) begun: Option<BegunResponse>,
     /// Tokens of the response sent to the caller so far.
     pub(crate) generated: u32,
     pub(crate) first_byte: Option<Instant>,
@@ -69,6 +69,28 @@
     failure: Option<BufferedResponse>,
 }
 
+/// A response that was sent to the caller in part or in whole.
+#[derive(Clone, Debug)]
+pub(crate) struct BegunResponse {
+    status: u16,
+    media: String,
+}
+
+impl BegunResponse {
+    pub(crate) fn new(head: &Head) -> Self {
+        Self {
+            status: head.status(),
+            media: head.media_type().to_owned(),
+        }
+    }
+
+    /// Whether the body of another endpoint's response may follow what the caller has got.
+    pub(crate) fn is_continued_by(&self, head: &Head) -> bool {
+        let is_same_media = head.media_type().eq_ignore_ascii_case(&self.media);
+        head.status() == self.status && is_same_media
+    }
+}
+
 impl Call {
     pub(crate) fn id(&self) -> Cow<'_, str> {
         String::from_utf8_lossy(&self.request_id)
@@ -260,7 +282,7 @@
         route,
         sends: 0,
         tried: Vec::new(),
-        has_begun: false,
+        begun: None,
         generated: 0,
         first_byte: None,
         last_event: fields.last_event.map(|id| id.to_vec()),
@@ -310,7 +332,7 @@
         match next {
             Next::Retry => {}
             Next::Finish(outcome) => break outcome,
-            Next::Respond(refused) if call.has_begun => break truncated(refused.reason),
+            Next::Respond(refused) if call.begun.is_some() => break truncated(refused.reason),
             Next::Respond(refused) => break give_up(gate, call, writer, refused).await,
         }
     };
@@ -408,7 +430,7 @@
     gate.end(&place, place_end(&attempt));
     if !attempt.is_delivered() {
         tracing::info!(
-            event = "attempt_ended", request = %call.id(), sends = call.sends, begun = call.has_begun,
+            event = "attempt_ended", request = %call.id(), sends = call.sends, begun = call.begun.is_some(),
             answer = %place.answer, result = ?LoggedAttempt(&attempt),
         );
     }
@@ -422,7 +444,7 @@
             })
         }
         Attempt::Gone => Next::Finish(caller_gone()),
-        Attempt::Late if call.has_begun => {
+        Attempt::Late if call.begun.is_some() => {
             Next::Finish(truncated("the time for the answer is over"))
         }
         Attempt::Late => Next::Respond(Refused::new(504, "no answer in time", None)),
@@ -434,7 +456,7 @@
         Attempt::Failed(response) => {
             call.tried.push(place.index);
             call.failure = Some(response);
-            if take_retry(gate, call) {
+            if call.may_retry() && take_retry(gate, call) {
                 return Next::Retry;
             }
             Next::Respond(Refused::new(502, "the endpoint failed", None))
@@ -466,7 +488,7 @@
     if call.sends < call.route.attempts && take_retry(gate, call) {
         return Next::Retry;
     }
-    if call.has_begun {
+    if call.begun.is_some() {
         return Next::Finish(truncated("the stream cannot go on"));
     }
     let reason = match reason {
@@ -492,7 +514,7 @@
     if call.may_retry() && !is_refused && take_retry(gate, call) {
         return Next::Retry;
     }
-    if call.has_begun {
+    if call.begun.is_some() {
         return Next::Finish(truncated(reason));
     }
     Next::Respond(Refused::new(502, "the answer was lost", None))
--- a/cornelstand/src/gateway/message.rs
+++ b/cornelstand/src/gateway/message.rs
@@ -191,10 +191,20 @@
         Ok(BodyReader::new(framing.unwrap_or(Framing::Length(0))))
     }
 
+    /// Whether a response to a `method` request has no body, whatever its headers say.
+    pub(crate) fn is_bodiless(&self, method: &str) -> bool {
+        method == "HEAD" || matches!(self.status(), ..200 | 204 | 304)
+    }
+
+    /// Media type of the body, without parameters.
+    pub(crate) fn media_type(&self) -> &str {
+        let value = self.get("content-type").unwrap_or_default();
+        value.split(';').next().unwrap_or_default().trim()
+    }
+
     /// Reader for the body of a response to a `method` request.
     pub(crate) fn answer_body(&self, method: &str) -> Result<BodyReader, MessageError> {
-        let status = self.status();
-        if method == "HEAD" || status == 204 || status == 304 || status < 200 {
+        if self.is_bodiless(method) {
             return Ok(BodyReader::new(Framing::Length(0)));
         }
         let framing = self.framing()?;
--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -11,7 +11,7 @@
 use derive_more::IsVariant;
 use tokio::time::{Instant, timeout_at};
 
-use crate::gateway::call::Call;
+use crate::gateway::call::{BegunResponse, Call};
 use crate::gateway::directory::EndpointRecord;
 use crate::gateway::gate::Gate;
 use crate::gateway::message::{BodyReader, Head};
@@ -251,14 +251,21 @@
                 return Ok(Attempt::Lost("no receipt"));
             }
             place.answer = AnswerPhase::Head;
-            let is_good = (200..300).contains(&head.status());
-            if call.route.kind.is_stream() && is_good {
+            let is_good = is_success(&head);
+            let is_stream = call.route.kind.is_stream() && is_good;
+            if let Some(begun) = &call.begun
+                && is_good
+                && !(is_stream && begun.is_continued_by(&head))
+            {
+                return Ok(Attempt::Lost("no continuation of the stream"));
+            }
+            if is_stream {
                 return self.forward_events(&head, body, call, writer, place).await;
             }
             self.gate.begin(place);
             let body = self.read_body(&mut body, call, writer).await?;
             let response = BufferedResponse { head, body };
-            if !is_good && call.may_retry() {
+            if !is_good && (call.begun.is_some() || call.may_retry()) {
                 return Ok(Attempt::Failed(response));
             }
             return deliver(call, writer, response)
@@ -392,10 +399,14 @@
     }
 }
 
+fn is_success(head: &Head) -> bool {
+    (200..300).contains(&head.status())
+}
+
 /// Whether a response is authentic: a success needs a stamp and request ID, and no encoding.
 fn is_authentic(head: &Head, response: &ResponseFields<'_>) -> bool {
-    let is_good = (200..300).contains(&head.status());
-    !is_good || (response.has_stamp && response.request_id.is_some() && !response.is_encoded)
+    !is_success(head)
+        || (response.has_stamp && response.request_id.is_some() && !response.is_encoded)
 }
 
 /// Appends events to the output, preceded by the response head if none was sent yet.
@@ -407,7 +418,8 @@
     call: &mut Call,
     writer: &mut ResponseWriter,
 ) {
-    if !std::mem::replace(&mut call.has_begun, true) {
+    if call.begun.is_none() {
+        call.begun = Some(BegunResponse::new(head));
         call.first_byte = Some(Instant::now());
         if writer.lacks_chunking {
             writer.keep_alive = false;
@@ -435,15 +447,14 @@
     }
 }
 
-/// Sends a buffered response to the caller.
+/// Sends a buffered response to the caller, who must not have got any part of another one.
 pub(crate) async fn deliver(
     call: &mut Call,
     writer: &mut ResponseWriter,
     response: BufferedResponse,
 ) -> Result<Attempt, CallerGone> {
     let status = response.head.status();
-    let has_no_body = call.head.method() == "HEAD" || status == 204 || status == 304;
-    let framing = if has_no_body {
+    let framing = if response.head.is_bodiless(call.head.method()) {
         CallerFraming::AsIs
     } else {
         CallerFraming::Length(response.body.len())
@@ -456,7 +467,7 @@
         writer.connection_header(),
     );
     out.put_slice(&response.body);
-    call.has_begun = true;
+    call.begun = Some(BegunResponse::new(&response.head));
     call.first_byte.get_or_insert_with(Instant::now);
     writer.send(&out).await?;
     Ok(Attempt::Delivered(status))
--- a/cornelstand/src/platform/tests.rs
+++ b/cornelstand/src/platform/tests.rs
@@ -4,5 +4,6 @@
 mod endless;
 mod notices;
 mod path;
+mod resumption;
 mod scripted;
 mod wire;
--- a/cornelstand/src/platform/tests/path.rs
+++ b/cornelstand/src/platform/tests/path.rs
@@ -323,7 +323,7 @@
 }
 
 /// Starts a gateway with one engine under two names, whose connections run the scripts in order.
-async fn with_two_names(scripts: Vec<Vec<Step>>) -> (Rc<Gate>, SocketAddr, Endpoint) {
+pub(super) async fn with_two_names(scripts: Vec<Vec<Step>>) -> (Rc<Gate>, SocketAddr, Endpoint) {
     let engine = Endpoint::start(scripts).await;
     let records = ["m-0", "m-1"].map(|name| record(name, MODELS, engine.address));
     let gate = gate("one", records.to_vec());
--- /dev/null
+++ b/cornelstand/src/platform/tests/resumption.rs
@@ -0,0 +1,146 @@
+//! Streams that break off after the caller has got an event, and what follows them.
+
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::timeout;
+
+use crate::platform::tests::path::{connect, request, run_local, with_two_names};
+use crate::platform::tests::scripted::{Step, TEST_TIMEOUT, chunk, event, response, stream_head};
+
+/// An endpoint's script: one event, then a reset.
+fn broken_stream() -> Vec<Step> {
+    vec![
+        Step::Read,
+        Step::Write(stream_head("a1") + &chunk(&event(1))),
+        Step::Pause(30),
+        Step::Reset,
+    ]
+}
+
+/// Sends a request on a connection that may be kept, and reads until the gateway closes it.
+async fn read_until_closed(address: std::net::SocketAddr, request: &str) -> String {
+    let mut caller = connect(address).await;
+    caller.write_all(request.as_bytes()).await.expect("sent");
+    let mut text = Vec::new();
+    timeout(TEST_TIMEOUT, caller.read_to_end(&mut text))
+        .await
+        .expect("the connection is closed")
+        .expect("read");
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+/// Guards against the response of the next endpoint, or its end, in the middle of a stream.
+#[rstest]
+#[case::server_error(response("a1", "500 Oops", "Content-Length: 4\r\n", "oops"))]
+#[case::server_error_in_chunks(response(
+    "a1",
+    "500 Oops",
+    "Transfer-Encoding: chunked\r\n",
+    "4\r\noops\r\n0\r\n\r\n"
+))]
+#[case::server_error_until_close(response("a1", "504 Late", "", "late"))]
+#[case::server_error_without_receipt(
+    "HTTP/1.1 500 Oops\r\nX-Cornelstand-Attempt-Id: a1\r\nContent-Length: 4\r\n\r\noops".into()
+)]
+#[case::client_error(response("a1", "400 Bad Request", "Content-Length: 3\r\n", "bad"))]
+#[case::redirect(response("a1", "302 Found", "Location: /b\r\nContent-Length: 0\r\n", ""))]
+#[case::no_content(response("a1", "204 No Content", "", ""))]
+#[case::not_modified(response("a1", "304 Not Modified", "", ""))]
+#[case::other_media(response(
+    "a1",
+    "200 OK",
+    "Content-Type: application/json\r\nContent-Length: 15\r\n",
+    "{\"error\":\"no\"}\n"
+))]
+#[case::other_media_with_an_event(response(
+    "a1",
+    "200 OK",
+    "Content-Type: text/html\r\nContent-Length: 10\r\n",
+    "<p>no\n\n</p"
+))]
+#[case::partial_content(response(
+    "a1",
+    "206 Partial Content",
+    "Content-Type: text/event-stream\r\nContent-Length: 21\r\n",
+    "id: 2\ndata: piece 2\n\n"
+))]
+#[case::moved(response("a1", "421 Misdirected", "Content-Length: 0\r\n", ""))]
+#[case::rejection(response(
+    "a1",
+    "503 Busy",
+    "X-Cornelstand-Not-Executed: 1\r\nContent-Length: 4\r\n",
+    "busy"
+))]
+#[case::success_without_receipt(
+    "HTTP/1.1 200 OK\r\nX-Cornelstand-Attempt-Id: a1\r\nContent-Type: text/event-stream\r\n\
+     Content-Length: 21\r\n\r\nid: 2\ndata: piece 2\n\n".into()
+)]
+#[case::encoded(response(
+    "a1",
+    "200 OK",
+    "Content-Type: text/event-stream\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n",
+    "\n\n\n\n"
+))]
+#[case::closed_before_an_event(response(
+    "a1",
+    "200 OK",
+    "Content-Type: text/event-stream\r\n",
+    ""
+))]
+#[case::two_lengths(response(
+    "a1",
+    "200 OK",
+    "Content-Type: text/event-stream\r\nContent-Length: 2\r\nContent-Length: 2\r\n",
+    "\n\n"
+))]
+#[case::no_http("who goes there\r\n\r\n".into())]
+#[case::nothing(String::new())]
+#[tokio::test]
+async fn a_begun_stream_that_no_endpoint_continues_ends_visibly_incomplete(#[case] next: String) {
+    run_local(async {
+        let scripts = vec![broken_stream(), vec![Step::Read, Step::Write(next)]];
+        let (gate, address, endpoint) = with_two_names(scripts).await;
+        let text = read_until_closed(address, &request("/quote/1", "a1")).await;
+        let (_, body) = text.split_once("\r\n\r\n").expect("a head");
+        assert_eq!(body, chunk(&event(1)));
+        assert_eq!(endpoint.count(), 2);
+        assert_eq!(gate.metrics.outcomes.with_label_values(&["cut"]).get(), 1);
+    })
+    .await;
+}
+
+/// A stream whose endpoint broke off between its last event and its end.
+#[rstest]
+#[case::chunks("Transfer-Encoding: chunked\r\n", "0\r\n\r\n")]
+#[case::length("Content-Length: 0\r\n", "")]
+#[tokio::test]
+async fn a_stream_with_no_event_left_is_completed(#[case] framing: &str, #[case] body: &str) {
+    run_local(async {
+        let headers = format!("Content-Type: text/event-stream\r\n{framing}");
+        let rest = response("a1", "200 OK", &headers, body);
+        let scripts = vec![broken_stream(), vec![Step::Read, Step::Write(rest)]];
+        let (_gate, address, _endpoint) = with_two_names(scripts).await;
+        let request = request("/quote/1", "a1");
+        let request = request.replacen("Host:", "Connection: close\r\nHost:", 1);
+        let text = read_until_closed(address, &request).await;
+        let (_, body) = text.split_once("\r\n\r\n").expect("a head");
+        assert_eq!(body, chunk(&event(1)) + "0\r\n\r\n");
+    })
+    .await;
+}
+
+/// An error of the first endpoint is kept for the case that no other one serves the request; it is
+/// no answer once a stream has begun.
+#[tokio::test]
+async fn an_earlier_error_does_not_end_a_begun_stream() {
+    run_local(async {
+        let failed = response("a1", "500 Oops", "Content-Length: 4\r\n", "oops");
+        let scripts = vec![vec![Step::Read, Step::Write(failed)], broken_stream()];
+        let (_gate, address, endpoint) = with_two_names(scripts).await;
+        let text = read_until_closed(address, &request("/quote/1", "a1")).await;
+        let (_, body) = text.split_once("\r\n\r\n").expect("a head");
+        assert_eq!(body, chunk(&event(1)));
+        assert_eq!(endpoint.count(), 2);
+    })
+    .await;
+}
--- a/cornelstand/src/platform/tests/scripted.rs
+++ b/cornelstand/src/platform/tests/scripted.rs
@@ -32,6 +32,14 @@
     )
 }
 
+/// A response with a stamp, whose framing is among `headers`.
+pub(crate) fn response(id: &str, status: &str, headers: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status}\r\nX-Cornelstand-Attempt-Id: {id}\r\nX-Cornelstand-Server-Stamp: s\r\n\
+         {headers}\r\n{body}"
+    )
+}
+
 pub(crate) fn stream_head(id: &str) -> String {
     format!(
         "HTTP/1.1 200 OK\r\nX-Cornelstand-Attempt-Id: {id}\r\nX-Cornelstand-Server-Stamp: s\r\n\
--- a/cornelstand/tests/entry/streams.rs
+++ b/cornelstand/tests/entry/streams.rs
@@ -231,3 +231,35 @@
     };
     assert_eq!(fleet.endings(), [ending]);
 }
+
+/// Guards against the answer to a resumption, or its end, in the middle of a stream.
+#[rstest]
+#[case::server_error("HTTP/1.1 500 Oops\r\ncontent-length: 4\r\n\r\noops")]
+#[case::unknown("HTTP/1.1 404 Not Found\r\ncontent-length: 2\r\n\r\nno")]
+#[case::no_content("HTTP/1.1 204 No Content\r\n\r\n")]
+#[case::other_media(
+    "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 2\r\n\r\n{}"
+)]
+#[case::another_stream(
+    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nx-request-id: 1-0\r\n\
+     content-length: 14\r\n\r\ndata: [DONE]\n\n"
+)]
+#[case::nothing("")]
+#[tokio::test]
+async fn a_begun_stream_that_is_not_continued_ends_visibly_incomplete(#[case] next: &'static str) {
+    const BROKEN: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+        connection: close\r\n\r\ndata: 1\n\n";
+    let answers = vec![BROKEN, next, next, next, next];
+    let fleet = Fleet::start(&[script(answers).await], EntryLimits::default()).await;
+    let mut answer = chat(&fleet, "five zips", 3).send().await.unwrap();
+    assert_eq!(answer.status(), 200);
+    let mut text = Vec::new();
+    let end = loop {
+        match answer.chunk().await {
+            Ok(Some(piece)) => text.extend(piece),
+            end => break end,
+        }
+    };
+    assert!(end.is_err(), "the stream looks complete");
+    assert_eq!(text, b"data: 1\n\n");
+}
