Gateway: no chunks after a response that has no body on a stream route

Cause: a success on such a route was always forwarded in chunks. Ruled out: other routes (deliver looked at method and status) and cornelstand serve (its library frames answers).

Change: Head::is_bodiless decides it for reading and for forwarding.

--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -252,7 +252,8 @@
             }
             place.answer = AnswerPhase::Head;
             let is_good = is_success(&head);
-            let is_stream = call.route.kind.is_stream() && is_good;
+            let has_body = !head.is_bodiless(call.head.method());
+            let is_stream = call.route.kind.is_stream() && is_good && has_body;
             if let Some(begun) = &call.begun
                 && is_good
                 && !(is_stream && begun.is_continued_by(&head))
--- a/cornelstand/src/platform/tests/resumption.rs
+++ b/cornelstand/src/platform/tests/resumption.rs
@@ -5,7 +5,9 @@
 use tokio::time::timeout;
 
 use crate::platform::tests::path::{connect, request, run_local, with_two_names};
-use crate::platform::tests::scripted::{Step, TEST_TIMEOUT, chunk, event, response, stream_head};
+use crate::platform::tests::scripted::{
+    Step, TEST_TIMEOUT, answer, chunk, event, response, stream_head,
+};
 
 /// An endpoint's script: one event, then a reset.
 fn broken_stream() -> Vec<Step> {
@@ -144,3 +146,26 @@
     })
     .await;
 }
+
+/// The response to the next request must not be preceded by the end of a body that the response to
+/// this one does not have.
+#[rstest]
+#[case::head("HEAD", stream_head("a1"))]
+#[case::no_content("POST", response("a1", "204 No Content", "", ""))]
+#[tokio::test]
+async fn a_response_without_a_body_on_a_stream_route_has_no_chunks(
+    #[case] method: &str,
+    #[case] first: String,
+) {
+    run_local(async {
+        let next = answer("a2", "Content-Type: text/event-stream\r\n", "id: 1\n\n");
+        let script = |text| vec![Step::Read, Step::Write(text), Step::AwaitClose];
+        let (_gate, address, _endpoint) = with_two_names(vec![script(first), script(next)]).await;
+        let both = request("/quote/1", "a1").replacen("POST", method, 1)
+            + &request("/quote/1", "a2").replacen("Host:", "Connection: close\r\nHost:", 1);
+        let text = read_until_closed(address, &both).await;
+        let (_, rest) = text.split_once("\r\n\r\n").expect("a head");
+        assert!(rest.starts_with("HTTP/1.1 200 "), "{text}");
+    })
+    .await;
+}
