Read events by lines and fields, in one place for both programs

Streams with CR LF arrived only at their end and ran twice.

Cause: the gateway sought "id:" and an empty line as text. An "id:" inside the data of an event hid the identifier before it, so the stream was resumed at an earlier event. So did comments, other fields, a byte order mark and identifiers that are long, empty or no header's value; events without one were resumed at an earlier one. cornelstand serve had a reader of its own and miscounted chunks in some forms.

Change: sse::Splitter and sse::Events read events as their standard defines them, for both programs. The gateway keeps a ResumePoint; a stream whose last event cannot be named is cut instead of resumed, and the reason says so.

--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -18,8 +18,10 @@
 use crate::gateway::pauses::boot_time;
 use crate::gateway::placement::{EndpointIndex, Place, PlaceEnd};
 use crate::gateway::relay::{self, Attempt, BufferedResponse, NotRun};
+use crate::gateway::resume::ResumePoint;
 use crate::name::{AccountName, Fingerprint, ServiceName};
 use crate::platform::headers::{CallFields, read_call, write_own_response};
+use crate::sse::Events;
 
 /// Account name of requests to public routes, which need no key.
 const ANONYMOUS_ACCOUNT: &str = "-";
@@ -32,10 +34,10 @@
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Reason in refusals of requests that have crashed endpoints.
 pub(crate) const CRASH_REASON: &str = "the request crashed endpoints";
+/// Reason why a stream of a resumable route was not resumed.
+const NO_EVENT_ID: &str = "the last event has no usable identifier";
 /// Reason in refusals of requests with a prompt part that has crashed endpoints.
 pub(crate) const PART_CRASH_REASON: &str = "a part of the prompt crashed endpoints";
-/// Longest event identifier that is kept for resuming a stream, in bytes.
-const MAX_EVENT_ID_BYTES: usize = 128;
 
 /// A request with its route, account and progress.
 #[derive(Debug)]
@@ -62,8 +64,8 @@
     /// Tokens of the response sent to the caller so far.
     pub(crate) generated: u32,
     pub(crate) first_byte: Option<Instant>,
-    /// Identifier of the last event sent to the caller.
-    last_event: Option<Vec<u8>>,
+    /// Where another endpoint would go on with the stream.
+    resume_point: ResumePoint,
     pub(crate) queued: Duration,
     /// Error response of an earlier attempt, delivered if no later attempt succeeds.
     failure: Option<BufferedResponse>,
@@ -98,12 +100,14 @@
 
     /// Identifier of the last event that the caller received.
     pub(crate) fn last_event(&self) -> Option<&[u8]> {
-        self.last_event.as_deref()
+        self.resume_point.id()
     }
 
     /// Whether the request may be sent once more although it may have run.
     pub(crate) fn may_retry(&self) -> bool {
-        self.route.is_repeatable() && self.sends < self.route.attempts
+        self.route.is_repeatable()
+            && self.sends < self.route.attempts
+            && self.resume_point.is_exact()
     }
 
     /// Whether another endpoint may resume the stream.
@@ -111,24 +115,14 @@
         self.route.kind.is_stream() && self.may_retry()
     }
 
-    /// Records the identifier of the last complete event.
-    pub(crate) fn record_last_event(&mut self, events: &[u8]) {
-        if !self.route.resumable {
-            return;
-        }
-        let Some(at) = memchr::memmem::rfind(events, b"id:") else {
-            return;
-        };
-        if at > 0 && events[at - 1] != b'\n' {
-            return;
-        }
-        let id = events[at + 3..].split(|b| *b == b'\n').next();
-        let id = id.unwrap_or_default().trim_ascii();
-        if id.len() <= MAX_EVENT_ID_BYTES {
-            let last = self.last_event.get_or_insert_default();
-            last.clear();
-            last.extend_from_slice(id);
+    /// Records events that are sent to the caller. Returns how many of them carry data.
+    pub(crate) fn note_events(&mut self, events: &Events) -> u32 {
+        let mut count = 0;
+        for event in events.iter() {
+            count += u32::from(event.data.is_some());
+            self.resume_point.advance(&event);
         }
+        count
     }
 
     /// Identifiers of the last shared parts of the prompt, as written in its header.
@@ -285,7 +279,7 @@
         begun: None,
         generated: 0,
         first_byte: None,
-        last_event: fields.last_event.map(|id| id.to_vec()),
+        resume_point: ResumePoint::after(fields.last_event.as_deref()),
         queued: Duration::ZERO,
         failure: None,
     })
@@ -515,6 +509,8 @@
         return Next::Retry;
     }
     if call.begun.is_some() {
+        let is_unmarked = call.route.resumable && !call.resume_point.is_exact();
+        let reason = if is_unmarked { NO_EVENT_ID } else { reason };
         return Next::Finish(truncated(reason));
     }
     Next::Respond(Refused::new(502, "the answer was lost", None))
--- a/cornelstand/src/gateway/mod.rs
+++ b/cornelstand/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 pub(crate) mod prompt_suspects;
 pub(crate) mod relay;
 pub(crate) mod residency;
+pub(crate) mod resume;
 pub(crate) mod settings;
 pub(crate) mod suspicion_news;
 pub(crate) mod upstream;
--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -21,6 +21,7 @@
 use crate::platform::headers::{
     CallerFraming, Forwarding, ResponseFields, read_response, write_request, write_response_head,
 };
+use crate::sse::{EVENT_BYTES, Splitter};
 
 /// Time limit to connect; connecting to another data centre takes some milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
@@ -28,8 +29,6 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Largest response body that is buffered, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
-/// Largest stream event, in bytes; bounds the memory for an event that never ends.
-const MAX_EVENT_BYTES: usize = 256 * 1024;
 /// Most responses to other requests that are skipped on a connection.
 const MAX_FOREIGN_RESPONSES: u32 = 4;
 /// Share of the silence callers tolerate after which a stream is resumed at another endpoint. The
@@ -329,32 +328,30 @@
         writer: &mut ResponseWriter,
         place: &mut Place,
     ) -> Result<Attempt, Interruption> {
-        let mut pending = BytesMut::new();
+        let mut splitter = if call.begun.is_some() {
+            Splitter::resumed()
+        } else {
+            Splitter::default()
+        };
         let mut out = BytesMut::new();
         let mut is_closed = false;
         let mut is_first = true;
         let mut progressed = Instant::now();
         loop {
-            body.read(&mut self.upstream.input, &mut pending)
+            body.read(&mut self.upstream.input, splitter.buffer())
                 .map_err(ReadError::from)?;
             let is_end = body.is_done() || is_closed;
+            let events = splitter.take(is_end);
             // A body delimited by connection close may be truncated: it has to end with an event.
-            if is_closed && is_first {
+            if is_closed && is_first && events.bytes.is_empty() {
                 return Ok(Attempt::Lost("closed before an event"));
             }
-            if is_closed && !pending.is_empty() && !pending.ends_with(b"\n\n") {
+            if is_closed && !splitter.pending().is_empty() {
                 return Ok(Attempt::Lost("closed in an event"));
             }
-            let complete = if is_end {
-                pending.len()
-            } else {
-                memchr::memmem::rfind(&pending, b"\n\n").map_or(0, |at| at + 2)
-            };
-            if complete > 0 || is_end {
-                let events = pending.split_to(complete);
+            if !events.bytes.is_empty() || is_end {
                 progressed = Instant::now();
-                let count = memchr::memmem::find_iter(&events, b"\n\n").count();
-                let count = u32::try_from(count).unwrap_or(u32::MAX);
+                let count = call.note_events(&events);
                 if count > 0 && !place.answer.is_begun() {
                     place.answer = AnswerPhase::Begun;
                     self.gate.note_begun(call);
@@ -366,14 +363,19 @@
                 } else {
                     self.gate.progress(place, tokens);
                 }
-                write_events(&mut out, head, &events, is_end, call, writer);
+                begin_stream(&mut out, head, call, writer);
+                write_part(&mut out, &events.bytes, writer);
+                if is_end {
+                    write_part(&mut out, splitter.pending(), writer);
+                    write_end(&mut out, writer);
+                }
                 writer.send(&out).await?;
                 out.clear();
             }
             if is_end {
                 return Ok(Attempt::Delivered(head.status()));
             }
-            if pending.len() > MAX_EVENT_BYTES {
+            if splitter.pending().len() > EVENT_BYTES {
                 return Ok(Attempt::Lost("endless event"));
             }
             is_closed = self.read_more(&body, call, writer, progressed).await?;
@@ -410,40 +412,37 @@
         || (response.has_stamp && response.request_id.is_some() && !response.is_encoded)
 }
 
-/// Appends events to the output, preceded by the response head if none was sent yet.
-fn write_events(
-    out: &mut BytesMut,
-    head: &Head,
-    events: &[u8],
-    is_end: bool,
-    call: &mut Call,
-    writer: &mut ResponseWriter,
-) {
-    if call.begun.is_none() {
-        call.begun = Some(BegunResponse::new(head));
-        call.first_byte = Some(Instant::now());
-        if writer.lacks_chunking {
-            writer.keep_alive = false;
-        }
-        let framing = if writer.lacks_chunking {
-            CallerFraming::UntilClose
-        } else {
-            CallerFraming::Chunked
-        };
-        write_response_head(out, head, framing, writer.connection_header());
-    }
-    call.record_last_event(events);
-    if writer.lacks_chunking {
-        out.put_slice(events);
+/// Appends the head of a stream's response to the output, unless the caller has got one.
+fn begin_stream(out: &mut BytesMut, head: &Head, call: &mut Call, writer: &mut ResponseWriter) {
+    if call.begun.is_some() {
         return;
     }
-    if !events.is_empty() {
-        let size = format!("{:x}\r\n", events.len());
+    call.begun = Some(BegunResponse::new(head));
+    call.first_byte = Some(Instant::now());
+    let framing = if writer.lacks_chunking {
+        writer.keep_alive = false;
+        CallerFraming::UntilClose
+    } else {
+        CallerFraming::Chunked
+    };
+    write_response_head(out, head, framing, writer.connection_header());
+}
+
+/// Appends a part of a stream to the output.
+fn write_part(out: &mut BytesMut, bytes: &[u8], writer: &ResponseWriter) {
+    if writer.lacks_chunking {
+        out.put_slice(bytes);
+    } else if !bytes.is_empty() {
+        let size = format!("{:x}\r\n", bytes.len());
         out.put_slice(size.as_bytes());
-        out.put_slice(events);
+        out.put_slice(bytes);
         out.put_slice(b"\r\n");
     }
-    if is_end {
+}
+
+/// Appends the end of a stream to the output.
+fn write_end(out: &mut BytesMut, writer: &ResponseWriter) {
+    if !writer.lacks_chunking {
         out.put_slice(b"0\r\n\r\n");
     }
 }
--- a/cornelstand/src/platform/tests/resumption.rs
+++ b/cornelstand/src/platform/tests/resumption.rs
@@ -11,9 +11,13 @@
 
 /// An endpoint's script: one event, then a reset.
 fn broken_stream() -> Vec<Step> {
+    broken_after(&event(1))
+}
+
+fn broken_after(events: &str) -> Vec<Step> {
     vec![
         Step::Read,
-        Step::Write(stream_head("a1") + &chunk(&event(1))),
+        Step::Write(stream_head("a1") + &chunk(events)),
         Step::Pause(30),
         Step::Reset,
     ]
@@ -169,3 +173,112 @@
     })
     .await;
 }
+
+/// Guards against events that come twice, since another event than the last one is named.
+#[rstest]
+#[case::in_data("id: 6\ndata: x\n\nid: 7\ndata: to be paid: 10 EUR\n\n")]
+#[case::in_a_comment("id: 7\ndata: x\n\n: id: 8\n\n")]
+#[case::in_another_field("id: 7\nevent: id: 8\ndata: x\n\n")]
+#[case::in_another_name("id: 7\nx-id: 8\nidx: 8\ndata: x\n\n")]
+#[case::identifier_last("id: 6\ndata: x\n\ndata: y\nid: 7\n\n")]
+#[case::no_space("id:7\ndata: id: 8\n\n")]
+#[case::two_identifiers("id: 6\nid: 7\ndata: x\n\n")]
+#[case::carriage_returns("id: 6\rdata: x\r\rid: 7\rdata: id: 8\r\r")]
+#[case::both("id: 6\r\ndata: x\r\n\r\nid: 7\r\ndata: id: 8\r\n\r\n")]
+#[case::byte_order_mark("\u{feff}id: 7\ndata: x\n\n")]
+#[case::incomplete("id: 7\ndata: x\n\nid: 8\ndata: y\n")]
+#[case::nul("id: 7\nid: 8\0\ndata: x\n\n")]
+#[case::identifier_alone("id: 6\ndata: x\n\nid: 7\n\n")]
+#[case::version_line("x-cornelstand-weight-versions: 3\nid: 7\ndata: id: 8\n\n")]
+#[tokio::test]
+async fn a_stream_is_resumed_after_the_last_event_whatever_its_form(#[case] events: &str) {
+    run_local(async {
+        let rest = stream_head("a1") + &chunk(&event(8)) + "0\r\n\r\n";
+        let scripts = vec![broken_after(events), vec![Step::Read, Step::Write(rest)]];
+        let (_gate, address, endpoint) = with_two_names(scripts).await;
+        let request = request("/quote/1", "a1");
+        let request = request.replacen("Host:", "Connection: close\r\nHost:", 1);
+        let text = read_until_closed(address, &request).await;
+        let (_, body) = text.split_once("\r\n\r\n").expect("a head");
+        assert!(
+            body.ends_with(&(chunk(&event(8)) + "0\r\n\r\n")),
+            "{body:?}"
+        );
+        let resumed = endpoint.requests.borrow()[1].clone();
+        assert!(resumed.contains("\r\nlast-event-id: 7\r\n"), "{resumed}");
+    })
+    .await;
+}
+
+/// Guards against events that come twice, since the last one cannot be named.
+#[rstest]
+#[case::no_identifier("data: x\n\n")]
+#[case::an_earlier_identifier("id: 7\ndata: x\n\ndata: y\n\n")]
+#[case::empty_data("id: 7\ndata: x\n\ndata\n\n")]
+#[case::reset("id: 7\ndata: x\n\nid\ndata: y\n\n")]
+#[case::long(&format!("id: 7\ndata: x\n\nid: {}\ndata: y\n\n", "9".repeat(200)))]
+#[case::control_character("id: 7\ndata: x\n\nid: 8\u{1}\ndata: y\n\n")]
+#[case::nul("id: 7\ndata: x\n\nid: 8\0\ndata: y\n\n")]
+#[tokio::test]
+async fn a_stream_whose_last_event_cannot_be_named_is_cut(#[case] events: &str) {
+    run_local(async {
+        let rest = stream_head("a1") + &chunk(events) + "0\r\n\r\n";
+        let scripts = vec![broken_after(events), vec![Step::Read, Step::Write(rest)]];
+        let (_gate, address, endpoint) = with_two_names(scripts).await;
+        let text = read_until_closed(address, &request("/quote/1", "a1")).await;
+        let (_, body) = text.split_once("\r\n\r\n").expect("a head");
+        assert_eq!(body, chunk(events));
+        assert_eq!(endpoint.count(), 1);
+    })
+    .await;
+}
+
+/// Comments carry nothing that a second copy of the stream would repeat.
+#[tokio::test]
+async fn a_stream_that_broke_off_before_its_first_data_is_sent_elsewhere() {
+    run_local(async {
+        let whole = stream_head("a1") + &chunk(&event(1)) + "0\r\n\r\n";
+        let scripts = vec![
+            broken_after(": hello\n\nretry: 100\n\n"),
+            vec![Step::Read, Step::Write(whole)],
+        ];
+        let (_gate, address, endpoint) = with_two_names(scripts).await;
+        let request = request("/quote/1", "a1");
+        let request = request.replacen("Host:", "Connection: close\r\nHost:", 1);
+        let text = read_until_closed(address, &request).await;
+        assert!(text.ends_with(&(chunk(&event(1)) + "0\r\n\r\n")), "{text}");
+        assert!(!endpoint.requests.borrow()[1].contains("last-event-id"));
+    })
+    .await;
+}
+
+/// Guards against events that are held back until the stream ends, and a second run for silence.
+#[rstest]
+#[case::line_feeds("id: 1\ndata: x\n\n")]
+#[case::both("id: 1\r\ndata: x\r\n\r\n")]
+#[case::carriage_returns("id: 1\rdata: x\r\r")]
+#[tokio::test]
+async fn an_event_is_passed_on_at_once_whatever_ends_its_lines(#[case] event: &str) {
+    run_local(async {
+        let script = vec![
+            Step::Read,
+            Step::Write(stream_head("a1") + &chunk(event)),
+            Step::AwaitClose,
+        ];
+        let (_gate, address, endpoint) = with_two_names(vec![script]).await;
+        let mut caller = connect(address).await;
+        let request = request("/quote/1", "a1");
+        caller.write_all(request.as_bytes()).await.expect("sent");
+        let mut text = Vec::new();
+        let read = async {
+            while !text.ends_with(chunk(event).as_bytes()) {
+                caller.read_buf(&mut text).await.expect("read");
+            }
+        };
+        timeout(std::time::Duration::from_secs(1), read)
+            .await
+            .expect("the event arrives");
+        assert_eq!(endpoint.count(), 1);
+    })
+    .await;
+}
--- a/cornelstand/tests/entry/parsers.rs
+++ b/cornelstand/tests/entry/parsers.rs
@@ -195,6 +195,30 @@
     });
 }
 
+/// Guards against a count that differs from the engine's, by which streams are resumed.
+#[rstest]
+#[case::byte_order_mark("\u{feff}data: 1\n\ndata: 2\n\n")]
+#[case::carriage_returns("data: 1\r\rdata: 2\r\r")]
+#[case::mixed("data: 1\r\n\rdata: 2\n\r\n")]
+#[case::empty_data("data\n\ndata: 2\n\n")]
+#[case::further_lines("data: 1\ndata: 1\n\ndata: [DONE\ndata: 2\n\n")]
+fn chunks_are_counted_in_all_their_forms(#[case] text: &str) {
+    let mut scanner = Scanner::default();
+    for piece in text.as_bytes().chunks(2) {
+        scanner.push(piece).unwrap();
+    }
+    scanner.push(b"data: [DONE]\n\n").unwrap();
+    assert_eq!((scanner.chunks(), scanner.is_done()), (2, true));
+}
+
+#[test]
+fn usage_in_several_data_lines_is_read() {
+    let mut scanner = Scanner::default();
+    let text = "data: {\"usage\":{\ndata: \"prompt_tokens\":3,\"completion_tokens\":2}}\n\n";
+    scanner.push(text.as_bytes()).unwrap();
+    assert_eq!(scanner.tokens(), Some(5));
+}
+
 #[test]
 fn an_event_without_end_is_refused_at_its_bound() {
     let mut scanner = Scanner::default();
