serve: events before a violation of the stream reach the caller

Found on the way through the endings of a begun stream.

Cause: Scanner::push counted the events of a read and then returned only the error, so the stream was resumed after events that nobody had got, or was taken for complete. Ruled out: the gateway, which resumes after what it has written.

Change: push returns the events first and the error with the next call.

Shown: the three tests failed on the code before (the caller got an empty stream) and pass now.

--- a/cornelstand/src/sse.rs
+++ b/cornelstand/src/sse.rs
@@ -229,7 +229,8 @@
     ///
     /// # Errors
     ///
-    /// [`SseError`] if the stream violates the protocol. The scanner must not be used afterwards.
+    /// [`SseError`] if the stream violates the protocol. Events before the violation are returned
+    /// first, and the error by the next call.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, SseError> {
         ensure!(!self.done || is_blank(bytes), AfterEndSnafu);
         self.splitter.buffer().extend_from_slice(bytes);
@@ -237,6 +238,9 @@
         for event in events.iter() {
             self.process_event(&event);
         }
+        if !events.bytes.is_empty() {
+            return Ok(events.bytes);
+        }
         let pending = self.splitter.pending();
         ensure!(pending.len() <= EVENT_BYTES, EventTooLargeSnafu);
         ensure!(!self.done || is_blank(pending), AfterEndSnafu);
--- a/cornelstand/tests/entry/parsers.rs
+++ b/cornelstand/tests/entry/parsers.rs
@@ -219,6 +219,22 @@
     assert_eq!(scanner.tokens(), Some(5));
 }
 
+/// Guards against counted events that no caller gets: the stream is resumed after them.
+#[rstest]
+#[case::after_the_end("data: [DONE]\n\n", "more".to_owned(), SseError::AfterEnd)]
+#[case::too_large("", "a".repeat(EVENT_BYTES + 1), SseError::EventTooLarge)]
+fn events_before_a_violation_are_returned(
+    #[case] last: &str,
+    #[case] bad: String,
+    #[case] error: SseError,
+) {
+    let mut scanner = Scanner::default();
+    let good = format!("data: 1\n\n{last}");
+    let events = scanner.push(format!("{good}{bad}").as_bytes()).unwrap();
+    assert_eq!((events, scanner.chunks()), (good.into(), 1));
+    assert_eq!(scanner.push(b"x"), Err(error));
+}
+
 #[test]
 fn an_event_without_end_is_refused_at_its_bound() {
     let mut scanner = Scanner::default();
--- a/cornelstand/tests/entry/streams.rs
+++ b/cornelstand/tests/entry/streams.rs
@@ -263,3 +263,15 @@
     assert!(end.is_err(), "the stream looks complete");
     assert_eq!(text, b"data: 1\n\n");
 }
+
+/// Guards against a stream that ends as complete without the events that came with its end.
+#[tokio::test]
+async fn bytes_after_the_end_of_a_stream_cost_no_event() {
+    const STREAM: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+        connection: close\r\n\r\ndata: 1\n\ndata: 2\n\ndata: [DONE]\n\nand more";
+    let fleet = Fleet::start(&[script(vec![STREAM]).await], EntryLimits::default()).await;
+    let answer = chat(&fleet, "five zips", 3).send().await.unwrap();
+    let text = answer.text().await.unwrap();
+    assert_eq!(text, "data: 1\n\ndata: 2\n\ndata: [DONE]\n\n");
+    assert_eq!(fleet.endings(), [Ending::Answered]);
+}
