Gateway: an unreadable entry of another writer hides no other

Cause: the store's answers were parsed as a whole, so one value made a listing or a watch unreadable, and the same watch was repeated without end.

Ruled out: an overflow of the stack by nested values (the parser gives an error; tested for notes as well), a port out of range and fields of another type (skipped alone before), a store that is away.

Change: answers are taken apart by brackets and strings (raw_json), each object is decoded on its own, and an unreadable one names no endpoint. A listing goes on after the last readable name, escaped, and is refused without one. A malformed or too large answer leads to a new listing instead of the same watch.

--- a/cornelstand/src/gateway/follow.rs
+++ b/cornelstand/src/gateway/follow.rs
@@ -106,7 +106,11 @@
                 }
             }
             Err(StoreCallError::HistoryGone) => revision = None,
-            Err(_) => {
+            Err(error) => {
+                // The same watch would be answered alike.
+                if matches!(error, StoreCallError::Unreadable { .. }) {
+                    revision = None;
+                }
                 let spread = 0.5 + rand::random::<f64>();
                 sleep(delay.mul_f64(spread)).await;
                 delay = (delay * 2).min(RETRY_DELAY_MAX);
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -99,6 +99,7 @@
 #[cfg(feature = "demo")]
 mod promise;
 mod publish;
+mod raw_json;
 mod refusal;
 mod relay;
 mod retry;
--- a/cornelstand/src/platform/store.rs
+++ b/cornelstand/src/platform/store.rs
@@ -4,13 +4,15 @@
 use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
-use serde::Deserialize;
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
+use serde::de::DeserializeOwned;
 use serde_json::Value;
-use snafu::{ResultExt, Snafu};
+use snafu::{OptionExt, Snafu};
 use tokio::time::timeout;
 
 use crate::gateway::upstream::{ReadError, Upstream};
-use crate::platform::objects::StoreObject;
+use crate::platform::objects::{Metadata, StoreObject};
+use crate::raw_json::{elements, member, members};
 
 /// Time limit for a call other than a watch; the store responds in some milliseconds.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -23,6 +25,13 @@
 /// Largest response body, in bytes; a page of a list has about one megabyte.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
+/// Characters that are escaped in a query: all but the unreserved ones.
+const ESCAPED: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~');
+
 /// Error of a call to the store.
 #[derive(Debug, Snafu)]
 pub(crate) enum StoreCallError {
@@ -38,15 +47,17 @@
     /// The object already exists, or its revision differs.
     #[snafu(display("the object already exists or its revision differs"))]
     Conflict,
-    /// The response does not match the schema.
-    #[snafu(display("malformed response from the store: {source}"))]
-    Unreadable { source: serde_json::Error },
+    /// The response is malformed or too large, or the object to write cannot be encoded.
+    #[snafu(display("malformed object or response: {reason}"))]
+    Unreadable { reason: String },
 }
 
 impl From<ReadError> for StoreCallError {
     fn from(error: ReadError) -> Self {
-        Self::NoAnswer {
-            reason: error.to_string(),
+        let reason = error.to_string();
+        match error {
+            ReadError::Message(_) => Self::Unreadable { reason },
+            ReadError::Io(_) | ReadError::Closed => Self::NoAnswer { reason },
         }
     }
 }
@@ -59,27 +70,33 @@
     }
 }
 
-#[derive(Deserialize)]
-struct Page {
-    items: Vec<Value>,
-    #[serde(default)]
-    has_more: bool,
-    /// Revision of the store when the page was read.
-    as_of: u64,
-}
+/// A response's members, of which each is decoded on its own: entries of other writers may hold
+/// values that no parser accepts.
+struct Document<'a>(Vec<(String, &'a [u8])>);
 
-#[derive(Deserialize)]
-struct Changes {
-    events: Vec<ChangeFields>,
-    /// Revision to pass to the next watch.
-    as_of: u64,
-}
+impl<'a> Document<'a> {
+    fn read(body: &'a [u8]) -> Result<Self, StoreCallError> {
+        let reason = "no JSON object";
+        members(body).map(Self).context(UnreadableSnafu { reason })
+    }
+
+    /// Decodes a member other than a list.
+    fn get<T: DeserializeOwned>(&self, key: &str) -> Option<T> {
+        serde_json::from_slice(member(&self.0, key)?).ok()
+    }
 
-#[derive(Deserialize)]
-struct ChangeFields {
-    object: Value,
-    #[serde(default)]
-    deleted: bool,
+    /// Revision of the store when the response was written.
+    fn revision(&self) -> Result<u64, StoreCallError> {
+        let reason = "no revision";
+        self.get("as_of").context(UnreadableSnafu { reason })
+    }
+
+    /// Splits a list into its elements.
+    fn list(&self, key: &str) -> Result<Vec<&'a [u8]>, StoreCallError> {
+        let reason = "no list";
+        let list = member(&self.0, key).and_then(elements);
+        list.context(UnreadableSnafu { reason })
+    }
 }
 
 /// A created, updated or deleted object.
@@ -121,19 +138,28 @@
             let path = if after.is_empty() {
                 format!("/-/objects/{kind}")
             } else {
+                // Other writers choose the names of their entries.
+                let after = utf8_percent_encode(&after, ESCAPED);
                 format!("/-/objects/{kind}?after={after}")
             };
             let body = self.call("GET", &path, &[], CALL_TIMEOUT).await?;
-            let page: Page = serde_json::from_slice(&body).context(UnreadableSnafu)?;
-            let last = page.items.last().and_then(|i| i.pointer("/metadata/name"));
-            last.and_then(Value::as_str)
-                .unwrap_or_default()
-                .clone_into(&mut after);
-            objects.extend(page.items.into_iter().filter_map(decode_object));
-            let revision = *revision.get_or_insert(page.as_of);
-            if !page.has_more || after.is_empty() {
+            let page = Document::read(&body)?;
+            let items = page.list("items")?;
+            let read = items.into_iter().filter_map(decode_object);
+            let before = objects.len();
+            objects.extend(read);
+            let revision = match revision {
+                Some(revision) => revision,
+                None => *revision.insert(page.revision()?),
+            };
+            if !page.get("has_more").unwrap_or(false) {
                 return Ok((objects, revision));
             }
+            // Entries after the last one with a name are listed again by the next page.
+            let last = objects[before..].last();
+            let reason = "a page without a name to continue from";
+            let last = last.context(UnreadableSnafu { reason })?;
+            last.metadata.name.clone_into(&mut after);
         }
     }
 
@@ -151,15 +177,10 @@
         let wait_ms = wait.as_millis();
         let path = format!("/-/objects/{kind}?watch={revision}&wait_ms={wait_ms}");
         let body = self.call("GET", &path, &[], wait + WATCH_MARGIN).await?;
-        let changes: Changes = serde_json::from_slice(&body).context(UnreadableSnafu)?;
-        let change = |fields: ChangeFields| {
-            Some(Change {
-                object: decode_object(fields.object)?,
-                is_deleted: fields.deleted,
-            })
-        };
-        let events = changes.events.into_iter().filter_map(change).collect();
-        Ok((events, changes.as_of))
+        let changes = Document::read(&body)?;
+        let events = changes.list("events")?.into_iter();
+        let events = events.filter_map(decode_change).collect();
+        Ok((events, changes.revision()?))
     }
 
     /// Creates an object or replaces an existing one, regardless of its revision.
@@ -172,7 +193,9 @@
         kind: &str,
         object: &StoreObject,
     ) -> Result<(), StoreCallError> {
-        let body = serde_json::to_vec(object).context(UnreadableSnafu)?;
+        let body = serde_json::to_vec(object).map_err(|error| StoreCallError::Unreadable {
+            reason: error.to_string(),
+        })?;
         let path = format!("/-/objects/{kind}");
         match self.call("POST", &path, &body, CALL_TIMEOUT).await {
             Err(StoreCallError::Conflict) => {}
@@ -233,12 +256,30 @@
     }
 }
 
-fn decode_object(value: Value) -> Option<StoreObject> {
-    match serde_json::from_value(value) {
-        Ok(object) => Some(object),
-        Err(error) => {
-            tracing::warn!(event = "object_unreadable", %error, "skipping a malformed object");
-            None
-        }
+/// Decodes an object. If only its contents are unreadable they are left out, since its name tells
+/// which object is no longer what it was.
+fn decode_object(json: &[u8]) -> Option<StoreObject> {
+    let parts = members(json).unwrap_or_default();
+    let metadata = member(&parts, "metadata").unwrap_or(b"null");
+    let metadata = serde_json::from_slice(metadata).unwrap_or_else(|error| {
+        tracing::warn!(event = "object_unreadable", %error, "skipping an object without metadata");
+        Metadata::default()
+    });
+    if metadata.name.is_empty() {
+        return None;
     }
+    let spec = member(&parts, "spec").unwrap_or(b"null");
+    let spec = serde_json::from_slice(spec).unwrap_or_else(|error| {
+        let name = &metadata.name;
+        tracing::warn!(event = "object_unreadable", name, %error, "skipping its contents");
+        Value::Null
+    });
+    Some(StoreObject { metadata, spec })
+}
+
+fn decode_change(json: &[u8]) -> Option<Change> {
+    let parts = members(json).unwrap_or_default();
+    let object = decode_object(member(&parts, "object")?)?;
+    let is_deleted = member(&parts, "deleted") == Some(b"true");
+    Some(Change { object, is_deleted })
 }
--- a/cornelstand/src/platform/tests.rs
+++ b/cornelstand/src/platform/tests.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod endless;
+mod foreign_entries;
 mod notices;
 mod path;
 mod resumption;
--- a/cornelstand/tests/note.rs
+++ b/cornelstand/tests/note.rs
@@ -138,3 +138,11 @@
     assert_ne!(one.digest(), two.digest());
     assert_eq!(one.digest(), one.clone().digest());
 }
+
+#[test]
+fn a_deeply_nested_note_is_refused() {
+    for (open, close) in [("[", "]"), ("{\"a\":", "}")] {
+        let text = format!("{}0{}", open.repeat(100_000), close.repeat(100_000));
+        Note::parse(&text).unwrap_err();
+    }
+}
