serve: an unreadable entry hides no other in the instance list and the store

Instances did not learn of leaving endpoints and of peers while one entry of the instance list could not be decoded, for example for a port out of range; listings of the object API failed as a whole as well.

Cause: both answers were decoded in one piece; the list's failure left no log line. Ruled out: load reports and peers' answers (one sender each), leases and claims (one value each).

Change: entries are decoded one by one, by the same raw_json; unreadable ones are counted and logged.

--- a/cornelstand/src/instance_list.rs
+++ b/cornelstand/src/instance_list.rs
@@ -13,6 +13,7 @@
 use crate::gossip::Seed;
 use crate::holdings::OwnedCells;
 use crate::name::{EndpointName, InstanceName};
+use crate::raw_json::{elements, member, members};
 
 /// Poll period of an instance that owns a cell, and the timeout of one poll.
 const POLL_PERIOD: Duration = Duration::from_secs(1);
@@ -20,9 +21,11 @@
 const IDLE_PERIODS: u32 = 3;
 
 /// The platform's list.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub(crate) struct InstanceList {
     instances: Vec<ListedInstance>,
+    /// Number of entries that could not be decoded.
+    unreadable: usize,
 }
 
 /// An entry of the list: an instance of the fleet or an endpoint.
@@ -41,6 +44,18 @@
 }
 
 impl InstanceList {
+    /// Decodes each entry on its own; unreadable ones hide no others.
+    fn parse(json: &[u8]) -> Option<Self> {
+        let entries = elements(member(&members(json)?, "instances")?)?;
+        let entries: Vec<_> = entries.into_iter().map(serde_json::from_slice).collect();
+        let instances: Vec<ListedInstance> = entries.iter().flatten().cloned().collect();
+        let unreadable = entries.len() - instances.len();
+        Some(Self {
+            instances,
+            unreadable,
+        })
+    }
+
     fn leaving(&self) -> BTreeSet<EndpointName> {
         let leaving = self.instances.iter().filter(|i| i.state.is_leaving());
         leaving.map(|i| i.name.as_str().into()).collect()
@@ -70,6 +85,7 @@
         .build()
         .expect("an HTTP client without TLS needs no system resources");
     let mut leaving = BTreeSet::new();
+    let mut unreadable = 0;
     let mut skipped = IDLE_PERIODS;
     let mut ticks = interval(POLL_PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -87,6 +103,10 @@
             holdings.set_leaving(now.clone()).await;
             leaving = now;
         }
+        let count = list.as_ref().map_or(unreadable, |l| l.unreadable);
+        if std::mem::replace(&mut unreadable, count) != count {
+            tracing::warn!(count, "entries of the instance list are unreadable");
+        }
         latest.send_replace(list);
     }
 }
@@ -94,5 +114,8 @@
 async fn read(http: &reqwest::Client, platform: SocketAddr) -> Option<InstanceList> {
     let request = http.get(format!("http://{platform}/instances"));
     let answer = request.send().await.ok()?.error_for_status().ok()?;
-    answer.json().await.ok()
+    InstanceList::parse(&answer.bytes().await.ok()?)
 }
+
+#[cfg(test)]
+mod tests;
--- a/cornelstand/src/revisions.rs
+++ b/cornelstand/src/revisions.rs
@@ -194,7 +194,7 @@
         let members = self.parts.members.clone();
         let is_unchanged = tokio::select! {
             listing = store.watch(ObjectKind::ConfigHead, after, WATCH_TIMEOUT) => {
-                listing.is_ok_and(|l| l.objects.is_empty())
+                listing.is_ok_and(|l| l.is_empty())
             }
             () = announced(members, before) => false,
         };
--- a/cornelstand/src/store.rs
+++ b/cornelstand/src/store.rs
@@ -16,6 +16,8 @@
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, ResultExt, Snafu};
 
+use crate::raw_json::{elements, member, members};
+
 /// Maximum size of a value in bytes.
 pub const VALUE_BYTES: usize = 1 << 20;
 
@@ -57,12 +59,44 @@
 }
 
 /// Objects of one kind, or those changed after a version.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Listing {
     /// Version up to which the listing is complete.
     pub version: Version,
-    /// The objects.
+    /// The objects that could be decoded.
     pub objects: Vec<Object>,
+    /// Number of objects that could not be decoded.
+    pub unreadable: usize,
+}
+
+impl Listing {
+    /// Returns whether it has no object, readable or not.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.objects.is_empty() && self.unreadable == 0
+    }
+
+    /// Decodes each object on its own; unreadable ones hide no others.
+    fn parse(json: &[u8]) -> Result<Self, StoreError> {
+        let parts = members(json).unwrap_or_default();
+        let version = member(&parts, "version").and_then(|v| serde_json::from_slice(v).ok());
+        let entries = member(&parts, "objects").and_then(elements);
+        let what = "a listing without version or objects";
+        let version = version.context(MalformedSnafu { what })?;
+        let entries = entries.context(MalformedSnafu { what })?.into_iter();
+        let decoded: Vec<_> = entries.map(serde_json::from_slice::<Object>).collect();
+        let count = decoded.len();
+        let objects: Vec<Object> = decoded.into_iter().flatten().collect();
+        let unreadable = count - objects.len();
+        if unreadable > 0 {
+            tracing::warn!(unreadable, "objects of the store could not be decoded");
+        }
+        Ok(Self {
+            version,
+            objects,
+            unreadable,
+        })
+    }
 }
 
 /// Condition of a write.
@@ -181,7 +215,7 @@
     pub async fn list(&self, kind: ObjectKind) -> Result<Listing, StoreError> {
         let request = self.http.get(format!("{}/{kind}", self.base));
         let answer = check_status(self.call(request, self.timeout).await?)?;
-        answer.json().await.context(UnknownSnafu)
+        Listing::parse(&answer.bytes().await.context(UnknownSnafu)?)
     }
 
     /// Waits up to `wait` for writes to `kind` after version `after`.
@@ -202,7 +236,7 @@
         );
         let request = self.http.get(url);
         let answer = check_status(self.call(request, wait + self.timeout).await?)?;
-        answer.json().await.context(UnknownSnafu)
+        Listing::parse(&answer.bytes().await.context(UnknownSnafu)?)
     }
 
     /// Writes one object if `condition` holds and returns its new version.
--- a/cornelstand/tests/decoders.rs
+++ b/cornelstand/tests/decoders.rs
@@ -2,12 +2,14 @@
 //!
 //! None may panic or keep more than its stated bound; input that cannot be decoded is an error.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use cornelstand::{
     ACCOUNT_KEY_BYTES, ClaimAnswer, ClaimCall, ClaimOp, ClaimShard, ClaimState, Config,
     EVENT_BYTES, Gossip, IDEMPOTENCY_KEY_BYTES, MAX_BODY_BYTES, MAX_DEADLINE, MAX_HINT,
-    MAX_MEDIA_BYTES, Note, Offer, Recorded, Report, SETTINGS_BYTES, Scanner, Settings, Token,
-    VALUE_BYTES, Wishes, bearer_key, split_path,
+    MAX_MEDIA_BYTES, Note, ObjectKind, Offer, Recorded, Report, SETTINGS_BYTES, Scanner, Settings,
+    Store, Token, VALUE_BYTES, Version, Wishes, bearer_key, split_path,
 };
 use http::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
 use proptest::collection::vec;
@@ -15,6 +17,8 @@
 use proptest::test_runner::{Config as Cases, RngAlgorithm, TestRng, TestRunner};
 use rstest::rstest;
 use serde::de::DeserializeOwned;
+use tokio::net::TcpListener;
+use warp::Filter;
 
 const CASES: u32 = 2_000;
 const SEED: [u8; 16] = *b"hostile messages";
@@ -301,3 +305,33 @@
         assert!(is_refused(&open.repeat(20_000)));
     }
 }
+
+/// Guards against an object that hides the others of its kind.
+#[rstest]
+#[case::lone_surrogate(r#"{"name":"b","version":2,"value":"\ud83d"}"#)]
+#[case::large_number(r#"{"name":"b","version":1e999,"value":"{}"}"#)]
+#[case::deeply_nested(&format!("{}0{}", "[".repeat(100_000), "]".repeat(100_000)))]
+#[tokio::test]
+async fn an_unreadable_object_of_the_store_hides_no_other(#[case] odd: &str) {
+    let object = |name: &str| format!(r#"{{"name":"{name}","version":1,"value":"{{}}"}}"#);
+    let body = format!(
+        r#"{{"version":9,"objects":[{},{odd},{}]}}"#,
+        object("a"),
+        object("c")
+    );
+    let filter = warp::any().map(move || body.clone());
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(warp::serve(filter).incoming(listener).run());
+    let store = Store::new(address, Duration::from_secs(20));
+    let listed = store.list(ObjectKind::ConfigHead).await.unwrap();
+    let watched = store
+        .watch(ObjectKind::ConfigHead, Version(1), Duration::ZERO)
+        .await
+        .unwrap();
+    for listing in [listed, watched] {
+        let names = listing.objects.iter().map(|o| o.name.as_str());
+        assert_eq!(names.collect::<Vec<_>>(), ["a", "c"]);
+        assert_eq!((listing.version, listing.unreadable), (Version(9), 1));
+    }
+}
