Gateway: late bytes are no rejection of the call that runs

Callers were told "not run" for calls that an endpoint ran (REFUSED; with attempts left TWICE), when a faulty endpoint wrote bytes behind an earlier response on a kept connection.

Cause: a response without an identity counted as that of the running call; of several identities the first one was taken; a second attempt of a call could use the connection of the first, and calls with one identity could share a connection, so that a late copy bore the right one.

Ruled out: bytes that lie in the connection before it is reused, and late answers with another call's identity (both handled and tested before).

Change: a response is the call's own if it names it and no other, or names none on a connection without an earlier request. A connection carries an identity once, at most 256 requests, and none after an unnamed answer.

--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -19,7 +19,8 @@
 use crate::gateway::placement::{AnswerPhase, Place};
 use crate::gateway::upstream::{Pool, ReadError, Upstream, read_into};
 use crate::platform::headers::{
-    CallerFraming, Forwarding, ResponseFields, read_response, write_request, write_response_head,
+    CallerFraming, Forwarding, RequestRef, ResponseFields, read_response, write_request,
+    write_response_head,
 };
 use crate::sse::{EVENT_BYTES, Splitter};
 
@@ -115,7 +116,7 @@
     record: &EndpointRecord,
 ) -> Attempt {
     let (address, endpoint) = (record.address, record.name.as_str());
-    let pooled = gate.state.borrow_mut().pool.take(address);
+    let pooled = gate.state.borrow_mut().pool.take(address, &call.request_id);
     let mut upstream = if let Some(upstream) = pooled {
         upstream
     } else {
@@ -148,10 +149,12 @@
     };
     write_request(&mut request, &call.head, &call.body, &forwarding);
     call.sends += 1;
+    let is_first = upstream.note_request(&call.request_id);
     let mut exchange = Exchange {
         gate,
         address,
         upstream: &mut upstream,
+        is_first,
         is_sent: false,
         is_reusable: true,
         idle: None,
@@ -204,6 +207,8 @@
     gate: &'a Gate,
     address: SocketAddr,
     upstream: &'a mut Upstream,
+    /// Whether the connection carried no request before.
+    is_first: bool,
     is_sent: bool,
     is_reusable: bool,
     idle: Option<Duration>,
@@ -223,11 +228,15 @@
             let head = self.read_head(call, writer).await?;
             let response = read_response(&head);
             self.gate.apply_notice(place, response.notice);
-            let is_foreign = response.request_id.is_some_and(|id| id != call.request_id);
+            let is_own = match response.request_id {
+                Some(id) => id == RequestRef::One(&call.request_id),
+                // Bytes after an earlier response may come without an identity.
+                None => self.is_first,
+            };
             let mut body = head
                 .answer_body(call.head.method())
                 .map_err(ReadError::from)?;
-            if is_foreign {
+            if !is_own {
                 // A late response to an earlier request on this connection.
                 tracing::info!(event = "foreign_answer", request = %call.id(), address = %self.address);
                 self.is_reusable = false;
@@ -239,7 +248,8 @@
                 continue;
             }
             self.idle = response.idle;
-            self.is_reusable &= head.keeps_alive() && !body.is_until_close();
+            let is_named = response.request_id.is_some();
+            self.is_reusable &= is_named && head.keeps_alive() && !body.is_until_close();
             if response.not_run {
                 let moved = head.status() == 421;
                 let _body = self.read_body(&mut body, call, writer).await?;
--- a/cornelstand/src/gateway/upstream.rs
+++ b/cornelstand/src/gateway/upstream.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::task::coop::consume_budget;
 use tokio::time::{Instant, timeout};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::message::{BodyReader, Head, MessageError};
 use crate::gateway::outlet::write_all;
@@ -32,6 +33,8 @@
 const MAX_INTERIM_RESPONSES: u32 = 16;
 /// Most idle connections pooled per endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 32;
+/// Most requests on one connection, which bounds the memory for their identities.
+const MAX_REQUESTS: usize = 256;
 
 /// Error while reading a response.
 #[derive(Debug, Display, From)]
@@ -50,6 +53,8 @@
     pub(crate) stream: TcpStream,
     /// Bytes read but not yet consumed.
     pub(crate) input: BytesMut,
+    /// Hashed identities of the requests that were sent.
+    carried: Vec<u64>,
 }
 
 impl Upstream {
@@ -65,9 +70,23 @@
         Ok(Self {
             stream,
             input: BytesMut::new(),
+            carried: Vec::new(),
         })
     }
 
+    /// Records that the request `id` is sent. Returns whether it is the first one, so that a
+    /// response cannot be for another request.
+    pub(crate) fn note_request(&mut self, id: &[u8]) -> bool {
+        self.carried.push(xxh3_64(id));
+        self.carried.len() == 1
+    }
+
+    /// Whether a request `id` was sent before: a late response to it would pass for one to a
+    /// request that has the same identity.
+    fn has_carried(&self, id: &[u8]) -> bool {
+        self.carried.contains(&xxh3_64(id))
+    }
+
     /// Whether the connection is open and has no unread input.
     pub(crate) fn is_clean(&self) -> bool {
         // Peeks at the socket itself: the runtime's readiness dates from its last poll, which is
@@ -198,13 +217,17 @@
 }
 
 impl Pool {
-    /// Takes a connection that can be reused, and drops stale ones.
-    pub(crate) fn take(&mut self, address: SocketAddr) -> Option<Upstream> {
+    /// Takes a connection that can be reused for the request `id`, and drops stale ones.
+    pub(crate) fn take(&mut self, address: SocketAddr, id: &[u8]) -> Option<Upstream> {
         let now = Instant::now();
         let idle = self.idle.get_mut(&address)?;
-        while let Some(last) = idle.pop() {
-            if now < last.until && last.upstream.is_clean() {
-                return Some(last.upstream);
+        for at in (0..idle.len()).rev() {
+            if idle[at].upstream.has_carried(id) {
+                continue;
+            }
+            let taken = idle.remove(at);
+            if now < taken.until && taken.upstream.is_clean() {
+                return Some(taken.upstream);
             }
         }
         None
@@ -215,7 +238,7 @@
         let time = idle.map_or(MAX_IDLE, |i| i.saturating_sub(IDLE_MARGIN));
         let until = Instant::now() + time.min(MAX_IDLE);
         let pooled = self.idle.entry(address).or_default();
-        if pooled.len() < MAX_IDLE_CONNECTIONS {
+        if pooled.len() < MAX_IDLE_CONNECTIONS && upstream.carried.len() < MAX_REQUESTS {
             pooled.push(Idle { upstream, until });
         }
     }
--- a/cornelstand/src/platform/headers.rs
+++ b/cornelstand/src/platform/headers.rs
@@ -213,11 +213,19 @@
     out.put_slice(body);
 }
 
+/// How a response names the request that it answers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum RequestRef<'a> {
+    One(&'a [u8]),
+    /// Several different IDs.
+    Ambiguous,
+}
+
 /// Fields decoded from the headers of an endpoint's response.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ResponseFields<'a> {
     /// ID of the request that it answers.
-    pub(crate) request_id: Option<&'a [u8]>,
+    pub(crate) request_id: Option<RequestRef<'a>>,
     pub(crate) has_stamp: bool,
     pub(crate) not_run: bool,
     /// Whether the response has a `Content-Encoding`: its body is then not the endpoint's own.
@@ -230,7 +238,14 @@
 
 /// Decodes the headers of a response.
 pub(crate) fn read_response(head: &Head) -> ResponseFields<'_> {
-    let request_id = head.values(REQUEST_ID).next().map(<[u8]>::trim_ascii);
+    let mut ids = head.values(REQUEST_ID).map(<[u8]>::trim_ascii);
+    let request_id = ids.next().map(|first| {
+        if ids.all(|id| id == first) {
+            RequestRef::One(first)
+        } else {
+            RequestRef::Ambiguous
+        }
+    });
     let idle = head.get(KEEP_ALIVE).and_then(|text| {
         let mut parts = text
             .split(',')
--- a/cornelstand/src/platform/tests.rs
+++ b/cornelstand/src/platform/tests.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod endless;
 mod foreign_entries;
+mod late_answers;
 mod notices;
 mod path;
 mod resumption;
--- a/cornelstand/src/platform/tests/endless.rs
+++ b/cornelstand/src/platform/tests/endless.rs
@@ -138,7 +138,7 @@
     pool.put(address, upstream, None);
     server.write_all(late.as_bytes()).expect("sent");
     std::thread::sleep(Duration::from_millis(30));
-    assert!(pool.take(address).is_none());
+    assert!(pool.take(address, b"a1").is_none());
 }
 
 #[rstest]
