Gateway: a late answer does not stop the request that is being sent

Callers of large requests got 504 at their deadline when a late answer to an earlier request came while the body was being written.

Cause: writing stops at any response; when it was skipped as another request's, the rest was never sent. Ruled out: an early answer to the request itself, which still ends the sending and the connection's reuse.

Change: the exchange keeps the unsent part and goes on after a skipped answer.

Shown: the new test failed on the code before and passes now.

--- a/cornelstand/src/gateway/outlet.rs
+++ b/cornelstand/src/gateway/outlet.rs
@@ -102,12 +102,18 @@
 
 pub(crate) async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
     while !bytes.is_empty() {
+        bytes = &bytes[write_some(stream, bytes).await?..];
+    }
+    Ok(())
+}
+
+/// Writes a part of `bytes` and returns its length. Nothing is written if the call is cancelled.
+pub(crate) async fn write_some(stream: &TcpStream, bytes: &[u8]) -> io::Result<usize> {
+    loop {
         match stream.try_write(bytes) {
             Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-            Ok(count) => bytes = &bytes[count..],
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => stream.writable().await?,
-            Err(e) => return Err(e),
+            other => return other,
         }
     }
-    Ok(())
 }
--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -15,7 +15,7 @@
 use crate::gateway::directory::EndpointRecord;
 use crate::gateway::gate::Gate;
 use crate::gateway::message::{BodyReader, Head};
-use crate::gateway::outlet::{CallerGone, ResponseWriter, write_all};
+use crate::gateway::outlet::{CallerGone, ResponseWriter, write_some};
 use crate::gateway::placement::{AnswerPhase, Place};
 use crate::gateway::upstream::{Pool, ReadError, Upstream, read_into};
 use crate::platform::headers::{
@@ -154,12 +154,13 @@
         gate,
         address,
         upstream: &mut upstream,
+        unsent: &request,
         is_first,
         is_sent: false,
         is_reusable: true,
         idle: None,
     };
-    let result = exchange.run(call, writer, place, &request).await;
+    let result = exchange.run(call, writer, place).await;
     let (is_reusable, idle) = (exchange.is_reusable && exchange.is_sent, exchange.idle);
     let attempt = result.unwrap_or_else(Interruption::into_attempt);
     let is_whole = attempt.is_delivered() || attempt.is_failed() || attempt.is_not_run();
@@ -207,8 +208,11 @@
     gate: &'a Gate,
     address: SocketAddr,
     upstream: &'a mut Upstream,
+    /// The part of the request that was not written yet.
+    unsent: &'a [u8],
     /// Whether the connection carried no request before.
     is_first: bool,
+    /// Whether all of the request was written.
     is_sent: bool,
     is_reusable: bool,
     idle: Option<Duration>,
@@ -220,11 +224,10 @@
         call: &mut Call,
         writer: &mut ResponseWriter,
         place: &mut Place,
-        request: &[u8],
     ) -> Result<Attempt, Interruption> {
-        self.send(request, call, writer).await?;
         let mut skipped = 0;
         loop {
+            self.send(call, writer).await?;
             let head = self.read_head(call, writer).await?;
             let response = read_response(&head);
             self.gate.apply_notice(place, response.notice);
@@ -284,24 +287,28 @@
         }
     }
 
-    /// Sends the request; stops early if the endpoint responds before it has read all of it.
-    async fn send(
-        &mut self,
-        request: &[u8],
-        call: &Call,
-        writer: &mut ResponseWriter,
-    ) -> Result<(), Interruption> {
-        let (stream, input) = (&self.upstream.stream, &mut self.upstream.input);
+    /// Sends the rest of the request; stops early if the endpoint responds before it has read all
+    /// of it.
+    async fn send(&mut self, call: &Call, writer: &mut ResponseWriter) -> Result<(), Interruption> {
+        let Upstream { stream, input, .. } = &mut *self.upstream;
+        let (stream, unsent) = (&*stream, &mut self.unsent);
         let work = async {
-            tokio::select! {
-                biased;
-                written = write_all(stream, request) => written.map(|()| true),
-                read = read_into(stream, input) => read.map(|_| false),
+            while !unsent.is_empty() {
+                tokio::select! {
+                    biased;
+                    written = write_some(stream, unsent) => *unsent = &unsent[written?..],
+                    read = read_into(stream, input) => return read.map(drop),
+                }
             }
+            Ok(())
         };
-        let sent = with_deadline(work, writer, call.deadline).await?;
-        // After a write error there may still be a response to read.
-        self.is_sent = sent.unwrap_or(false);
+        let result = with_deadline(work, writer, call.deadline).await?;
+        if result.is_err() {
+            // There may still be a response to read.
+            self.is_reusable = false;
+            self.unsent = &[];
+        }
+        self.is_sent = self.unsent.is_empty();
         Ok(())
     }
 
--- a/cornelstand/src/platform/tests/late_answers.rs
+++ b/cornelstand/src/platform/tests/late_answers.rs
@@ -1,10 +1,18 @@
 //! Bytes that an endpoint sends once more, or too late, on a connection that is kept.
 
+use std::time::Duration;
+
 use rstest::rstest;
+use socket2::SockRef;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep};
 
 use crate::gateway::tests::{ORDERS, gate, record};
 use crate::platform::tests::path::{fetch, listen, request, run_local, status, with_orders};
-use crate::platform::tests::scripted::{Endpoint, Step, answer, response};
+use crate::platform::tests::scripted::{
+    Endpoint, Step, TEST_TIMEOUT, answer, read_request, response,
+};
 
 const REJECTED: &str = "X-Cornelstand-Not-Executed: 1\r\nContent-Length: 0\r\n";
 
@@ -110,3 +118,42 @@
     })
     .await;
 }
+
+/// A late answer is skipped while a large request is being written, and the rest is sent.
+#[tokio::test]
+async fn a_late_answer_does_not_stop_the_request_that_is_being_sent() {
+    run_local(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+        SockRef::from(&listener)
+            .set_recv_buffer_size(16 * 1024)
+            .expect("a socket option");
+        let endpoint = listener.local_addr().expect("bound");
+        tokio::task::spawn_local(async move {
+            let (mut stream, _) = listener.accept().await.expect("accept");
+            read_request(&mut stream).await.expect("the first request");
+            let first = answer("a1", "", "first");
+            stream.write_all(first.as_bytes()).await.expect("written");
+            let begun = stream.peek(&mut [0]).await;
+            assert_eq!(begun.expect("the second request begins"), 1);
+            stream.write_all(first.as_bytes()).await.expect("written");
+            sleep(Duration::from_millis(100)).await;
+            read_request(&mut stream).await.expect("the whole request");
+            let second = answer("a2", "", "second");
+            stream.write_all(second.as_bytes()).await.expect("written");
+        });
+        let gate = gate("one", vec![record("o-1", ORDERS, endpoint)]);
+        let address = listen(&gate).await;
+        fetch(address, &request("/book/1", "a1")).await;
+        let body = "y".repeat(3_900_000);
+        let large = request("/book/1", "a2").replacen(
+            "Content-Length: 4\r\n\r\nbody",
+            &format!("Content-Length: {}\r\n\r\n{body}", body.len()),
+            1,
+        );
+        let started = Instant::now();
+        let text = fetch(address, &large).await;
+        assert!(text.ends_with("\r\n\r\nsecond"), "{text}");
+        assert!(started.elapsed() < TEST_TIMEOUT);
+    })
+    .await;
+}
