serve: late bytes without an identity are not given to the next request

Callers of idempotent routes could get the answer to an earlier request (MIXED), if an endpoint that names requests in its answers wrote bytes without a name behind an earlier answer.

Cause: is_foreign compared the identity only if the answer had one. Ruled out: what may not be repeated and resumed streams, which use a connection each.

Change: endpoints whose answers name the attempt are remembered until their pool is replaced; an unnamed answer of one on a pooled connection counts as lost.

--- a/cornelstand/src/call.rs
+++ b/cornelstand/src/call.rs
@@ -36,7 +36,7 @@
 use crate::relay::{AnswerBody, Origin, is_delimited, is_events};
 use crate::retry::RetryPermit;
 use crate::timeline::Topic;
-use crate::upstream::{EndpointRequest, boot_of, is_foreign};
+use crate::upstream::{EndpointRequest, boot_of};
 
 /// Delay before the third attempt.
 const BASE_BACKOFF: Duration = Duration::from_millis(50);
@@ -295,7 +295,9 @@
     ) -> Step {
         let status = answer.status();
         let headers = answer.headers().clone();
-        if is_foreign(&headers, origin.attempt) {
+        let upstreams = &self.core.upstreams;
+        let is_pooled = self.repeat.is_idempotent();
+        if upstreams.is_foreign(leg.address, &headers, origin.attempt, is_pooled) {
             self.core.metrics.foreign_answers.inc();
             self.core.replace_pool(leg.address);
             return self.lost(sent, Loss::Broken, leg, caller).await;
--- a/cornelstand/src/relay.rs
+++ b/cornelstand/src/relay.rs
@@ -18,7 +18,6 @@
 use crate::entry_core::Core;
 use crate::name::AttemptId;
 use crate::sse::{self, Scanner};
-use crate::upstream::is_foreign;
 
 /// Maximum resumptions of a stream without a new event in between.
 const MAX_RESUMES: u32 = 3;
@@ -214,7 +213,9 @@
     }
 
     fn resumed(&self, answer: Response) -> Resumed {
-        let is_own = is_events(answer.headers()) && !is_foreign(answer.headers(), self.attempt);
+        let (headers, upstreams) = (answer.headers(), &self.core.upstreams);
+        let is_foreign = upstreams.is_foreign(self.address, headers, self.attempt, false);
+        let is_own = is_events(headers) && !is_foreign;
         match answer.status() {
             StatusCode::OK if is_own => Resumed::Stream(answer),
             StatusCode::NOT_FOUND => Resumed::Unknown,
--- a/cornelstand/src/upstream.rs
+++ b/cornelstand/src/upstream.rs
@@ -6,9 +6,9 @@
 //! streams keep the old client. A request that may not be repeated uses a new connection: the extra
 //! round trip costs less than an unknown outcome from a dead pooled connection.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderValue, Method};
@@ -36,6 +36,8 @@
 pub(crate) struct Upstreams {
     pools: Mutex<HashMap<SocketAddr, Client>>,
     unpooled: Client,
+    /// Endpoints whose answers name the attempt since their pool was created.
+    naming: Mutex<HashSet<SocketAddr>>,
 }
 
 /// A request to an endpoint.
@@ -56,9 +58,28 @@
         Self {
             pools: Mutex::default(),
             unpooled: client(0),
+            naming: Mutex::default(),
         }
     }
 
+    /// Returns whether an answer of `address` belongs to an attempt other than `attempt`: it names
+    /// another one, or came on a pooled connection and names none although others of that endpoint
+    /// do.
+    pub(crate) fn is_foreign(
+        &self,
+        address: SocketAddr,
+        headers: &HeaderMap,
+        attempt: AttemptId,
+        is_pooled: bool,
+    ) -> bool {
+        let mut ids = headers.get_all(REQUEST_ID).iter().peekable();
+        if ids.peek().is_none() {
+            return is_pooled && lock(&self.naming).contains(&address);
+        }
+        lock(&self.naming).insert(address);
+        ids.any(|id| id.as_bytes() != attempt_text(attempt).as_bytes())
+    }
+
     /// Sends a request and waits for the head of the answer.
     pub(crate) async fn send(&self, request: EndpointRequest) -> Result<Response, reqwest::Error> {
         let client = match request.repeat {
@@ -110,24 +131,26 @@
 
     /// Drops the pool of `address`; the next request creates a new one.
     pub(crate) fn replace(&self, address: SocketAddr) {
-        self.lock().remove(&address);
+        lock(&self.pools).remove(&address);
+        lock(&self.naming).remove(&address);
     }
 
     /// Drops the pools of addresses for which `keep` returns false.
     pub(crate) fn retain(&self, keep: impl Fn(SocketAddr) -> bool) {
-        self.lock().retain(|&address, _| keep(address));
+        lock(&self.pools).retain(|&address, _| keep(address));
+        lock(&self.naming).retain(|&address| keep(address));
     }
 
     fn pool(&self, address: SocketAddr) -> Client {
-        self.lock()
+        lock(&self.pools)
             .entry(address)
             .or_insert_with(|| client(usize::MAX))
             .clone()
     }
+}
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Client>> {
-        self.pools.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// Formats the identity of an attempt for headers and paths.
@@ -141,13 +164,6 @@
     text.parse().ok().map(BootId)
 }
 
-/// Returns whether an answer belongs to an attempt other than `attempt`.
-pub(crate) fn is_foreign(headers: &HeaderMap, attempt: AttemptId) -> bool {
-    headers
-        .get(REQUEST_ID)
-        .is_some_and(|id| id.as_bytes() != attempt_text(attempt).as_bytes())
-}
-
 fn attempt_value(attempt: AttemptId) -> HeaderValue {
     HeaderValue::from_str(&attempt_text(attempt)).unwrap_or_else(|_| HeaderValue::from_static(""))
 }
--- a/cornelstand/tests/entry/answers.rs
+++ b/cornelstand/tests/entry/answers.rs
@@ -1,5 +1,6 @@
 //! Complete answers, truncated answers and refusals.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,6 +8,8 @@
 use http::Response;
 use reqwest::Client;
 use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 use warp::Filter;
 
 use crate::fleet::{
@@ -152,6 +155,50 @@
     late.abort();
 }
 
+/// An endpoint that writes `late` before its second answer on a connection. Its answers name the
+/// attempt.
+async fn late_bytes(late: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            tokio::spawn(async move {
+                for late in ["", late] {
+                    let mut request = vec![0; 4096];
+                    let count = stream.read(&mut request).await.unwrap_or(0);
+                    let text = String::from_utf8_lossy(&request[..count]).into_owned();
+                    let id = text.lines().find(|l| l.starts_with("x-request-id: "));
+                    let Some(id) = id else { return };
+                    let path = text.split(' ').nth(1).unwrap();
+                    let length = path.len();
+                    let head = format!("HTTP/1.1 200 OK\r\n{id}\r\ncontent-length: {length}");
+                    let answer = format!("{late}{head}\r\n\r\n{path}");
+                    stream.write_all(answer.as_bytes()).await.unwrap();
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against another request's answer to the one that runs.
+#[rstest]
+#[case::success("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate")]
+#[case::error("HTTP/1.1 500 Oops\r\ncontent-length: 4\r\n\r\nlate")]
+#[case::refusal("HTTP/1.1 404 Not Found\r\ncontent-length: 4\r\n\r\nlate")]
+#[tokio::test]
+async fn late_bytes_without_an_identity_are_not_given_to_the_next_request(
+    #[case] late: &'static str,
+) {
+    let fleet = Fleet::start(&[late_bytes(late).await], EntryLimits::default()).await;
+    for path in ["/one", "/two", "/three", "/four"] {
+        let answer = fleet.get(&format!("/app{path}")).send().await.unwrap();
+        assert_eq!(answer.status(), 200);
+        assert_eq!(answer.text().await.unwrap(), path);
+    }
+}
+
 #[rstest]
 #[case::no_body("HTTP/1.1 204 No Content\r\n\r\n", 204, None)]
 #[case::length_of_a_head("HTTP/1.1 200 OK\r\ncontent-length: 700\r\n\r\n", 200, Some("700"))]
