Gateway: drop messages of peers with estimates out of range

A gateway ended by itself on a heartbeat with an infinite estimate: a duration made of it panics.

Cause: estimates in heartbeats and digests were used as they came. Found by going through the readers of bytes that others send.

Change: Message::is_sound is checked where a message is decoded. Differences slightly below zero stay allowed.

Shown: on the code before the message was taken in all of 8 cases and one ended the process; none is taken now.

--- a/cornelstand/src/gateway/peers.rs
+++ b/cornelstand/src/gateway/peers.rs
@@ -144,6 +144,46 @@
     Alarm(CrashNews),
 }
 
+impl Message {
+    /// Whether all estimates are in the range that calculations with them require. Differences may
+    /// be slightly below zero.
+    pub(crate) fn is_sound(&self) -> bool {
+        let is_estimate = f32::is_finite;
+        let are_loads = |loads: &[PeerLoad]| {
+            let mut values = loads
+                .iter()
+                .flat_map(|l| [l.waiting, l.memory, l.token_time]);
+            values.all(is_estimate)
+        };
+        let are_accounts = |attained: &[(AccountName, f32)]| {
+            let mut values = attained.iter().map(|(_, value)| *value);
+            values.all(is_estimate)
+        };
+        let are_demands = |demands: &[(ServiceName, Vec<Demand>)]| {
+            let demands = demands.iter().flat_map(|(_, demands)| demands);
+            let mut values = demands.flat_map(|d| [d.attained_service, d.tokens]);
+            values.all(is_estimate)
+        };
+        match self {
+            Self::Heartbeat(heartbeat) => {
+                let times = heartbeat.token_times.iter().map(|(_, time)| *time);
+                let mut values = times.chain([heartbeat.cores, heartbeat.activity]);
+                values.all(is_estimate)
+                    && heartbeat.activity >= 0.0
+                    && are_loads(&heartbeat.loads)
+                    && are_accounts(&heartbeat.attained_service)
+                    && are_demands(&heartbeat.demands)
+            }
+            Self::Digest(digest) => {
+                are_loads(&digest.loads)
+                    && are_accounts(&digest.attained_service)
+                    && are_demands(&digest.demands)
+            }
+            Self::Alarm(_) => true,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Peer {
     address: SocketAddr,
--- a/cornelstand/src/gateway/peers_link.rs
+++ b/cornelstand/src/gateway/peers_link.rs
@@ -120,6 +120,10 @@
             return Vec::new();
         }
     };
+    if !message.is_sound() {
+        tracing::warn!(event = "message_unreadable", %address, error = "estimate out of range");
+        return Vec::new();
+    }
     match message {
         Message::Heartbeat(heartbeat) => {
             gate.receive_heartbeat(address, heartbeat);
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -681,6 +681,6 @@
 fn plain_cost(state: &EndpointState) -> Option<f64> {
     let load = state.total();
     let slots = state.record.slots.max(1);
-    let has_room = load.running < slots * REQUESTS_PER_SLOT;
+    let has_room = load.running < slots.saturating_mul(REQUESTS_PER_SLOT);
     has_room.then(|| 10.0 * f64::from(load.running) / f64::from(slots))
 }
--- a/cornelstand/src/gateway/tests/peers.rs
+++ b/cornelstand/src/gateway/tests/peers.rs
@@ -4,9 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rstest::rstest;
+
 use crate::gateway::admission::Demand;
 use crate::gateway::directory::ViewVersions;
-use crate::gateway::peers::{Heartbeat, PeerLoad, Peers, Updates};
+use crate::gateway::peers::{Heartbeat, Message, PeerLoad, Peers, Updates};
+use crate::gateway::peers_link::handle_datagram;
 use crate::gateway::tests::{gate, settings};
 use crate::moment::Moment;
 use crate::name::{AccountName, CentreName, InstanceName, ServiceName};
@@ -275,3 +278,28 @@
     }
     assert_eq!(asked.len(), names.len(), "each tries in its turn");
 }
+
+/// Guards against a process that ends by the arithmetic on a damaged message.
+#[rstest]
+#[case::attained(|h: &mut Heartbeat, value| h.attained_service[0].1 = value)]
+#[case::demand(|h: &mut Heartbeat, value| h.demands[0].1[0].tokens = value)]
+#[case::attained_demand(|h: &mut Heartbeat, value| h.demands[0].1[0].attained_service = value)]
+#[case::token_time(|h: &mut Heartbeat, value| h.token_times[0].1 = value)]
+#[case::load(|h: &mut Heartbeat, value| h.loads[0].memory = value)]
+#[case::activity(|h: &mut Heartbeat, value| h.activity = value)]
+#[case::negative_activity(|h: &mut Heartbeat, value: f32| h.activity = -value.abs().min(1_000.0))]
+#[case::cores(|h: &mut Heartbeat, value| h.cores = value)]
+fn a_message_with_an_estimate_out_of_range_is_dropped(#[case] set: fn(&mut Heartbeat, f32)) {
+    for value in [f32::INFINITY, f32::NEG_INFINITY, f32::NAN] {
+        let gate = gate("one", Vec::new());
+        let mut sent = heartbeat("two", 1, 3);
+        set(&mut sent, value);
+        let bytes = postcard::to_stdvec(&Message::Heartbeat(sent)).expect("encoded");
+        handle_datagram(&gate, address(), &bytes);
+        gate.apply_peer_state();
+        let state = gate.state.borrow();
+        let retry_after = state.admission.retry_after(gate.now(), &"ada".into());
+        assert!(retry_after < Duration::from_mins(1));
+        assert_eq!(state.peers.live(gate.now()).count(), 0, "{value}");
+    }
+}
