Gateway: reset the connection of an abandoned attempt

Cause, in part: the connection of an attempt that ended without a whole response was closed in order, which still delivers what is held up.

Change: an attempt that ends without a whole response resets its connection.

--- a/cornelstand/src/gateway/outlet.rs
+++ b/cornelstand/src/gateway/outlet.rs
@@ -9,6 +9,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::gateway::upstream::reset_on_close;
+
 /// Time-out for a write to a caller that does not read its response.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum read-ahead while a request is served; further bytes stay in the socket.
@@ -84,10 +86,7 @@
         if !self.lacks_chunking {
             return;
         }
-        let linger = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
-        if let Err(error) = linger {
-            tracing::debug!(event = "socket_option_refused", %error);
-        }
+        reset_on_close(&self.stream);
     }
 
     /// Connection header line for the response, if one is needed.
--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -17,7 +17,7 @@
 use crate::gateway::message::{BodyReader, Head};
 use crate::gateway::outlet::{CallerGone, ResponseWriter, write_some};
 use crate::gateway::placement::{AnswerPhase, Place};
-use crate::gateway::upstream::{Pool, ReadError, Upstream, read_into};
+use crate::gateway::upstream::{Pool, ReadError, Upstream, read_into, reset_on_close};
 use crate::platform::headers::{
     CallerFraming, Forwarding, RequestRef, ResponseFields, read_response, write_request,
     write_response_head,
@@ -164,6 +164,10 @@
     let (is_reusable, idle) = (exchange.is_reusable && exchange.is_sent, exchange.idle);
     let attempt = result.unwrap_or_else(Interruption::into_attempt);
     let is_whole = attempt.is_delivered() || attempt.is_failed() || attempt.is_not_run();
+    if !is_whole {
+        // A request that is held up on its way would still arrive after an orderly close.
+        reset_on_close(&upstream.stream);
+    }
     if is_whole && is_reusable && upstream.input.is_empty() {
         let pool: &mut Pool = &mut gate.state.borrow_mut().pool;
         pool.put(address, upstream, idle);
--- a/cornelstand/src/gateway/upstream.rs
+++ b/cornelstand/src/gateway/upstream.rs
@@ -174,6 +174,15 @@
     }
 }
 
+/// Makes the close of a connection reset it, which also discards what was not received yet. Errors
+/// are only logged, since the connection is closed either way.
+pub(crate) fn reset_on_close(stream: &TcpStream) {
+    let linger = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+    if let Err(error) = linger {
+        tracing::debug!(event = "socket_option_refused", %error);
+    }
+}
+
 /// Waits for input and appends it to `input`; returns zero if the peer closed the connection.
 pub(crate) async fn read_into(stream: &TcpStream, input: &mut BytesMut) -> io::Result<usize> {
     loop {
--- a/cornelstand/src/platform/tests.rs
+++ b/cornelstand/src/platform/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the platform adapters and of the request path, at the level of bytes.
 
+mod abandoned;
 mod crashes;
 mod endless;
 mod foreign_entries;
