Gateway: large request bodies take a bounded part of the memory

Cause: nothing limited the sum of the bodies, and each was held twice, as read and in the request to the endpoint, until its response had ended. Ruled out: responses (not part of the case; still without a common limit) and cornelstand serve, which reserves memory before it reads a body.

Change: bodies over 64 KB share a quarter of the memory. Beyond it a request is refused at once with a 503 that names it, its body is discarded, and smaller requests are served. Large bodies are written without a copy.

--- a/cornelstand/src/gateway/connection.rs
+++ b/cornelstand/src/gateway/connection.rs
@@ -7,10 +7,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep, timeout_at};
 
+use crate::gateway::body_room::MAX_UNCOUNTED_BYTES;
 use crate::gateway::call::{self, Refused};
 use crate::gateway::catalog::RequestLimits;
 use crate::gateway::gate::Gate;
-use crate::gateway::message::{Head, MessageError};
+use crate::gateway::message::{BodyReader, Head, MessageError};
 use crate::gateway::number::{gauge, to_f64};
 use crate::gateway::outlet::ResponseWriter;
 use crate::gateway::upstream::{read_into, set_socket_options};
@@ -20,6 +21,11 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Longest time to read and discard input after a request was refused.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
+/// Longest time to read and discard a body after its request was refused.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// `Retry-After` when there is no memory for a body; short, since the load balancer sends the retry
+/// to another instance.
+const BODY_ROOM_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Longest time for a request body without a caller's deadline; large ones take some seconds.
 const BODY_TIMEOUT: Duration = Duration::from_mins(1);
 /// File descriptors reserved for connections to endpoints and the store, and for files.
@@ -76,6 +82,9 @@
     Closed,
     /// The request did not arrive in time.
     TimedOut,
+    /// Large bodies take all the memory that is set aside for them; with the request's identity
+    /// and the rest of its body.
+    NoRoom(Bytes, BodyReader),
     Malformed(MessageError),
 }
 
@@ -90,7 +99,10 @@
     let mut writer = ResponseWriter::new(stream);
     while writer.keep_alive {
         let limits = gate.state.borrow().directory.catalog().limits;
-        let refusal = match read_request(&mut writer, &limits).await {
+        let mut share = gate.bodies.share();
+        let memory = gate.settings.borrow().memory;
+        let room = |bytes| share.grow(bytes, memory);
+        let refusal = match read_request(&mut writer, &limits, room).await {
             Ok((head, body, arrived)) => {
                 writer.lacks_chunking = head.is_http_1_0();
                 writer.keep_alive = head.keeps_alive() && !gate.stopping.get() && !is_crowded(gate);
@@ -99,6 +111,9 @@
             }
             Err(ReadFailure::Closed) => return,
             Err(ReadFailure::TimedOut) => (408, "the request was not sent in time"),
+            Err(ReadFailure::NoRoom(id, body)) => {
+                return refuse_body(gate, &mut writer, &id, body).await;
+            }
             Err(ReadFailure::Malformed(MessageError::HeadTooLarge)) => {
                 (431, "the head is too large")
             }
@@ -116,6 +131,23 @@
     }
 }
 
+/// Refuses a request whose body finds no memory, and discards what is still sent of it.
+async fn refuse_body(gate: &Gate, writer: &mut ResponseWriter, id: &Bytes, mut body: BodyReader) {
+    const REASON: &str = "no memory is left for the body";
+    tracing::info!(event = "refused", request = %String::from_utf8_lossy(id), status = 503, reason = REASON);
+    writer.keep_alive = false;
+    let refused = Refused::new(503, REASON, Some(BODY_ROOM_RETRY_AFTER));
+    call::send_own_response(gate, writer, id, &refused).await;
+    let until = Instant::now() + DISCARD_TIMEOUT;
+    let mut discarded = BytesMut::new();
+    while body.read(&mut writer.input, &mut discarded).is_ok() && !body.is_done() {
+        discarded.clear();
+        if read_more(writer, until).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Discards input for a short time: closing a socket with unread bytes resets the connection, and
 /// the caller may lose the response.
 async fn drain(writer: &mut ResponseWriter) {
@@ -131,10 +163,12 @@
     }
 }
 
-/// Reads a request. Also returns the time at which its first byte arrived.
+/// Reads a request, whose body has to get `room` for its bytes. Also returns the time at which the
+/// first byte of the request arrived.
 async fn read_request(
     writer: &mut ResponseWriter,
     limits: &RequestLimits,
+    mut room: impl FnMut(usize) -> bool,
 ) -> Result<(Head, Bytes, Instant), ReadFailure> {
     if writer.input.is_empty() {
         let until = Instant::now() + limits.idle_time;
@@ -155,17 +189,29 @@
     if reader.length().is_some_and(is_too_large) {
         return Err(MessageError::BodyTooLarge.into());
     }
+    let length = reader.length().and_then(|l| usize::try_from(l).ok());
+    if !room(length.unwrap_or_default()) {
+        return Err(ReadFailure::NoRoom(identity(&head), reader));
+    }
     if head.has_token("expect", "100-continue") && !reader.is_done() {
         let sent = writer.send(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         sent.map_err(|_| ReadFailure::Closed)?;
     }
-    let mut body = BytesMut::new();
+    let mut body = BytesMut::with_capacity(length.unwrap_or_default());
     let mut body_deadline = None;
     loop {
         reader.read(&mut writer.input, &mut body)?;
         if body.len() > limits.body_bytes {
             return Err(MessageError::BodyTooLarge.into());
         }
+        if length.is_none() && body.len() > MAX_UNCOUNTED_BYTES {
+            // A body of unknown length gets all that it may need, or several would run out of room
+            // together.
+            if !room(limits.body_bytes) {
+                return Err(ReadFailure::NoRoom(identity(&head), reader));
+            }
+            body.reserve(limits.body_bytes - body.len());
+        }
         if reader.is_done() {
             return Ok((head, body.freeze(), arrived));
         }
@@ -175,6 +221,11 @@
     }
 }
 
+/// Identity of a request, empty if it has none.
+fn identity(head: &Head) -> Bytes {
+    read_call(head).map_or_else(|_| Bytes::new(), |fields| fields.request_id)
+}
+
 /// Time limit of the body, counted from the first byte of the request.
 fn body_timeout(head: &Head) -> Duration {
     let timeout = read_call(head).ok().and_then(|fields| fields.timeout);
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -8,6 +8,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::gateway::admission::{Admission, WaitId, Waiting};
+use crate::gateway::body_room::BodyRoom;
 use crate::gateway::budget::{RetryQuota, cold_quota};
 use crate::gateway::catalog::GatewayService;
 use crate::gateway::containment::Source;
@@ -105,6 +106,8 @@
     /// Wakes the alarm sender.
     pub(crate) alarm_trigger: Notify,
     pub(crate) connections: Cell<usize>,
+    /// Memory for request bodies.
+    pub(crate) bodies: BodyRoom,
     /// Detects pauses of the process.
     pub(crate) pauses: PauseWatch,
 }
@@ -160,6 +163,7 @@
             heartbeat_trigger: Notify::new(),
             alarm_trigger: Notify::new(),
             connections: Cell::new(0),
+            bodies: BodyRoom::default(),
             pauses: PauseWatch::default(),
         }
     }
@@ -417,7 +421,7 @@
             .watches_store(now, &self.settings.borrow(), is_lost)
     }
 
-    /// Time since which the store has answered a peer of this data centre, or now.
+    /// Time since which the store has answered a peer, or now.
     pub(crate) fn store_since(&self) -> Moment {
         let now = self.now();
         let centre = &self.settings.borrow().centre;
--- a/cornelstand/src/gateway/mod.rs
+++ b/cornelstand/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod acquire;
 pub(crate) mod admin;
 pub(crate) mod admission;
+pub(crate) mod body_room;
 pub(crate) mod budget;
 pub(crate) mod call;
 pub(crate) mod catalog;
--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -19,7 +19,7 @@
 use crate::gateway::placement::{AnswerPhase, Place};
 use crate::gateway::upstream::{Pool, ReadError, Upstream, read_into, reset_on_close};
 use crate::platform::headers::{
-    CallerFraming, Forwarding, RequestRef, ResponseFields, read_response, write_request,
+    CallerFraming, Forwarding, RequestRef, ResponseFields, read_response, write_request_head,
     write_response_head,
 };
 use crate::sse::{EVENT_BYTES, Splitter};
@@ -28,6 +28,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// Largest response head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Largest request body that is copied behind its head, to be written in one piece, in bytes.
+const MAX_COPIED_BODY_BYTES: usize = 16 * 1024;
 /// Largest response body that is buffered, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 /// Most responses to other requests that are skipped on a connection.
@@ -147,7 +149,13 @@
         remaining: call.deadline.saturating_duration_since(Instant::now()),
         last_event: call.last_event(),
     };
-    write_request(&mut request, &call.head, &call.body, &forwarding);
+    let body = call.body.clone();
+    write_request_head(&mut request, &call.head, body.len(), &forwarding);
+    let mut rest: &[u8] = &body;
+    if body.len() <= MAX_COPIED_BODY_BYTES {
+        request.extend_from_slice(&body);
+        rest = &[];
+    }
     call.sends += 1;
     let is_first = upstream.note_request(&call.request_id);
     let mut exchange = Exchange {
@@ -155,6 +163,7 @@
         address,
         upstream: &mut upstream,
         unsent: &request,
+        rest,
         is_first,
         is_sent: false,
         is_reusable: true,
@@ -212,8 +221,10 @@
     gate: &'a Gate,
     address: SocketAddr,
     upstream: &'a mut Upstream,
-    /// The part of the request that was not written yet.
+    /// The part of the request that is written next.
     unsent: &'a [u8],
+    /// The part of the request after it.
+    rest: &'a [u8],
     /// Whether the connection carried no request before.
     is_first: bool,
     /// Whether all of the request was written.
@@ -295,7 +306,7 @@
     /// of it.
     async fn send(&mut self, call: &Call, writer: &mut ResponseWriter) -> Result<(), Interruption> {
         let Upstream { stream, input, .. } = &mut *self.upstream;
-        let (stream, unsent) = (&*stream, &mut self.unsent);
+        let (stream, unsent, rest) = (&*stream, &mut self.unsent, &mut self.rest);
         let work = async {
             while !unsent.is_empty() {
                 tokio::select! {
@@ -303,6 +314,9 @@
                     written = write_some(stream, unsent) => *unsent = &unsent[written?..],
                     read = read_into(stream, input) => return read.map(drop),
                 }
+                if unsent.is_empty() {
+                    std::mem::swap(unsent, rest);
+                }
             }
             Ok(())
         };
@@ -310,7 +324,7 @@
         if result.is_err() {
             // There may still be a response to read.
             self.is_reusable = false;
-            self.unsent = &[];
+            (self.unsent, self.rest) = (&[], &[]);
         }
         self.is_sent = self.unsent.is_empty();
         Ok(())
--- a/cornelstand/src/platform/headers.rs
+++ b/cornelstand/src/platform/headers.rs
@@ -174,14 +174,14 @@
     pub(crate) last_event: Option<&'a [u8]>,
 }
 
-/// Writes the request as forwarded to an endpoint.
-pub(crate) fn write_request(
+/// Writes the head of the request as forwarded to an endpoint, for a body of `length` bytes.
+pub(crate) fn write_request_head(
     out: &mut BytesMut,
     head: &Head,
-    body: &[u8],
+    length: usize,
     forwarding: &Forwarding<'_>,
 ) {
-    out.reserve(1024 + body.len());
+    out.reserve(1024);
     write_line(out, &[head.method(), " ", head.target(), " HTTP/1.1"]);
     let has_length = head.values("content-length").next().is_some();
     let has_body = has_length || head.values("transfer-encoding").next().is_some();
@@ -207,10 +207,9 @@
     write_header(out, EXPECTED_ENDPOINT, forwarding.endpoint.as_bytes());
     write_number(out, DEADLINE, forwarding.remaining.as_millis());
     if has_body {
-        write_number(out, "content-length", body.len() as u128);
+        write_number(out, "content-length", length as u128);
     }
     out.put_slice(b"\r\n");
-    out.put_slice(body);
 }
 
 /// How a response names the request that it answers.
--- a/cornelstand/src/platform/tests/wire.rs
+++ b/cornelstand/src/platform/tests/wire.rs
@@ -8,7 +8,7 @@
 
 use crate::gateway::message::Head;
 use crate::platform::headers::{
-    CallerFraming, Forwarding, read_call, read_response, write_request, write_response_head,
+    CallerFraming, Forwarding, read_call, read_response, write_request_head, write_response_head,
 };
 use crate::platform::objects::{StoreObject, read_config, read_endpoint};
 use crate::platform::settings::parse_settings;
@@ -109,7 +109,8 @@
         remaining: Duration::from_millis(14_321),
         last_event: None,
     };
-    write_request(&mut out, &head, b"body", &forwarding);
+    write_request_head(&mut out, &head, 4, &forwarding);
+    out.extend_from_slice(b"body");
     insta::assert_snapshot!(String::from_utf8_lossy(&out).replace('\r', ""));
 }
 
@@ -123,7 +124,7 @@
         remaining: Duration::from_secs(1),
         last_event: Some(b"17"),
     };
-    write_request(&mut out, &head(text), b"", &forwarding);
+    write_request_head(&mut out, &head(text), 0, &forwarding);
     let out = String::from_utf8_lossy(&out).to_lowercase();
     assert_eq!(out.matches("last-event-id").count(), 1);
     assert!(out.contains("last-event-id: 17\r\n"));
