--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -34,10 +34,10 @@
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Reason in refusals of requests that have crashed endpoints.
 pub(crate) const CRASH_REASON: &str = "the request crashed endpoints";
-/// Reason why a stream of a resumable route was not resumed.
-const NO_EVENT_ID: &str = "the last event has no usable identifier";
 /// Reason in refusals of requests with a prompt part that has crashed endpoints.
 pub(crate) const PART_CRASH_REASON: &str = "a part of the prompt crashed endpoints";
+/// Reason why a stream of a resumable route was not resumed.
+const NO_EVENT_ID: &str = "the last event has no usable identifier";
 
 /// A request with its route, account and progress.
 #[derive(Debug)]
