Gateway: the log tells how an answer was unreadable

Cause: for a stream that broke off the log said "malformed" whether the head could not be read, the chunks were broken or something was too large.

Change: the result names the malformed part. No logic changes.

Shown: four kinds of unreadable answers, in a test that reads the log lines; the three that are malformed had one reason before (read, not run).

--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -14,7 +14,7 @@
 use crate::gateway::call::{BegunResponse, Call};
 use crate::gateway::directory::EndpointRecord;
 use crate::gateway::gate::Gate;
-use crate::gateway::message::{BodyReader, Head};
+use crate::gateway::message::{BodyReader, Head, MessageError};
 use crate::gateway::outlet::{CallerGone, ResponseWriter, write_some};
 use crate::gateway::placement::{AnswerPhase, Place};
 use crate::gateway::upstream::{Pool, ReadError, Upstream, read_into, reset_on_close};
@@ -104,7 +104,12 @@
             Self::Silent => Attempt::Lost("silent"),
             Self::Read(ReadError::Closed) => Attempt::Lost("closed"),
             Self::Read(ReadError::Io(_)) => Attempt::Lost("reset"),
-            Self::Read(ReadError::Message(_)) => Attempt::Lost("malformed"),
+            Self::Read(ReadError::Message(error)) => Attempt::Lost(match error {
+                MessageError::HeadTooLarge => "endless head",
+                MessageError::BadHead => "malformed head",
+                MessageError::BadFraming => "malformed framing",
+                MessageError::BodyTooLarge => "endless body",
+            }),
         }
     }
 }
--- a/cornelstand/src/platform/tests.rs
+++ b/cornelstand/src/platform/tests.rs
@@ -6,6 +6,7 @@
 mod foreign_entries;
 mod large_bodies;
 mod late_answers;
+mod loss_reasons;
 mod notices;
 mod path;
 mod resumption;
