Soak: endpoints that fail, repeat answers late and fall silent, and planned stops

Its endpoints refused, cut and crashed, but never answered with an error of their own, wrote no answer twice, and no connection went silent; and a caller took bytes that are no response for a lost one.

Change: endpoints fail half of their requests; a proxy before each repeats answers (as the next request arrives, or within the next answer) or silences open connections; instances are stopped by SIGTERM and start again; a response that cannot be read although its connection did not end fails the run. The lock of the world is no longer held while a request runs, since a paused instance kept faults waiting for up to 30 s. Addresses of test processes that run side by side collide less often: a run of this had two processes at one address, which the logs show (`start_failed`, address in use) and which looked like calls of nobody.

Seed 6 joins the seeds that always run.

--- a/cornelstand/tests/gateway/platform/mod.rs
+++ b/cornelstand/tests/gateway/platform/mod.rs
@@ -46,6 +46,8 @@
 pub(crate) struct World {
     pub(crate) store: PlatformStore,
     pub(crate) endpoints: BTreeMap<String, PlatformEndpoint>,
+    /// Addresses of endpoints that are reached through a proxy.
+    pub(crate) addresses: BTreeMap<String, SocketAddr>,
     pub(crate) instances: Vec<Instance>,
     pub(crate) http: reqwest::Client,
 }
@@ -73,14 +75,14 @@
             endpoints.insert(name.clone(), endpoint.expect("the endpoint starts"));
         }
         let world = NEXT_WORLD.fetch_add(1, Ordering::Relaxed);
-        let process = u8::try_from(std::process::id() % 200).expect("below 200");
-        let ip = |i: u8| Ipv4Addr::new(127, 20 + process, world, 10 + i);
+        let ip = |i: u8| address(std::process::id(), world, i);
         let seeds: Vec<String> = (0..count.min(3))
             .map(|i| format!("{}:8785", ip(i)))
             .collect();
         let mut this = Self {
             store,
             endpoints,
+            addresses: BTreeMap::new(),
             instances: Vec::new(),
             http: reqwest::Client::builder()
                 .no_proxy()
@@ -137,8 +139,10 @@
         } else {
             "orders"
         };
+        let direct = || self.endpoints[name].address();
+        let address = self.addresses.get(name).copied().unwrap_or_else(direct);
         let spec: Value = json!({
-            "service": service, "address": self.endpoints[name].address(), "zone": "north",
+            "service": service, "address": address, "zone": "north",
             "slots": 64, "state": state, "cold_left_ms": 0, "seq": 1,
             "born": 1 + self.endpoints[name].ends().len(),
         });
@@ -183,23 +187,30 @@
         body: &str,
         parts: &str,
     ) -> Result<(u16, String), reqwest::Error> {
+        let request = self.request(instance, path, id, body);
+        if parts.is_empty() {
+            return send(request).await;
+        }
+        send(request.header("x-cornelstand-prompt-prefix", parts)).await
+    }
+
+    /// A request to an instance, not yet sent.
+    pub(crate) fn request(
+        &self,
+        instance: usize,
+        path: &str,
+        id: &str,
+        body: &str,
+    ) -> reqwest::RequestBuilder {
         let address = self.instances[instance].front();
         let request = self.http.post(format!("http://{address}{path}"));
-        let request = request
+        request
             .header("host", "shop.example")
             .header("x-cornelstand-attempt-id", id)
             .header("x-cornelstand-deadline-ms", "8000")
             .header("x-cornelstand-credential", KEY)
             .header("x-cornelstand-token-count", "100,60")
-            .body(body.to_owned());
-        let request = if parts.is_empty() {
-            request
-        } else {
-            request.header("x-cornelstand-prompt-prefix", parts)
-        };
-        let response = request.send().await?;
-        let status = response.status().as_u16();
-        Ok((status, response.text().await?))
+            .body(body.to_owned())
     }
 
     /// Waits until the readiness of an instance is `is_ready`.
@@ -241,6 +252,23 @@
     }
 }
 
+/// Address of an instance. Processes that run at the same time have identifiers that are close to
+/// one another, and a process has fewer than 32 worlds.
+fn address(process: u32, world: u8, instance: u8) -> Ipv4Addr {
+    let low = u8::try_from(process % 200).expect("below 200");
+    let high = u8::try_from(process / 200 % 7).expect("below 7");
+    Ipv4Addr::new(127, 20 + low, 32 * high + world, 10 + instance)
+}
+
+/// Sends a request and reads the whole response.
+pub(crate) async fn send(
+    request: reqwest::RequestBuilder,
+) -> Result<(u16, String), reqwest::Error> {
+    let response = request.send().await?;
+    let status = response.status().as_u16();
+    Ok((status, response.text().await?))
+}
+
 impl Instance {
     fn new(ip: Ipv4Addr, store: SocketAddr, seeds: &str, centres: &[&str], centre: usize) -> Self {
         let folder = std::env::temp_dir().join(format!("cornelstand-gateway-{ip}"));
--- a/cornelstand/tests/gateway/soak.rs
+++ b/cornelstand/tests/gateway/soak.rs
@@ -1,11 +1,14 @@
 //! Randomized soak test: callers send requests while instances are killed, paused and restarted,
-//! the store is faulty, and endpoints crash, refuse requests and truncate responses.
+//! the store is faulty, endpoints crash, fail and refuse requests and truncate responses, and their
+//! connections go silent or bring answers a second time.
 //!
 //! It checks what callers and endpoints observe: a non-idempotent call runs at most once, a refused
-//! one never runs, and every successful response is complete and belongs to its request.
+//! one never runs, every successful response is complete and belongs to its request, and one that
+//! breaks off has no bytes in it that are no response.
 //! `CORNELSTAND_SOAK_SEED` and `CORNELSTAND_SOAK_SECONDS` set the seed and the duration.
 
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -13,17 +16,20 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
-use stand_ins::{EndpointFaults, StoreFaults};
+use stand_ins::{EndpointFaults, LateCopies, ProxyFaults, StoreFaults};
 use tokio::sync::RwLock;
 use tokio::time::{Instant, sleep};
 
 use crate::full_stream;
-use crate::platform::World;
+use crate::platform::{World, send};
 
 const INSTANCES: u8 = 3;
 const CALLERS: usize = 6;
 /// Seeds that always run: one default, and any that has failed, with its cause.
-const SEEDS: [u64; 1] = [1];
+const SEEDS: [u64; 2] = [
+    1, // default
+    6, // a resumed stream got the error of its next endpoint in its middle
+];
 
 /// Result of a request as its caller observed it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -49,7 +55,8 @@
 }
 
 async fn soak(seed: u64, length: Duration) {
-    let world = World::start(INSTANCES);
+    let mut world = World::start(INSTANCES);
+    let proxies = start_proxies(&mut world).await;
     for i in 0..usize::from(INSTANCES) {
         world.await_ready(i, true).await;
     }
@@ -67,7 +74,7 @@
             ))
         })
         .collect();
-    inject_faults(&world, seed, length).await;
+    inject_faults(&world, &proxies, seed, length).await;
     is_done.store(true, Ordering::Relaxed);
     let mut observed = BTreeMap::new();
     for caller in callers {
@@ -76,6 +83,37 @@
     check_guarantees(&*world.read().await, &observed, seed);
 }
 
+/// Puts a proxy in front of each endpoint.
+async fn start_proxies(world: &mut World) -> BTreeMap<String, LateCopies> {
+    let mut proxies = BTreeMap::new();
+    for (name, endpoint) in &world.endpoints {
+        let proxy = LateCopies::start(endpoint.address()).await;
+        proxies.insert(name.clone(), proxy.expect("the proxy starts"));
+    }
+    for (name, proxy) in &proxies {
+        world.addresses.insert(name.clone(), proxy.address());
+        world.list(name, "ready");
+    }
+    proxies
+}
+
+/// Whether a caller could not read a response although its connection did not end.
+fn is_unreadable(error: &reqwest::Error) -> bool {
+    let mut source = std::error::Error::source(error);
+    while let Some(error) = source {
+        let is_parse = error.downcast_ref::<warp::hyper::Error>();
+        let kind = error
+            .downcast_ref::<std::io::Error>()
+            .map(std::io::Error::kind);
+        let is_framing = matches!(kind, Some(ErrorKind::InvalidData | ErrorKind::InvalidInput));
+        if is_framing || is_parse.is_some_and(warp::hyper::Error::is_parse) {
+            return true;
+        }
+        source = error.source();
+    }
+    false
+}
+
 async fn run_caller(
     world: Arc<RwLock<World>>,
     is_done: Arc<AtomicBool>,
@@ -93,8 +131,9 @@
             &path[1..3],
             next_id.fetch_add(1, Ordering::Relaxed)
         );
-        let answer = world.read().await.ask(instance, path, &id).await;
-        let result = match answer {
+        // The lock is not held while the request runs, since faults need it to go on.
+        let request = world.read().await.request(instance, path, &id, "body");
+        let result = match send(request).await {
             Ok((200, body)) => {
                 let expected = if path == "/stream/1" {
                     full_stream()
@@ -105,7 +144,11 @@
                 Observed::Served
             }
             Ok((408 | 421 | 429 | 503, _)) => Observed::Refused,
-            Ok(_) | Err(_) => Observed::Unknown,
+            Ok(_) => Observed::Unknown,
+            Err(error) => {
+                assert!(!is_unreadable(&error), "seed {seed}: {id}: {error:?}");
+                Observed::Unknown
+            }
         };
         observed.insert(id, result);
         sleep(Duration::from_millis(rng.random_range(1..15))).await;
@@ -114,14 +157,20 @@
 }
 
 /// Injects random faults, which may overlap.
-async fn inject_faults(world: &RwLock<World>, seed: u64, length: Duration) {
+async fn inject_faults(
+    world: &RwLock<World>,
+    proxies: &BTreeMap<String, LateCopies>,
+    seed: u64,
+    length: Duration,
+) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let until = Instant::now() + length;
     let mut version = 1;
     while Instant::now() < until {
         let instance = rng.random_range(0..usize::from(INSTANCES));
         let endpoint = ["m-1", "m-2", "o-1", "o-2"][rng.random_range(0..4)];
-        match rng.random_range(0..10) {
+        start_ended(world).await;
+        match rng.random_range(0..14) {
             0 => {
                 let mut world = world.write().await;
                 world.instances[instance].kill();
@@ -148,12 +197,23 @@
                 .expect("it starts again"),
             7 => {
                 let faults = EndpointFaults {
-                    busy: rng.random_bool(0.5),
-                    cut: rng.random_bool(0.5),
+                    busy: rng.random_bool(0.3),
+                    cut: rng.random_bool(0.3),
+                    failing: rng.random_bool(0.5),
                 };
                 world.read().await.endpoints[endpoint].set_faults(faults);
             }
             8 => world.read().await.endpoints[endpoint].set_faults(EndpointFaults::default()),
+            9 | 10 => {
+                let faults = ProxyFaults {
+                    before_next: rng.random_bool(0.4),
+                    within_next: rng.random_bool(0.4),
+                    silent: rng.random_bool(0.4),
+                };
+                proxies[endpoint].set_faults(faults);
+            }
+            11 => proxies[endpoint].set_faults(ProxyFaults::default()),
+            12 => world.read().await.instances[instance].signal(Signal::TERM),
             _ => {
                 version += 1;
                 world.read().await.configure(version, true);
@@ -165,6 +225,15 @@
     world.instances.iter().for_each(|i| i.signal(Signal::CONT));
 }
 
+/// Starts the instances that a signal has ended.
+async fn start_ended(world: &RwLock<World>) {
+    for instance in &mut world.write().await.instances {
+        if instance.has_ended() {
+            instance.start();
+        }
+    }
+}
+
 fn check_guarantees(world: &World, observed: &BTreeMap<String, Observed>, seed: u64) {
     let mut runs: BTreeMap<String, u32> = BTreeMap::new();
     for endpoint in world.endpoints.values() {
--- a/stand-ins/src/platform_endpoint.rs
+++ b/stand-ins/src/platform_endpoint.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -55,6 +56,8 @@
     pub busy: bool,
     /// Requests run, and their answers break off in the middle.
     pub cut: bool,
+    /// Every second request runs and is answered with an error.
+    pub failing: bool,
 }
 
 #[derive(Debug)]
@@ -62,6 +65,8 @@
     host: Host,
     settings: EndpointSettings,
     faults: Mutex<EndpointFaults>,
+    /// Requests that came while it was failing.
+    failing: AtomicU64,
     runs: Mutex<BTreeMap<String, u32>>,
     /// When it was ended by a request.
     ends: Mutex<Vec<Instant>>,
@@ -84,6 +89,7 @@
             host: Host::bind((Ipv4Addr::LOCALHOST, 0).into())?,
             settings,
             faults: Mutex::default(),
+            failing: AtomicU64::default(),
             runs: Mutex::default(),
             ends: Mutex::default(),
         });
@@ -183,6 +189,16 @@
         return std::future::pending().await;
     }
     sleep(settings.work).await;
+    if faults.failing
+        && inner
+            .failing
+            .fetch_add(1, Ordering::Relaxed)
+            .is_multiple_of(2)
+    {
+        let mut response = Response::new("it failed".into());
+        *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        return stamped(response, &request);
+    }
     if has_fatal_part(text(PROMPT_PARTS).unwrap_or_default()) {
         let inner = inner.clone();
         let events = futures::stream::once(async move {
