Entry: requests know the end of a planned stop

Callers saw: in a planned stop of one instance, connections closed without an answer, also for calls that may not be repeated, among them calls that came after SIGTERM.

Cause: a request that came in the second after SIGTERM, waited for an endpoint or was retried was sent whatever was left of times.drain, and what was open at its end was dropped with the runtime. A claim cut so stayed open, and a repetition heard "still running" until running_age.

Change: the stop has an end that requests know. An attempt is sent only if the entry would give up its wait for the answer before that end, by the request's own deadline or entry.first-ms, which alone bounds a claimed call. Others are refused as soon as this is clear: not-run if nothing was sent, else by what became of the earlier attempt. At the end every open request gets its final answer: 503 not-run, 504 unknown, or an answer that is visibly cut; claims are released or settled as unknown. Each is a log line with its request, at most 1,000 a stop.

--- a/cornelstand/src/admit.rs
+++ b/cornelstand/src/admit.rs
@@ -16,9 +16,11 @@
 use crate::config::{Kind, Repeat};
 use crate::entry_core::{Core, View};
 use crate::headers::{Wishes, bearer_key, for_endpoint};
+use crate::moment::Moment;
 use crate::name::{AccountName, Fingerprint, RequestId, ServiceName};
 use crate::path::split_path;
 use crate::problem::{Problem, ProblemKind};
+use crate::refusal::STOPPING;
 
 /// `Retry-After` of refusals while the instance is stopping or has no room for a body.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -47,6 +49,11 @@
         Self { retry, ..rejection }
     }
 
+    /// The instance stops before the request could be answered.
+    pub(crate) fn stopping() -> Self {
+        Self::unavailable(STOPPING)
+    }
+
     /// Builds the error response, with the proof that nothing was sent.
     pub(crate) fn problem(self, proof: NotRun) -> Problem {
         let mut problem = Problem::new(self.kind, Verdict::NotRun(proof), self.detail);
@@ -81,6 +88,12 @@
         let detail = "the call may not be repeated and needs an Idempotency-Key";
         return Err(Rejection::new(ProblemKind::KeyRequired, &detail));
     }
+    let wait = wishes.deadline.unwrap_or(core.limits.deadline());
+    let now = core.clock.now();
+    let deadline = answer_deadline(repeat, wishes.key.as_deref(), now.after(wait));
+    if core.send_cutoff(deadline).is_some_and(|c| now >= c) {
+        return Err(Rejection::stopping());
+    }
     let target = match parts.uri.query() {
         Some(query) => format!("{}?{query}", path.raw),
         None => path.raw.to_owned(),
@@ -94,7 +107,6 @@
         .await
         .map_err(|e| Rejection::new(body_problem(e), &e))?;
     let arrived = core.clock.now();
-    let wait = wishes.deadline.unwrap_or(core.limits.deadline());
     let fingerprint = fingerprint(&account, &parts.method, name, &target, body.ahead());
     let prefix = prefix(service.kind, body.ahead());
     Ok(Call {
@@ -138,6 +150,16 @@
     !repeat.is_idempotent() && !method.is_safe()
 }
 
+/// Deadline for the answer to begin. A claimed request that was sent has none.
+pub(crate) fn answer_deadline(
+    repeat: Repeat,
+    key: Option<&str>,
+    deadline: Moment,
+) -> Option<Moment> {
+    let is_claimed = repeat == Repeat::Once && key.is_some();
+    (!is_claimed).then_some(deadline)
+}
+
 fn body_problem(error: BodyError) -> ProblemKind {
     match error {
         BodyError::TooLarge { .. } => ProblemKind::BodyTooLarge,
--- a/cornelstand/src/call.rs
+++ b/cornelstand/src/call.rs
@@ -16,9 +16,10 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::sleep;
 
+use crate::admit::answer_deadline;
 use crate::attempt::{Loss, NotRun, Ready, Sent, Unsent, Verdict};
 use crate::body::{BodyError, CallBody};
-use crate::caller::{Caller, Gone};
+use crate::caller::{Caller, Interrupt};
 use crate::claim::Recorded;
 use crate::claims::{BeginOutcome, Ticket};
 use crate::config::{Class, Kind, Repeat};
@@ -91,7 +92,7 @@
         while let Step::Retry(ready, mut caller) = step {
             step = match self.backoff(&ready, &mut caller).await {
                 Ok(()) => self.attempt(ready, caller).await,
-                Err(Gone) => self.abandon(ready, caller).await,
+                Err(why) => self.interrupt(ready, caller, why).await,
             };
             self.trial = None;
         }
@@ -102,6 +103,10 @@
         let Some(key) = self.key.as_deref().filter(|_| self.repeat == Repeat::Once) else {
             return Step::Retry(Ready::Unsent(unsent), caller);
         };
+        if self.is_stopping() {
+            caller.refuse(&refusal::stopping(Ready::Unsent(unsent)));
+            return Step::Done;
+        }
         let claiming = self
             .core
             .claims
@@ -112,6 +117,10 @@
                 caller.abandon();
                 return Step::Done;
             }
+            () = self.stopping() => {
+                caller.refuse(&refusal::stopping(Ready::Unsent(unsent)));
+                return Step::Done;
+            }
         };
         let problem = match begun {
             Ok(BeginOutcome::Fresh(ticket)) => {
@@ -136,7 +145,7 @@
 
     /// Delays every attempt after the second, so that a grant that cannot be used is not requested
     /// in a tight loop until the dispatcher learns why.
-    async fn backoff(&self, ready: &Ready, caller: &mut Caller) -> Result<(), Gone> {
+    async fn backoff(&self, ready: &Ready, caller: &mut Caller) -> Result<(), Interrupt> {
         let Some(doublings) = ready.attempt().number.checked_sub(2) else {
             return Ok(());
         };
@@ -144,11 +153,14 @@
         let delay = BASE_BACKOFF.saturating_mul(1 << doublings.min(MAX_DOUBLINGS));
         tokio::select! {
             () = sleep(delay.min(left)) => Ok(()),
-            () = caller.gone() => Err(Gone),
+            why = self.interrupted(caller) => Err(why),
         }
     }
 
     async fn attempt(&mut self, ready: Ready, mut caller: Caller) -> Step {
+        if self.is_stopping() {
+            return self.interrupt(ready, caller, Interrupt::Stopping).await;
+        }
         match self.clearance(&mut caller).await {
             Ok(Clearance::Allowed) => {}
             Ok(Clearance::Refused(left)) => return self.refuse_suspect(ready, caller, left).await,
@@ -156,13 +168,13 @@
                 let problem = refusal::refused(ready, &Refusal::Deadline);
                 return self.give_up(caller, problem).await;
             }
-            Err(Gone) => return self.abandon(ready, caller).await,
+            Err(why) => return self.interrupt(ready, caller, why).await,
         }
         let pauses = self.core.pauses.count();
         let grant = match self.offer(&ready, &mut caller).await {
             Ok(Ok(grant)) => grant,
             Ok(Err(reason)) => return self.give_up(caller, refusal::refused(ready, &reason)).await,
-            Err(Gone) => return self.abandon(ready, caller).await,
+            Err(why) => return self.interrupt(ready, caller, why).await,
         };
         self.record("granted", grant.endpoint.as_str());
         let is_mismatched = grant.attempt != ready.attempt();
@@ -182,6 +194,10 @@
             flight.end(Ending::NotSent);
             return self.give_up(caller, refusal::claim_late(ready)).await;
         }
+        if self.is_stopping() {
+            flight.end(Ending::NotSent);
+            return self.interrupt(ready, caller, Interrupt::Stopping).await;
+        }
         let usable = self
             .address(flight.grant())
             .filter(|_| self.place_trial(&flight));
@@ -195,7 +211,7 @@
     }
 
     /// Requests an endpoint. Dropping the offer cancels it.
-    async fn offer(&self, ready: &Ready, caller: &mut Caller) -> Result<Reply, Gone> {
+    async fn offer(&self, ready: &Ready, caller: &mut Caller) -> Result<Reply, Interrupt> {
         let now = self.core.clock.now();
         if now >= self.deadline {
             return Ok(Err(Refusal::Deadline));
@@ -220,7 +236,7 @@
         tokio::select! {
             reply = (self.core.dispatch.offer)(offer) => Ok(reply),
             () = sleep(left) => Ok(Err(Refusal::Deadline)),
-            () = caller.gone() => Err(Gone),
+            why = self.interrupted(caller) => Err(why),
         }
     }
 
@@ -264,6 +280,10 @@
                 caller.abandon();
                 return Step::Done;
             }
+            () = self.core.stop_ended() => {
+                let leg = Leg { flight, address };
+                return self.cut(sending.sent(), leg, caller).await;
+            }
         };
         match reply {
             Ok(answer) => {
@@ -368,6 +388,46 @@
         self.body.fault().or(timeout)
     }
 
+    /// Returns whether the instance stops too early for the request to be sent.
+    fn is_stopping(&self) -> bool {
+        let cutoff = self.core.send_cutoff(self.answer_deadline());
+        cutoff.is_some_and(|cutoff| self.core.clock.now() >= cutoff)
+    }
+
+    /// Waits until the instance stops too early for the request to be sent.
+    async fn stopping(&self) {
+        let deadline = self.answer_deadline();
+        self.core.send_cutoff_reached(deadline).await;
+    }
+
+    fn answer_deadline(&self) -> Option<Moment> {
+        answer_deadline(self.repeat, self.key.as_deref(), self.deadline)
+    }
+
+    /// Waits for a reason to give up a request that is not sent.
+    pub(crate) async fn interrupted(&self, caller: &mut Caller) -> Interrupt {
+        tokio::select! {
+            () = caller.gone() => Interrupt::Gone,
+            () = self.stopping() => Interrupt::Stopping,
+        }
+    }
+
+    /// Gives up a request while no attempt is running.
+    async fn interrupt(&mut self, ready: Ready, caller: Caller, why: Interrupt) -> Step {
+        match why {
+            Interrupt::Gone => self.abandon(ready, caller).await,
+            Interrupt::Stopping => self.give_up(caller, refusal::stopping(ready)).await,
+        }
+    }
+
+    /// Ends a sent request of whose answer nothing was passed on at the end of a stop.
+    pub(crate) async fn cut(&mut self, sent: Sent, leg: Leg, caller: Caller) -> Step {
+        self.core.closing.count_cut();
+        leg.flight.cancel(leg.address);
+        let verdict = sent.lost(Loss::Silent).refuse();
+        self.give_up(caller, refusal::stopped(verdict)).await
+    }
+
     /// Ends a request whose caller disconnected while no attempt was running.
     async fn abandon(&mut self, ready: Ready, caller: Caller) -> Step {
         let open = caller.abandon();
--- a/cornelstand/src/caller.rs
+++ b/cornelstand/src/caller.rs
@@ -35,6 +35,15 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Gone;
 
+/// Why a request that waits is given up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Interrupt {
+    /// The caller disconnected.
+    Gone,
+    /// The instance stops too early for the request to be sent.
+    Stopping,
+}
+
 type Chunk = Result<Bytes, TruncatedError>;
 
 /// Answer that a request handler passes to the HTTP library.
@@ -56,6 +65,7 @@
         let kind = problem.kind.to_string();
         core.count(&outcome);
         core.metrics.refusals.with_label_values(&[&kind]).inc();
+        core.closing.log_refusal(request, problem);
         core.timeline
             .record(Topic::Request, "refused", &kind, Some(request));
         Self::Complete(problem.answer(request))
--- a/cornelstand/src/containment.rs
+++ b/cornelstand/src/containment.rs
@@ -11,7 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::call::Call;
-use crate::caller::{Caller, Gone};
+use crate::caller::{Caller, Interrupt};
 use crate::deliver::Leg;
 use crate::entry_core::Core;
 use crate::flight::Flight;
@@ -40,7 +40,7 @@
 
 impl Call {
     /// Waits until the request is clear of suspicion, or its trial may begin.
-    pub(crate) async fn clearance(&mut self, caller: &mut Caller) -> Result<Clearance, Gone> {
+    pub(crate) async fn clearance(&mut self, caller: &mut Caller) -> Result<Clearance, Interrupt> {
         let mut backoff = TRIAL_BACKOFF_MIN;
         loop {
             let now = self.core.clock.now();
@@ -56,7 +56,7 @@
             }
             tokio::select! {
                 () = sleep(backoff) => {}
-                () = caller.gone() => return Err(Gone),
+                why = self.interrupted(caller) => return Err(why),
             }
             backoff = (backoff * 2).min(TRIAL_BACKOFF_MAX);
         }
--- a/cornelstand/src/deliver.rs
+++ b/cornelstand/src/deliver.rs
@@ -15,7 +15,7 @@
 use crate::attempt::{Loss, Sent};
 use crate::body::stated_length;
 use crate::call::{Call, Step, ending_of};
-use crate::caller::{BodyWriter, Caller, Gone};
+use crate::caller::{BodyWriter, Caller};
 use crate::claim::{MAX_BODY_BYTES, Recorded};
 use crate::config::Kind;
 use crate::flight::Flight;
@@ -98,6 +98,7 @@
 enum Delivered {
     Complete,
     Truncated(Loss),
+    Stopped,
     Disconnected,
 }
 
@@ -118,6 +119,7 @@
                 caller.abandon();
                 return Step::Done;
             }
+            () = self.core.stop_ended() => return self.cut(sent, leg, caller).await,
         };
         let ahead = match ahead {
             Ok(ahead) => ahead,
@@ -164,6 +166,7 @@
     ) -> Delivered {
         let idle = self.core.limits.idle();
         let mut is_connected = true;
+        let mut stopped = std::pin::pin!(self.core.stop_ended());
         let mut chunks = ahead.chunks.into_iter();
         loop {
             let next = match chunks.next() {
@@ -172,6 +175,7 @@
                 None => tokio::select! {
                     next = body.next(idle) => next,
                     () = writer.gone(), if recorder.is_none() => return Delivered::Disconnected,
+                    () = &mut stopped => return Delivered::Stopped,
                 },
             };
             self.charge(&body, &mut leg.flight);
@@ -183,7 +187,12 @@
             if let Some(recorder) = recorder {
                 recorder.push(&chunk);
             }
-            is_connected = is_connected && writer.write(chunk, idle).await != Err(Gone);
+            if is_connected {
+                tokio::select! {
+                    written = writer.write(chunk, idle) => is_connected = written.is_ok(),
+                    () = &mut stopped => return Delivered::Stopped,
+                }
+            }
             if !is_connected && recorder.is_none() {
                 return Delivered::Disconnected;
             }
@@ -220,6 +229,15 @@
                 self.settle_unknown().await;
                 drop(open);
             }
+            Delivered::Stopped => {
+                let endpoint = leg.flight.grant().endpoint.as_str();
+                self.record("cut", endpoint);
+                self.core.closing.count_cut();
+                self.core.closing.log_cut(self.request, endpoint);
+                leg.flight.cancel(leg.address);
+                let (open, ()) = tokio::join!(writer.abort(idle), self.settle_unknown());
+                drop(open);
+            }
             Delivered::Disconnected => {
                 self.record("caller-gone", leg.flight.grant().endpoint.as_str());
                 leg.flight.cancel(leg.address);
--- a/cornelstand/src/entry.rs
+++ b/cornelstand/src/entry.rs
@@ -15,7 +15,7 @@
 use warp::hyper::body::Incoming;
 use warp::reply::Response;
 
-use crate::admit::admit;
+use crate::admit::{Rejection, admit};
 use crate::attempt::Unsent;
 use crate::body::BodyLimits;
 use crate::caller::{Answer, caller_channel};
@@ -167,6 +167,28 @@
         }
     }
 
+    /// Announces a stop that ends after `left`.
+    ///
+    /// Requests that cannot be answered by then are refused. At the end, every open request gets
+    /// its final answer.
+    pub fn announce_stop(&self, left: Duration) {
+        let end = self.core.clock.now().after(left);
+        self.core.closing.announce(end);
+    }
+
+    /// Returns the number of requests that a stop left without a complete answer after they were
+    /// sent.
+    #[must_use]
+    pub fn cut(&self) -> usize {
+        self.core.closing.cut()
+    }
+
+    /// Returns the number of requests that a stop refused or cut without a log line.
+    #[must_use]
+    pub fn unlogged(&self) -> usize {
+        self.core.closing.unlogged()
+    }
+
     /// Refuses new requests from now on. Accepted requests continue.
     pub fn drain(&self) {
         self.core.drain();
@@ -218,7 +240,11 @@
     let id = RequestId(rand::random());
     let open = OpenRequest::new(core.clone());
     let unsent = Unsent::new(id);
-    let answer = match admit(&core, id, request).await {
+    let admitted = tokio::select! {
+        admitted = admit(&core, id, request) => admitted,
+        () = core.stop_ended() => Err(Rejection::stopping()),
+    };
+    let answer = match admitted {
         Ok(call) => {
             let (caller, answer) = caller_channel(core.clone(), id, open);
             tokio::spawn(call.run(unsent, caller));
--- a/cornelstand/src/entry_core.rs
+++ b/cornelstand/src/entry_core.rs
@@ -11,6 +11,7 @@
 
 use crate::auth::KeyIndex;
 use crate::claims::ClaimStore;
+use crate::closing::Closing;
 use crate::config::Config;
 use crate::containment::SpreadCall;
 use crate::dispatch::Dispatch;
@@ -41,6 +42,7 @@
     pub(crate) ledger: Ledger,
     pub(crate) upstreams: Upstreams,
     pub(crate) pauses: PauseWatch,
+    pub(crate) closing: Closing,
     config: watch::Receiver<Arc<Config>>,
     view: Mutex<View>,
     budgets: Mutex<RetryBudgets>,
@@ -74,6 +76,7 @@
             ledger: Ledger::default(),
             upstreams: Upstreams::new(),
             pauses: PauseWatch::new(parts.clock.now()),
+            closing: Closing::default(),
             config: parts.config,
             view: Mutex::default(),
             budgets: Mutex::default(),
--- a/cornelstand/src/instance.rs
+++ b/cornelstand/src/instance.rs
@@ -211,7 +211,8 @@
         move || entry.running()
     }
 
-    /// Stops gracefully and returns the number of requests aborted when the time ran out.
+    /// Stops gracefully and returns the number of requests that were sent and had no complete
+    /// answer when the time ran out.
     ///
     /// The instance first reports not ready, then hands over its cells, completes every answer
     /// and reports the outcomes.
@@ -219,6 +220,7 @@
         let start = Instant::now();
         let parts = &self.parts;
         parts.draining.store(true, Ordering::Relaxed);
+        parts.entry.announce_stop(self.drain.max(NOTICE_TIME));
         parts.membership.send(LeaveFleet).await.ok();
         parts.steward.send(DrainCells).await.ok();
         sleep(NOTICE_TIME).await;
@@ -231,14 +233,15 @@
             }
             sleep(DRAIN_POLL_PERIOD).await;
         }
-        let cut = parts.entry.running();
-        // Outcomes are in flight to the owners of cells.
+        // Outcomes are in flight to the owners of cells, and the last answers to callers.
         sleep(NOTICE_TIME).await;
         parts.membership.send(EndMembership).await.ok();
         sleep(FINAL_GOSSIP_TIME).await;
+        let cut = parts.entry.cut();
+        let unlogged = parts.entry.unlogged();
         let name = parts.me.name.as_str();
         parts.timeline.record(Topic::Process, "stopped", name, None);
-        tracing::info!(instance = name, cut, "stopped");
+        tracing::info!(instance = name, cut, unlogged, "stopped");
         parts.steward.send(StopLeaseActor).await.ok();
         parts.membership.send(StopMembership).await.ok();
         self.callers.shutdown().await;
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -34,6 +34,7 @@
 mod claim_shard;
 mod claims;
 mod client;
+mod closing;
 mod codec;
 mod command;
 mod config;
--- a/cornelstand/src/problem.rs
+++ b/cornelstand/src/problem.rs
@@ -66,6 +66,9 @@
     /// The instance is stopping or out of buffer space.
     #[display("instance unavailable")]
     Unavailable,
+    /// The instance stopped before the endpoint answered.
+    #[display("instance stopped")]
+    Stopped,
     /// The endpoint was lost while running the request.
     #[display("endpoint lost")]
     EndpointLost,
@@ -95,7 +98,9 @@
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::EndpointLost => StatusCode::BAD_GATEWAY,
-            Self::DeadlinePassed | Self::EndpointSilent => StatusCode::GATEWAY_TIMEOUT,
+            Self::DeadlinePassed | Self::EndpointSilent | Self::Stopped => {
+                StatusCode::GATEWAY_TIMEOUT
+            }
         }
     }
 
--- a/cornelstand/src/refusal.rs
+++ b/cornelstand/src/refusal.rs
@@ -10,6 +10,8 @@
 
 /// Suggested delay when a retry may succeed.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Detail of refusals of requests that were not sent because of a stop.
+pub(crate) const STOPPING: &str = "the instance stops before the request could be answered";
 
 /// The dispatcher did not grant the request.
 pub(crate) fn refused(ready: Ready, refusal: &Refusal) -> Problem {
@@ -26,6 +28,23 @@
     problem
 }
 
+/// The instance stops before an attempt could be answered.
+pub(crate) fn stopping(ready: Ready) -> Problem {
+    match ready {
+        Ready::Unsent(unsent) => {
+            let verdict = Verdict::NotRun(unsent.refuse());
+            Problem::new(ProblemKind::Unavailable, verdict, STOPPING).retry_after(RETRY_DELAY)
+        }
+        Ready::Resend(_) => stopped(ready.refuse()),
+    }
+}
+
+/// The instance stopped before a sent request was answered.
+pub(crate) fn stopped(verdict: Verdict) -> Problem {
+    let detail = "the instance stopped before the request was answered";
+    Problem::new(ProblemKind::Stopped, verdict, detail)
+}
+
 /// The request waited longer for an endpoint than its claim allows.
 pub(crate) fn claim_late(ready: Ready) -> Problem {
     let detail = "no endpoint was free while the claim allowed sending";
