Entry: callers of long requests hear that they are refused

Callers saw: a broken pipe instead of the refusal, with 8 MiB of body on their way, where a request was refused by its head: during a planned stop, as a late one.

Cause: the entry answered and closed the connection with bytes of the body unread, which resets it. Every refusal by the head is concerned, not only that of a stop.

Ruled out: a run; the endpoint got none. A body of 100 kB came through before as well.

Change: the body of a request that is refused by its head is read and dropped, within the limits of bodies on size, pauses and time. It is not read where the caller waits for "100 Continue", which reading would send. The price is that the entry takes up to entry.body-bytes from a caller that it refuses, on a connection it holds anyway.

The test of "100 Continue" guards this change; it was not run without it.

--- a/cornelstand/src/admit.rs
+++ b/cornelstand/src/admit.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use http::header::TRANSFER_ENCODING;
-use http::{HeaderMap, Method, Request};
+use http::request::Parts;
+use http::{HeaderMap, Method};
 use warp::hyper::body::Incoming;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
@@ -62,16 +63,16 @@
     }
 }
 
-/// Checks a request and reads its body.
+/// Checks a request and reads its body, which is left where the head is refused.
 pub(crate) async fn admit(
     core: &Arc<Core>,
     id: RequestId,
-    request: Request<Incoming>,
+    parts: Parts,
+    body: &mut Option<Incoming>,
 ) -> Result<Call, Rejection> {
     if core.is_draining() {
         return Err(Rejection::unavailable("the instance is about to stop"));
     }
-    let (parts, incoming) = request.into_parts();
     let view = core.view();
     let bad_header = |e| Rejection::new(ProblemKind::BadHeader, &e);
     let account = authenticate(&view, &parts.headers)?;
@@ -103,6 +104,9 @@
         .room(ahead_bytes(&parts.headers, limits), limits.ahead)
         .await
         .ok_or_else(|| Rejection::unavailable("the instance has no room for the body"))?;
+    let incoming = body
+        .take()
+        .ok_or_else(|| Rejection::new(ProblemKind::BodyIncomplete, &BodyError::Broken))?;
     let body = CallBody::read(&parts.headers, incoming, limits)
         .await
         .map_err(|e| Rejection::new(body_problem(e), &e))?;
--- a/cornelstand/src/body.rs
+++ b/cornelstand/src/body.rs
@@ -10,8 +10,8 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use futures::Stream;
 use futures::stream::BoxStream;
+use futures::{Stream, StreamExt};
 use http::HeaderMap;
 use http::header::CONTENT_LENGTH;
 use snafu::{OptionExt, Snafu, ensure};
@@ -165,7 +165,7 @@
                 return Some((Ok(ahead), (None, Some(rest), source, progress)));
             }
             progress.waiting.store(true, Ordering::Relaxed);
-            let next = futures::StreamExt::next(&mut rest).await;
+            let next = rest.next().await;
             progress.waiting.store(false, Ordering::Relaxed);
             let next = next?;
             if let Err(e) = &next {
@@ -185,11 +185,20 @@
     rest.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Reads the body of a refused request.
+///
+/// Closing a connection with unread bytes resets it, and the caller may then miss the refusal.
+pub(crate) async fn discard(incoming: Incoming, limits: BodyLimits) {
+    let rest = frames(incoming, limits).for_each(|_| std::future::ready(()));
+    // The connection is closed where the body does not come in time.
+    let _ = tokio::time::timeout(limits.ahead, rest).await;
+}
+
 /// Reads until the end or past `max` bytes, and returns whether the end was reached.
 async fn read_ahead(rest: &mut FrameStream, max: usize) -> Result<(Bytes, bool), BodyError> {
     let mut ahead = BytesMut::new();
     while ahead.len() <= max {
-        match futures::StreamExt::next(rest).await.transpose()? {
+        match rest.next().await.transpose()? {
             Some(bytes) => ahead.extend_from_slice(&bytes),
             None => return Ok((ahead.freeze(), true)),
         }
--- a/cornelstand/src/entry.rs
+++ b/cornelstand/src/entry.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use http::Request;
-use http::header::{CONNECTION, HeaderValue};
+use http::header::{CONNECTION, EXPECT, HeaderValue};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -18,7 +18,7 @@
 
 use crate::admit::{Rejection, admit};
 use crate::attempt::Unsent;
-use crate::body::BodyLimits;
+use crate::body::{BodyLimits, discard};
 use crate::caller::{Answer, caller_channel};
 use crate::claims::ClaimStore;
 use crate::config::Config;
@@ -247,8 +247,12 @@
     let id = RequestId(rand::random());
     let open = OpenRequest::new(core.clone());
     let unsent = Unsent::new(id);
+    let (parts, body) = request.into_parts();
+    // Reading the body would ask a caller that waits for `100 Continue` to send it.
+    let is_withheld = parts.headers.contains_key(EXPECT);
+    let mut body = Some(body);
     let admitted = tokio::select! {
-        admitted = admit(&core, id, request) => admitted,
+        admitted = admit(&core, id, parts, &mut body) => admitted,
         () = core.stop_ended() => Err(Rejection::stopping()),
     };
     let answer = match admitted {
@@ -257,7 +261,12 @@
             tokio::spawn(call.run(unsent, caller));
             answer.await
         }
-        Err(flaw) => Answer::refused(&core, id, &flaw.problem(unsent.refuse())),
+        Err(flaw) => {
+            if let Some(body) = body.filter(|_| !is_withheld) {
+                tokio::spawn(discard(body, core.limits.body()));
+            }
+            Answer::refused(&core, id, &flaw.problem(unsent.refuse()))
+        }
     };
     let mut response = answer.into_response(id);
     if core.closing.is_announced() {
--- a/cornelstand/tests/stop.rs
+++ b/cornelstand/tests/stop.rs
@@ -462,6 +462,35 @@
     drop(held);
 }
 
+#[rstest]
+#[case::sent_at_once(100_000)]
+#[case::larger_than_the_buffers(8 << 20)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_request_with_a_long_body_hears_its_refusal(#[case] bytes: usize) {
+    let fleet = Fleet::start(DRAIN_MS, json!({}), 8).await;
+    let callers = fleet.stopping.callers;
+    let thread = fleet.stopping.terminate();
+    in_the_notice().await;
+    for _ in 0..20 {
+        let request = order(callers, "/work").body("z".repeat(bytes));
+        assert_eq!(refusal(request.send().await).await, not_run());
+    }
+    assert_eq!(fleet.endpoint.runs(), 0);
+    assert_eq!(ended(thread).await, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_caller_that_waits_to_send_its_body_is_not_asked_for_it() {
+    let fleet = Fleet::start(DRAIN_MS, json!({}), 8).await;
+    let mut stream = TcpStream::connect(fleet.stopping.callers).await.unwrap();
+    let thread = fleet.stopping.terminate();
+    in_the_notice().await;
+    let rest = "idempotency-key: order-7\r\ncontent-length: 9\r\nexpect: 100-continue\r\n\r\n";
+    let answer = exchange(&mut stream, &head("POST", "/orders/work", rest)).await;
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert_eq!(ended(thread).await, 0);
+}
+
 /// A process of its own that runs `cornelstand serve`.
 struct Served {
     child: Child,
