--- a/cornelstand/src/admit.rs
+++ b/cornelstand/src/admit.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use http::header::TRANSFER_ENCODING;
-use http::{HeaderMap, Method, Request};
+use http::request::Parts;
+use http::{HeaderMap, Method};
 use warp::hyper::body::Incoming;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
@@ -16,9 +17,11 @@
 use crate::config::{Kind, Repeat};
 use crate::entry_core::{Core, View};
 use crate::headers::{Wishes, bearer_key, for_endpoint};
+use crate::moment::Moment;
 use crate::name::{AccountName, Fingerprint, RequestId, ServiceName};
 use crate::path::split_path;
 use crate::problem::{Problem, ProblemKind};
+use crate::refusal::STOPPING;
 
 /// `Retry-After` of refusals while the instance is stopping or has no room for a body.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -47,6 +50,11 @@
         Self { retry, ..rejection }
     }
 
+    /// The instance stops before the request could be answered.
+    pub(crate) fn stopping() -> Self {
+        Self::unavailable(STOPPING)
+    }
+
     /// Builds the error response, with the proof that nothing was sent.
     pub(crate) fn problem(self, proof: NotRun) -> Problem {
         let mut problem = Problem::new(self.kind, Verdict::NotRun(proof), self.detail);
@@ -55,16 +63,16 @@
     }
 }
 
-/// Checks a request and reads its body.
+/// Checks a request and reads its body, which is left where the head is refused.
 pub(crate) async fn admit(
     core: &Arc<Core>,
     id: RequestId,
-    request: Request<Incoming>,
+    parts: Parts,
+    body: &mut Option<Incoming>,
 ) -> Result<Call, Rejection> {
     if core.is_draining() {
         return Err(Rejection::unavailable("the instance is about to stop"));
     }
-    let (parts, incoming) = request.into_parts();
     let view = core.view();
     let bad_header = |e| Rejection::new(ProblemKind::BadHeader, &e);
     let account = authenticate(&view, &parts.headers)?;
@@ -81,6 +89,12 @@
         let detail = "the call may not be repeated and needs an Idempotency-Key";
         return Err(Rejection::new(ProblemKind::KeyRequired, &detail));
     }
+    let wait = wishes.deadline.unwrap_or(core.limits.deadline());
+    let now = core.clock.now();
+    let deadline = answer_deadline(repeat, wishes.key.as_deref(), now.after(wait));
+    if core.send_cutoff(deadline).is_some_and(|c| now >= c) {
+        return Err(Rejection::stopping());
+    }
     let target = match parts.uri.query() {
         Some(query) => format!("{}?{query}", path.raw),
         None => path.raw.to_owned(),
@@ -90,11 +104,13 @@
         .room(ahead_bytes(&parts.headers, limits), limits.ahead)
         .await
         .ok_or_else(|| Rejection::unavailable("the instance has no room for the body"))?;
+    let incoming = body
+        .take()
+        .ok_or_else(|| Rejection::new(ProblemKind::BodyIncomplete, &BodyError::Broken))?;
     let body = CallBody::read(&parts.headers, incoming, limits)
         .await
         .map_err(|e| Rejection::new(body_problem(e), &e))?;
     let arrived = core.clock.now();
-    let wait = wishes.deadline.unwrap_or(core.limits.deadline());
     let fingerprint = fingerprint(&account, &parts.method, name, &target, body.ahead());
     let prefix = prefix(service.kind, body.ahead());
     Ok(Call {
@@ -138,6 +154,16 @@
     !repeat.is_idempotent() && !method.is_safe()
 }
 
+/// Deadline for the answer to begin. A claimed request that was sent has none.
+pub(crate) fn answer_deadline(
+    repeat: Repeat,
+    key: Option<&str>,
+    deadline: Moment,
+) -> Option<Moment> {
+    let is_claimed = repeat == Repeat::Once && key.is_some();
+    (!is_claimed).then_some(deadline)
+}
+
 fn body_problem(error: BodyError) -> ProblemKind {
     match error {
         BodyError::TooLarge { .. } => ProblemKind::BodyTooLarge,
--- a/cornelstand/src/entry.rs
+++ b/cornelstand/src/entry.rs
@@ -9,15 +9,16 @@
 use std::time::Duration;
 
 use http::Request;
+use http::header::{CONNECTION, EXPECT, HeaderValue};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use warp::hyper::body::Incoming;
 use warp::reply::Response;
 
-use crate::admit::admit;
+use crate::admit::{Rejection, admit};
 use crate::attempt::Unsent;
-use crate::body::BodyLimits;
+use crate::body::{BodyLimits, discard};
 use crate::caller::{Answer, caller_channel};
 use crate::claims::ClaimStore;
 use crate::config::Config;
@@ -158,7 +159,8 @@
         let limits = self.core.limits.connection();
         let open = self.core.metrics.connections.clone();
         let serve = async {
-            listener::serve(listener, limits, open, handle, shutdown).await;
+            let closed = self.core.closing.listener_closed();
+            listener::serve(listener, limits, open, handle, closed, shutdown).await;
             self.core.idle().await;
         };
         tokio::select! {
@@ -167,6 +169,33 @@
         }
     }
 
+    /// Announces a stop that ends after `left`.
+    ///
+    /// Requests that cannot be answered by then are refused. At the end, every open request gets
+    /// its final answer.
+    pub fn announce_stop(&self, left: Duration) {
+        let end = self.core.clock.now().after(left);
+        self.core.closing.announce(end);
+    }
+
+    /// Takes no new connections from now on.
+    pub fn close_listener(&self) {
+        self.core.closing.close_listener();
+    }
+
+    /// Returns the number of requests that a stop left without a complete answer after they were
+    /// sent.
+    #[must_use]
+    pub fn cut(&self) -> usize {
+        self.core.closing.cut()
+    }
+
+    /// Returns the number of requests that a stop refused or cut without a log line.
+    #[must_use]
+    pub fn unlogged(&self) -> usize {
+        self.core.closing.unlogged()
+    }
+
     /// Refuses new requests from now on. Accepted requests continue.
     pub fn drain(&self) {
         self.core.drain();
@@ -218,13 +247,31 @@
     let id = RequestId(rand::random());
     let open = OpenRequest::new(core.clone());
     let unsent = Unsent::new(id);
-    let answer = match admit(&core, id, request).await {
+    let (parts, body) = request.into_parts();
+    // Reading the body would ask a caller that waits for `100 Continue` to send it.
+    let is_withheld = parts.headers.contains_key(EXPECT);
+    let mut body = Some(body);
+    let admitted = tokio::select! {
+        admitted = admit(&core, id, parts, &mut body) => admitted,
+        () = core.stop_ended() => Err(Rejection::stopping()),
+    };
+    let answer = match admitted {
         Ok(call) => {
             let (caller, answer) = caller_channel(core.clone(), id, open);
             tokio::spawn(call.run(unsent, caller));
             answer.await
         }
-        Err(flaw) => Answer::refused(&core, id, &flaw.problem(unsent.refuse())),
+        Err(flaw) => {
+            if let Some(body) = body.filter(|_| !is_withheld) {
+                tokio::spawn(discard(body, core.limits.body()));
+            }
+            Answer::refused(&core, id, &flaw.problem(unsent.refuse()))
+        }
     };
-    answer.into_response(id)
+    let mut response = answer.into_response(id);
+    if core.closing.is_announced() {
+        let headers = response.headers_mut();
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
 }
--- a/cornelstand/src/instance.rs
+++ b/cornelstand/src/instance.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 use xtra::Address;
 
 use crate::claim_route::claim_route;
@@ -211,7 +211,8 @@
         move || entry.running()
     }
 
-    /// Stops gracefully and returns the number of requests aborted when the time ran out.
+    /// Stops gracefully and returns the number of requests that were sent and had no complete
+    /// answer when the time ran out.
     ///
     /// The instance first reports not ready, then hands over its cells, completes every answer
     /// and reports the outcomes.
@@ -219,11 +220,12 @@
         let start = Instant::now();
         let parts = &self.parts;
         parts.draining.store(true, Ordering::Relaxed);
+        parts.entry.announce_stop(self.drain.max(NOTICE_TIME));
         parts.membership.send(LeaveFleet).await.ok();
         parts.steward.send(DrainCells).await.ok();
         sleep(NOTICE_TIME).await;
         parts.entry.drain();
-        self.shutdown.send_replace(true);
+        parts.entry.close_listener();
         while start.elapsed() < self.drain {
             let is_released = parts.holdings.owned().is_empty() || start.elapsed() > self.handover;
             if parts.entry.running() == 0 && is_released {
@@ -231,14 +233,20 @@
             }
             sleep(DRAIN_POLL_PERIOD).await;
         }
-        let cut = parts.entry.running();
-        // Outcomes are in flight to the owners of cells.
+        // Outcomes are in flight to the owners of cells, and the last answers to callers.
         sleep(NOTICE_TIME).await;
         parts.membership.send(EndMembership).await.ok();
         sleep(FINAL_GOSSIP_TIME).await;
+        // Idle connections stay open until here, so that a request on one is refused, not lost.
+        self.shutdown.send_replace(true);
+        timeout(DRAIN_POLL_PERIOD, self.callers.join_next())
+            .await
+            .ok();
+        let cut = parts.entry.cut();
+        let unlogged = parts.entry.unlogged();
         let name = parts.me.name.as_str();
         parts.timeline.record(Topic::Process, "stopped", name, None);
-        tracing::info!(instance = name, cut, "stopped");
+        tracing::info!(instance = name, cut, unlogged, "stopped");
         parts.steward.send(StopLeaseActor).await.ok();
         parts.membership.send(StopMembership).await.ok();
         self.callers.shutdown().await;
