serve: an answer that its caller did not take is not completed

What callers saw: a 200 in chunks that ended as complete with a part missing, after they had paused for longer than the idle timeout. In the test 6 MB of 16 arrived before a proper last chunk.

Cause: the body passes to the HTTP library through a channel, and the end of the channel was the end of the answer. A truncation was sent as a last item with a timeout; with the channel still full it was dropped, and so was the writer. A claimed request goes on without its caller: chunks that could not be written were skipped, and the end of the endpoint's answer then completed the caller's.

Ruled out: answers with a length, whose framing shows the missing part; endpoints that break off while the caller reads (positions below).

Fix: the reader of the body ends only after an explicit mark that the writer sets at the end of a whole answer of which every chunk was written. Whatever else becomes of the writer (aborted, dropped, its task lost) is a truncation. Ends no longer wait for room in the channel.

Test: an_answer_that_a_caller_did_not_take_does_not_look_complete, 4 of 4 cases failed before. With it come tests that held: answers of 13 kinds cut at every byte of head, body, chunks and trailers, by close and by reset; claimed ones with what a repetition gets; streams of three framings and their resumptions.

--- a/cornelstand/src/caller.rs
+++ b/cornelstand/src/caller.rs
@@ -1,15 +1,18 @@
 //! The caller's side of a running request: head, body and end of the answer.
 
 use std::future::Future;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::Stream;
 use http::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use http::{HeaderMap, StatusCode};
 use snafu::Snafu;
 use tokio::sync::{mpsc, oneshot};
-use tokio_stream::wrappers::ReceiverStream;
 use warp::Reply;
 use warp::reply::Response;
 
@@ -35,8 +38,6 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Gone;
 
-type Chunk = Result<Bytes, TruncatedError>;
-
 /// Answer that a request handler passes to the HTTP library.
 pub(crate) enum Answer {
     /// The whole answer is available.
@@ -45,7 +46,7 @@
     Streaming {
         status: StatusCode,
         headers: HeaderMap,
-        body: mpsc::Receiver<Chunk>,
+        body: BodyReader,
     },
 }
 
@@ -73,7 +74,7 @@
                 headers,
                 body,
             } => {
-                let mut answer = warp::reply::stream(ReceiverStream::new(body)).into_response();
+                let mut answer = warp::reply::stream(body).into_response();
                 *answer.status_mut() = status;
                 *answer.headers_mut() = headers;
                 answer.headers_mut().insert(REQUEST_ID, id_value(request));
@@ -162,7 +163,12 @@
         status: StatusCode,
         headers: HeaderMap,
     ) -> BodyWriter {
-        let (chunks, body) = mpsc::channel(CHANNEL_CHUNKS);
+        let (chunks, receiver) = mpsc::channel(CHANNEL_CHUNKS);
+        let is_complete = Arc::new(AtomicBool::new(false));
+        let body = BodyReader {
+            chunks: receiver,
+            is_complete: is_complete.clone(),
+        };
         let answer = Answer::Streaming {
             status,
             headers,
@@ -173,16 +179,42 @@
             core: self.core,
             _answering: answering,
             chunks,
+            is_complete,
+            is_gone: false,
             open: self.open,
         }
     }
 }
 
-/// Writes the body of the answer to the caller.
+/// Body of the answer, as the HTTP library reads it. Without an explicit end it is truncated,
+/// whatever became of its writer.
+pub(crate) struct BodyReader {
+    chunks: mpsc::Receiver<Bytes>,
+    is_complete: Arc<AtomicBool>,
+}
+
+impl Stream for BodyReader {
+    type Item = Result<Bytes, TruncatedError>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let chunk = ready!(self.chunks.poll_recv(cx));
+        let is_complete = self.is_complete.load(Ordering::Acquire);
+        Poll::Ready(match chunk {
+            Some(chunk) => Some(Ok(chunk)),
+            None if is_complete => None,
+            None => Some(Err(TruncatedError)),
+        })
+    }
+}
+
+/// Writes the body of the answer to the caller. Dropping it truncates the answer.
 pub(crate) struct BodyWriter {
     core: Arc<Core>,
     _answering: Answering,
-    chunks: mpsc::Sender<Chunk>,
+    chunks: mpsc::Sender<Bytes>,
+    is_complete: Arc<AtomicBool>,
+    /// Whether a chunk could not be written.
+    is_gone: bool,
     open: OpenRequest,
 }
 
@@ -192,31 +224,34 @@
         self.chunks.closed().await;
     }
 
-    /// Writes a chunk once the caller has taken enough of the earlier ones.
-    pub(crate) async fn write(&self, chunk: Bytes, idle: Duration) -> Result<(), Gone> {
-        if chunk.is_empty() {
-            return Ok(());
+    /// Writes a chunk once the caller has taken enough of the earlier ones. After a chunk that the
+    /// caller did not take in time, no other is written.
+    pub(crate) async fn write(&mut self, chunk: Bytes, idle: Duration) -> Result<(), Gone> {
+        if !self.is_gone && !chunk.is_empty() {
+            self.is_gone = self.chunks.send_timeout(chunk, idle).await.is_err();
         }
-        let sent = self.chunks.send_timeout(Ok(chunk), idle).await;
-        sent.map_err(|_| Gone)
+        if self.is_gone { Err(Gone) } else { Ok(()) }
     }
 
-    /// Ends a complete answer.
+    /// Ends a complete answer, unless the caller missed a part of it.
     pub(crate) fn finish(self) -> OpenRequest {
+        if self.is_gone {
+            return self.abandon();
+        }
+        self.is_complete.store(true, Ordering::Release);
         self.core.count("answered");
         self.open
     }
 
     /// Aborts an incomplete answer, so that the caller sees an error.
-    pub(crate) async fn abort(self, idle: Duration) -> OpenRequest {
+    pub(crate) fn abort(self) -> OpenRequest {
         self.core.count("cut");
-        let _ = self.chunks.send_timeout(Err(TruncatedError), idle).await;
         self.open
     }
 
     /// Ends an answer that the caller no longer takes.
-    pub(crate) async fn abandon(self, idle: Duration) {
+    pub(crate) fn abandon(self) -> OpenRequest {
         self.core.count("gone");
-        let _ = self.chunks.send_timeout(Err(TruncatedError), idle).await;
+        self.open
     }
 }
--- a/cornelstand/src/deliver.rs
+++ b/cornelstand/src/deliver.rs
@@ -124,9 +124,9 @@
             Err(loss) => return self.lost(sent, loss, leg, caller).await,
         };
         let mut recorder = self.is_claimed().then(|| AnswerRecorder::new(&head));
-        let writer = caller.begin(sent.answering(), head.status, head.for_caller());
+        let mut writer = caller.begin(sent.answering(), head.status, head.for_caller());
         let delivered = self
-            .forward(&mut leg, body, &writer, ahead, &mut recorder)
+            .forward(&mut leg, body, &mut writer, ahead, &mut recorder)
             .await;
         self.finish_delivery(leg, writer, delivered, head.status, recorder)
             .await;
@@ -158,12 +158,11 @@
         &self,
         leg: &mut Leg,
         mut body: AnswerBody,
-        writer: &BodyWriter,
+        writer: &mut BodyWriter,
         ahead: ReadAhead,
         recorder: &mut Option<AnswerRecorder>,
     ) -> Delivered {
         let idle = self.core.limits.idle();
-        let mut is_connected = true;
         let mut chunks = ahead.chunks.into_iter();
         loop {
             let next = match chunks.next() {
@@ -183,8 +182,8 @@
             if let Some(recorder) = recorder {
                 recorder.push(&chunk);
             }
-            is_connected = is_connected && writer.write(chunk, idle).await != Err(Gone);
-            if !is_connected && recorder.is_none() {
+            let written = writer.write(chunk, idle).await;
+            if written == Err(Gone) && recorder.is_none() {
                 return Delivered::Disconnected;
             }
         }
@@ -199,7 +198,6 @@
         status: StatusCode,
         recorder: Option<AnswerRecorder>,
     ) {
-        let idle = self.core.limits.idle();
         match delivered {
             Delivered::Complete => {
                 self.record("answered", leg.flight.grant().endpoint.as_str());
@@ -216,14 +214,14 @@
                     self.check_crash(&leg).await;
                 }
                 leg.flight.end(ending_of(loss));
-                let open = writer.abort(idle).await;
+                let open = writer.abort();
                 self.settle_unknown().await;
                 drop(open);
             }
             Delivered::Disconnected => {
                 self.record("caller-gone", leg.flight.grant().endpoint.as_str());
                 leg.flight.cancel(leg.address);
-                writer.abandon(idle).await;
+                drop(writer.abandon());
             }
         }
     }
--- a/cornelstand/tests/entry/main.rs
+++ b/cornelstand/tests/entry/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod attempts;
 mod connections;
+mod endings;
 mod fleet;
 mod orders;
 mod parsers;
