serve: a broken answer resets the connection of an HTTP/1.0 caller

What callers saw: HTTP/1.0 callers got a 200 whose body ended with an orderly close after a part of it: answers in chunks and event streams that had begun when the endpoint broke off.

Cause: such an answer has neither length nor chunks, so the close of the connection is its end. hyper returns the error of the body and the socket is dropped, which closes it in order, as at the end of a whole answer.

Ruled out: HTTP/1.1 callers, also with `Connection: close` (the last chunk is missing); answers with a length; short answers, which are read to their end first.

Fix: once an HTTP/1.0 request has come, the socket lingers for zero seconds: a close resets it. The linger is taken back only at hyper's shutdown, which follows a whole answer. What ends the connection otherwise (an error, an abandoned task, the end of the process) resets it without any code that runs then.

--- a/cornelstand/src/listener.rs
+++ b/cornelstand/src/listener.rs
@@ -4,15 +4,21 @@
 //! cannot be replaced. Connections are therefore served with hyper, which warp is built on and
 //! re-exports. It closes a connection that does not send a complete header in time, be it half-open
 //! or idle between two requests, which frees its slot for another connection.
+//!
+//! An answer to an HTTP/1.0 caller may end with its connection. Such a connection is closed in
+//! order only after a whole answer; otherwise it is reset, even if the process ends.
 
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
+use http::Version;
 use prometheus::IntGauge;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
@@ -99,7 +105,15 @@
     F: Future<Output = Response> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| {
+    let is_old = Arc::new(AtomicBool::new(false));
+    let io = TokioIo {
+        stream,
+        is_old: is_old.clone(),
+    };
+    let service = service_fn(move |request: http::Request<Incoming>| {
+        if request.version() < Version::HTTP_11 {
+            is_old.store(true, Ordering::Relaxed);
+        }
         let answer = handle(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
@@ -109,7 +123,7 @@
             .header_read_timeout(limits.header)
             .max_headers(MAX_HEADERS)
             .max_header_size(limits.bytes)
-            .serve_connection(TokioIo(stream), service)
+            .serve_connection(io, service)
     );
     let stopping = stopped.wait_for(|&stop| stop);
     tokio::select! {
@@ -121,7 +135,21 @@
 
 /// Adapts Tokio's TCP stream to hyper's I/O traits.
 #[derive(Debug)]
-struct TokioIo(TcpStream);
+struct TokioIo {
+    stream: TcpStream,
+    /// Set by a request of a caller that does not know chunks, until the next write.
+    is_old: Arc<AtomicBool>,
+}
+
+impl TokioIo {
+    /// Has the connection reset if it ends before its shutdown.
+    fn prepare_write(&self) -> std::io::Result<()> {
+        if self.is_old.swap(false, Ordering::Relaxed) {
+            SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))?;
+        }
+        Ok(())
+    }
+}
 
 impl Read for TokioIo {
     fn poll_read(
@@ -132,7 +160,7 @@
         let mut bytes = [0; READ_BYTES];
         let max = cursor.remaining().min(READ_BYTES);
         let mut buffer = ReadBuf::new(&mut bytes[..max]);
-        ready!(Pin::new(&mut self.0).poll_read(cx, &mut buffer))?;
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buffer))?;
         cursor.put_slice(buffer.filled());
         Poll::Ready(Ok(()))
     }
@@ -144,19 +172,21 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write(cx, bytes)
+        self.prepare_write()?;
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(cx)
+        Pin::new(&mut self.stream).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.0).poll_shutdown(cx)
+        SockRef::from(&self.stream).set_linger(None)?;
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.0.is_write_vectored()
+        self.stream.is_write_vectored()
     }
 
     fn poll_write_vectored(
@@ -164,7 +194,8 @@
         cx: &mut Context<'_>,
         parts: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write_vectored(cx, parts)
+        self.prepare_write()?;
+        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
     }
 }
 
--- a/cornelstand/tests/entry/endings.rs
+++ b/cornelstand/tests/entry/endings.rs
@@ -330,7 +330,7 @@
 async fn an_answer_cut_at_any_byte_does_not_look_complete(
     #[case] method: &str,
     #[case] whole: Whole,
-    #[values("1.1")] version: &str,
+    #[values("1.0", "1.1")] version: &str,
     #[values("/app/stock", "/model/stock")] prefix: &str,
 ) {
     for close in CLOSES {
@@ -353,7 +353,7 @@
 async fn a_claimed_answer_cut_at_any_byte_is_not_replayed(
     #[case] method: &str,
     #[case] whole: Whole,
-    #[values("1.1")] version: &str,
+    #[values("1.0", "1.1")] version: &str,
 ) {
     for close in CLOSES {
         let endpoint = scripted(move |request| {
@@ -441,7 +441,7 @@
 async fn a_stream_cut_at_any_byte_does_not_look_complete(
     #[values(0, 1, 2)] head: usize,
     #[values(Resumption::Unknown, Resumption::Whole, Resumption::Cut)] resumption: Resumption,
-    #[values("1.1")] version: &str,
+    #[values("1.0", "1.1")] version: &str,
     #[values(Close::Orderly, Close::Reset)] close: Close,
 ) {
     let head = EVENT_HEADS[head];
@@ -510,7 +510,7 @@
 #[tokio::test]
 async fn an_answer_that_a_caller_did_not_take_does_not_look_complete(
     #[case] path: &str,
-    #[values("1.1")] version: &str,
+    #[values("1.0", "1.1")] version: &str,
     #[values(true, false)] is_whole: bool,
 ) {
     let endpoint = scripted(move |_| {
