serve: an answer in another transfer coding than chunks is a lost one

What callers saw: a 200, complete, with an empty or short body, when an endpoint answered with a transfer coding other than chunks and closed in the middle; with `gzip, chunked` the coded bytes, without a header that names the coding. The short answer of a claimed request was recorded and replayed.

Cause: any Transfer-Encoding counted as a framing that shows a truncation. hyper reads a body whose last coding is not chunks until the connection closes, and removes the chunks only; the header is dropped for the next hop.

Ruled out: answers without any framing, which were lost ones before; chunks beside a Content-Length (the chunks hold and the length is not passed on).

Fix: an answer, or the rest of a stream, is taken only if chunks are its only transfer coding. The entry asks for no other (TE is not forwarded).

--- a/cornelstand/src/call.rs
+++ b/cornelstand/src/call.rs
@@ -33,7 +33,7 @@
 use crate::name::{AccountName, EndpointName, Fingerprint, RequestId, ServiceName};
 use crate::problem::Problem;
 use crate::refusal;
-use crate::relay::{AnswerBody, Origin, is_delimited, is_events};
+use crate::relay::{AnswerBody, Origin, is_decoded, is_delimited, is_events};
 use crate::retry::RetryPermit;
 use crate::timeline::Topic;
 use crate::upstream::{EndpointRequest, boot_of};
@@ -321,7 +321,8 @@
         }
         let model = self.kind == Kind::Model;
         let events = model && is_events(&headers);
-        if !events && !is_delimited(&self.method, status, &headers) {
+        let is_delimited = events || is_delimited(&self.method, status, &headers);
+        if !is_delimited || !is_decoded(&headers) {
             return self.lost(sent, Loss::Broken, leg, caller).await;
         }
         let body = AnswerBody::new(origin, answer, model);
--- a/cornelstand/src/relay.rs
+++ b/cornelstand/src/relay.rs
@@ -68,6 +68,13 @@
     is_typed && !headers.contains_key(CONTENT_ENCODING)
 }
 
+/// Returns whether the body of an answer is passed on as it was encoded for the connection. Any
+/// transfer coding but chunks would have to be decoded, and ends with the connection without them.
+pub(crate) fn is_decoded(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    codings.all(|coding| coding.as_bytes().eq_ignore_ascii_case(b"chunked"))
+}
+
 /// Returns whether the end of an answer can be distinguished from a truncation.
 pub(crate) fn is_delimited(method: &Method, status: StatusCode, headers: &HeaderMap) -> bool {
     let bodyless = method == Method::HEAD
@@ -215,7 +222,7 @@
     fn resumed(&self, answer: Response) -> Resumed {
         let (headers, upstreams) = (answer.headers(), &self.core.upstreams);
         let is_foreign = upstreams.is_foreign(self.address, headers, self.attempt, false);
-        let is_own = is_events(headers) && !is_foreign;
+        let is_own = is_events(headers) && is_decoded(headers) && !is_foreign;
         match answer.status() {
             StatusCode::OK if is_own => Resumed::Stream(answer),
             StatusCode::NOT_FOUND => Resumed::Unknown,
--- a/cornelstand/tests/entry/endings.rs
+++ b/cornelstand/tests/entry/endings.rs
@@ -232,6 +232,17 @@
     is_framed: false,
     ..LENGTH
 };
+const OTHER_CODING: Whole = Whole {
+    answer: "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nfirst",
+    is_framed: false,
+    ..LENGTH
+};
+const CODED_CHUNKS: Whole = Whole {
+    answer: "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n5\r\nfirst\r\n0\r\n\r\n",
+    body: "",
+    is_framed: false,
+    ..LENGTH
+};
 const OLD: Whole = Whole {
     answer: "HTTP/1.0 200 OK\r\ncontent-length: 5\r\n\r\nfirst",
     ..LENGTH
@@ -316,6 +327,7 @@
 #[case::length("POST", LENGTH)]
 #[case::chunked("POST", CHUNKED)]
 #[case::until_close("POST", UNTIL_CLOSE)]
+#[case::other_coding("POST", OTHER_CODING)]
 #[case::old("POST", OLD)]
 #[case::old_until_close("POST", OLD_UNTIL_CLOSE)]
 #[case::interim("POST", INTERIM)]
@@ -326,6 +338,7 @@
 #[case::not_modified("GET", NOT_MODIFIED)]
 #[case::failure("POST", FAILURE)]
 #[case::head_only("HEAD", HEAD_ONLY)]
+#[case::coded_chunks("POST", CODED_CHUNKS)]
 #[tokio::test]
 async fn an_answer_cut_at_any_byte_does_not_look_complete(
     #[case] method: &str,
@@ -344,6 +357,7 @@
 #[case::length("POST", LENGTH)]
 #[case::chunked("POST", CHUNKED)]
 #[case::until_close("POST", UNTIL_CLOSE)]
+#[case::other_coding("POST", OTHER_CODING)]
 #[case::old("POST", OLD)]
 #[case::interim("POST", INTERIM)]
 #[case::chunks_and_short_length("POST", CHUNKS_AND_SHORT_LENGTH)]
