serve: only a successful stream is resumed

What callers saw: the status of an engine's error followed by the events of a success. An engine that answered 404 or 500 as an event stream and closed was asked to resume it, and the answer 200 to that was passed on below the first head.

Cause: the media type alone made an answer a stream that can be resumed; a resumption is accepted with 200 only.

Ruled out: answers without events (passed on or lost as a whole); 204, whose body hyper does not send (its case passed before).

Fix: an answer is a resumable stream only with status 200. Any other event stream is framed as other answers are, or lost.

Test: only_a_success_is_continued_by_resumed_events, 2 of 3 cases failed before.

--- a/cornelstand/src/call.rs
+++ b/cornelstand/src/call.rs
@@ -320,12 +320,13 @@
             }
         }
         let model = self.kind == Kind::Model;
-        let events = model && is_events(&headers);
+        // An engine resumes a stream by a 200, which must not follow the head of another answer.
+        let events = model && status == StatusCode::OK && is_events(&headers);
         let is_delimited = events || is_delimited(&self.method, status, &headers);
         if !is_delimited || !is_decoded(&headers) {
             return self.lost(sent, Loss::Broken, leg, caller).await;
         }
-        let body = AnswerBody::new(origin, answer, model);
+        let body = AnswerBody::new(origin, answer, events, model);
         let head = Head {
             status,
             headers,
--- a/cornelstand/src/relay.rs
+++ b/cornelstand/src/relay.rs
@@ -84,9 +84,10 @@
 }
 
 impl AnswerBody {
-    /// Wraps the body of `answer`; `model` tells whether it may contain token usage.
-    pub(crate) fn new(origin: Origin, answer: Response, model: bool) -> Self {
-        let kind = if model && is_events(answer.headers()) {
+    /// Wraps the body of `answer`; `events` tells whether it is a stream that can be resumed, and
+    /// `model` whether it may contain token usage.
+    pub(crate) fn new(origin: Origin, answer: Response, events: bool, model: bool) -> Self {
+        let kind = if events {
             BodyKind::Events {
                 scanner: Scanner::default(),
                 resumes: 0,
--- a/cornelstand/tests/entry/endings.rs
+++ b/cornelstand/tests/entry/endings.rs
@@ -503,6 +503,33 @@
     assert!(faults.is_empty(), "{} faults: {faults:#?}", faults.len());
 }
 
+/// Guards against events of a resumed stream below the head of another answer.
+#[rstest]
+#[case::failure(
+    "HTTP/1.1 500 Oops\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n"
+)]
+#[case::not_found(
+    "HTTP/1.1 404 No\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n"
+)]
+#[case::no_content("HTTP/1.1 204 Empty\r\ncontent-type: text/event-stream\r\n\r\n")]
+#[tokio::test]
+async fn only_a_success_is_continued_by_resumed_events(#[case] first: &'static str) {
+    let endpoint = scripted(move |request| {
+        let is_resume = request.contains("?after=");
+        let answer = if is_resume {
+            events(EVENT_HEADS[0], 0)
+        } else {
+            first.to_owned()
+        };
+        (answer.into_bytes(), Close::Orderly)
+    });
+    let fleet = Fleet::start(&[endpoint.await], EntryLimits::default()).await;
+    let request = request("POST", "/model/chat/1", "1.1", r#"{"stream":true}"#);
+    let reply = exchange(fleet.address, &request).await;
+    let text = String::from_utf8_lossy(&reply.body);
+    assert!(reply.status == 502 || !text.contains("data: "), "{reply:?}");
+}
+
 /// Body larger than what sockets and channels hold.
 const LONG_BYTES: usize = 16 << 20;
 
