--- a/cornelstand/src/deliver.rs
+++ b/cornelstand/src/deliver.rs
@@ -15,7 +15,7 @@
 use crate::attempt::{Loss, Sent};
 use crate::body::stated_length;
 use crate::call::{Call, Step, ending_of};
-use crate::caller::{BodyWriter, Caller};
+use crate::caller::{BodyWriter, Caller, Gone};
 use crate::claim::{MAX_BODY_BYTES, Recorded};
 use crate::config::Kind;
 use crate::flight::Flight;
@@ -126,9 +126,9 @@
             Err(loss) => return self.lost(sent, loss, leg, caller).await,
         };
         let mut recorder = self.is_claimed().then(|| AnswerRecorder::new(&head));
-        let writer = caller.begin(sent.answering(), head.status, head.for_caller());
+        let mut writer = caller.begin(sent.answering(), head.status, head.for_caller());
         let delivered = self
-            .forward(&mut leg, body, &writer, ahead, &mut recorder)
+            .forward(&mut leg, body, &mut writer, ahead, &mut recorder)
             .await;
         self.finish_delivery(leg, writer, delivered, head.status, recorder)
             .await;
@@ -160,12 +160,11 @@
         &self,
         leg: &mut Leg,
         mut body: AnswerBody,
-        writer: &BodyWriter,
+        writer: &mut BodyWriter,
         ahead: ReadAhead,
         recorder: &mut Option<AnswerRecorder>,
     ) -> Delivered {
         let idle = self.core.limits.idle();
-        let mut is_connected = true;
         let mut stopped = std::pin::pin!(self.core.stop_ended());
         let mut chunks = ahead.chunks.into_iter();
         loop {
@@ -187,13 +186,11 @@
             if let Some(recorder) = recorder {
                 recorder.push(&chunk);
             }
-            if is_connected {
-                tokio::select! {
-                    written = writer.write(chunk, idle) => is_connected = written.is_ok(),
-                    () = &mut stopped => return Delivered::Stopped,
-                }
-            }
-            if !is_connected && recorder.is_none() {
+            let written = tokio::select! {
+                written = writer.write(chunk, idle) => written,
+                () = &mut stopped => return Delivered::Stopped,
+            };
+            if written == Err(Gone) && recorder.is_none() {
                 return Delivered::Disconnected;
             }
         }
@@ -208,7 +205,6 @@
         status: StatusCode,
         recorder: Option<AnswerRecorder>,
     ) {
-        let idle = self.core.limits.idle();
         match delivered {
             Delivered::Complete => {
                 self.record("answered", leg.flight.grant().endpoint.as_str());
@@ -225,7 +221,7 @@
                     self.check_crash(&leg).await;
                 }
                 leg.flight.end(ending_of(loss));
-                let open = writer.abort(idle).await;
+                let open = writer.abort();
                 self.settle_unknown().await;
                 drop(open);
             }
@@ -235,13 +231,14 @@
                 self.core.closing.count_cut();
                 self.core.closing.log_cut(self.request, endpoint);
                 leg.flight.cancel(leg.address);
-                let (open, ()) = tokio::join!(writer.abort(idle), self.settle_unknown());
+                let open = writer.abort();
+                self.settle_unknown().await;
                 drop(open);
             }
             Delivered::Disconnected => {
                 self.record("caller-gone", leg.flight.grant().endpoint.as_str());
                 leg.flight.cancel(leg.address);
-                writer.abandon(idle).await;
+                drop(writer.abandon());
             }
         }
     }
