Gateway: the log tells what was left of a stop's time for each request

From a stop signal on, refused, placed and ended have left_ms, the time left for requests. With it a log tells work that was begun too late to end from work that was long begun, which the count of cut responses in stopped could not. The times and the wait of a stop move from the daemon into a module of their own, so that tests drive them without a process; no behaviour changed.

--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -171,6 +171,7 @@
                 event = "refused", request = %String::from_utf8_lossy(&request_id),
                 status = refused.status, reason = refused.reason,
                 version = gate.state.borrow().directory.catalog().version,
+                left_ms = gate.stop.left_ms(),
             );
             send_own_response(gate, writer, &request_id, &refused).await;
         }
@@ -400,7 +401,7 @@
         reason = outcome.reason, route = %call.route.name, account = %call.account_name(),
         service = %call.service, version = call.version, sends = call.sends,
         queued_ms = millis(call.queued), first_ms = first.map(millis), whole_ms = millis(total),
-        fingerprint = %call.fingerprint,
+        fingerprint = %call.fingerprint, left_ms = gate.stop.left_ms(),
     );
 }
 
@@ -545,7 +546,7 @@
         least = state.admission.min_attained(&call.service),
         waiting = state.admission.len(), version = call.version,
         fingerprint = %call.fingerprint, crashes = state.suspects.crashes(call.fingerprint),
-        parts = %call.parts_text(),
+        parts = %call.parts_text(), left_ms = gate.stop.left_ms(),
     );
 }
 
@@ -568,7 +569,7 @@
     request_id: &Bytes,
     refused: &Refused,
 ) {
-    if gate.stopping.get() {
+    if gate.stop.has_begun() {
         writer.keep_alive = false;
     }
     let mut out = BytesMut::new();
--- a/cornelstand/src/gateway/connection.rs
+++ b/cornelstand/src/gateway/connection.rs
@@ -105,7 +105,8 @@
         let refusal = match read_request(&mut writer, &limits, room).await {
             Ok((head, body, arrived)) => {
                 writer.lacks_chunking = head.is_http_1_0();
-                writer.keep_alive = head.keeps_alive() && !gate.stopping.get() && !is_crowded(gate);
+                writer.keep_alive =
+                    head.keeps_alive() && !gate.stop.has_begun() && !is_crowded(gate);
                 call::serve(gate, head, body, &mut writer, arrived).await;
                 continue;
             }
--- a/cornelstand/src/gateway/daemon.rs
+++ b/cornelstand/src/gateway/daemon.rs
@@ -13,12 +13,13 @@
 
 use crate::gateway::admin::{self, Role};
 use crate::gateway::follow::{Followed, deregister, follow, follow_instances, follow_peers};
-use crate::gateway::gate::{Gate, RefusedWork};
+use crate::gateway::gate::Gate;
 use crate::gateway::logs::LogBuffer;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::number::to_f64;
 use crate::gateway::pauses::boot_time;
 use crate::gateway::settings::peer_address;
+use crate::gateway::stop::drain;
 use crate::gateway::{connection, peers_link};
 use crate::platform::settings::{SettingsFileError, read_settings};
 
@@ -36,20 +37,8 @@
 const EXPIRY_PERIOD: Duration = Duration::from_millis(500);
 /// Period at which the settings file is read again, since it may change without a SIGHUP.
 const RELOAD_PERIOD: Duration = Duration::from_secs(2);
-/// Shortest time from a stop signal to the exit: the load balancer checks readiness once a second
-/// and removes an instance after two failures, so new connections still arrive.
-const MIN_STOP_TIME: Duration = Duration::from_millis(3_200);
-/// Time after a stop signal from which new streams are refused: by then the load balancer sends
-/// retries to another instance.
-const STREAM_REFUSAL_DELAY: Duration = Duration::from_millis(2_300);
-/// Part of the grace period reserved for the exit itself; responses still open are cut.
-const GRACE_MARGIN: Duration = Duration::from_millis(500);
 /// Time limit to remove this instance's entry from the store at shutdown.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time before the end of the grace period from which all requests are refused; calls take less.
-const CALL_REFUSAL_MARGIN: Duration = Duration::from_millis(1_500);
-/// Period at which shutdown checks whether all requests have ended.
-const STOP_CHECK_PERIOD: Duration = Duration::from_millis(20);
 
 /// Error while a gateway starts.
 #[derive(Debug, Snafu)]
@@ -273,13 +262,11 @@
 
 /// Shuts down; open responses may complete within the grace period.
 async fn stop(gate: &Rc<Gate>, peers: &UdpSocket) {
-    let started = Instant::now();
-    let grace = gate.settings.borrow().grace.saturating_sub(GRACE_MARGIN);
-    gate.stopping.set(true);
+    gate.stop.begin(gate.settings.borrow().grace);
     tracing::info!(
         event = "stopping",
         active = gate.active.get(),
-        grace_ms = grace.as_millis()
+        grace_ms = gate.stop.left_ms()
     );
     peers_link::send_heartbeat(gate, peers);
     let gate_clone = gate.clone();
@@ -291,20 +278,5 @@
             tracing::info!(event = "deregistration_late");
         }
     });
-    while started.elapsed() < grace {
-        let refusing = if started.elapsed() + CALL_REFUSAL_MARGIN >= grace {
-            RefusedWork::Everything
-        } else if started.elapsed() >= STREAM_REFUSAL_DELAY {
-            RefusedWork::Streams
-        } else {
-            RefusedWork::Nothing
-        };
-        gate.refusing.set(refusing);
-        let is_done = gate.active.get() == 0 && started.elapsed() >= MIN_STOP_TIME;
-        if is_done {
-            break;
-        }
-        sleep(STOP_CHECK_PERIOD).await;
-    }
-    tracing::info!(event = "stopped", cut = gate.active.get());
+    drain(gate).await;
 }
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -22,6 +22,7 @@
 use crate::gateway::placement::{EndpointIndex, Endpoints, Place, PlaceEnd, PlacementRules};
 use crate::gateway::prompt_suspects::PromptSuspects;
 use crate::gateway::settings::{GatewaySettings, peer_address};
+use crate::gateway::stop::Stop;
 use crate::gateway::suspicion_news::{CrashNews, Evidence, Outbox, SuspicionUpdates};
 use crate::gateway::upstream::Pool;
 use crate::moment::{Clock, Moment};
@@ -89,7 +90,7 @@
     pub(crate) incarnation: u64,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) state: RefCell<State>,
-    pub(crate) stopping: Cell<bool>,
+    pub(crate) stop: Stop,
     /// New requests that are refused because they would not finish before the process exits.
     pub(crate) refusing: Cell<RefusedWork>,
     pub(crate) active: Cell<usize>,
@@ -153,7 +154,7 @@
                 heartbeat_count: 0,
                 digest_count: 0,
             }),
-            stopping: Cell::new(false),
+            stop: Stop::default(),
             refusing: Cell::new(RefusedWork::Nothing),
             active: Cell::new(0),
             queue_pass_due: Cell::new(false),
@@ -174,7 +175,7 @@
 
     /// Whether callers should be routed here.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.state.borrow().directory.is_complete()
+        !self.stop.has_begun() && self.state.borrow().directory.is_complete()
     }
 
     /// Whether to shed a new stream, chosen at random, because this instance lacks CPU time.
@@ -561,7 +562,7 @@
             versions: state.directory.versions(),
             beliefs: settings.control.unwrap_or(settings.readiness),
             version: state.directory.catalog().version,
-            stopping: self.stopping.get(),
+            stopping: self.stop.has_begun(),
             loads: loads.collect(),
             attained_service: attained_service
                 .map(|(name, sum)| (name.clone(), to_f32(sum)))
--- a/cornelstand/src/gateway/mod.rs
+++ b/cornelstand/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 pub(crate) mod residency;
 pub(crate) mod resume;
 pub(crate) mod settings;
+pub(crate) mod stop;
 pub(crate) mod suspicion_news;
 pub(crate) mod upstream;
 
