Gateway: a stopping instance begins nothing that may outlast it

What callers saw: in a planned stop, requests that came late in the grace period were taken and passed on, and at its end their connections were closed without an answer, also for calls that may not be repeated.

Cause: what a stop refuses was a fixed time, 1.5 s before the end for calls, whatever the time of the request; and only new requests were asked. A call of several seconds that came in the grace period ran and was cut, and so did one that left the queue, was sent again after a failure, or a stream that was resumed late.

Ruled out: the exit itself (a process without work exits as before), and the time in which the load balancer still sends callers here (2.3 s, unchanged: all is taken).

Change: the stop knows its end, and every decision to begin work asks it: a new request, one in the queue, and one that is sent again. After 2.3 s only what has to end before the stop does is begun, by the request's own deadline; the margin for calls and the special case for streams go. Short calls are therefore served up to the end. A queued request that was not sent is refused at once, so that its caller has time elsewhere. A failed one gets its failure. A begun stream is resumed while an objective is left for its next event, since its caller gets on with each event; without that time a silent endpoint is kept.

Evidence: of the tests here, on the code before, a call and an idempotent one that come 3.5 s after the signal ran and got no answer; so did a queued call whose turn came after 2.35 s, and two calls that were sent again after a failure and a loss at 4 s. A stream was resumed 0.25 s before the end, and one that was silent then was sent elsewhere and cut, though its endpoint finished it. A call of 0.4 s that came at 7 s got 503. All pass now.

--- a/cornelstand/src/gateway/acquire.rs
+++ b/cornelstand/src/gateway/acquire.rs
@@ -30,6 +30,10 @@
         return refused;
     }
     let started = Instant::now();
+    let finish = call.finish(started);
+    if !gate.stop.admits(started, finish) {
+        return Acquired::Refused(Refused::stopping(call.sends == 0));
+    }
     let now = gate.now();
     let account = call.account_name();
     let (generated, stride) = (call.generated, call.stride);
@@ -70,6 +74,7 @@
             return Acquired::CallerGone;
         }
         () = sleep_until(until) => None,
+        () = gate.stop.refused(finish) => None,
     };
     call.queued += started.elapsed();
     gate.metrics
@@ -79,6 +84,9 @@
         return Acquired::Place(place);
     }
     let retry_after = gate.withdraw(ticket.id);
+    if !gate.stop.admits(Instant::now(), finish) {
+        return Acquired::Refused(Refused::stopping(call.sends == 0));
+    }
     if let Some(refused) = crash_refused(gate, call) {
         return refused;
     }
--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -12,7 +12,7 @@
 use crate::gateway::acquire::{Acquired, acquire};
 use crate::gateway::catalog::{Catalog, GatewayRoute};
 use crate::gateway::endpoint_state::Prompt;
-use crate::gateway::gate::{Gate, RefusedWork};
+use crate::gateway::gate::Gate;
 use crate::gateway::message::Head;
 use crate::gateway::outlet::ResponseWriter;
 use crate::gateway::pauses::boot_time;
@@ -29,6 +29,8 @@
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// `Retry-After` while the instance shuts down; short, since a retry reaches another instance.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
+/// Reason in responses to requests that this instance cannot serve before it stops.
+const STOPPING_REASON: &str = "this instance stops";
 /// `Retry-After` while the instance is overloaded; short, since the load balancer sends the retry
 /// to another instance.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(20);
@@ -115,6 +117,16 @@
         self.route.kind.is_stream() && self.may_retry()
     }
 
+    /// Time by which what begins at `start` has to end to be of use: the whole response, or the next
+    /// event of one that the caller has got in part, which can be resumed from there.
+    pub(crate) fn finish(&self, start: Instant) -> Instant {
+        if self.begun.is_some() {
+            self.deadline.min(start + self.route.objective)
+        } else {
+            self.deadline
+        }
+    }
+
     /// Records events that are sent to the caller. Returns how many of them carry data.
     pub(crate) fn note_events(&mut self, events: &Events) -> u32 {
         let mut count = 0;
@@ -195,6 +207,13 @@
             retry_after,
         }
     }
+
+    /// Response to a request that cannot be served before this instance stops. A 503 promises that
+    /// the request has not run.
+    pub(crate) fn stopping(is_unsent: bool) -> Self {
+        let status = if is_unsent { 503 } else { 502 };
+        Self::new(status, STOPPING_REASON, Some(STOPPING_RETRY_AFTER))
+    }
 }
 
 /// Resolves a request's route, account, service and deadline, or refuses it.
@@ -225,14 +244,9 @@
     let path = head.target().split('?').next().unwrap_or_default();
     let route = catalog.route(host, path).cloned();
     let route = route.ok_or(Refused::new(404, "no route", None))?;
-    let is_refused = match gate.refusing.get() {
-        RefusedWork::Nothing => false,
-        RefusedWork::Streams => route.kind.is_stream(),
-        RefusedWork::Everything => true,
-    };
-    if is_refused {
-        let retry_after = Some(STOPPING_RETRY_AFTER);
-        return Err(Refused::new(503, "this instance stops", retry_after));
+    let time = fields.timeout.unwrap_or(route.timeout).min(route.timeout);
+    if !gate.stop.admits(Instant::now(), arrived + time) {
+        return Err(Refused::stopping(true));
     }
     if route.kind.is_stream() && gate.should_shed() {
         let retry_after = Some(OVERLOAD_RETRY_AFTER);
@@ -261,7 +275,6 @@
     if let Some((reason, retry_after)) = gate.crash_refusal(fingerprint, prompt.as_ref()) {
         return Err(Refused::new(503, reason, Some(retry_after)));
     }
-    let time = fields.timeout.unwrap_or(route.timeout).min(route.timeout);
     Ok(Call {
         head,
         body,
@@ -317,7 +330,7 @@
                 .note(&call.service, &route.name, route.timeout, tokens);
         }
     }
-    gate.active.set(gate.active.get() + 1);
+    let active = gate.activate();
     let outcome = loop {
         let next = match acquire(gate, call, writer).await {
             Acquired::Place(place) => run_attempt(gate, call, writer, place).await,
@@ -331,7 +344,7 @@
             Next::Respond(refused) => break give_up(gate, call, writer, refused).await,
         }
     };
-    gate.active.set(gate.active.get() - 1);
+    drop(active);
     // Without a complete response, the connection cannot be reused.
     if outcome.status == 0 {
         writer.abort();
@@ -517,8 +530,14 @@
     Next::Respond(Refused::new(502, "the answer was lost", None))
 }
 
-/// Takes one retry from this instance's share of the retry budget.
+/// Takes one retry from this instance's share of the retry budget, unless a stop leaves no time.
 fn take_retry(gate: &Gate, call: &Call) -> bool {
+    let start = Instant::now();
+    if !gate.stop.admits(start, call.finish(start)) {
+        let (reason, left_ms) = (STOPPING_REASON, gate.stop.left_ms());
+        tracing::info!(event = "repeat_denied", request = %call.id(), service = %call.service, reason, left_ms);
+        return false;
+    }
     let rule = gate.settings.borrow().retry;
     let now = gate.now();
     let mut state = gate.state.borrow_mut();
@@ -528,7 +547,8 @@
     if is_allowed {
         gate.metrics.retries.inc();
     } else {
-        tracing::info!(event = "repeat_denied", request = %call.id(), service = %call.service);
+        let reason = "the retry budget is used up";
+        tracing::info!(event = "repeat_denied", request = %call.id(), service = %call.service, reason);
     }
     is_allowed
 }
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -91,8 +91,6 @@
     pub(crate) metrics: GatewayMetrics,
     pub(crate) state: RefCell<State>,
     pub(crate) stop: Stop,
-    /// New requests that are refused because they would not finish before the process exits.
-    pub(crate) refusing: Cell<RefusedWork>,
     pub(crate) active: Cell<usize>,
     /// Whether capacity may have been freed since the queue was last served.
     pub(crate) queue_pass_due: Cell<bool>,
@@ -113,14 +111,6 @@
     pub(crate) pauses: PauseWatch,
 }
 
-/// Requests that a stopping instance refuses.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum RefusedWork {
-    Nothing,
-    Streams,
-    Everything,
-}
-
 /// A queued request.
 #[derive(Debug)]
 pub(crate) struct Ticket {
@@ -128,6 +118,16 @@
     pub(crate) grant: oneshot::Receiver<Place>,
 }
 
+/// A request that a stop has to wait for.
+#[derive(Debug)]
+pub(crate) struct ActiveGuard<'a>(&'a Cell<usize>);
+
+impl Drop for ActiveGuard<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 impl Gate {
     pub(crate) fn new(
         settings: GatewaySettings,
@@ -155,7 +155,6 @@
                 digest_count: 0,
             }),
             stop: Stop::default(),
-            refusing: Cell::new(RefusedWork::Nothing),
             active: Cell::new(0),
             queue_pass_due: Cell::new(false),
             lag: Cell::new(0.0),
@@ -169,6 +168,12 @@
         }
     }
 
+    /// Counts a request that a stop has to wait for, until the guard is dropped.
+    pub(crate) fn activate(&self) -> ActiveGuard<'_> {
+        self.active.set(self.active.get() + 1);
+        ActiveGuard(&self.active)
+    }
+
     pub(crate) fn now(&self) -> Moment {
         self.clock.now()
     }
--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -184,11 +184,13 @@
     attempt
 }
 
-/// Deadline for the next event after one that came at `progressed`.
-fn event_deadline(call: &Call, progressed: Instant) -> Instant {
-    if call.may_resume() {
-        let silence = call.route.silence().mul_f64(RESUME_SHARE);
-        call.deadline.min(progressed + silence)
+/// Deadline for the next event after one that came at `progressed`. A begun stream that a stop would
+/// keep from being resumed then is left to its endpoint.
+fn event_deadline(gate: &Gate, call: &Call, progressed: Instant) -> Instant {
+    let until = progressed + call.route.silence().mul_f64(RESUME_SHARE);
+    let is_kept = call.begun.is_some() && !gate.stop.admits(until, call.finish(until));
+    if call.may_resume() && !is_kept {
+        call.deadline.min(until)
     } else {
         call.deadline
     }
@@ -335,7 +337,7 @@
         call: &Call,
         writer: &mut ResponseWriter,
     ) -> Result<Head, Interruption> {
-        let until = event_deadline(call, Instant::now());
+        let until = event_deadline(self.gate, call, Instant::now());
         let head = self.upstream.response_head(MAX_HEAD_BYTES);
         match with_deadline(head, writer, until).await {
             Ok(head) => Ok(head?),
@@ -426,7 +428,7 @@
         writer: &mut ResponseWriter,
         progressed: Instant,
     ) -> Result<bool, Interruption> {
-        let until = event_deadline(call, progressed);
+        let until = event_deadline(self.gate, call, progressed);
         match with_deadline(self.upstream.read_more(), writer, until).await {
             Ok(Ok(())) => Ok(false),
             Ok(Err(ReadError::Closed)) if body.is_until_close() => Ok(true),
--- a/cornelstand/src/gateway/stop.rs
+++ b/cornelstand/src/gateway/stop.rs
@@ -1,72 +1,92 @@
 //! Planned stop of an instance: until when it runs and which work it still begins.
+//!
+//! Every decision to begin work asks the same question: a new request, one that leaves the queue,
+//! and one that is sent again. While the load balancer still routes callers here, all is begun;
+//! afterwards only what ends before the instance does. A refused caller still has time elsewhere.
 
 use std::cell::Cell;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep};
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::gateway::gate::{Gate, RefusedWork};
+use crate::gateway::gate::Gate;
 
 /// Shortest time from a stop signal to the exit: the load balancer checks readiness once a second
 /// and removes an instance after two failures, so new connections still arrive.
 const MIN_STOP_TIME: Duration = Duration::from_millis(3_200);
-/// Time after a stop signal from which new streams are refused: by then the load balancer sends
-/// retries to another instance.
-const STREAM_REFUSAL_DELAY: Duration = Duration::from_millis(2_300);
+/// Time after a stop signal from which work is refused that may outlast the stop: by then the load
+/// balancer sends retries to another instance.
+const REFUSAL_DELAY: Duration = Duration::from_millis(2_300);
 /// Part of the grace period reserved for the exit itself; responses still open are cut.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
-/// Time before the end of the grace period from which all requests are refused; calls take less.
-const CALL_REFUSAL_MARGIN: Duration = Duration::from_millis(1_500);
 /// Period at which a stop checks whether all requests have ended.
 const STOP_CHECK_PERIOD: Duration = Duration::from_millis(20);
 
+/// Times of a stop.
+#[derive(Clone, Copy, Debug)]
+struct Plan {
+    /// From then on work is refused that may last beyond `end`.
+    refusing_from: Instant,
+    /// The instance exits, although requests may be open.
+    end: Instant,
+}
+
 /// A planned stop, once it has begun.
 #[derive(Debug, Default)]
 pub(crate) struct Stop {
-    /// End of the time for requests.
-    end: Cell<Option<Instant>>,
+    plan: Cell<Option<Plan>>,
+    begun: Notify,
 }
 
 impl Stop {
     pub(crate) fn has_begun(&self) -> bool {
-        self.end.get().is_some()
+        self.plan.get().is_some()
     }
 
     /// Milliseconds left for requests, if a stop has begun.
     pub(crate) fn left_ms(&self) -> Option<u64> {
-        let left = self.end.get()?.saturating_duration_since(Instant::now());
+        let end = self.plan.get()?.end;
+        let left = end.saturating_duration_since(Instant::now());
         u64::try_from(left.as_millis()).ok()
     }
 
     /// Begins a stop that has to be over after `grace`.
     pub(crate) fn begin(&self, grace: Duration) {
-        let time = grace.saturating_sub(GRACE_MARGIN);
-        self.end.set(Some(Instant::now() + time));
+        let now = Instant::now();
+        let end = now + grace.saturating_sub(GRACE_MARGIN);
+        let refusing_from = end.min(now + REFUSAL_DELAY);
+        self.plan.set(Some(Plan { refusing_from, end }));
+        self.begun.notify_waiters();
+    }
+
+    /// Whether work that may last until `finish` may begin at `start`.
+    pub(crate) fn admits(&self, start: Instant, finish: Instant) -> bool {
+        let plan = self.plan.get();
+        plan.is_none_or(|p| finish <= p.end || start < p.refusing_from)
+    }
+
+    /// Waits until work that may last until `finish` is refused.
+    pub(crate) async fn refused(&self, finish: Instant) {
+        loop {
+            let begun = self.begun.notified();
+            match self.plan.get() {
+                None => begun.await,
+                Some(plan) if finish > plan.end => return sleep_until(plan.refusing_from).await,
+                Some(_) => return std::future::pending().await,
+            }
+        }
     }
 }
 
-/// Waits until open responses have ended, within the grace period.
+/// Waits until open requests have ended, or until the end of the stop.
 pub(crate) async fn drain(gate: &Gate) {
     let started = Instant::now();
-    let end = gate.stop.end.get().unwrap_or(started);
-    while Instant::now() < end {
-        let refusing = if Instant::now() + CALL_REFUSAL_MARGIN >= end {
-            RefusedWork::Everything
-        } else if started.elapsed() >= STREAM_REFUSAL_DELAY {
-            RefusedWork::Streams
-        } else {
-            RefusedWork::Nothing
-        };
-        gate.refusing.set(refusing);
-        let is_done = gate.active.get() == 0 && started.elapsed() >= MIN_STOP_TIME;
-        if is_done {
-            break;
-        }
+    let end = gate.stop.plan.get().map_or(started, |p| p.end);
+    let is_done = || gate.active.get() == 0 && started.elapsed() >= MIN_STOP_TIME;
+    while Instant::now() < end && !is_done() {
         sleep(STOP_CHECK_PERIOD).await;
     }
-    tracing::info!(
-        event = "stopped",
-        left_ms = gate.stop.left_ms(),
-        cut = gate.active.get()
-    );
+    let (left_ms, cut) = (gate.stop.left_ms(), gate.active.get());
+    tracing::info!(event = "stopped", left_ms, cut);
 }
--- a/cornelstand/src/platform/tests.rs
+++ b/cornelstand/src/platform/tests.rs
@@ -10,5 +10,6 @@
 mod path;
 mod resumption;
 mod scripted;
+mod stop;
 mod store_loss;
 mod wire;
