Gateway: requests open at the end of a stop get a final answer

What callers saw: at the end of the grace period the connections of all open requests were closed bare, also where nothing of an answer had been passed on, and where an earlier endpoint had answered with a failure.

Cause: the process left its open requests to the end of the runtime, which drops their tasks.

Change: at the end of the stop each open request is told. With nothing sent it gets 503, which is true then; else the failure of an earlier attempt, or 502, which promises nothing. A begun response is cut visibly. The process waits at most 0.3 s for these answers, within the 0.5 s kept free before the end of the grace period, and not at all if nothing is open.

With a real process, SIGTERM and endpoints that take 20 s, a call that came 3.5 s after the signal got none. The tests of begun streams passed before.

--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -331,11 +331,15 @@
         }
     }
     let active = gate.activate();
+    let mut over = std::pin::pin!(gate.stop.over());
     let outcome = loop {
-        let next = match acquire(gate, call, writer).await {
-            Acquired::Place(place) => run_attempt(gate, call, writer, place).await,
-            Acquired::Refused(refused) => Next::Respond(refused),
-            Acquired::CallerGone => Next::Finish(caller_gone()),
+        let next = tokio::select! {
+            biased;
+            next = advance(gate, call, writer) => next,
+            () = &mut over => {
+                writer.keep_alive = false;
+                Next::Respond(Refused::stopping(call.sends == 0))
+            }
         };
         match next {
             Next::Retry => {}
@@ -352,6 +356,15 @@
     record_outcome(gate, call, outcome);
 }
 
+/// Waits for a place and runs one attempt.
+async fn advance(gate: &Rc<Gate>, call: &mut Call, writer: &mut ResponseWriter) -> Next {
+    match acquire(gate, call, writer).await {
+        Acquired::Place(place) => run_attempt(gate, call, writer, place).await,
+        Acquired::Refused(refused) => Next::Respond(refused),
+        Acquired::CallerGone => Next::Finish(caller_gone()),
+    }
+}
+
 /// Sends the final response when no attempt is left: the error response of an endpoint if there is
 /// one, else the gateway's own.
 async fn give_up(
--- a/cornelstand/src/gateway/stop.rs
+++ b/cornelstand/src/gateway/stop.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::gateway::gate::Gate;
@@ -18,8 +19,10 @@
 /// Time after a stop signal from which work is refused that may outlast the stop: by then the load
 /// balancer sends retries to another instance.
 const REFUSAL_DELAY: Duration = Duration::from_millis(2_300);
-/// Part of the grace period reserved for the exit itself; responses still open are cut.
+/// Part of the grace period reserved for the final responses and the exit itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
+/// Longest time for the final responses.
+const FINAL_RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Period at which a stop checks whether all requests have ended.
 const STOP_CHECK_PERIOD: Duration = Duration::from_millis(20);
 
@@ -28,7 +31,7 @@
 struct Plan {
     /// From then on work is refused that may last beyond `end`.
     refusing_from: Instant,
-    /// The instance exits, although requests may be open.
+    /// Requests still open then get their final response.
     end: Instant,
 }
 
@@ -37,6 +40,7 @@
 pub(crate) struct Stop {
     plan: Cell<Option<Plan>>,
     begun: Notify,
+    over: Notify,
 }
 
 impl Stop {
@@ -77,9 +81,15 @@
             }
         }
     }
+
+    /// Ends when requests that are still open have to get their final response.
+    pub(crate) fn over(&self) -> Notified<'_> {
+        self.over.notified()
+    }
 }
 
-/// Waits until open requests have ended, or until the end of the stop.
+/// Waits until open requests have ended. Those that have not by the end of the stop get their final
+/// responses.
 pub(crate) async fn drain(gate: &Gate) {
     let started = Instant::now();
     let end = gate.stop.plan.get().map_or(started, |p| p.end);
@@ -87,6 +97,12 @@
     while Instant::now() < end && !is_done() {
         sleep(STOP_CHECK_PERIOD).await;
     }
+    let open = gate.active.get();
+    gate.stop.over.notify_waiters();
+    let until = Instant::now() + FINAL_RESPONSE_TIMEOUT;
+    while gate.active.get() > 0 && Instant::now() < until {
+        sleep(STOP_CHECK_PERIOD).await;
+    }
     let (left_ms, cut) = (gate.stop.left_ms(), gate.active.get());
-    tracing::info!(event = "stopped", left_ms, cut);
+    tracing::info!(event = "stopped", left_ms, open, cut);
 }
--- a/cornelstand/src/platform/tests/stop.rs
+++ b/cornelstand/src/platform/tests/stop.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::gateway::connection;
 use crate::gateway::directory::EndpointRecord;
@@ -16,9 +17,9 @@
 use crate::gateway::placement::PlaceEnd;
 use crate::gateway::stop::drain;
 use crate::gateway::tests::{MODELS, ORDERS, catalog, gate, record};
-use crate::platform::tests::path::{fetch, request, run_local, status};
+use crate::platform::tests::path::{connect, fetch, request, run_local, status};
 use crate::platform::tests::scripted::{
-    Endpoint, Step, answer, chunk, event, response, stream_head,
+    Endpoint, Step, TEST_TIMEOUT, answer, chunk, event, response, stream_head,
 };
 
 /// Step of the paused time, so that it does not run ahead of the connections.
@@ -241,3 +242,102 @@
     })
     .await;
 }
+
+#[rstest]
+#[case::call("/book/1")]
+#[case::idempotent_call("/stock/1")]
+#[tokio::test(start_paused = true)]
+async fn a_call_that_is_open_at_the_end_of_the_stop_is_answered(#[case] path: &str) {
+    run_local(async {
+        let (stopping, endpoint) = orders(vec![silent()]).await;
+        let text = stopping.ask(path, LONG_MS).await.expect("a caller");
+        assert_eq!((status(&text), endpoint.count()), ("502", 1), "{text}");
+        assert!(stopping.elapsed() >= 7_000, "{}", stopping.elapsed());
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_stream_without_an_event_at_the_end_of_the_stop_is_answered() {
+    run_local(async {
+        let engine = Endpoint::start(vec![silent()]).await;
+        let stopping = Stopping::start(vec![record("m-1", MODELS, engine.address)]).await;
+        let text = stopping.ask("/digest/1", LONG_MS).await.expect("a caller");
+        assert_eq!((status(&text), engine.count()), ("502", 1), "{text}");
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_call_that_failed_before_gets_that_answer_at_the_end_of_the_stop() {
+    run_local(async {
+        let near = vec![Step::Read, Step::Write(failed())];
+        let (stopping, [_near, far]) = near_and_far(ORDERS, near, silent()).await;
+        let text = stopping.ask("/stock/1", LONG_MS).await.expect("a caller");
+        assert_eq!((status(&text), far.count()), ("500", 1), "{text}");
+        assert!(text.ends_with("oops"), "{text}");
+        assert!(stopping.elapsed() >= 7_000, "{}", stopping.elapsed());
+    })
+    .await;
+}
+
+/// Nothing was sent, which the caller of a call that may not be repeated has to know.
+#[tokio::test(start_paused = true)]
+async fn a_call_that_is_queued_at_the_end_of_the_stop_is_refused() {
+    run_local(async {
+        let (stopping, endpoint) = orders(vec![silent()]).await;
+        let gate = &stopping.gate;
+        gate.stop.begin(Duration::from_millis(600));
+        let place = || {
+            let now = gate.now();
+            gate.state.borrow_mut().endpoints.take(now, 0, None)
+        };
+        let places: Vec<_> = std::iter::from_fn(place).take(64).collect();
+        assert!(!places.is_empty());
+        let text = stopping.ask("/book/1", LONG_MS).await.expect("a caller");
+        assert_eq!((status(&text), endpoint.count()), ("503", 0), "{text}");
+    })
+    .await;
+}
+
+#[rstest]
+#[case::in_chunks("HTTP/1.1")]
+#[case::until_close("HTTP/1.0")]
+#[tokio::test(start_paused = true)]
+async fn a_begun_stream_is_cut_visibly_at_the_end_of_the_stop(#[case] version: &str) {
+    run_local(async {
+        let engine = Endpoint::start(vec![events_until_6s()]).await;
+        let stopping = Stopping::start(vec![record("m-1", MODELS, engine.address)]).await;
+        let request = timed("/digest/1", LONG_MS).replacen("HTTP/1.1", version, 1);
+        let mut caller = connect(stopping.address).await;
+        caller.write_all(request.as_bytes()).await.expect("sent");
+        let mut text = Vec::new();
+        let end = timeout(TEST_TIMEOUT, caller.read_to_end(&mut text)).await;
+        let end = end.expect("the connection ends");
+        let text = String::from_utf8_lossy(&text);
+        assert!(text.contains("piece 4") && !is_whole(&text), "{text}");
+        assert_eq!(end.is_err(), version == "HTTP/1.0");
+        assert_eq!(text.matches("HTTP/1.").count(), 1, "{text}");
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_call_on_a_kept_connection_in_the_last_moments_is_refused() {
+    run_local(async {
+        for sent_ms in [7_400, 7_480, 7_490, 7_495, 7_499, 7_500] {
+            let (stopping, endpoint) = orders(vec![silent()]).await;
+            let _other = stopping.gate.activate();
+            let mut caller = connect(stopping.address).await;
+            stopping.reach(sent_ms).await;
+            let request = timed("/book/1", 5_000);
+            caller.write_all(request.as_bytes()).await.expect("sent");
+            let mut text = Vec::new();
+            let end = timeout(TEST_TIMEOUT, caller.read_to_end(&mut text)).await;
+            end.expect("the connection ends").expect("read");
+            let text = String::from_utf8_lossy(&text);
+            assert_eq!((status(&text), endpoint.count()), ("503", 0), "{text}");
+        }
+    })
+    .await;
+}
--- a/cornelstand/tests/gateway/main.rs
+++ b/cornelstand/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod platform;
 mod soak;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use platform::{EVENTS, World, raw_call};
@@ -190,6 +191,61 @@
     }
 }
 
+/// Sends a call with a time limit and returns the status, or none if there is no answer.
+async fn status_of(front: SocketAddr, id: &str, limit_ms: u64) -> Option<u16> {
+    let limit = format!("deadline-ms: {limit_ms}");
+    let call = raw_call(id).replacen("deadline-ms: 8000", &limit, 1);
+    let mut stream = TcpStream::connect(front).await.ok()?;
+    stream.write_all(call.as_bytes()).await.ok()?;
+    let mut text = [0; 12];
+    stream.read_exact(&mut text).await.ok()?;
+    String::from_utf8_lossy(&text[9..]).parse().ok()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_shutdown_leaves_no_call_that_outlasts_it_without_an_answer() {
+    let work = Duration::from_secs(20);
+    let mut world = World::start_with(&platform::CENTRES[..1], 1, 2, work);
+    world.await_ready(0, true).await;
+    let front = world.instances[0].front();
+    let before = tokio::spawn(status_of(front, "before", 8_000));
+    world
+        .until("run", async || {
+            world
+                .endpoints
+                .values()
+                .any(|e| e.runs().contains_key("before"))
+        })
+        .await;
+    world.instances[0].signal(Signal::TERM);
+    sleep(Duration::from_millis(500)).await;
+    let early = tokio::spawn(status_of(front, "early", 8_000));
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(status_of(front, "late", 8_000).await, Some(503));
+    assert_eq!(status_of(front, "short", 500).await, Some(504));
+    assert_eq!(before.await.expect("a caller"), Some(502));
+    assert_eq!(early.await.expect("a caller"), Some(502));
+    let ran = |id| world.endpoints.values().any(|e| e.runs().contains_key(id));
+    assert!(ran("early") && ran("short") && !ran("late"));
+    let ended = Instant::now() + Duration::from_secs(1);
+    while !world.instances[0].has_ended() {
+        assert!(Instant::now() < ended, "it ends within its grace time");
+        sleep(Duration::from_millis(20)).await;
+    }
+    let log = world.instances[0].log();
+    for (id, event) in [("before", "ended"), ("early", "ended"), ("late", "refused")] {
+        let is_told = |line: &str| {
+            let parts = [id, event, "this instance stops", "\"left_ms\":"];
+            parts.iter().all(|part| line.contains(part))
+        };
+        assert!(log.lines().any(is_told), "{id}");
+    }
+    assert!(
+        log.lines()
+            .any(|l| l.contains("\"stopped\"") && l.contains("\"cut\":0"))
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_key_revoked_during_a_pause_is_refused_after_it() {
     let world = World::start(1);
--- a/cornelstand/tests/gateway/platform/mod.rs
+++ b/cornelstand/tests/gateway/platform/mod.rs
@@ -21,6 +21,8 @@
 
 /// Names of the data centres.
 pub(crate) const CENTRES: [&str; 3] = ["north", "south", "west"];
+/// Time of an endpoint for a call, and before the first event of a stream.
+const WORK: Duration = Duration::from_millis(5);
 /// Time until an endpoint restarts after a request crashed it.
 pub(crate) const RESTART_DELAY: Duration = Duration::from_millis(800);
 
@@ -58,6 +60,16 @@
 
     /// Starts `count` instances, spread over `centres`, and `endpoints` endpoints per service.
     pub(crate) fn start_in(centres: &[&'static str], count: u8, endpoints: u8) -> Self {
+        Self::start_with(centres, count, endpoints, WORK)
+    }
+
+    /// The same, with endpoints that take `work` for a call.
+    pub(crate) fn start_with(
+        centres: &[&'static str],
+        count: u8,
+        endpoints: u8,
+        work: Duration,
+    ) -> Self {
         let names = (1..=endpoints).flat_map(|n| [format!("m-{n}"), format!("o-{n}")]);
         let names: Vec<String> = names.collect();
         let store = PlatformStore::start().expect("the store starts");
@@ -65,7 +77,7 @@
         for name in &names {
             let endpoint = PlatformEndpoint::start(EndpointSettings {
                 name: name.clone(),
-                work: Duration::from_millis(5),
+                work,
                 events: EVENTS,
                 pause: Duration::from_millis(20),
                 down: RESTART_DELAY,
