Gateway: a stop refuses or awaits requests whose body is being read

What callers saw: while a body was being read, a stop did not know of the request. The process exited after 3.2 s if nothing else was open and closed the connection bare, also for a request that would have ended well before the end. One that could not end in time was read to its end, for seconds, before it was refused.

Cause: a request counted as open only once it had been read whole.

Ruled out: the body itself (its time limit and memory are as before); nothing was run in either case.

Change: a request counts from the first wait for its body. If its caller's time may last beyond the stop it gets 503 as soon as the stop refuses such work, and the rest of its body is discarded as for one without memory.

Evidence: of the two tests, on the code before, the first got no answer, and so did the second, whose body was complete 0.8 s after its begin, 3.8 s after the signal.

--- a/cornelstand/src/gateway/connection.rs
+++ b/cornelstand/src/gateway/connection.rs
@@ -23,6 +23,8 @@
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
 /// Longest time to read and discard a body after its request was refused.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// Reason in refusals of requests whose body finds no memory.
+const NO_ROOM_REASON: &str = "no memory is left for the body";
 /// `Retry-After` when there is no memory for a body; short, since the load balancer sends the retry
 /// to another instance.
 const BODY_ROOM_RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -85,6 +87,8 @@
     /// Large bodies take all the memory that is set aside for them; with the request's identity
     /// and the rest of its body.
     NoRoom(Bytes, BodyReader),
+    /// The request may outlast the stop of this instance; with the same.
+    Stopping(Bytes, BodyReader),
     Malformed(MessageError),
 }
 
@@ -102,7 +106,7 @@
         let mut share = gate.bodies.share();
         let memory = gate.settings.borrow().memory;
         let room = |bytes| share.grow(bytes, memory);
-        let refusal = match read_request(&mut writer, &limits, room).await {
+        let refusal = match read_request(gate, &mut writer, &limits, room).await {
             Ok((head, body, arrived)) => {
                 writer.lacks_chunking = head.is_http_1_0();
                 writer.keep_alive =
@@ -113,7 +117,12 @@
             Err(ReadFailure::Closed) => return,
             Err(ReadFailure::TimedOut) => (408, "the request was not sent in time"),
             Err(ReadFailure::NoRoom(id, body)) => {
-                return refuse_body(gate, &mut writer, &id, body).await;
+                let refused = Refused::new(503, NO_ROOM_REASON, Some(BODY_ROOM_RETRY_AFTER));
+                return refuse_body(gate, &mut writer, &id, body, &refused).await;
+            }
+            Err(ReadFailure::Stopping(id, body)) => {
+                let refused = Refused::stopping(true);
+                return refuse_body(gate, &mut writer, &id, body, &refused).await;
             }
             Err(ReadFailure::Malformed(MessageError::HeadTooLarge)) => {
                 (431, "the head is too large")
@@ -132,13 +141,20 @@
     }
 }
 
-/// Refuses a request whose body finds no memory, and discards what is still sent of it.
-async fn refuse_body(gate: &Gate, writer: &mut ResponseWriter, id: &Bytes, mut body: BodyReader) {
-    const REASON: &str = "no memory is left for the body";
-    tracing::info!(event = "refused", request = %String::from_utf8_lossy(id), status = 503, reason = REASON);
+/// Refuses a request whose body is not read, and discards what is still sent of it.
+async fn refuse_body(
+    gate: &Gate,
+    writer: &mut ResponseWriter,
+    id: &Bytes,
+    mut body: BodyReader,
+    refused: &Refused,
+) {
+    tracing::info!(
+        event = "refused", request = %String::from_utf8_lossy(id), status = refused.status,
+        reason = refused.reason, left_ms = gate.stop.left_ms(),
+    );
     writer.keep_alive = false;
-    let refused = Refused::new(503, REASON, Some(BODY_ROOM_RETRY_AFTER));
-    call::send_own_response(gate, writer, id, &refused).await;
+    call::send_own_response(gate, writer, id, refused).await;
     let until = Instant::now() + DISCARD_TIMEOUT;
     let mut discarded = BytesMut::new();
     while body.read(&mut writer.input, &mut discarded).is_ok() && !body.is_done() {
@@ -167,6 +183,7 @@
 /// Reads a request, whose body has to get `room` for its bytes. Also returns the time at which the
 /// first byte of the request arrived.
 async fn read_request(
+    gate: &Gate,
     writer: &mut ResponseWriter,
     limits: &RequestLimits,
     mut room: impl FnMut(usize) -> bool,
@@ -199,7 +216,7 @@
         sent.map_err(|_| ReadFailure::Closed)?;
     }
     let mut body = BytesMut::with_capacity(length.unwrap_or_default());
-    let mut body_deadline = None;
+    let mut times = None;
     loop {
         reader.read(&mut writer.input, &mut body)?;
         if body.len() > limits.body_bytes {
@@ -216,9 +233,16 @@
         if reader.is_done() {
             return Ok((head, body.freeze(), arrived));
         }
-        let body_deadline = *body_deadline.get_or_insert_with(|| arrived + body_timeout(&head));
+        let (body_deadline, _active) =
+            times.get_or_insert_with(|| (arrived + body_timeout(&head), gate.activate()));
         let until = Instant::now() + limits.idle_time;
-        read_more(writer, until.min(body_deadline)).await?;
+        tokio::select! {
+            biased;
+            read = read_more(writer, until.min(*body_deadline)) => read?,
+            () = gate.stop.refused(*body_deadline) => {
+                return Err(ReadFailure::Stopping(identity(&head), reader));
+            }
+        }
     }
 }
 
--- a/cornelstand/src/platform/tests/stop.rs
+++ b/cornelstand/src/platform/tests/stop.rs
@@ -341,3 +341,44 @@
     })
     .await;
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_request_is_refused_while_its_body_is_read_if_it_may_outlast_the_stop() {
+    run_local(async {
+        let (stopping, endpoint) = orders(vec![silent()]).await;
+        let request = timed("/book/1", LONG_MS);
+        let mut caller = connect(stopping.address).await;
+        let part = &request.as_bytes()[..request.len() - 2];
+        caller.write_all(part).await.expect("sent");
+        let mut text = Vec::new();
+        let end = timeout(TEST_TIMEOUT, caller.read_to_end(&mut text)).await;
+        end.expect("the connection ends").expect("read");
+        let text = String::from_utf8_lossy(&text);
+        assert_eq!((status(&text), endpoint.count()), ("503", 0), "{text}");
+        assert!(
+            text.contains("a1") && text.contains("retry-after: "),
+            "{text}"
+        );
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_stop_waits_for_the_body_of_a_request_that_ends_before_it() {
+    run_local(async {
+        let script = vec![Step::Read, Step::Write(answer("a1", "", "done"))];
+        let (stopping, _endpoint) = orders(vec![script]).await;
+        stopping.reach(3_000).await;
+        let request = timed("/book/1", 2_000);
+        let mut caller = connect(stopping.address).await;
+        let (part, rest) = request.as_bytes().split_at(request.len() - 2);
+        caller.write_all(part).await.expect("sent");
+        stopping.reach(3_800).await;
+        caller.write_all(rest).await.expect("sent");
+        let mut text = Vec::new();
+        let end = timeout(TEST_TIMEOUT, caller.read_to_end(&mut text)).await;
+        end.expect("the connection ends").expect("read");
+        assert_eq!(status(&String::from_utf8_lossy(&text)), "200");
+    })
+    .await;
+}
