--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -22,6 +22,7 @@
 use crate::gateway::placement::{EndpointIndex, Endpoints, Place, PlaceEnd, PlacementRules};
 use crate::gateway::prompt_suspects::PromptSuspects;
 use crate::gateway::settings::{GatewaySettings, peer_address};
+use crate::gateway::stop::Stop;
 use crate::gateway::suspicion_news::{CrashNews, Evidence, Outbox, SuspicionUpdates};
 use crate::gateway::upstream::Pool;
 use crate::moment::{Clock, Moment};
@@ -89,9 +90,7 @@
     pub(crate) incarnation: u64,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) state: RefCell<State>,
-    pub(crate) stopping: Cell<bool>,
-    /// New requests that are refused because they would not finish before the process exits.
-    pub(crate) refusing: Cell<RefusedWork>,
+    pub(crate) stop: Stop,
     pub(crate) active: Cell<usize>,
     /// Whether capacity may have been freed since the queue was last served.
     pub(crate) queue_pass_due: Cell<bool>,
@@ -112,14 +111,6 @@
     pub(crate) pauses: PauseWatch,
 }
 
-/// Requests that a stopping instance refuses.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum RefusedWork {
-    Nothing,
-    Streams,
-    Everything,
-}
-
 /// A queued request.
 #[derive(Debug)]
 pub(crate) struct Ticket {
@@ -127,6 +118,16 @@
     pub(crate) grant: oneshot::Receiver<Place>,
 }
 
+/// A request that a stop has to wait for.
+#[derive(Debug)]
+pub(crate) struct ActiveGuard<'a>(&'a Cell<usize>);
+
+impl Drop for ActiveGuard<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 impl Gate {
     pub(crate) fn new(
         settings: GatewaySettings,
@@ -153,8 +154,7 @@
                 heartbeat_count: 0,
                 digest_count: 0,
             }),
-            stopping: Cell::new(false),
-            refusing: Cell::new(RefusedWork::Nothing),
+            stop: Stop::default(),
             active: Cell::new(0),
             queue_pass_due: Cell::new(false),
             lag: Cell::new(0.0),
@@ -168,13 +168,19 @@
         }
     }
 
+    /// Counts a request that a stop has to wait for, until the guard is dropped.
+    pub(crate) fn activate(&self) -> ActiveGuard<'_> {
+        self.active.set(self.active.get() + 1);
+        ActiveGuard(&self.active)
+    }
+
     pub(crate) fn now(&self) -> Moment {
         self.clock.now()
     }
 
     /// Whether callers should be routed here.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.state.borrow().directory.is_complete()
+        !self.stop.has_begun() && self.state.borrow().directory.is_complete()
     }
 
     /// Whether to shed a new stream, chosen at random, because this instance lacks CPU time.
@@ -561,7 +567,7 @@
             versions: state.directory.versions(),
             beliefs: settings.control.unwrap_or(settings.readiness),
             version: state.directory.catalog().version,
-            stopping: self.stopping.get(),
+            stopping: self.stop.has_begun(),
             loads: loads.collect(),
             attained_service: attained_service
                 .map(|(name, sum)| (name.clone(), to_f32(sum)))
