Gateway: a response that is reset while its request is written is lost

Callers got a part of a response as a whole one (200 with its stamp), if it had no length or chunks and the endpoint reset the connection before it had read the request.

Cause: the socket reports a reset once. If the write got it, the read returned the bytes so far and then the end of the input, as after an orderly close, and that is the end of such a body. Ruled out: length and chunks, whose end is known, and a reset that the read gets.

Such a body is now lost if writing has failed. The new test failed before in 2 of 2 cases (call, stream) and passes.

--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -165,12 +165,15 @@
         unsent: &request,
         rest,
         is_first,
-        is_sent: false,
+        written: Written::Partly,
         is_reusable: true,
         idle: None,
     };
     let result = exchange.run(call, writer, place).await;
-    let (is_reusable, idle) = (exchange.is_reusable && exchange.is_sent, exchange.idle);
+    let (is_reusable, idle) = (
+        exchange.is_reusable && exchange.written.is_wholly(),
+        exchange.idle,
+    );
     let attempt = result.unwrap_or_else(Interruption::into_attempt);
     let is_whole = attempt.is_delivered() || attempt.is_failed() || attempt.is_not_run();
     if !is_whole {
@@ -216,6 +219,16 @@
         .unwrap_or(Err(Interruption::DeadlinePassed))
 }
 
+/// How much of a request was written.
+#[derive(Clone, Copy, Debug, IsVariant)]
+enum Written {
+    Partly,
+    Wholly,
+    /// Writing failed. The socket reports a reset once, so that reading then ends as after an
+    /// orderly close.
+    Failed,
+}
+
 /// A request and its response on one upstream connection.
 struct Exchange<'a> {
     gate: &'a Gate,
@@ -227,8 +240,7 @@
     rest: &'a [u8],
     /// Whether the connection carried no request before.
     is_first: bool,
-    /// Whether all of the request was written.
-    is_sent: bool,
+    written: Written,
     is_reusable: bool,
     idle: Option<Duration>,
 }
@@ -254,6 +266,9 @@
             let mut body = head
                 .answer_body(call.head.method())
                 .map_err(ReadError::from)?;
+            if body.is_until_close() && self.written.is_failed() {
+                return Ok(Attempt::Lost("reset"));
+            }
             if !is_own {
                 // A late response to an earlier request on this connection.
                 tracing::info!(event = "foreign_answer", request = %call.id(), address = %self.address);
@@ -323,10 +338,12 @@
         let result = with_deadline(work, writer, call.deadline).await?;
         if result.is_err() {
             // There may still be a response to read.
+            self.written = Written::Failed;
             self.is_reusable = false;
             (self.unsent, self.rest) = (&[], &[]);
+        } else if self.unsent.is_empty() && !self.written.is_failed() {
+            self.written = Written::Wholly;
         }
-        self.is_sent = self.unsent.is_empty();
         Ok(())
     }
 
--- a/cornelstand/src/platform/tests/truncation.rs
+++ b/cornelstand/src/platform/tests/truncation.rs
@@ -4,7 +4,9 @@
 
 use bytes::BytesMut;
 use rstest::rstest;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
@@ -363,6 +365,48 @@
     .await;
 }
 
+/// The endpoint answers before it has read the request, so that writing fails first.
+#[rstest]
+#[case::call("/book/1", "", "half")]
+#[case::stream("/digest/1", EVENTS, "id: 1\ndata: piece 1\n\n")]
+#[tokio::test]
+async fn a_response_that_is_reset_while_the_request_is_sent_is_not_taken_for_complete(
+    #[case] path: &'static str,
+    #[case] media: &'static str,
+    #[case] part: &'static str,
+) {
+    run_local(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+        SockRef::from(&listener)
+            .set_recv_buffer_size(16 * 1024)
+            .expect("a socket option");
+        let endpoint = listener.local_addr().expect("bound");
+        let text = response("a1", "200 OK", media, part);
+        tokio::task::spawn_local(async move {
+            let (mut stream, _) = listener.accept().await.expect("accept");
+            tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+            stream.write_all(text.as_bytes()).await.expect("written");
+            SockRef::from(&stream)
+                .set_linger(Some(std::time::Duration::ZERO))
+                .expect("a socket option");
+        });
+        let service = if path == "/book/1" { ORDERS } else { MODELS };
+        let address = listen(&gate("one", vec![record("e-0", service, endpoint)])).await;
+        let body = "y".repeat(3_900_000);
+        let large = request(path, "a1")
+            .replacen(
+                "Content-Length: 4\r\n\r\nbody",
+                &format!("Content-Length: {}\r\n\r\n{body}", body.len()),
+                1,
+            )
+            .replacen("Host:", "Connection: close\r\nHost:", 1);
+        let received = send(address, &large).await;
+        let whole = received.whole();
+        assert!(whole.as_ref().is_none_or(|w| w.0 == 502), "{whole:?}");
+    })
+    .await;
+}
+
 /// A pipelined request is answered after a whole response only.
 #[rstest]
 #[case::own_response(String::new(), true)]
