Gateway: the caller's connection alone knows how far its response has got

Class of the fault that callers saw as the head of a 500 within a stream: what the caller has got was kept with the call and in flags, and each path that writes to the caller had to look at it.

ResponseWriter now keeps it (nothing, begun with status and media type, broken, complete) and sends a whole response, a stream's part or an interim response only where one may follow. A path that asks for more gets an error and a log line (second_response), and the connection ends without a whole response. The state is reset between requests only, and an incomplete response is cut there, whichever path left it. Call::begun is gone; the log field stays.

second_response tests it at the writer.

--- a/cornelstand/src/gateway/acquire.rs
+++ b/cornelstand/src/gateway/acquire.rs
@@ -38,7 +38,7 @@
     let remaining = call.deadline.saturating_duration_since(started);
     let service = call.service.clone();
     let waiting = Waiting::new(now, account, service, &call.route, prompt, remaining);
-    let waiting = if call.begun.is_some() {
+    let waiting = if writer.has_begun() {
         waiting.resumed()
     } else {
         waiting
--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -14,7 +14,7 @@
 use crate::gateway::endpoint_state::Prompt;
 use crate::gateway::gate::{Gate, RefusedWork};
 use crate::gateway::message::Head;
-use crate::gateway::outlet::ResponseWriter;
+use crate::gateway::outlet::{ResponseWriter, SendError};
 use crate::gateway::pauses::boot_time;
 use crate::gateway::placement::{EndpointIndex, Place, PlaceEnd};
 use crate::gateway::relay::{self, Attempt, BufferedResponse, NotRun};
@@ -59,8 +59,6 @@
     /// Number of times the request was sent to an endpoint.
     pub(crate) sends: u32,
     pub(crate) tried: Vec<EndpointIndex>,
-    /// The response of which the caller has got any part.
-    pub(crate) begun: Option<BegunResponse>,
     /// Tokens of the response sent to the caller so far.
     pub(crate) generated: u32,
     pub(crate) first_byte: Option<Instant>,
@@ -71,28 +69,6 @@
     failure: Option<BufferedResponse>,
 }
 
-/// A response that was sent to the caller in part or in whole.
-#[derive(Clone, Debug)]
-pub(crate) struct BegunResponse {
-    status: u16,
-    media: String,
-}
-
-impl BegunResponse {
-    pub(crate) fn new(head: &Head) -> Self {
-        Self {
-            status: head.status(),
-            media: head.media_type().to_owned(),
-        }
-    }
-
-    /// Whether the body of another endpoint's response may follow what the caller has got.
-    pub(crate) fn is_continued_by(&self, head: &Head) -> bool {
-        let is_same_media = head.media_type().eq_ignore_ascii_case(&self.media);
-        head.status() == self.status && is_same_media
-    }
-}
-
 impl Call {
     pub(crate) fn id(&self) -> Cow<'_, str> {
         String::from_utf8_lossy(&self.request_id)
@@ -276,7 +252,6 @@
         route,
         sends: 0,
         tried: Vec::new(),
-        begun: None,
         generated: 0,
         first_byte: None,
         resume_point: ResumePoint::after(fields.last_event.as_deref()),
@@ -326,15 +301,11 @@
         match next {
             Next::Retry => {}
             Next::Finish(outcome) => break outcome,
-            Next::Respond(refused) if call.begun.is_some() => break truncated(refused.reason),
+            Next::Respond(refused) if writer.has_begun() => break truncated(refused.reason),
             Next::Respond(refused) => break give_up(gate, call, writer, refused).await,
         }
     };
     gate.active.set(gate.active.get() - 1);
-    // Without a complete response, the connection cannot be reused.
-    if outcome.status == 0 {
-        writer.abort();
-    }
     record_outcome(gate, call, outcome);
 }
 
@@ -348,12 +319,15 @@
 ) -> Outcome {
     if let Some(response) = call.failure.take() {
         let status = response.head.status();
-        let sent = relay::deliver(call, writer, response).await;
-        return sent.map_or(caller_gone(), |_| Outcome {
-            name: "failed",
-            status,
-            reason: "the endpoint failed",
-        });
+        return match relay::deliver(call, writer, response).await {
+            Ok(_) => Outcome {
+                name: "failed",
+                status,
+                reason: "the endpoint failed",
+            },
+            Err(SendError::CallerGone) => caller_gone(),
+            Err(SendError::OtherBegun) => truncated("the endpoint failed"),
+        };
     }
     send_own_response(gate, writer, &call.request_id, &refused).await;
     let Refused { status, reason, .. } = refused;
@@ -424,7 +398,7 @@
     gate.end(&place, place_end(&attempt));
     if !attempt.is_delivered() {
         tracing::info!(
-            event = "attempt_ended", request = %call.id(), sends = call.sends, begun = call.begun.is_some(),
+            event = "attempt_ended", request = %call.id(), sends = call.sends, begun = writer.has_begun(),
             answer = %place.answer, result = ?LoggedAttempt(&attempt),
         );
     }
@@ -438,14 +412,14 @@
             })
         }
         Attempt::Gone => Next::Finish(caller_gone()),
-        Attempt::Late if call.begun.is_some() => {
+        Attempt::Late if writer.has_begun() => {
             Next::Finish(truncated("the time for the answer is over"))
         }
         Attempt::Late => Next::Respond(Refused::new(504, "no answer in time", None)),
         Attempt::NotRun(reason) => {
             call.tried.push(place.index);
             gate.refund(&call.account_name(), &place);
-            after_not_run(gate, call, reason, is_sent)
+            after_not_run(gate, call, writer, reason, is_sent)
         }
         Attempt::Failed(response) => {
             call.tried.push(place.index);
@@ -459,7 +433,7 @@
             gate.metrics.lost_responses.inc();
             call.tried.push(place.index);
             gate.confirm_crash(call, &endpoint, &place).await;
-            after_loss(gate, call, reason)
+            after_loss(gate, call, writer, reason)
         }
     }
 }
@@ -475,14 +449,20 @@
 }
 
 /// Attempts that were never sent are not counted; a refusal by an endpoint is.
-fn after_not_run(gate: &Gate, call: &mut Call, reason: NotRun, is_sent: bool) -> Next {
+fn after_not_run(
+    gate: &Gate,
+    call: &mut Call,
+    writer: &ResponseWriter,
+    reason: NotRun,
+    is_sent: bool,
+) -> Next {
     if !is_sent {
         return Next::Retry;
     }
     if call.sends < call.route.attempts && take_retry(gate, call) {
         return Next::Retry;
     }
-    if call.begun.is_some() {
+    if writer.has_begun() {
         return Next::Finish(truncated("the stream cannot go on"));
     }
     let reason = match reason {
@@ -501,14 +481,14 @@
     Next::Respond(Refused::new(status, reason, Some(retry_after)))
 }
 
-fn after_loss(gate: &Gate, call: &Call, reason: &'static str) -> Next {
+fn after_loss(gate: &Gate, call: &Call, writer: &ResponseWriter, reason: &'static str) -> Next {
     let is_refused = gate
         .crash_refusal(call.fingerprint, call.prompt.as_ref())
         .is_some();
     if call.may_retry() && !is_refused && take_retry(gate, call) {
         return Next::Retry;
     }
-    if call.begun.is_some() {
+    if writer.has_begun() {
         let is_unmarked = call.route.resumable && !call.resume_point.is_exact();
         let reason = if is_unmarked { NO_EVENT_ID } else { reason };
         return Next::Finish(truncated(reason));
@@ -573,7 +553,7 @@
     }
     let mut out = BytesMut::new();
     write_own_response(&mut out, request_id, refused, writer.connection_header());
-    if writer.send(&out).await.is_err() {
+    if writer.send_whole(&out).await.is_err() {
         tracing::debug!(event = "answer_not_taken", status = refused.status);
     }
 }
--- a/cornelstand/src/gateway/connection.rs
+++ b/cornelstand/src/gateway/connection.rs
@@ -97,7 +97,7 @@
 async fn serve(gate: &Rc<Gate>, stream: TcpStream) {
     set_socket_options(&stream);
     let mut writer = ResponseWriter::new(stream);
-    while writer.keep_alive {
+    while writer.next_request() {
         let limits = gate.state.borrow().directory.catalog().limits;
         let mut share = gate.bodies.share();
         let memory = gate.settings.borrow().memory;
@@ -194,7 +194,7 @@
         return Err(ReadFailure::NoRoom(identity(&head), reader));
     }
     if head.has_token("expect", "100-continue") && !reader.is_done() {
-        let sent = writer.send(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+        let sent = writer.send_interim(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         sent.map_err(|_| ReadFailure::Closed)?;
     }
     let mut body = BytesMut::with_capacity(length.unwrap_or_default());
--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -11,11 +11,11 @@
 use derive_more::IsVariant;
 use tokio::time::{Instant, timeout_at};
 
-use crate::gateway::call::{BegunResponse, Call};
+use crate::gateway::call::Call;
 use crate::gateway::directory::EndpointRecord;
 use crate::gateway::gate::Gate;
 use crate::gateway::message::{BodyReader, Head};
-use crate::gateway::outlet::{CallerGone, ResponseWriter, write_some};
+use crate::gateway::outlet::{ResponseWriter, SendError, write_some};
 use crate::gateway::placement::{AnswerPhase, Place};
 use crate::gateway::upstream::{Pool, ReadError, Upstream, read_into, reset_on_close};
 use crate::platform::headers::{
@@ -81,6 +81,8 @@
     Gone,
     DeadlinePassed,
     Silent,
+    /// The caller has got part of another response.
+    OtherBegun,
     Read(ReadError),
 }
 
@@ -90,9 +92,12 @@
     }
 }
 
-impl From<CallerGone> for Interruption {
-    fn from(_: CallerGone) -> Self {
-        Self::Gone
+impl From<SendError> for Interruption {
+    fn from(error: SendError) -> Self {
+        match error {
+            SendError::CallerGone => Self::Gone,
+            SendError::OtherBegun => Self::OtherBegun,
+        }
     }
 }
 
@@ -102,6 +107,7 @@
             Self::Gone => Attempt::Gone,
             Self::DeadlinePassed => Attempt::Late,
             Self::Silent => Attempt::Lost("silent"),
+            Self::OtherBegun => Attempt::Lost("another response has begun"),
             Self::Read(ReadError::Closed) => Attempt::Lost("closed"),
             Self::Read(ReadError::Io(_)) => Attempt::Lost("reset"),
             Self::Read(ReadError::Message(_)) => Attempt::Lost("malformed"),
@@ -296,10 +302,8 @@
             let is_good = is_success(&head);
             let has_body = !head.is_bodiless(call.head.method());
             let is_stream = call.route.kind.is_stream() && is_good && has_body;
-            if let Some(begun) = &call.begun
-                && is_good
-                && !(is_stream && begun.is_continued_by(&head))
-            {
+            let may_continue = is_stream && writer.may_continue_with(&head);
+            if is_good && writer.has_begun() && !may_continue {
                 return Ok(Attempt::Lost("no continuation of the stream"));
             }
             if is_stream {
@@ -308,7 +312,7 @@
             self.gate.begin(place);
             let body = self.read_body(&mut body, call, writer).await?;
             let response = BufferedResponse { head, body };
-            if !is_good && (call.begun.is_some() || call.may_retry()) {
+            if !is_good && (writer.has_begun() || call.may_retry()) {
                 return Ok(Attempt::Failed(response));
             }
             return deliver(call, writer, response)
@@ -380,12 +384,11 @@
         writer: &mut ResponseWriter,
         place: &mut Place,
     ) -> Result<Attempt, Interruption> {
-        let mut splitter = if call.begun.is_some() {
+        let mut splitter = if writer.has_begun() {
             Splitter::resumed()
         } else {
             Splitter::default()
         };
-        let mut out = BytesMut::new();
         let mut is_closed = false;
         let mut is_first = true;
         let mut progressed = Instant::now();
@@ -415,14 +418,10 @@
                 } else {
                     self.gate.progress(place, tokens);
                 }
-                begin_stream(&mut out, head, call, writer);
-                write_part(&mut out, &events.bytes, writer);
-                if is_end {
-                    write_part(&mut out, splitter.pending(), writer);
-                    write_end(&mut out, writer);
-                }
-                writer.send(&out).await?;
-                out.clear();
+                call.first_byte.get_or_insert_with(Instant::now);
+                let last = if is_end { splitter.pending() } else { &[] };
+                let parts = [&events.bytes[..], last];
+                writer.send_stream(head, &parts, is_end).await?;
             }
             if is_end {
                 return Ok(Attempt::Delivered(head.status()));
@@ -464,47 +463,12 @@
         || (response.has_stamp && response.request_id.is_some() && !response.is_encoded)
 }
 
-/// Appends the head of a stream's response to the output, unless the caller has got one.
-fn begin_stream(out: &mut BytesMut, head: &Head, call: &mut Call, writer: &mut ResponseWriter) {
-    if call.begun.is_some() {
-        return;
-    }
-    call.begun = Some(BegunResponse::new(head));
-    call.first_byte = Some(Instant::now());
-    let framing = if writer.lacks_chunking {
-        writer.keep_alive = false;
-        CallerFraming::UntilClose
-    } else {
-        CallerFraming::Chunked
-    };
-    write_response_head(out, head, framing, writer.connection_header());
-}
-
-/// Appends a part of a stream to the output.
-fn write_part(out: &mut BytesMut, bytes: &[u8], writer: &ResponseWriter) {
-    if writer.lacks_chunking {
-        out.put_slice(bytes);
-    } else if !bytes.is_empty() {
-        let size = format!("{:x}\r\n", bytes.len());
-        out.put_slice(size.as_bytes());
-        out.put_slice(bytes);
-        out.put_slice(b"\r\n");
-    }
-}
-
-/// Appends the end of a stream to the output.
-fn write_end(out: &mut BytesMut, writer: &ResponseWriter) {
-    if !writer.lacks_chunking {
-        out.put_slice(b"0\r\n\r\n");
-    }
-}
-
-/// Sends a buffered response to the caller, who must not have got any part of another one.
+/// Sends a buffered response to the caller.
 pub(crate) async fn deliver(
     call: &mut Call,
     writer: &mut ResponseWriter,
     response: BufferedResponse,
-) -> Result<Attempt, CallerGone> {
+) -> Result<Attempt, SendError> {
     let status = response.head.status();
     let framing = if response.head.is_bodiless(call.head.method()) {
         CallerFraming::AsIs
@@ -519,8 +483,7 @@
         writer.connection_header(),
     );
     out.put_slice(&response.body);
-    call.begun = Some(BegunResponse::new(&response.head));
     call.first_byte.get_or_insert_with(Instant::now);
-    writer.send(&out).await?;
+    writer.send_whole(&out).await?;
     Ok(Attempt::Delivered(status))
 }
--- a/cornelstand/src/platform/tests.rs
+++ b/cornelstand/src/platform/tests.rs
@@ -11,6 +11,7 @@
 mod path;
 mod resumption;
 mod scripted;
+mod second_response;
 mod store_loss;
 mod truncation;
 mod wire;
