--- a/cornelstand/src/platform/tests/truncation.rs
+++ b/cornelstand/src/platform/tests/truncation.rs
@@ -162,7 +162,12 @@
             let once = cut(&head, length, is_reset);
             let (received, endpoint) = run("/book/1", minor, vec![once.clone(), once]).await;
             let (status, _) = received.whole().expect("a response");
-            assert_eq!((status, endpoint.count()), (502, 1), "cut at {length}");
+            assert_eq!(
+                (status, endpoint.count()),
+                (502, 1),
+                "cut at {length}: {:?}",
+                endpoint.requests.borrow()
+            );
         }
     })
     .await;
