Merge the endings of answers in the gateway

The caller's connection alone knows how far its response has got; a response that is reset while its request is written is lost.

--- a/cornelstand/src/gateway/acquire.rs
+++ b/cornelstand/src/gateway/acquire.rs
@@ -30,7 +30,7 @@
         return refused;
     }
     let started = Instant::now();
-    let finish = call.finish(started);
+    let finish = call.finish(writer, started);
     if !gate.stop.admits(started, finish) {
         return Acquired::Refused(Refused::stopping(call.sends == 0));
     }
@@ -42,7 +42,7 @@
     let remaining = call.deadline.saturating_duration_since(started);
     let service = call.service.clone();
     let waiting = Waiting::new(now, account, service, &call.route, prompt, remaining);
-    let waiting = if call.begun.is_some() {
+    let waiting = if writer.has_begun() {
         waiting.resumed()
     } else {
         waiting
--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -14,7 +14,7 @@
 use crate::gateway::endpoint_state::Prompt;
 use crate::gateway::gate::Gate;
 use crate::gateway::message::Head;
-use crate::gateway::outlet::ResponseWriter;
+use crate::gateway::outlet::{ResponseWriter, SendError};
 use crate::gateway::pauses::boot_time;
 use crate::gateway::placement::{EndpointIndex, Place, PlaceEnd};
 use crate::gateway::relay::{self, Attempt, BufferedResponse, NotRun};
@@ -61,8 +61,6 @@
     /// Number of times the request was sent to an endpoint.
     pub(crate) sends: u32,
     pub(crate) tried: Vec<EndpointIndex>,
-    /// The response of which the caller has got any part.
-    pub(crate) begun: Option<BegunResponse>,
     /// Tokens of the response sent to the caller so far.
     pub(crate) generated: u32,
     pub(crate) first_byte: Option<Instant>,
@@ -73,28 +71,6 @@
     failure: Option<BufferedResponse>,
 }
 
-/// A response that was sent to the caller in part or in whole.
-#[derive(Clone, Debug)]
-pub(crate) struct BegunResponse {
-    status: u16,
-    media: String,
-}
-
-impl BegunResponse {
-    pub(crate) fn new(head: &Head) -> Self {
-        Self {
-            status: head.status(),
-            media: head.media_type().to_owned(),
-        }
-    }
-
-    /// Whether the body of another endpoint's response may follow what the caller has got.
-    pub(crate) fn is_continued_by(&self, head: &Head) -> bool {
-        let is_same_media = head.media_type().eq_ignore_ascii_case(&self.media);
-        head.status() == self.status && is_same_media
-    }
-}
-
 impl Call {
     pub(crate) fn id(&self) -> Cow<'_, str> {
         String::from_utf8_lossy(&self.request_id)
@@ -119,8 +95,8 @@
 
     /// Time by which what begins at `start` has to end to be of use: the whole response, or the next
     /// event of one that the caller has got in part, which can be resumed from there.
-    pub(crate) fn finish(&self, start: Instant) -> Instant {
-        if self.begun.is_some() {
+    pub(crate) fn finish(&self, writer: &ResponseWriter, start: Instant) -> Instant {
+        if writer.has_begun() {
             self.deadline.min(start + self.route.objective)
         } else {
             self.deadline
@@ -290,7 +266,6 @@
         route,
         sends: 0,
         tried: Vec::new(),
-        begun: None,
         generated: 0,
         first_byte: None,
         resume_point: ResumePoint::after(fields.last_event.as_deref()),
@@ -344,15 +319,11 @@
         match next {
             Next::Retry => {}
             Next::Finish(outcome) => break outcome,
-            Next::Respond(refused) if call.begun.is_some() => break truncated(refused.reason),
+            Next::Respond(refused) if writer.has_begun() => break truncated(refused.reason),
             Next::Respond(refused) => break give_up(gate, call, writer, refused).await,
         }
     };
     drop(active);
-    // Without a complete response, the connection cannot be reused.
-    if outcome.status == 0 {
-        writer.abort();
-    }
     record_outcome(gate, call, outcome);
 }
 
@@ -375,12 +346,15 @@
 ) -> Outcome {
     if let Some(response) = call.failure.take() {
         let status = response.head.status();
-        let sent = relay::deliver(call, writer, response).await;
-        return sent.map_or(caller_gone(), |_| Outcome {
-            name: "failed",
-            status,
-            reason: "the endpoint failed",
-        });
+        return match relay::deliver(call, writer, response).await {
+            Ok(_) => Outcome {
+                name: "failed",
+                status,
+                reason: "the endpoint failed",
+            },
+            Err(SendError::CallerGone) => caller_gone(),
+            Err(SendError::OtherBegun) => truncated("the endpoint failed"),
+        };
     }
     send_own_response(gate, writer, &call.request_id, &refused).await;
     let Refused { status, reason, .. } = refused;
@@ -451,7 +425,7 @@
     gate.end(&place, place_end(&attempt));
     if !attempt.is_delivered() {
         tracing::info!(
-            event = "attempt_ended", request = %call.id(), sends = call.sends, begun = call.begun.is_some(),
+            event = "attempt_ended", request = %call.id(), sends = call.sends, begun = writer.has_begun(),
             answer = %place.answer, result = ?LoggedAttempt(&attempt),
         );
     }
@@ -465,19 +439,19 @@
             })
         }
         Attempt::Gone => Next::Finish(caller_gone()),
-        Attempt::Late if call.begun.is_some() => {
+        Attempt::Late if writer.has_begun() => {
             Next::Finish(truncated("the time for the answer is over"))
         }
         Attempt::Late => Next::Respond(Refused::new(504, "no answer in time", None)),
         Attempt::NotRun(reason) => {
             call.tried.push(place.index);
             gate.refund(&call.account_name(), &place);
-            after_not_run(gate, call, reason, is_sent)
+            after_not_run(gate, call, writer, reason, is_sent)
         }
         Attempt::Failed(response) => {
             call.tried.push(place.index);
             call.failure = Some(response);
-            if call.may_retry() && take_retry(gate, call) {
+            if call.may_retry() && take_retry(gate, call, writer) {
                 return Next::Retry;
             }
             Next::Respond(Refused::new(502, "the endpoint failed", None))
@@ -486,7 +460,7 @@
             gate.metrics.lost_responses.inc();
             call.tried.push(place.index);
             gate.confirm_crash(call, &endpoint, &place).await;
-            after_loss(gate, call, reason)
+            after_loss(gate, call, writer, reason)
         }
     }
 }
@@ -502,14 +476,20 @@
 }
 
 /// Attempts that were never sent are not counted; a refusal by an endpoint is.
-fn after_not_run(gate: &Gate, call: &mut Call, reason: NotRun, is_sent: bool) -> Next {
+fn after_not_run(
+    gate: &Gate,
+    call: &mut Call,
+    writer: &ResponseWriter,
+    reason: NotRun,
+    is_sent: bool,
+) -> Next {
     if !is_sent {
         return Next::Retry;
     }
-    if call.sends < call.route.attempts && take_retry(gate, call) {
+    if call.sends < call.route.attempts && take_retry(gate, call, writer) {
         return Next::Retry;
     }
-    if call.begun.is_some() {
+    if writer.has_begun() {
         return Next::Finish(truncated("the stream cannot go on"));
     }
     let reason = match reason {
@@ -528,14 +508,14 @@
     Next::Respond(Refused::new(status, reason, Some(retry_after)))
 }
 
-fn after_loss(gate: &Gate, call: &Call, reason: &'static str) -> Next {
+fn after_loss(gate: &Gate, call: &Call, writer: &ResponseWriter, reason: &'static str) -> Next {
     let is_refused = gate
         .crash_refusal(call.fingerprint, call.prompt.as_ref())
         .is_some();
-    if call.may_retry() && !is_refused && take_retry(gate, call) {
+    if call.may_retry() && !is_refused && take_retry(gate, call, writer) {
         return Next::Retry;
     }
-    if call.begun.is_some() {
+    if writer.has_begun() {
         let is_unmarked = call.route.resumable && !call.resume_point.is_exact();
         let reason = if is_unmarked { NO_EVENT_ID } else { reason };
         return Next::Finish(truncated(reason));
@@ -544,9 +524,9 @@
 }
 
 /// Takes one retry from this instance's share of the retry budget, unless a stop leaves no time.
-fn take_retry(gate: &Gate, call: &Call) -> bool {
+fn take_retry(gate: &Gate, call: &Call, writer: &ResponseWriter) -> bool {
     let start = Instant::now();
-    if !gate.stop.admits(start, call.finish(start)) {
+    if !gate.stop.admits(start, call.finish(writer, start)) {
         let (reason, left_ms) = (STOPPING_REASON, gate.stop.left_ms());
         tracing::info!(event = "repeat_denied", request = %call.id(), service = %call.service, reason, left_ms);
         return false;
@@ -607,7 +587,7 @@
     }
     let mut out = BytesMut::new();
     write_own_response(&mut out, request_id, refused, writer.connection_header());
-    if writer.send(&out).await.is_err() {
+    if writer.send_whole(&out).await.is_err() {
         tracing::debug!(event = "answer_not_taken", status = refused.status);
     }
 }
