Tests: endpoints have loopback addresses of their own

Seen: in two runs of many tests at once, a test endpoint got one request more than its test sent (truncation, two cases of one run), and an endpoint that came back could not bind its port again (AddrInUse, crashes; 3 of 19 runs). Neither was seen in runs of these tests alone.

Suspected cause: the listener of an endpoint whose scripts are used up is closed while its gateway still knows the address. All endpoints had ports of one address, from which another test's endpoint, or a connection's own end, may take it. That was not shown by a run; now it cannot happen, since no two endpoints share an address.

--- a/cornelstand/src/platform/tests/crashes.rs
+++ b/cornelstand/src/platform/tests/crashes.rs
@@ -16,7 +16,9 @@
 use crate::gateway::tests::{ORDERS, crash, gate, list, record};
 use crate::name::{AccountName, Fingerprint, PartId};
 use crate::platform::tests::path::{fetch, listen, request, run_local, status, with_engines};
-use crate::platform::tests::scripted::{Endpoint, Step, accept, answer, read_request};
+use crate::platform::tests::scripted::{
+    Endpoint, Step, accept, answer, own_loopback, read_request,
+};
 
 /// Fingerprint of [`request`] for `path`.
 fn path_fingerprint(path: &str) -> Fingerprint {
@@ -97,7 +99,9 @@
 /// An endpoint that sends `kind` as its response to its first request. Without `kind` it resets
 /// that connection and accepts no other, as if it had crashed and not restarted.
 async fn endpoint(kind: Option<&str>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let listener = TcpListener::bind((own_loopback(), 0))
+        .await
+        .expect("loopback");
     let address = listener.local_addr().expect("bound");
     let answer = kind.map(str::to_owned);
     tokio::task::spawn_local(async move {
@@ -169,7 +173,9 @@
 /// An endpoint that drops its first connection and accepts later ones, as if it had crashed and
 /// restarted before the loss was detected.
 async fn restarted_endpoint() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let listener = TcpListener::bind((own_loopback(), 0))
+        .await
+        .expect("loopback");
     let address = listener.local_addr().expect("bound");
     tokio::task::spawn_local(async move {
         let mut first = accept(&listener).await;
@@ -214,7 +220,9 @@
 
 /// An endpoint that every request crashes, and that restarts at the same address 350 ms later.
 async fn crashing_endpoint() -> SocketAddr {
-    let mut listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let mut listener = TcpListener::bind((own_loopback(), 0))
+        .await
+        .expect("loopback");
     let address = listener.local_addr().expect("bound");
     tokio::task::spawn_local(async move {
         loop {
--- a/cornelstand/src/platform/tests/late_answers.rs
+++ b/cornelstand/src/platform/tests/late_answers.rs
@@ -11,7 +11,7 @@
 use crate::gateway::tests::{ORDERS, gate, record};
 use crate::platform::tests::path::{fetch, listen, request, run_local, status, with_orders};
 use crate::platform::tests::scripted::{
-    Endpoint, Step, TEST_TIMEOUT, answer, read_request, response,
+    Endpoint, Step, TEST_TIMEOUT, answer, own_loopback, read_request, response,
 };
 
 const REJECTED: &str = "X-Cornelstand-Not-Executed: 1\r\nContent-Length: 0\r\n";
@@ -123,7 +123,9 @@
 #[tokio::test]
 async fn a_late_answer_does_not_stop_the_request_that_is_being_sent() {
     run_local(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+        let listener = TcpListener::bind((own_loopback(), 0))
+            .await
+            .expect("loopback");
         SockRef::from(&listener)
             .set_recv_buffer_size(16 * 1024)
             .expect("a socket option");
--- a/cornelstand/src/platform/tests/scripted.rs
+++ b/cornelstand/src/platform/tests/scripted.rs
@@ -1,7 +1,8 @@
 //! Test endpoints that run a script on each connection.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -64,7 +65,9 @@
 
 impl Endpoint {
     pub(crate) async fn start(scripts: Vec<Vec<Step>>) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+        let listener = TcpListener::bind((own_loopback(), 0))
+            .await
+            .expect("loopback");
         let address = listener.local_addr().expect("bound");
         let requests: Rc<std::cell::RefCell<Vec<String>>> = Rc::default();
         let closes: Rc<std::cell::Cell<usize>> = Rc::default();
@@ -87,6 +90,14 @@
     }
 }
 
+/// A loopback address that no other endpoint of this process has. The port of an endpoint that is
+/// down could otherwise go to another test's.
+pub(crate) fn own_loopback() -> Ipv4Addr {
+    static COUNT: AtomicU16 = AtomicU16::new(1);
+    let [high, low] = COUNT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    Ipv4Addr::new(127, 1, high, low)
+}
+
 /// Accepts the next connection that carries data; skips probes, which send none.
 pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
