Gateway: a stop does not give up a silent stream that it keeps from being sent elsewhere

What callers would see: in a planned stop, 502 for a stream without an event after half of the silence that callers bear, although its endpoint had seconds left to answer. Found by the review of the planned stop; not seen in operation.

Cause: only a begun stream was left to its silent endpoint when the stop denies another attempt. The deadline was also computed once, so that one set before the stop signal held on after it.

Ruled out: begun streams after the signal, which were kept. Not mended: a stop may refuse the attempt in the up to 250 ms in which a lost one's endpoint is probed.

Change: any stream is left to its endpoint then, and the deadline is computed again before an endpoint counts as silent.

Evidence: a_silent_stream_without_an_event_goes_on_if_it_would_not_be_sent_elsewhere failed before and passes. The second part, a stop that begins while the stream is silent, has no test of its own.

--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -198,8 +198,8 @@
     attempt
 }
 
-/// Deadline for the next event after one that came at `progressed`. A begun stream that a stop would
-/// keep from being resumed then is left to its endpoint.
+/// Deadline for the next event after one that came at `progressed`. A stream that a stop would keep
+/// from being sent elsewhere then is left to its endpoint.
 fn event_deadline(
     gate: &Gate,
     call: &Call,
@@ -207,7 +207,7 @@
     progressed: Instant,
 ) -> Instant {
     let until = progressed + call.route.silence().mul_f64(RESUME_SHARE);
-    let is_kept = writer.has_begun() && !gate.stop.admits(until, call.finish(writer, until));
+    let is_kept = !gate.stop.admits(until, call.finish(writer, until));
     if call.may_resume() && !is_kept {
         call.deadline.min(until)
     } else {
@@ -368,15 +368,33 @@
         call: &Call,
         writer: &mut ResponseWriter,
     ) -> Result<Head, Interruption> {
-        let until = event_deadline(self.gate, call, writer, Instant::now());
-        let head = self.upstream.response_head(MAX_HEAD_BYTES);
-        match with_deadline(head, writer, until).await {
-            Ok(head) => Ok(head?),
-            Err(Interruption::DeadlinePassed) if until < call.deadline => Err(Interruption::Silent),
-            Err(interruption) => Err(interruption),
+        let started = Instant::now();
+        loop {
+            let until = event_deadline(self.gate, call, writer, started);
+            let head = self.upstream.response_head(MAX_HEAD_BYTES);
+            match with_deadline(head, writer, until).await {
+                Ok(head) => return Ok(head?),
+                Err(Interruption::DeadlinePassed) if until < call.deadline => {
+                    self.check_silence(call, writer, started, until)?;
+                }
+                Err(interruption) => return Err(interruption),
+            }
         }
     }
 
+    /// Fails if the endpoint was silent from `progressed` until its deadline `until`, unless a stop
+    /// that began meanwhile has moved that.
+    fn check_silence(
+        &self,
+        call: &Call,
+        writer: &ResponseWriter,
+        progressed: Instant,
+        until: Instant,
+    ) -> Result<(), Interruption> {
+        let is_moved = event_deadline(self.gate, call, writer, progressed) > until;
+        is_moved.then_some(()).ok_or(Interruption::Silent)
+    }
+
     async fn read_body(
         &mut self,
         body: &mut BodyReader,
@@ -454,13 +472,17 @@
         writer: &mut ResponseWriter,
         progressed: Instant,
     ) -> Result<bool, Interruption> {
-        let until = event_deadline(self.gate, call, writer, progressed);
-        match with_deadline(self.upstream.read_more(), writer, until).await {
-            Ok(Ok(())) => Ok(false),
-            Ok(Err(ReadError::Closed)) if body.is_until_close() => Ok(true),
-            Ok(Err(error)) => Err(error.into()),
-            Err(Interruption::DeadlinePassed) if until < call.deadline => Err(Interruption::Silent),
-            Err(interruption) => Err(interruption),
+        loop {
+            let until = event_deadline(self.gate, call, writer, progressed);
+            match with_deadline(self.upstream.read_more(), writer, until).await {
+                Ok(Ok(())) => return Ok(false),
+                Ok(Err(ReadError::Closed)) if body.is_until_close() => return Ok(true),
+                Ok(Err(error)) => return Err(error.into()),
+                Err(Interruption::DeadlinePassed) if until < call.deadline => {
+                    self.check_silence(call, writer, progressed, until)?;
+                }
+                Err(interruption) => return Err(interruption),
+            }
         }
     }
 }
--- a/cornelstand/src/platform/tests/stop.rs
+++ b/cornelstand/src/platform/tests/stop.rs
@@ -243,6 +243,20 @@
     .await;
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_silent_stream_without_an_event_goes_on_if_it_would_not_be_sent_elsewhere() {
+    run_local(async {
+        let whole = stream_head("a1") + &chunk(&event(1)) + "0\r\n\r\n";
+        let near = vec![Step::Read, Step::Pause(4_000), Step::Write(whole)];
+        let (stopping, [_near, far]) = near_and_far(MODELS, near, silent()).await;
+        stopping.reach(1_000).await;
+        let text = stopping.ask("/quote/1", LONG_MS).await.expect("a caller");
+        assert!(is_whole(&text) && text.contains("piece 1"), "{text}");
+        assert_eq!(far.count(), 0);
+    })
+    .await;
+}
+
 #[rstest]
 #[case::call("/book/1")]
 #[case::idempotent_call("/stock/1")]
