Gateway: a refused request for a head gets no body

What callers saw: on a kept connection the reason of a refusal (404, 401, 429, 502, 503, 504) to a HEAD request stood in front of the next response. Found by the review of the endings of answers; not seen in operation.

Cause: responses of the gateway itself were written without a look at the method; those of endpoints were not.

Ruled out: serve, whose HTTP library leaves the body out.

Change: the caller's connection notes from each request's head what its response depends on, and the body of the gateway's own response is left out for HEAD.

Evidence: a_refused_request_for_a_head_gets_no_body, 2 of 2 cases failed before and pass.

--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -586,7 +586,13 @@
         writer.keep_alive = false;
     }
     let mut out = BytesMut::new();
-    write_own_response(&mut out, request_id, refused, writer.connection_header());
+    write_own_response(
+        &mut out,
+        request_id,
+        refused,
+        writer.connection_header(),
+        writer.is_head_only,
+    );
     if writer.send_whole(&out).await.is_err() {
         tracing::debug!(event = "answer_not_taken", status = refused.status);
     }
--- a/cornelstand/src/gateway/connection.rs
+++ b/cornelstand/src/gateway/connection.rs
@@ -108,7 +108,6 @@
         let room = |bytes| share.grow(bytes, memory);
         let refusal = match read_request(gate, &mut writer, &limits, room).await {
             Ok((head, body, arrived)) => {
-                writer.lacks_chunking = head.is_http_1_0();
                 writer.keep_alive =
                     head.keeps_alive() && !gate.stop.has_begun() && !is_crowded(gate);
                 call::serve(gate, head, body, &mut writer, arrived).await;
@@ -202,6 +201,7 @@
             None => read_more(writer, until).await?,
         }
     };
+    writer.note_request(&head);
     let mut reader = head.request_body()?;
     let is_too_large = |length: u64| length > limits.body_bytes as u64;
     if reader.length().is_some_and(is_too_large) {
--- a/cornelstand/src/gateway/outlet.rs
+++ b/cornelstand/src/gateway/outlet.rs
@@ -71,6 +71,8 @@
     pub(crate) keep_alive: bool,
     /// Whether the caller does not support chunked encoding.
     pub(crate) lacks_chunking: bool,
+    /// Whether the caller asked for the head of a response only.
+    pub(crate) is_head_only: bool,
     progress: Progress,
 }
 
@@ -81,6 +83,7 @@
             input: BytesMut::new(),
             keep_alive: true,
             lacks_chunking: false,
+            is_head_only: false,
             progress: Progress::Complete,
         }
     }
@@ -93,10 +96,17 @@
         }
         if self.keep_alive {
             self.progress = Progress::Nothing;
+            self.is_head_only = false;
         }
         self.keep_alive
     }
 
+    /// Notes what the response to a request depends on.
+    pub(crate) fn note_request(&mut self, head: &Head) {
+        self.lacks_chunking = head.is_http_1_0();
+        self.is_head_only = head.method() == "HEAD";
+    }
+
     /// Whether the caller has got any part of a response to the current request.
     pub(crate) fn has_begun(&self) -> bool {
         !matches!(self.progress, Progress::Nothing)
--- a/cornelstand/src/platform/tests/path.rs
+++ b/cornelstand/src/platform/tests/path.rs
@@ -668,3 +668,26 @@
     })
     .await;
 }
+
+/// The body of a refusal would be read as the beginning of the next response.
+#[rstest]
+#[case::no_route("/nothing/1", "404")]
+#[case::lost("/book/1", "502")]
+#[tokio::test]
+async fn a_refused_request_for_a_head_gets_no_body(#[case] path: &str, #[case] expected: &str) {
+    run_local(async {
+        let scripts = vec![vec![Step::Read], vec![Step::Read]];
+        let (_gate, address, _endpoint) = with_orders(scripts).await;
+        let both = request(path, "a1").replacen("POST", "HEAD", 1)
+            + &request("/nothing/1", "a2").replacen("Host:", "Connection: close\r\nHost:", 1);
+        let mut caller = connect(address).await;
+        caller.write_all(both.as_bytes()).await.expect("sent");
+        let mut text = String::new();
+        let read = timeout(TEST_TIMEOUT, caller.read_to_string(&mut text)).await;
+        read.expect("the connection ends").expect("read");
+        let (first, next) = text.split_once("\r\n\r\n").expect("a head");
+        assert_eq!(status(first), expected);
+        assert!(next.starts_with("HTTP/1.1 404 "), "{text}");
+    })
+    .await;
+}
