Gateway: callers of HTTP/1.0 get no interim response

What callers would see: HTTP/1.0 has no 1xx responses, so that a caller which sent "Expect: 100-continue" took the 100 for its response. Found by the review; not seen in operation.

Cause: the expectation was honoured whatever the version.

Evidence: a_caller_without_interim_responses_gets_none failed before and passes.

--- a/cornelstand/src/gateway/connection.rs
+++ b/cornelstand/src/gateway/connection.rs
@@ -211,7 +211,8 @@
     if !room(length.unwrap_or_default()) {
         return Err(ReadFailure::NoRoom(identity(&head), reader));
     }
-    if head.has_token("expect", "100-continue") && !reader.is_done() {
+    let is_awaited = head.has_token("expect", "100-continue") && !head.is_http_1_0();
+    if is_awaited && !reader.is_done() {
         let sent = writer.send_interim(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         sent.map_err(|_| ReadFailure::Closed)?;
     }
--- a/cornelstand/src/platform/tests/path.rs
+++ b/cornelstand/src/platform/tests/path.rs
@@ -691,3 +691,25 @@
     })
     .await;
 }
+
+/// A caller of HTTP/1.0 would take an interim response for the final one.
+#[tokio::test]
+async fn a_caller_without_interim_responses_gets_none() {
+    run_local(async {
+        let script = vec![Step::Read, Step::Write(answer("a1", "", "done"))];
+        let (_gate, address, _endpoint) = with_orders(vec![script]).await;
+        let request = request("/book/1", "a1")
+            .replacen("HTTP/1.1", "HTTP/1.0", 1)
+            .replacen("Host:", "Expect: 100-continue\r\nHost:", 1);
+        let (head, body) = request.split_at(request.len() - 4);
+        let mut caller = connect(address).await;
+        caller.write_all(head.as_bytes()).await.expect("sent");
+        sleep(Duration::from_millis(50)).await;
+        caller.write_all(body.as_bytes()).await.expect("sent");
+        let mut text = String::new();
+        let read = timeout(TEST_TIMEOUT, caller.read_to_string(&mut text)).await;
+        read.expect("the connection ends").expect("read");
+        assert!(text.starts_with("HTTP/1.1 200 "), "{text}");
+    })
+    .await;
+}
