Gateway: a stream without chunks is reset unless its end was sent

What callers would see: an HTTP/1.0 caller's stream ends with its connection; if the process was killed, or the task of the request ended, in its middle, the connection was closed in order and a part looked whole.

Cause: the reset was armed only where an ending noticed that the response was incomplete.

Ruled out: HTTP/1.1 callers, whose last chunk is missing.

Change: the connection is set to be reset as such a response begins, and to be closed in order once its end was sent.

Evidence: a_response_without_chunks_is_reset_unless_its_end_was_sent, the incomplete case failed before; both pass. A process that is killed was not tried.

--- a/cornelstand/src/gateway/outlet.rs
+++ b/cornelstand/src/gateway/outlet.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout;
 
 use crate::gateway::message::Head;
-use crate::gateway::upstream::reset_on_close;
+use crate::gateway::upstream::{close_in_order, reset_on_close};
 use crate::platform::headers::{CallerFraming, write_response_head};
 
 /// Time-out for a write to a caller that does not read its response.
@@ -190,6 +190,7 @@
         }
         self.write(&out).await?;
         self.progress = if is_end {
+            close_in_order(&self.stream);
             Progress::Complete
         } else {
             Progress::Begun(begun)
@@ -212,6 +213,8 @@
     fn begin_stream(&mut self, out: &mut BytesMut, head: &Head) -> BegunResponse {
         let framing = if self.lacks_chunking {
             self.keep_alive = false;
+            // Until the end was sent, the connection must not be closed in order, whatever ends it.
+            reset_on_close(&self.stream);
             CallerFraming::UntilClose
         } else {
             CallerFraming::Chunked
--- a/cornelstand/src/gateway/upstream.rs
+++ b/cornelstand/src/gateway/upstream.rs
@@ -174,11 +174,19 @@
     }
 }
 
-/// Makes the close of a connection reset it, which also discards what was not received yet. Errors
-/// are only logged, since the connection is closed either way.
+/// Makes the close of a connection reset it, which also discards what was not received yet.
 pub(crate) fn reset_on_close(stream: &TcpStream) {
-    let linger = SockRef::from(stream).set_linger(Some(Duration::ZERO));
-    if let Err(error) = linger {
+    set_linger(stream, Some(Duration::ZERO));
+}
+
+/// Makes the close of a connection deliver what was sent.
+pub(crate) fn close_in_order(stream: &TcpStream) {
+    set_linger(stream, None);
+}
+
+/// Errors are only logged, since the connection is closed either way.
+fn set_linger(stream: &TcpStream, time: Option<Duration>) {
+    if let Err(error) = SockRef::from(stream).set_linger(time) {
         tracing::debug!(event = "socket_option_refused", %error);
     }
 }
--- a/cornelstand/src/platform/tests/second_response.rs
+++ b/cornelstand/src/platform/tests/second_response.rs
@@ -111,3 +111,18 @@
     caller.read_to_string(&mut text).await.expect("read");
     assert!(text.ends_with(&("0\r\n\r\n".to_owned() + &whole)), "{text}");
 }
+
+/// An orderly close would be the end of such a response.
+#[rstest]
+#[case::incomplete(false)]
+#[case::whole(true)]
+#[tokio::test]
+async fn a_response_without_chunks_is_reset_unless_its_end_was_sent(#[case] is_end: bool) {
+    let (mut writer, mut caller) = pair().await;
+    writer.lacks_chunking = true;
+    let head = parse(&response("a1", "200 OK", EVENTS, ""));
+    send_event(&mut writer, &head, is_end).await;
+    drop(writer);
+    let mut text = Vec::new();
+    assert_eq!(caller.read_to_end(&mut text).await.is_ok(), is_end);
+}
