--- a/cornelstand/src/gateway/outlet.rs
+++ b/cornelstand/src/gateway/outlet.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout;
 
 use crate::gateway::message::Head;
-use crate::gateway::upstream::reset_on_close;
+use crate::gateway::upstream::{close_in_order, reset_on_close};
 use crate::platform::headers::{CallerFraming, write_response_head};
 
 /// Time-out for a write to a caller that does not read its response.
@@ -71,6 +71,8 @@
     pub(crate) keep_alive: bool,
     /// Whether the caller does not support chunked encoding.
     pub(crate) lacks_chunking: bool,
+    /// Whether the caller asked for the head of a response only.
+    pub(crate) is_head_only: bool,
     progress: Progress,
 }
 
@@ -81,6 +83,7 @@
             input: BytesMut::new(),
             keep_alive: true,
             lacks_chunking: false,
+            is_head_only: false,
             progress: Progress::Complete,
         }
     }
@@ -93,10 +96,17 @@
         }
         if self.keep_alive {
             self.progress = Progress::Nothing;
+            self.is_head_only = false;
         }
         self.keep_alive
     }
 
+    /// Notes what the response to a request depends on.
+    pub(crate) fn note_request(&mut self, head: &Head) {
+        self.lacks_chunking = head.is_http_1_0();
+        self.is_head_only = head.method() == "HEAD";
+    }
+
     /// Whether the caller has got any part of a response to the current request.
     pub(crate) fn has_begun(&self) -> bool {
         !matches!(self.progress, Progress::Nothing)
@@ -180,6 +190,7 @@
         }
         self.write(&out).await?;
         self.progress = if is_end {
+            close_in_order(&self.stream);
             Progress::Complete
         } else {
             Progress::Begun(begun)
@@ -202,6 +213,8 @@
     fn begin_stream(&mut self, out: &mut BytesMut, head: &Head) -> BegunResponse {
         let framing = if self.lacks_chunking {
             self.keep_alive = false;
+            // Until the end was sent, the connection must not be closed in order, whatever ends it.
+            reset_on_close(&self.stream);
             CallerFraming::UntilClose
         } else {
             CallerFraming::Chunked
