Name what a connection of serve lacks, and drop a parameter that no case varied

Found in the read-through. The listener of serve calls its flag as the gateway does; all five cases of a pipelined request expected the same, which the test now states. No check changed.

--- a/cornelstand/src/listener.rs
+++ b/cornelstand/src/listener.rs
@@ -112,14 +112,14 @@
     F: Future<Output = Response> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
-    let is_old = Arc::new(AtomicBool::new(false));
+    let lacks_chunking = Arc::new(AtomicBool::new(false));
     let io = TokioIo {
         stream,
-        is_old: is_old.clone(),
+        lacks_chunking: lacks_chunking.clone(),
     };
     let service = service_fn(move |request: http::Request<Incoming>| {
         if request.version() < Version::HTTP_11 {
-            is_old.store(true, Ordering::Relaxed);
+            lacks_chunking.store(true, Ordering::Relaxed);
         }
         let answer = handle(request);
         async move { Ok::<_, Infallible>(answer.await) }
@@ -145,13 +145,13 @@
 struct TokioIo {
     stream: TcpStream,
     /// Set by a request of a caller that does not know chunks, until the next write.
-    is_old: Arc<AtomicBool>,
+    lacks_chunking: Arc<AtomicBool>,
 }
 
 impl TokioIo {
     /// Has the connection reset if it ends before its shutdown.
     fn prepare_write(&self) -> std::io::Result<()> {
-        if self.is_old.swap(false, Ordering::Relaxed) {
+        if self.lacks_chunking.swap(false, Ordering::Relaxed) {
             SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))?;
         }
         Ok(())
--- a/cornelstand/src/platform/tests/truncation.rs
+++ b/cornelstand/src/platform/tests/truncation.rs
@@ -416,24 +416,18 @@
 
 /// A pipelined request is answered after a whole response only.
 #[rstest]
-#[case::own_response(String::new(), true)]
-#[case::error(response("a1", "500 Oops", LENGTH, "answer"), true)]
-#[case::error_cut(response("a1", "500 Oops", LENGTH, "answ"), true)]
-#[case::rejection(
-    response(
-        "a1",
-        "503 Busy",
-        "X-Cornelstand-Not-Executed: 1\r\nContent-Length: 0\r\n",
-        ""
-    ),
-    true
-)]
-#[case::success_cut(response("a1", "200 OK", LENGTH, "answ"), true)]
+#[case::own_response(String::new())]
+#[case::error(response("a1", "500 Oops", LENGTH, "answer"))]
+#[case::error_cut(response("a1", "500 Oops", LENGTH, "answ"))]
+#[case::rejection(response(
+    "a1",
+    "503 Busy",
+    "X-Cornelstand-Not-Executed: 1\r\nContent-Length: 0\r\n",
+    ""
+))]
+#[case::success_cut(response("a1", "200 OK", LENGTH, "answ"))]
 #[tokio::test]
-async fn a_pipelined_request_gets_its_own_response_after_a_failed_one(
-    #[case] first: String,
-    #[case] is_answered: bool,
-) {
+async fn a_pipelined_request_gets_its_own_response_after_a_failed_one(#[case] first: String) {
     run_local(async {
         let scripts = vec![
             vec![Step::Read, Step::Write(first)],
@@ -445,7 +439,7 @@
         let received = send(address, &both).await;
         let text = String::from_utf8_lossy(&received.bytes);
         assert_eq!(text.matches("HTTP/1.1").count(), 2, "{text}");
-        assert_eq!(text.ends_with("\r\n\r\nsecond"), is_answered, "{text}");
+        assert!(text.ends_with("\r\n\r\nsecond"), "{text}");
     })
     .await;
 }
