--- a/cornelstand/src/closing.rs
+++ b/cornelstand/src/closing.rs
@@ -20,6 +20,7 @@
 #[derive(Debug)]
 pub(crate) struct Closing {
     end: watch::Sender<Option<Moment>>,
+    listening: watch::Sender<bool>,
     cut: AtomicUsize,
     lines: AtomicUsize,
 }
@@ -28,6 +29,7 @@
     fn default() -> Self {
         Self {
             end: watch::Sender::new(None),
+            listening: watch::Sender::new(true),
             cut: AtomicUsize::new(0),
             lines: AtomicUsize::new(0),
         }
@@ -45,6 +47,18 @@
         self.end.borrow().is_some()
     }
 
+    /// Stops taking connections.
+    pub(crate) fn close_listener(&self) {
+        self.listening.send_replace(false);
+    }
+
+    /// Waits until no more connections are to be taken.
+    pub(crate) async fn listener_closed(&self) {
+        let mut listening = self.listening.subscribe();
+        // Cannot fail: `self` owns the sender.
+        let _ = listening.wait_for(|&listening| !listening).await;
+    }
+
     /// Returns the number of requests that were sent and not answered in full at the end.
     pub(crate) fn cut(&self) -> usize {
         self.cut.load(Ordering::Relaxed)
--- a/cornelstand/src/entry.rs
+++ b/cornelstand/src/entry.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use http::Request;
+use http::header::{CONNECTION, HeaderValue};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -158,7 +159,8 @@
         let limits = self.core.limits.connection();
         let open = self.core.metrics.connections.clone();
         let serve = async {
-            listener::serve(listener, limits, open, handle, shutdown).await;
+            let closed = self.core.closing.listener_closed();
+            listener::serve(listener, limits, open, handle, closed, shutdown).await;
             self.core.idle().await;
         };
         tokio::select! {
@@ -176,6 +178,11 @@
         self.core.closing.announce(end);
     }
 
+    /// Takes no new connections from now on.
+    pub fn close_listener(&self) {
+        self.core.closing.close_listener();
+    }
+
     /// Returns the number of requests that a stop left without a complete answer after they were
     /// sent.
     #[must_use]
@@ -252,5 +259,10 @@
         }
         Err(flaw) => Answer::refused(&core, id, &flaw.problem(unsent.refuse())),
     };
-    answer.into_response(id)
+    let mut response = answer.into_response(id);
+    if core.closing.is_announced() {
+        let headers = response.headers_mut();
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
 }
--- a/cornelstand/src/instance.rs
+++ b/cornelstand/src/instance.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 use xtra::Address;
 
 use crate::claim_route::claim_route;
@@ -225,7 +225,7 @@
         parts.steward.send(DrainCells).await.ok();
         sleep(NOTICE_TIME).await;
         parts.entry.drain();
-        self.shutdown.send_replace(true);
+        parts.entry.close_listener();
         while start.elapsed() < self.drain {
             let is_released = parts.holdings.owned().is_empty() || start.elapsed() > self.handover;
             if parts.entry.running() == 0 && is_released {
@@ -237,6 +237,11 @@
         sleep(NOTICE_TIME).await;
         parts.membership.send(EndMembership).await.ok();
         sleep(FINAL_GOSSIP_TIME).await;
+        // Idle connections stay open until here, so that a request on one is refused, not lost.
+        self.shutdown.send_replace(true);
+        timeout(DRAIN_POLL_PERIOD, self.callers.join_next())
+            .await
+            .ok();
         let cut = parts.entry.cut();
         let unlogged = parts.entry.unlogged();
         let name = parts.me.name.as_str();
--- a/cornelstand/src/listener.rs
+++ b/cornelstand/src/listener.rs
@@ -41,12 +41,14 @@
     pub(crate) count: usize,
 }
 
-/// Serves requests with `handle` until `shutdown`, then completes the open exchanges.
+/// Serves requests with `handle` until `shutdown`, then completes the open exchanges. Takes no
+/// connections after `closed`.
 pub(crate) async fn serve<H, F>(
     listener: TcpListener,
     limits: ConnectionLimits,
     open: IntGauge,
     handle: H,
+    closed: impl Future<Output = ()>,
     shutdown: impl Future<Output = ()>,
 ) where
     H: Fn(http::Request<Incoming>) -> F + Clone + Send + Sync + 'static,
@@ -56,14 +58,16 @@
     let (stop, stopped) = watch::channel(false);
     let tasks = TaskTracker::new();
     let mut shutdown = std::pin::pin!(shutdown);
-    loop {
+    let mut closed = std::pin::pin!(closed);
+    let is_shutdown = loop {
         let next = async {
             let permit = slots.clone().acquire_owned().await;
             (accept(&listener).await, permit)
         };
         let (stream, permit) = tokio::select! {
             next = next => next,
-            () = &mut shutdown => break,
+            () = &mut shutdown => break true,
+            () = &mut closed => break false,
         };
         let connection = connection(stream, limits, handle.clone(), stopped.clone());
         let open = open.clone();
@@ -73,8 +77,11 @@
             open.dec();
             drop(permit);
         });
-    }
+    };
     drop(listener);
+    if !is_shutdown {
+        shutdown.await;
+    }
     stop.send_replace(true);
     tasks.close();
     tasks.wait().await;
--- a/cornelstand/tests/stop.rs
+++ b/cornelstand/tests/stop.rs
@@ -437,6 +437,31 @@
     assert_eq!(ended(thread).await, 0);
 }
 
+#[rstest]
+#[case::while_a_request_runs(true)]
+#[case::while_none_runs(false)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_on_a_kept_connection_is_refused_while_the_instance_stops(#[case] is_busy: bool) {
+    let fleet = Fleet::start(DRAIN_MS, json!({}), 8).await;
+    let callers = fleet.stopping.callers;
+    let mut stream = TcpStream::connect(callers).await.unwrap();
+    let request = head("GET", "/work/quick", "\r\n");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut first = [0; 4096];
+    let count = stream.read(&mut first).await.unwrap();
+    assert!(first[..count].starts_with(b"HTTP/1.1 200"));
+    let held = is_busy.then(|| begin(get(callers, "/work")));
+    fleet.endpoint.has_run(1 + usize::from(is_busy)).await;
+    let thread = fleet.stopping.terminate();
+    in_the_drain().await;
+    let answer = exchange(&mut stream, &request).await;
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+    assert!(answer.contains("connection: close"), "{answer}");
+    assert!(answer.contains("\"outcome\":\"not-run\""), "{answer}");
+    ended(thread).await;
+    drop(held);
+}
+
 /// A process of its own that runs `cornelstand serve`.
 struct Served {
     child: Child,
