Gateway: messages between instances carry extension blocks

Parts of the gateway that only some deployments use need to tell their state without a change of the heartbeat, which builds of a rolling update have to read. Numbered blocks follow the message in its datagram; older builds ignore them. Endpoints' software versions and the limits of roll-outs are decoded for the parts to come.

--- a/cornelstand/src/gateway/directory.rs
+++ b/cornelstand/src/gateway/directory.rs
@@ -17,7 +17,7 @@
 
 use crate::gateway::catalog::Catalog;
 use crate::moment::Moment;
-use crate::name::{CentreName, EndpointName, ServiceName};
+use crate::name::{CentreName, EndpointName, ServiceName, VersionName};
 
 /// Time after the store's recovery for lapsed entries to return; the platform states about 2 s.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
@@ -42,11 +42,18 @@
     pub(crate) address: SocketAddr,
     /// Maximum number of concurrent requests.
     pub(crate) slots: u32,
+    /// Version of its software; empty if unknown.
+    #[serde(default = "unknown_version")]
+    pub(crate) software: VersionName,
     pub(crate) leaving: bool,
     /// Remaining warm-up time when the entry was read.
     pub(crate) cold: Duration,
 }
 
+fn unknown_version() -> VersionName {
+    VersionName::from("")
+}
+
 #[derive(Clone, Debug)]
 struct KnownEndpoint {
     record: Rc<EndpointRecord>,
--- a/cornelstand/src/gateway/mod.rs
+++ b/cornelstand/src/gateway/mod.rs
@@ -18,6 +18,11 @@
 pub(crate) mod daemon;
 pub(crate) mod directory;
 pub(crate) mod endpoint_state;
+// Until the parts that use them are joined.
+#[allow(clippy::unused_self)]
+pub(crate) mod exchange;
+#[allow(dead_code)]
+pub(crate) mod extensions;
 pub(crate) mod follow;
 pub(crate) mod gate;
 pub(crate) mod logs;
--- a/cornelstand/src/gateway/peers_link.rs
+++ b/cornelstand/src/gateway/peers_link.rs
@@ -7,6 +7,8 @@
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
+use crate::gateway::exchange::Sender;
+use crate::gateway::extensions::{self, Extension};
 use crate::gateway::gate::Gate;
 use crate::gateway::number::to_f64;
 use crate::gateway::peers::Message;
@@ -59,8 +61,12 @@
 }
 
 impl Packet {
-    fn new(message: &Message, addresses: Vec<SocketAddr>) -> Option<Self> {
-        match postcard::to_stdvec(message) {
+    fn new(
+        message: &Message,
+        extensions: &[Extension],
+        addresses: Vec<SocketAddr>,
+    ) -> Option<Self> {
+        match extensions::write(message, extensions) {
             Ok(bytes) => Some(Self { bytes, addresses }),
             Err(error) => {
                 tracing::error!(event = "message_unwritten", %error);
@@ -73,12 +79,13 @@
 /// The heartbeat to send now.
 pub(crate) fn heartbeat_packet(gate: &Gate) -> Option<Packet> {
     let heartbeat = gate.heartbeat();
+    let extensions = gate.heartbeat_extensions();
     let targets = gate
         .state
         .borrow()
         .peers
         .heartbeat_targets(&heartbeat.centre);
-    Packet::new(&Message::Heartbeat(heartbeat), targets)
+    Packet::new(&Message::Heartbeat(heartbeat), &extensions, targets)
 }
 
 /// The digest to send now, if this instance is the leader of its data centre in a large fleet.
@@ -93,11 +100,12 @@
         return None;
     }
     let digest = gate.digest();
+    let extensions = gate.digest_extensions();
     let state = gate.state.borrow();
     let targets = state
         .peers
         .digest_targets(gate.now(), &digest.centre, digest.order.1);
-    Packet::new(&Message::Digest(digest), targets)
+    Packet::new(&Message::Digest(digest), &extensions, targets)
 }
 
 /// The alarm to send now, if there is any.
@@ -107,13 +115,13 @@
         return None;
     }
     let all = gate.state.borrow().peers.addresses();
-    Packet::new(&Message::Alarm(news), all)
+    Packet::new(&Message::Alarm(news), &[], all)
 }
 
 /// Handles a datagram. Returns the addresses to which it is forwarded: a new digest of another data
 /// centre goes to the instances of this one.
 pub(crate) fn handle_datagram(gate: &Gate, address: SocketAddr, bytes: &[u8]) -> Vec<SocketAddr> {
-    let message = match postcard::from_bytes::<Message>(bytes) {
+    let (message, extensions) = match extensions::read::<Message>(bytes) {
         Ok(message) => message,
         Err(error) => {
             tracing::warn!(event = "message_unreadable", %address, %error);
@@ -126,14 +134,21 @@
     }
     match message {
         Message::Heartbeat(heartbeat) => {
+            let sender = Sender::Instance(heartbeat.instance.clone(), heartbeat.centre.clone());
             gate.receive_heartbeat(address, heartbeat);
+            gate.receive_extensions(&sender, &extensions);
             Vec::new()
         }
         Message::Digest(digest) => {
             let centre = gate.settings.borrow().centre.clone();
             let mut targets = gate.state.borrow().peers.heartbeat_targets(&centre);
             let is_forwarded = targets.contains(&address);
-            if !gate.receive_digest(digest) || is_forwarded {
+            let sender = Sender::Centre(digest.centre.clone());
+            let is_new = gate.receive_digest(digest);
+            if is_new {
+                gate.receive_extensions(&sender, &extensions);
+            }
+            if !is_new || is_forwarded {
                 targets.clear();
             }
             targets
--- a/cornelstand/src/gateway/settings.rs
+++ b/cornelstand/src/gateway/settings.rs
@@ -41,6 +41,19 @@
     pub(crate) descriptors: usize,
     /// Memory limit of the process, in bytes.
     pub(crate) memory: usize,
+    /// Limits of roll-outs, if the deployment has any.
+    pub(crate) rollout: Option<RolloutBounds>,
+}
+
+/// Limits on what a new version of a service gets before it is trusted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct RolloutBounds {
+    /// Share of the service's requests that a bad version may get between order and deadline.
+    pub(crate) share: f64,
+    /// Requests that it may get beyond that share.
+    pub(crate) slack: f64,
+    /// Time from the 50th bad answer within which a bad version stops getting requests.
+    pub(crate) rollback: Duration,
 }
 
 /// UDP address at which this instance receives messages from other instances.
--- a/cornelstand/src/gateway/tests.rs
+++ b/cornelstand/src/gateway/tests.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod containment;
 mod directory;
+mod extensions;
 mod fleet;
 mod heavy_load;
 mod message;
@@ -24,7 +25,9 @@
 use crate::gateway::gate::Gate;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::settings::GatewaySettings;
-use crate::name::{AccountName, BootId, CentreName, EndpointName, InstanceName, ServiceName};
+use crate::name::{
+    AccountName, BootId, CentreName, EndpointName, InstanceName, ServiceName, VersionName,
+};
 use crate::suspect::Crash;
 
 /// Service with engines.
@@ -59,6 +62,7 @@
         cores: 0.25,
         descriptors: 4_096,
         memory: 256 * 1024 * 1024,
+        rollout: None,
     }
 }
 
@@ -132,6 +136,7 @@
         centre: CentreName::from("north"),
         address,
         slots: if service == MODELS { 64 } else { 6 },
+        software: VersionName::from("v1"),
         leaving: false,
         cold: Duration::ZERO,
     }
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -199,7 +199,7 @@
 pub use moment::{Clock, Moment, micros};
 pub use name::{
     AccountName, AttemptId, BootId, CellId, CentreName, EndpointName, Epoch, Fingerprint,
-    Incarnation, InstanceName, NAME_BYTES, RequestId, Revision, ServiceName, is_name,
+    Incarnation, InstanceName, NAME_BYTES, RequestId, Revision, ServiceName, VersionName, is_name,
 };
 pub use note::{Action, Digest, Items, Names, Note, NoteError, NoteProblem, Reason, Row, plan};
 pub use operator::{NOTE_BYTES, OperatorError};
--- a/cornelstand/src/name.rs
+++ b/cornelstand/src/name.rs
@@ -67,6 +67,8 @@
     CentreName;
     /// An instance of the fleet.
     InstanceName;
+    /// The software version of an endpoint, as it reports it.
+    VersionName;
 }
 
 macro_rules! numbers {
--- a/cornelstand/src/platform/objects.rs
+++ b/cornelstand/src/platform/objects.rs
@@ -12,7 +12,7 @@
     Catalog, EngineSpec, GatewayRoute, GatewayService, RequestLimits, RouteKind,
 };
 use crate::gateway::directory::EndpointRecord;
-use crate::name::{AccountName, CentreName, EndpointName, ServiceName};
+use crate::name::{AccountName, CentreName, EndpointName, ServiceName, VersionName};
 
 /// Kinds of store objects that the gateway reads.
 pub(crate) const CONFIG_KIND: &str = "config";
@@ -219,6 +219,8 @@
     slots: u32,
     state: StateSpec,
     #[serde(default)]
+    version: Value,
+    #[serde(default)]
     cold_left_ms: f64,
     #[serde(default)]
     born: u64,
@@ -245,6 +247,7 @@
         centre: CentreName::from(spec.zone.as_str()),
         address: spec.address,
         slots: spec.slots,
+        software: VersionName::from(spec.version.as_str().unwrap_or_default()),
         leaving: spec.state == StateSpec::Draining || object.metadata.deleting,
         cold: Duration::try_from_secs_f64(spec.cold_left_ms / 1e3).unwrap_or_default(),
     })
--- a/cornelstand/src/platform/settings.rs
+++ b/cornelstand/src/platform/settings.rs
@@ -9,7 +9,7 @@
 use snafu::{OptionExt, ResultExt, Snafu};
 
 use crate::gateway::budget::RetryRule;
-use crate::gateway::settings::GatewaySettings;
+use crate::gateway::settings::{GatewaySettings, RolloutBounds};
 use crate::name::{CentreName, InstanceName};
 
 /// Defaults for settings missing from the file; the platform normally sets them per deployment.
@@ -18,6 +18,8 @@
 const DEFAULT_RETRY_RATIO: f64 = 0.2;
 const DEFAULT_RETRY_WINDOW_S: f64 = 10.0;
 const DEFAULT_COLD_OVER: f64 = 1.5;
+const DEFAULT_CANARY_SHARE: f64 = 0.1;
+const DEFAULT_ROLLBACK_MS: f64 = 5_000.0;
 /// Bytes in a megabyte, as used in the file.
 const MEGABYTE: usize = 1024 * 1024;
 
@@ -87,6 +89,7 @@
             .unwrap_or(1.0),
         descriptors: file.value("limits.max_fds", "a number")?,
         memory: file.value::<usize>("limits.memory_mb", "a number")? * MEGABYTE,
+        rollout: file.rollout()?,
     })
 }
 
@@ -130,6 +133,19 @@
         .fail()
     }
 
+    /// Limits of roll-outs, if they are among the parts of the rules in force.
+    fn rollout(&self) -> Result<Option<RolloutBounds>, SettingsFileError> {
+        let contracts = self.0.get("contracts").copied().unwrap_or_default();
+        if !contracts.split(',').any(|c| c.trim() == "rollout") {
+            return Ok(None);
+        }
+        Ok(Some(RolloutBounds {
+            share: self.number("bounds.canary_share", DEFAULT_CANARY_SHARE)?,
+            slack: self.number("bounds.canary_slack", 0.0)?,
+            rollback: self.milliseconds("bounds.rollback_ms", DEFAULT_ROLLBACK_MS)?,
+        }))
+    }
+
     fn seconds(&self, key: &'static str, default: f64) -> Result<Duration, SettingsFileError> {
         self.number(key, default).map(Duration::from_secs_f64)
     }
