serve: connections are kept only to endpoints that name the attempt in their answers

Ruled out: telling them apart by their time, since the copy may come after the next request was written. Change: requests to an endpoint whose answers name no attempt use a new connection each, as those that may not be repeated do already. The stand-ins name the attempt, as the interface asks, so that the test of silent connections still has kept ones; it needs one more answer before connections are kept.

--- a/cornelstand/src/call.rs
+++ b/cornelstand/src/call.rs
@@ -271,6 +271,7 @@
             core: self.core.clone(),
             address,
             attempt: ready.attempt(),
+            is_pooled: endpoint_request.is_pooled,
         };
         let sending = ready.send();
         let reply = tokio::select! {
@@ -316,8 +317,7 @@
         let status = answer.status();
         let headers = answer.headers().clone();
         let upstreams = &self.core.upstreams;
-        let is_pooled = self.repeat.is_idempotent();
-        if upstreams.is_foreign(leg.address, &headers, origin.attempt, is_pooled) {
+        if upstreams.is_foreign(leg.address, &headers, origin.attempt, origin.is_pooled) {
             self.core.metrics.foreign_answers.inc();
             self.core.replace_pool(leg.address);
             return self.lost(sent, Loss::Broken, leg, caller).await;
@@ -536,7 +536,7 @@
             target: self.target.clone(),
             headers,
             body: self.body.upload(),
-            repeat: self.repeat,
+            is_pooled: self.core.upstreams.may_pool(address, self.repeat),
         }
     }
 
--- a/cornelstand/src/relay.rs
+++ b/cornelstand/src/relay.rs
@@ -38,6 +38,8 @@
     pub(crate) core: Arc<Core>,
     pub(crate) address: std::net::SocketAddr,
     pub(crate) attempt: AttemptId,
+    /// Whether the connection may have carried another request.
+    pub(crate) is_pooled: bool,
 }
 
 /// Kind of an answer's body.
--- a/cornelstand/src/upstream.rs
+++ b/cornelstand/src/upstream.rs
@@ -4,7 +4,9 @@
 //! goes silent, the whole client is replaced, since whatever dropped the state of one connection
 //! has probably dropped that of the others too: later requests open new connections, and running
 //! streams keep the old client. A request that may not be repeated uses a new connection: the extra
-//! round trip costs less than an unknown outcome from a dead pooled connection.
+//! round trip costs less than an unknown outcome from a dead pooled connection. So does a request to
+//! an endpoint whose answers name no attempt: a late copy of an earlier answer on a pooled connection
+//! could not be told from its own.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -50,7 +52,8 @@
     pub(crate) target: String,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Body,
-    pub(crate) repeat: Repeat,
+    /// Whether a connection that carried another request may be used.
+    pub(crate) is_pooled: bool,
 }
 
 impl Upstreams {
@@ -62,6 +65,11 @@
         }
     }
 
+    /// Returns whether a request to `address` may use a pooled connection.
+    pub(crate) fn may_pool(&self, address: SocketAddr, repeat: Repeat) -> bool {
+        repeat.is_idempotent() && lock(&self.naming).contains(&address)
+    }
+
     /// Returns whether an answer of `address` belongs to an attempt other than `attempt`: it names
     /// another one, or came on a pooled connection and names none although others of that endpoint
     /// do.
@@ -82,9 +90,10 @@
 
     /// Sends a request and waits for the head of the answer.
     pub(crate) async fn send(&self, request: EndpointRequest) -> Result<Response, reqwest::Error> {
-        let client = match request.repeat {
-            Repeat::Idempotent => self.pool(request.address),
-            Repeat::Once => self.unpooled.clone(),
+        let client = if request.is_pooled {
+            self.pool(request.address)
+        } else {
+            self.unpooled.clone()
         };
         let mut headers = request.headers;
         headers.insert(REQUEST_ID, attempt_value(request.attempt));
--- a/stand-ins/src/plain.rs
+++ b/stand-ins/src/plain.rs
@@ -309,11 +309,8 @@
         let filter = wire::calls().then(move |call: Call| {
             let inner = inner.clone();
             async move {
-                wire::with(
-                    inner.answer(boot, call).await,
-                    wire::BOOT,
-                    &boot.to_string(),
-                )
+                let request = call.header(wire::REQUEST).map(str::to_owned);
+                wire::identified(inner.answer(boot, call).await, boot, request.as_deref())
             }
         });
         self.host.serve(boxed(filter), std::future::ready(()))
--- a/stand-ins/src/wire.rs
+++ b/stand-ins/src/wire.rs
@@ -106,6 +106,15 @@
     warp::reply::stream(chunks).into_response()
 }
 
+/// Adds the boot identity of an endpoint, and the identity of the request if it has one.
+pub(crate) fn identified(answer: Response, boot: u64, request: Option<&str>) -> Response {
+    let answer = with(answer, BOOT, &boot.to_string());
+    match request {
+        Some(request) => with(answer, REQUEST, request),
+        None => answer,
+    }
+}
+
 /// The answer with a header set.
 pub(crate) fn with(mut answer: Response, name: &'static str, value: &str) -> Response {
     if let Ok(value) = HeaderValue::from_str(value) {
