Gateway: requests into a data centre that fell silent are recalled before their connection times out

Cause: a request written into a cut between data centres stays in the send buffer. Ruled out before: a reset on close set from the start. Change: 300 ms earlier, a request without an answer to a data centre that was not heard since it was sent is given up and its connection reset. The test fails without the change (504 at the deadline in place of 502).

--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -26,7 +26,7 @@
 use crate::gateway::suspicion_news::{CrashNews, Evidence, Outbox, SuspicionUpdates};
 use crate::gateway::upstream::Pool;
 use crate::moment::{Clock, Moment};
-use crate::name::{AccountName, ServiceName};
+use crate::name::{AccountName, CentreName, ServiceName};
 use crate::suspect::Suspects;
 
 /// Timer lag up to which no streams are shed.
@@ -37,6 +37,10 @@
 /// Largest share of new streams that is shed.
 const MAX_SHED_SHARE: f64 = 0.95;
 
+/// Time after a request was sent within which its endpoint's data centre may still be heard when
+/// the links to it are cut: a few intervals of digests.
+const LAST_HEARD_MARGIN: Duration = Duration::from_millis(300);
+
 /// Prompt length from which a heartbeat is sent immediately when the prefill is queued or done:
 /// about a tenth of the queue that an engine may have.
 const URGENT_PROMPT_TOKENS: f64 = 1_000.0;
@@ -350,6 +354,15 @@
         self.serve_queue();
     }
 
+    /// Whether another data centre has been silent since `sent`: links to it are probably cut.
+    pub(crate) fn is_cut_off(&self, centre: &CentreName, sent: Moment) -> bool {
+        if *centre == self.settings.borrow().centre {
+            return false;
+        }
+        let heard = self.state.borrow().peers.centre_heard(centre);
+        heard.is_some_and(|h| h < sent.after(LAST_HEARD_MARGIN))
+    }
+
     /// Record of the endpoint of `place`.
     pub(crate) fn record(&self, place: &Place) -> Option<Rc<EndpointRecord>> {
         let state = self.state.borrow();
--- a/cornelstand/src/gateway/peers.rs
+++ b/cornelstand/src/gateway/peers.rs
@@ -409,6 +409,14 @@
         others.into_iter().filter_map(pick).collect()
     }
 
+    /// When an instance of a data centre, or a digest of it, was last heard.
+    pub(crate) fn centre_heard(&self, centre: &CentreName) -> Option<Moment> {
+        let members = self.peers.values().filter(|p| p.centre == *centre);
+        let heard = members.filter_map(|p| p.last_heard);
+        let digest = self.centres.get(centre).map(|(heard, _)| *heard);
+        heard.chain(digest).max()
+    }
+
     /// Addresses to which heartbeats are sent.
     pub(crate) fn heartbeat_targets(&self, centre: &CentreName) -> Vec<SocketAddr> {
         let is_large = self.is_large();
--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -17,7 +17,10 @@
 use crate::gateway::message::{BodyReader, Head, MessageError};
 use crate::gateway::outlet::{ResponseWriter, SendError, write_some};
 use crate::gateway::placement::{AnswerPhase, Place};
-use crate::gateway::upstream::{Pool, ReadError, Upstream, read_into, reset_on_close};
+use crate::gateway::upstream::{
+    Pool, ReadError, UNACKED_TIMEOUT, Upstream, read_into, reset_on_close,
+};
+use crate::name::CentreName;
 use crate::platform::headers::{
     CallerFraming, Forwarding, RequestRef, ResponseFields, read_response, write_request_head,
     write_response_head,
@@ -34,6 +37,9 @@
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 /// Most responses to other requests that are skipped on a connection.
 const MAX_FOREIGN_RESPONSES: u32 = 4;
+/// Time without an answer after which the data centre of an endpoint is checked for silence; below
+/// [`UNACKED_TIMEOUT`], after which a reset comes too late to recall what is on its way.
+const CUT_CHECK_DELAY: Duration = UNACKED_TIMEOUT.saturating_sub(Duration::from_millis(300));
 /// Share of the silence callers tolerate after which a stream is resumed at another endpoint. The
 /// other half is left for the first event from there.
 const RESUME_SHARE: f64 = 0.5;
@@ -81,6 +87,8 @@
     Gone,
     DeadlinePassed,
     Silent,
+    /// Nothing is heard from the data centre of the endpoint.
+    CutOff,
     /// The caller has got part of another response.
     OtherBegun,
     Read(ReadError),
@@ -107,6 +115,7 @@
             Self::Gone => Attempt::Gone,
             Self::DeadlinePassed => Attempt::Late,
             Self::Silent => Attempt::Lost("silent"),
+            Self::CutOff => Attempt::Lost("data centre cut off"),
             Self::OtherBegun => Attempt::Lost("another response has begun"),
             Self::Read(ReadError::Closed) => Attempt::Lost("closed"),
             Self::Read(ReadError::Io(_)) => Attempt::Lost("reset"),
@@ -172,6 +181,7 @@
     let mut exchange = Exchange {
         gate,
         address,
+        centre: &record.centre,
         upstream: &mut upstream,
         unsent: &request,
         rest,
@@ -251,6 +261,8 @@
 struct Exchange<'a> {
     gate: &'a Gate,
     address: SocketAddr,
+    /// Data centre of the endpoint.
+    centre: &'a CentreName,
     upstream: &'a mut Upstream,
     /// The part of the request that is written next.
     unsent: &'a [u8],
@@ -368,12 +380,20 @@
         call: &Call,
         writer: &mut ResponseWriter,
     ) -> Result<Head, Interruption> {
-        let started = Instant::now();
+        let (started, sent) = (Instant::now(), self.gate.now());
+        let mut cut_check = Some(started + CUT_CHECK_DELAY);
         loop {
-            let until = event_deadline(self.gate, call, writer, started);
+            let silent_from = event_deadline(self.gate, call, writer, started);
+            let until = cut_check.map_or(silent_from, |c| c.min(silent_from));
             let head = self.upstream.response_head(MAX_HEAD_BYTES);
             match with_deadline(head, writer, until).await {
                 Ok(head) => return Ok(head?),
+                Err(Interruption::DeadlinePassed) if until < silent_from => {
+                    cut_check = None;
+                    if self.gate.is_cut_off(self.centre, sent) {
+                        return Err(Interruption::CutOff);
+                    }
+                }
                 Err(Interruption::DeadlinePassed) if until < call.deadline => {
                     self.check_silence(call, writer, started, until)?;
                 }
--- a/cornelstand/src/gateway/upstream.rs
+++ b/cornelstand/src/gateway/upstream.rs
@@ -20,7 +20,7 @@
 use crate::gateway::outlet::write_all;
 
 /// `TCP_USER_TIMEOUT`: how long sent bytes or probes may stay unacknowledged.
-const UNACKED_TIMEOUT: Duration = Duration::from_millis(2_500);
+pub(crate) const UNACKED_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Idle time before the first keep-alive probe, and between probes.
 const PROBE_PERIOD: Duration = Duration::from_secs(1);
 /// Unanswered keep-alive probes after which a connection is closed.
--- a/cornelstand/src/platform/tests/abandoned.rs
+++ b/cornelstand/src/platform/tests/abandoned.rs
@@ -10,7 +10,10 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
+use crate::gateway::directory::EndpointRecord;
+use crate::gateway::peers::Heartbeat;
 use crate::gateway::tests::{MODELS, gate, record};
+use crate::name::{CentreName, InstanceName};
 use crate::platform::tests::path::{connect, listen, request, run_local};
 use crate::platform::tests::scripted::{
     TEST_TIMEOUT, chunk, event, read_request, response, stream_head,
@@ -84,3 +87,60 @@
     })
     .await;
 }
+
+/// While the links to the endpoint's data centre are cut, its request waits in the network. It must
+/// not arrive once the caller was told that it is lost.
+#[rstest]
+#[case::nothing_heard(false)]
+#[case::heard_meanwhile(true)]
+#[tokio::test]
+async fn a_request_into_a_silent_data_centre_is_recalled(#[case] is_heard: bool) {
+    run_local(async {
+        let (engine, end) = endpoint(String::new()).await;
+        let gate = gate("one", vec![record_in("south", engine)]);
+        let peer = heartbeat_of("two", "south", 1);
+        gate.receive_heartbeat(engine, peer);
+        let address = listen(&gate).await;
+        let mut caller = connect(address).await;
+        let request = request("/digest/1", "a1").replacen("5000", "4000", 1);
+        caller.write_all(request.as_bytes()).await.expect("sent");
+        if is_heard {
+            sleep(Duration::from_millis(1_000)).await;
+            gate.receive_heartbeat(engine, heartbeat_of("two", "south", 2));
+        }
+        let mut answer = [0; 12];
+        let read = timeout(TEST_TIMEOUT, caller.read_exact(&mut answer)).await;
+        read.expect("an answer").expect("a status");
+        let status = String::from_utf8_lossy(&answer);
+        // 502 as the request is recalled, 504 at its deadline.
+        assert_eq!(
+            status,
+            if is_heard {
+                "HTTP/1.1 504"
+            } else {
+                "HTTP/1.1 502"
+            }
+        );
+        let end = timeout(TEST_TIMEOUT, end).await.expect("it is closed");
+        let error = end.expect("an end").expect_err("no orderly close");
+        assert_eq!(error.kind(), io::ErrorKind::ConnectionReset);
+    })
+    .await;
+}
+
+fn record_in(centre: &str, address: SocketAddr) -> EndpointRecord {
+    EndpointRecord {
+        centre: CentreName::from(centre),
+        ..record("m-1", MODELS, address)
+    }
+}
+
+/// A heartbeat of another instance.
+fn heartbeat_of(instance: &str, centre: &str, number: u64) -> Heartbeat {
+    Heartbeat {
+        instance: InstanceName::from(instance),
+        centre: CentreName::from(centre),
+        number,
+        ..gate("template", Vec::new()).heartbeat()
+    }
+}
