--- a/cornelstand/src/gateway/directory.rs
+++ b/cornelstand/src/gateway/directory.rs
@@ -16,6 +16,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::gateway::catalog::Catalog;
+use crate::gateway::rollout::Order;
 use crate::moment::Moment;
 use crate::name::{CentreName, EndpointName, ServiceName, VersionName};
 
@@ -54,6 +55,16 @@
     VersionName::from("")
 }
 
+/// The entry of a roll-out's order in the store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct OrderRecord {
+    /// Name of the entry.
+    pub(crate) name: String,
+    /// Store revision of its last change.
+    pub(crate) revision: u64,
+    pub(crate) order: Order,
+}
+
 #[derive(Clone, Debug)]
 struct KnownEndpoint {
     record: Rc<EndpointRecord>,
@@ -84,11 +95,14 @@
     catalog: Rc<Catalog>,
     endpoints: BTreeMap<EndpointName, KnownEndpoint>,
     evacuated: BTreeSet<CentreName>,
+    /// Orders of roll-outs by the name of their entry.
+    orders: BTreeMap<String, OrderRecord>,
     store: StoreState,
     /// When the store last answered.
     last_answer: Option<Moment>,
     listed: bool,
     versions: ViewVersions,
+    order_version: ViewVersion,
     /// Number of times a peer's view was adopted.
     adoptions: u64,
 }
@@ -103,7 +117,7 @@
 }
 
 impl ViewVersion {
-    fn is_newer(self, other: Self) -> bool {
+    pub(crate) fn is_newer(self, other: Self) -> bool {
         self.hash != other.hash && self.revision > other.revision
     }
 
@@ -148,6 +162,11 @@
     pub(crate) evacuated: BTreeSet<CentreName>,
     #[serde(rename = "marks")]
     pub(crate) versions: ViewVersions,
+    /// Orders of roll-outs; older builds send none.
+    #[serde(default)]
+    pub(crate) orders: Vec<OrderRecord>,
+    #[serde(default)]
+    pub(crate) order_version: ViewVersion,
 }
 
 impl Directory {
@@ -156,10 +175,12 @@
             catalog: Rc::new(Catalog::default()),
             endpoints: BTreeMap::new(),
             evacuated: BTreeSet::new(),
+            orders: BTreeMap::new(),
             store: StoreState::Unavailable(None),
             last_answer: None,
             listed: false,
             versions: ViewVersions::default(),
+            order_version: ViewVersion::default(),
             adoptions: 0,
         }
     }
@@ -357,9 +378,61 @@
             endpoints: self.endpoints.values().map(snapshot).collect(),
             evacuated: self.evacuated.clone(),
             versions: self.versions,
+            orders: self.orders.values().cloned().collect(),
+            order_version: self.order_version,
         }
     }
 
+    /// Orders of roll-outs.
+    pub(crate) fn orders(&self) -> impl Iterator<Item = &OrderRecord> {
+        self.orders.values()
+    }
+
+    pub(crate) fn order(&self, name: &str) -> Option<&OrderRecord> {
+        self.orders.get(name)
+    }
+
+    /// Sets all orders, as listed.
+    pub(crate) fn set_orders(&mut self, orders: impl IntoIterator<Item = OrderRecord>) {
+        let by_name = orders.into_iter().map(|o| (o.name.clone(), o));
+        self.orders = by_name.collect();
+    }
+
+    /// Applies an added or changed order, unless a later change of it is known.
+    pub(crate) fn put_order(&mut self, order: OrderRecord) {
+        let known = self.orders.get(&order.name);
+        if known.is_none_or(|k| k.revision <= order.revision) {
+            self.orders.insert(order.name.clone(), order);
+        }
+    }
+
+    /// Applies the removal of an order.
+    pub(crate) fn remove_order(&mut self, name: &str) {
+        self.orders.remove(name);
+    }
+
+    /// Version of the orders.
+    pub(crate) fn order_version(&self) -> ViewVersion {
+        self.order_version
+    }
+
+    /// Marks the orders as current at store `revision`. Returns whether they changed.
+    pub(crate) fn mark_orders(&mut self, revision: u64) -> bool {
+        let mut hash = Xxh3::new();
+        for order in self.orders.values() {
+            hash.update(order.name.as_bytes());
+            hash.update(&order.order.id.created.to_le_bytes());
+            hash.update(&order.revision.to_le_bytes());
+        }
+        // No orders is the state at the start.
+        let digest = if self.orders.is_empty() {
+            0
+        } else {
+            hash.digest()
+        };
+        self.order_version.advance(revision, digest)
+    }
+
     pub(crate) fn versions(&self) -> ViewVersions {
         self.versions
     }
@@ -406,6 +479,10 @@
             self.versions.evacuations = snapshot.versions.evacuations;
             self.evacuated = snapshot.evacuated;
         }
+        if snapshot.order_version.is_newer(self.order_version) {
+            self.order_version = snapshot.order_version;
+            self.set_orders(snapshot.orders);
+        }
         if !snapshot
             .versions
             .endpoints
--- a/cornelstand/src/gateway/follow.rs
+++ b/cornelstand/src/gateway/follow.rs
@@ -1,5 +1,5 @@
-//! Follows the platform's store: the configuration, the endpoints, the evacuated data centres and
-//! the fleet's own instances.
+//! Follows the platform's store: the configuration, the endpoints, the evacuated data centres, the
+//! roll-outs if the deployment has any, and the fleet's own instances.
 //!
 //! Each kind is listed once and then watched from the listing's revision. A watch without changes
 //! ends and is started again, so that a dead connection is detected within one wait. While the
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::gateway::catalog::Catalog;
-use crate::gateway::directory::{DirectorySnapshot, EndpointRecord};
+use crate::gateway::directory::{DirectorySnapshot, EndpointRecord, OrderRecord};
 use crate::gateway::gate::Gate;
 use crate::gateway::settings::{GatewaySettings, peer_address};
 use crate::gateway::upstream::Upstream;
@@ -22,7 +22,7 @@
 use crate::name::{CentreName, EndpointName, InstanceName};
 use crate::platform::objects::{
     CONFIG_KIND, ENDPOINT_KIND, EVACUATION_KIND, INSTANCE_KIND, InstanceSpec, Metadata,
-    StoreObject, read_config, read_endpoint,
+    ROLLOUT_KIND, StoreObject, read_config, read_endpoint, read_rollout,
 };
 use crate::platform::store::{Change, StoreCallError, StoreClient};
 
@@ -62,6 +62,8 @@
     Endpoints,
     #[display("evacuations")]
     Evacuations,
+    #[display("roll-outs")]
+    Rollouts,
 }
 
 impl Followed {
@@ -70,6 +72,7 @@
             Self::Configuration => CONFIG_KIND,
             Self::Endpoints => ENDPOINT_KIND,
             Self::Evacuations => EVACUATION_KIND,
+            Self::Rollouts => ROLLOUT_KIND,
         }
     }
 }
@@ -85,7 +88,8 @@
     let mut revision = None;
     let mut adoptions = 0;
     loop {
-        if !gate.watches_store() {
+        let is_used = followed != Followed::Rollouts || gate.has_rollouts();
+        if !is_used || !gate.watches_store() {
             // Others of this data centre watch, and this one fetches from them.
             revision = None;
             sleep(PEER_CHECK_PERIOD).await;
@@ -197,6 +201,14 @@
             let centres = names.map(|o| CentreName::from(o.metadata.name.as_str()));
             apply_evacuated(gate, centres.collect(), revision);
         }
+        Followed::Rollouts => {
+            let orders = objects.iter().filter_map(decode_order);
+            let orders: Vec<OrderRecord> = orders.collect();
+            let mut state = gate.state.borrow_mut();
+            state.directory.set_orders(orders);
+            drop(state);
+            apply_orders(gate, revision);
+        }
     }
 }
 
@@ -238,9 +250,41 @@
             drop(state);
             apply_evacuated(gate, centres, revision);
         }
+        Followed::Rollouts => {
+            let order = decode_order(object).filter(|_| !change.is_deleted);
+            let mut state = gate.state.borrow_mut();
+            match order {
+                Some(order) => state.directory.put_order(order),
+                None => state.directory.remove_order(&object.metadata.name),
+            }
+            drop(state);
+            apply_orders(gate, revision);
+        }
+    }
+}
+
+/// Applies the orders at store `revision`, and notifies the peers if they have changed.
+fn apply_orders(gate: &Gate, revision: u64) {
+    let has_changed = gate.state.borrow_mut().directory.mark_orders(revision);
+    if has_changed {
+        gate.apply_orders();
+        gate.heartbeat_trigger.notify_one();
     }
 }
 
+/// Decodes an order. Entries of other writers are skipped.
+fn decode_order(object: &StoreObject) -> Option<OrderRecord> {
+    if object.metadata.deleting {
+        return None;
+    }
+    let order = read_rollout(object);
+    let order = order.inspect_err(|error| {
+        let name = &object.metadata.name;
+        tracing::warn!(event = "rollout_unreadable", name, %error);
+    });
+    order.ok()
+}
+
 fn apply_evacuated(gate: &Gate, centres: BTreeSet<CentreName>, revision: u64) {
     let mut state = gate.state.borrow_mut();
     if state.directory.set_evacuated(centres) {
@@ -370,6 +414,7 @@
             ..Metadata::default()
         },
         spec: serde_json::to_value(spec).unwrap_or_default(),
+        status: serde_json::Value::Null,
     }
 }
 
@@ -389,8 +434,8 @@
     }
 }
 
-/// Fetches newer state from peers: the configuration; endpoints and evacuations, unless this
-/// instance watches them itself; and everything from a seed, while it has none.
+/// Fetches newer state from peers: the configuration; endpoints, evacuations and roll-outs, unless
+/// this instance watches them itself; and everything from a seed, while it has none.
 pub(crate) async fn follow_peers(gate: Rc<Gate>) {
     let mut seeds = gate.settings.borrow().seeds.clone().into_iter().cycle();
     let started = Instant::now();
@@ -420,12 +465,17 @@
     let newer_config = state
         .peers
         .newer_config(now, state.directory.catalog().version);
+    let newer_orders = state
+        .rollouts
+        .newer_orders(now, state.directory.order_version())
+        .and_then(|name| state.peers.beliefs(now, centre, name));
     newer_snapshot
+        .or(newer_orders)
         .filter(|_| may_adopt)
         .or(newer_config.map(|(_, address)| address))
 }
 
-/// Whether endpoints and evacuations come from peers.
+/// Whether endpoints, evacuations and roll-outs come from peers.
 fn follows_peers(gate: &Gate) -> bool {
     !gate.watches_store() || !gate.state.borrow().directory.has_store()
 }
@@ -446,7 +496,10 @@
     let catalog = std::mem::take(&mut snapshot.catalog);
     apply_catalog(gate, catalog, "peer", 0);
     let mut state = gate.state.borrow_mut();
-    let is_newer = snapshot.versions.are_newer(state.directory.versions());
+    let are_orders_newer = snapshot
+        .order_version
+        .is_newer(state.directory.order_version());
+    let is_newer = snapshot.versions.are_newer(state.directory.versions()) || are_orders_newer;
     drop(state);
     if !is_newer || !follows_peers(gate) {
         return;
@@ -456,10 +509,14 @@
         event = "beliefs_adopted", %address, revision = snapshot.versions.endpoints.revision,
         evacuation_revision = snapshot.versions.evacuations.revision,
         endpoints = snapshot.endpoints.len(), evacuated = ?snapshot.evacuated,
+        orders = snapshot.orders.len(),
     );
     let changes = state.directory.adopt(gate.now(), snapshot);
     drop(state);
     gate.apply(changes);
+    if are_orders_newer {
+        gate.apply_orders();
+    }
     gate.heartbeat_trigger.notify_one();
 }
 
--- a/cornelstand/src/platform/objects.rs
+++ b/cornelstand/src/platform/objects.rs
@@ -11,13 +11,15 @@
 use crate::gateway::catalog::{
     Catalog, EngineSpec, GatewayRoute, GatewayService, RequestLimits, RouteKind,
 };
-use crate::gateway::directory::EndpointRecord;
+use crate::gateway::directory::{EndpointRecord, OrderRecord};
+use crate::gateway::rollout::{Order, OrderId, Status, StatusWord};
 use crate::name::{AccountName, CentreName, EndpointName, ServiceName, VersionName};
 
 /// Kinds of store objects that the gateway reads.
 pub(crate) const CONFIG_KIND: &str = "config";
 pub(crate) const ENDPOINT_KIND: &str = "servers";
 pub(crate) const EVACUATION_KIND: &str = "evacuations";
+pub(crate) const ROLLOUT_KIND: &str = "rollouts";
 /// Kind of the entries that the instances register themselves, one each.
 pub(crate) const INSTANCE_KIND: &str = "cornelstand-instances";
 
@@ -27,6 +29,8 @@
     pub(crate) metadata: Metadata,
     #[serde(default)]
     pub(crate) spec: Value,
+    #[serde(default, skip_serializing)]
+    pub(crate) status: Value,
 }
 
 /// Metadata that the store maintains for an object.
@@ -35,6 +39,12 @@
 pub(crate) struct Metadata {
     pub(crate) name: String,
     pub(crate) deleting: bool,
+    /// Revision of the last change. A call that carries one depends on it.
+    #[serde(skip_serializing)]
+    pub(crate) revision: u64,
+    /// Revision at which the object was created.
+    #[serde(skip_serializing)]
+    pub(crate) created_rev: u64,
 }
 
 /// Registration of an instance.
@@ -252,3 +262,82 @@
         cold: Duration::try_from_secs_f64(spec.cold_left_ms / 1e3).unwrap_or_default(),
     })
 }
+
+#[derive(Deserialize)]
+struct RolloutSpec {
+    service: String,
+    target: String,
+    duration_s: f64,
+}
+
+/// Progress of a roll-out, as the operator reads it.
+#[derive(Deserialize, Serialize)]
+struct RolloutStatus {
+    state: RolloutState,
+    target: String,
+}
+
+#[derive(Clone, Copy, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum RolloutState {
+    Running,
+    Completed,
+    RolledBack,
+}
+
+impl From<RolloutState> for StatusWord {
+    fn from(state: RolloutState) -> Self {
+        match state {
+            RolloutState::Running => Self::Running,
+            RolloutState::Completed => Self::Completed,
+            RolloutState::RolledBack => Self::RolledBack,
+        }
+    }
+}
+
+impl From<StatusWord> for RolloutState {
+    fn from(word: StatusWord) -> Self {
+        match word {
+            StatusWord::Running => Self::Running,
+            StatusWord::Completed => Self::Completed,
+            StatusWord::RolledBack => Self::RolledBack,
+        }
+    }
+}
+
+/// Decodes an order to roll out a version. A status that cannot be read is left out.
+///
+/// # Errors
+///
+/// Fails if a field is missing or malformed, as in entries by other writers.
+pub(crate) fn read_rollout(object: &StoreObject) -> Result<OrderRecord, serde_json::Error> {
+    let spec = RolloutSpec::deserialize(&object.spec)?;
+    let duration = Duration::try_from_secs_f64(spec.duration_s);
+    let duration = duration.map_err(serde::de::Error::custom)?;
+    if spec.target.is_empty() {
+        return Err(serde::de::Error::custom("no version"));
+    }
+    let status = RolloutStatus::deserialize(&object.status).ok();
+    Ok(OrderRecord {
+        name: object.metadata.name.clone(),
+        revision: object.metadata.revision,
+        order: Order {
+            id: OrderId {
+                service: ServiceName::from(spec.service.as_str()),
+                target: VersionName::from(spec.target.as_str()),
+                created: object.metadata.created_rev,
+            },
+            duration,
+            status: status.map(|s| Status {
+                word: s.state.into(),
+                target: VersionName::from(s.target.as_str()),
+            }),
+        },
+    })
+}
+
+/// Status of a roll-out to `target`.
+pub(crate) fn rollout_status(word: StatusWord, target: &VersionName) -> Value {
+    let (state, target) = (word.into(), target.as_str().to_owned());
+    serde_json::to_value(RolloutStatus { state, target }).unwrap_or_default()
+}
--- a/cornelstand/src/platform/store.rs
+++ b/cornelstand/src/platform/store.rs
@@ -6,7 +6,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::de::DeserializeOwned;
-use serde_json::Value;
+use serde_json::{Value, json};
 use snafu::{OptionExt, Snafu};
 use tokio::time::timeout;
 
@@ -46,7 +46,10 @@
     HistoryGone,
     /// The object already exists, or its revision differs.
     #[snafu(display("the object already exists or its revision differs"))]
-    Conflict,
+    Conflict {
+        /// The object as it is, if the response has it.
+        object: Option<Box<StoreObject>>,
+    },
     /// The response is malformed or too large, or the object to write cannot be encoded.
     #[snafu(display("malformed object or response: {reason}"))]
     Unreadable { reason: String },
@@ -198,13 +201,57 @@
         })?;
         let path = format!("/-/objects/{kind}");
         match self.call("POST", &path, &body, CALL_TIMEOUT).await {
-            Err(StoreCallError::Conflict) => {}
+            Err(StoreCallError::Conflict { .. }) => {}
             other => return other.map(drop),
         }
         let path = format!("/-/objects/{kind}/{}", object.metadata.name);
         self.call("PUT", &path, &body, CALL_TIMEOUT).await.map(drop)
     }
 
+    /// Reads an object; none if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the object cannot be read.
+    pub(crate) async fn get(
+        &mut self,
+        kind: &str,
+        name: &str,
+    ) -> Result<Option<StoreObject>, StoreCallError> {
+        let name = utf8_percent_encode(name, ESCAPED);
+        let path = format!("/-/objects/{kind}/{name}");
+        match self.call("GET", &path, &[], CALL_TIMEOUT).await {
+            Ok(body) => {
+                let reason = "no object";
+                let object = decode_object(&body).context(UnreadableSnafu { reason })?;
+                Ok(Some(object))
+            }
+            Err(StoreCallError::Refused { status: 404 }) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Replaces the status of an object if its revision is still `revision`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the object has changed, or if the store does not confirm the change.
+    pub(crate) async fn put_status(
+        &mut self,
+        kind: &str,
+        name: &str,
+        revision: u64,
+        status: &Value,
+    ) -> Result<(), StoreCallError> {
+        let metadata = json!({ "name": name, "revision": revision });
+        let body = json!({ "metadata": metadata, "status": status }).to_string();
+        let name = utf8_percent_encode(name, ESCAPED);
+        let path = format!("/-/objects/{kind}/{name}/status");
+        self.call("PUT", &path, body.as_bytes(), CALL_TIMEOUT)
+            .await
+            .map(drop)
+    }
+
     /// Deletes an object.
     ///
     /// # Errors
@@ -249,7 +296,10 @@
         }
         match head.status() {
             200..=299 => Ok(body),
-            409 => ConflictSnafu.fail(),
+            409 => {
+                let object = decode_object(&body).map(Box::new);
+                ConflictSnafu { object }.fail()
+            }
             410 => HistoryGoneSnafu.fail(),
             status => RefusedSnafu { status }.fail(),
         }
@@ -274,7 +324,13 @@
         tracing::warn!(event = "object_unreadable", name, %error, "skipping its contents");
         Value::Null
     });
-    Some(StoreObject { metadata, spec })
+    let status = member(&parts, "status").unwrap_or(b"null");
+    let status = serde_json::from_slice(status).unwrap_or_default();
+    Some(StoreObject {
+        metadata,
+        spec,
+        status,
+    })
 }
 
 fn decode_change(json: &[u8]) -> Option<Change> {
--- a/stand-ins/src/platform_endpoint.rs
+++ b/stand-ins/src/platform_endpoint.rs
@@ -58,6 +58,8 @@
     pub cut: bool,
     /// Every second request runs and is answered with an error.
     pub failing: bool,
+    /// Time by which the answers are later.
+    pub delay: Duration,
 }
 
 #[derive(Debug)]
@@ -188,7 +190,7 @@
         end(inner);
         return std::future::pending().await;
     }
-    sleep(settings.work).await;
+    sleep(settings.work + faults.delay).await;
     if faults.failing
         && inner
             .failing
--- a/stand-ins/src/platform_store.rs
+++ b/stand-ins/src/platform_store.rs
@@ -29,6 +29,8 @@
     pub silent: bool,
     /// Answers to writes are lost after the write.
     pub lost: bool,
+    /// Milliseconds after which a write is done whose answer is lost.
+    pub late: u64,
     /// Milliseconds that each call takes longer.
     pub slow: u64,
 }
@@ -54,6 +56,8 @@
     revision: u64,
     objects: HashMap<String, BTreeMap<String, Value>>,
     history: VecDeque<Change>,
+    /// Kind, name and value of each status that was written.
+    statuses: Vec<(String, String, Value)>,
     /// Revision up to which the history is gone.
     compacted: u64,
     faults: StoreFaults,
@@ -124,6 +128,23 @@
         self.inner.delete(kind, name)
     }
 
+    /// An object as it is stored.
+    #[must_use]
+    pub fn object(&self, kind: &str, name: &str) -> Option<Value> {
+        self.inner.lock().objects.get(kind)?.get(name).cloned()
+    }
+
+    /// All values that the status of an object has had, in order.
+    #[must_use]
+    pub fn statuses(&self, kind: &str, name: &str) -> Vec<Value> {
+        let core = self.inner.lock();
+        let of = core
+            .statuses
+            .iter()
+            .filter(|(k, n, _)| k == kind && n == name);
+        of.map(|(_, _, status)| status.clone()).collect()
+    }
+
     /// Drops the history.
     pub fn compact(&self) {
         let mut core = self.inner.lock();
@@ -141,14 +162,7 @@
 
     fn put(&self, kind: &str, name: &str, spec: &Value) -> Value {
         let mut core = self.lock();
-        core.revision += 1;
-        let revision = core.revision;
-        let metadata =
-            json!({ "name": name, "revision": revision, "finalizers": [], "deleting": false });
-        let object = json!({ "metadata": metadata, "spec": spec, "status": null });
-        let objects = core.objects.entry(kind.to_owned()).or_default();
-        objects.insert(name.to_owned(), object.clone());
-        core.record(kind, json!({ "object": object, "deleted": false }));
+        let object = core.write(kind, name, |object| object["spec"] = spec.clone());
         drop(core);
         self.changed.notify_waiters();
         object
@@ -168,7 +182,7 @@
     }
 
     async fn answer(
-        &self,
+        self: &Arc<Self>,
         method: &Method,
         path: &str,
         query: &HashMap<String, String>,
@@ -190,24 +204,47 @@
         if faults.away {
             return status(StatusCode::SERVICE_UNAVAILABLE);
         }
-        let mut parts = path.trim_start_matches("/-/objects/").splitn(2, '/');
+        let is_write = method != Method::GET;
+        if is_write && faults.late > 0 {
+            let (inner, method, path) = (self.clone(), method.clone(), path.to_owned());
+            let (query, body) = (query.clone(), body.to_vec());
+            // The caller may have closed its connection by then.
+            tokio::spawn(async move {
+                sleep(Duration::from_millis(faults.late)).await;
+                inner.execute(&method, &path, &query, &body).await;
+            });
+            return std::future::pending().await;
+        }
+        let response = self.execute(method, path, query, body).await;
+        if faults.lost && is_write {
+            return std::future::pending().await;
+        }
+        response
+    }
+
+    async fn execute(
+        &self,
+        method: &Method,
+        path: &str,
+        query: &HashMap<String, String>,
+        body: &[u8],
+    ) -> Response {
+        let mut parts = path.trim_start_matches("/-/objects/").splitn(3, '/');
         let kind = parts.next().unwrap_or_default();
-        let name = parts.next();
-        let response = match (method, name) {
-            (&Method::GET, None) => match query.get("watch").and_then(|w| w.parse().ok()) {
+        match (method, parts.next(), parts.next()) {
+            (&Method::GET, None, None) => match query.get("watch").and_then(|w| w.parse().ok()) {
                 Some(from) => self.watch(kind, from, query).await,
                 None => self.list(kind, query.get("after").map_or("", String::as_str)),
             },
-            (&Method::GET, Some(name)) => self.get(kind, name),
-            (&Method::POST, None) => self.create(kind, body),
-            (&Method::PUT, Some(name)) => self.replace(kind, name, body),
-            (&Method::DELETE, Some(name)) if self.delete(kind, name) => status(StatusCode::OK),
+            (&Method::GET, Some(name), None) => self.get(kind, name),
+            (&Method::POST, None, None) => self.create(kind, body),
+            (&Method::PUT, Some(name), None) => self.replace(kind, name, body),
+            (&Method::PUT, Some(name), Some("status")) => self.replace_status(kind, name, body),
+            (&Method::DELETE, Some(name), None) if self.delete(kind, name) => {
+                status(StatusCode::OK)
+            }
             _ => status(StatusCode::NOT_FOUND),
-        };
-        if faults.lost && method != Method::GET {
-            return std::future::pending().await;
         }
-        response
     }
 
     fn list(&self, kind: &str, after: &str) -> Response {
@@ -270,9 +307,58 @@
             None => status(StatusCode::BAD_REQUEST),
         }
     }
+
+    /// Replaces the status of an object if the call carries its revision, or none.
+    fn replace_status(&self, kind: &str, name: &str, body: &[u8]) -> Response {
+        let Ok(value) = serde_json::from_slice::<Value>(body) else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        let mut core = self.lock();
+        let known = core.objects.get(kind).and_then(|o| o.get(name)).cloned();
+        let Some(known) = known else {
+            return status(StatusCode::NOT_FOUND);
+        };
+        let condition = value.pointer("/metadata/revision").and_then(Value::as_u64);
+        if condition.is_some_and(|c| Some(c) != known["metadata"]["revision"].as_u64()) {
+            let mut response = reply(&known);
+            *response.status_mut() = StatusCode::CONFLICT;
+            return response;
+        }
+        let new = value.get("status").cloned().unwrap_or_default();
+        if known["status"] != new {
+            let entry = (kind.to_owned(), name.to_owned(), new.clone());
+            core.statuses.push(entry);
+        }
+        let object = core.write(kind, name, |object| object["status"] = new);
+        drop(core);
+        self.changed.notify_waiters();
+        reply(&object)
+    }
 }
 
 impl Core {
+    /// Changes an object, or creates it. A write that changes nothing has no revision.
+    fn write(&mut self, kind: &str, name: &str, change: impl FnOnce(&mut Value)) -> Value {
+        let revision = self.revision + 1;
+        let known = self.objects.get(kind).and_then(|o| o.get(name)).cloned();
+        let mut object = known.clone().unwrap_or_else(|| {
+            let metadata = json!({
+                "name": name, "created_rev": revision, "finalizers": [], "deleting": false,
+            });
+            json!({ "metadata": metadata, "spec": null, "status": null })
+        });
+        change(&mut object);
+        if known.as_ref() == Some(&object) {
+            return object;
+        }
+        self.revision = revision;
+        object["metadata"]["revision"] = json!(revision);
+        let objects = self.objects.entry(kind.to_owned()).or_default();
+        objects.insert(name.to_owned(), object.clone());
+        self.record(kind, json!({ "object": object, "deleted": false }));
+        object
+    }
+
     fn record(&mut self, kind: &str, event: Value) {
         self.history.push_back(Change {
             kind: kind.to_owned(),
