--- a/cornelstand/src/gateway/mod.rs
+++ b/cornelstand/src/gateway/mod.rs
@@ -40,6 +40,14 @@
 pub(crate) mod relay;
 pub(crate) mod residency;
 pub(crate) mod resume;
+// Until the gate uses it.
+#[allow(
+    dead_code,
+    unused_imports,
+    clippy::unused_self,
+    clippy::trivially_copy_pass_by_ref
+)]
+pub(crate) mod rollout;
 pub(crate) mod settings;
 pub(crate) mod stop;
 pub(crate) mod suspicion_news;
