--- a/cornelstand/src/gateway/admission.rs
+++ b/cornelstand/src/gateway/admission.rs
@@ -114,6 +114,8 @@
 pub(crate) struct Waiting {
     pub(crate) account: AccountName,
     pub(crate) service: ServiceName,
+    /// Name of its route.
+    pub(crate) route: String,
     pub(crate) prompt: Option<Prompt>,
     pub(crate) arrived: Moment,
     /// Latest time at which it may get a place.
@@ -138,6 +140,7 @@
         Self {
             account,
             service,
+            route: route.name.clone(),
             prompt,
             arrived: now,
             queue_deadline: now.after(route.objective.mul_f64(MAX_WAIT_FRACTION)),
--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -19,6 +19,7 @@
 use crate::gateway::placement::{EndpointIndex, Place, PlaceEnd};
 use crate::gateway::relay::{self, Attempt, BufferedResponse, NotRun};
 use crate::gateway::resume::ResumePoint;
+use crate::gateway::rollout_link::RolloutAttempt;
 use crate::name::{AccountName, Fingerprint, ServiceName};
 use crate::platform::headers::{CallFields, read_call, write_own_response};
 use crate::sse::Events;
@@ -412,6 +413,7 @@
     mut place: Place,
 ) -> Next {
     let before = call.sends;
+    let begun = Instant::now();
     log_place(gate, call, &place);
     // The endpoint may be unlisted by the time the attempt ends.
     let Some(endpoint) = gate.record(&place) else {
@@ -423,6 +425,21 @@
     let attempt = relay::attempt(gate, call, writer, &mut place, &endpoint).await;
     let is_sent = call.sends > before;
     gate.end(&place, place_end(&attempt));
+    let waited = begun.elapsed();
+    let note_end = |call: &Call, attempt: &Attempt, has_crashed: bool| {
+        let sent = RolloutAttempt {
+            call,
+            record: &endpoint,
+            place: &place,
+        };
+        if is_sent {
+            gate.note_rollout_end(sent, sent.is_failed(attempt, waited, has_crashed));
+        }
+    };
+    // Of a lost answer it is not known yet whether its endpoint has crashed.
+    if !attempt.is_lost() {
+        note_end(call, &attempt, false);
+    }
     if !attempt.is_delivered() {
         tracing::info!(
             event = "attempt_ended", request = %call.id(), sends = call.sends, begun = writer.has_begun(),
@@ -459,7 +476,8 @@
         Attempt::Lost(reason) => {
             gate.metrics.lost_responses.inc();
             call.tried.push(place.index);
-            gate.confirm_crash(call, &endpoint, &place).await;
+            let has_crashed = gate.confirm_crash(call, &endpoint, &place).await;
+            note_end(call, &attempt, has_crashed);
             after_loss(gate, call, writer, reason)
         }
     }
@@ -471,7 +489,9 @@
         Attempt::Delivered(_) | Attempt::Failed(_) | Attempt::Lost(_) => PlaceEnd::Failed,
         Attempt::NotRun(NotRun::Unreachable | NotRun::Moved) => PlaceEnd::Unreachable,
         Attempt::NotRun(NotRun::Busy) => PlaceEnd::Busy,
-        Attempt::Gone | Attempt::Late | Attempt::NotRun(NotRun::Barred) => PlaceEnd::Neutral,
+        Attempt::Gone | Attempt::Late | Attempt::NotRun(NotRun::Barred | NotRun::Withheld) => {
+            PlaceEnd::Neutral
+        }
     }
 }
 
@@ -496,6 +516,7 @@
         NotRun::Busy => "the endpoint has no room",
         NotRun::Moved | NotRun::Unreachable => "the endpoint is gone",
         NotRun::Barred => CRASH_REASON,
+        NotRun::Withheld => "its version gets no requests",
     };
     // A 503 promises that the request has not run, but an earlier attempt may have run it.
     let status = if call.sends == 1 { 503 } else { 502 };
--- a/cornelstand/src/gateway/containment.rs
+++ b/cornelstand/src/gateway/containment.rs
@@ -84,7 +84,13 @@
     }
 
     /// Counts a crash against a request if the endpoint that ran it is down or has restarted.
-    pub(crate) async fn confirm_crash(&self, call: &Call, ran: &EndpointRecord, place: &Place) {
+    /// Returns whether it is.
+    pub(crate) async fn confirm_crash(
+        &self,
+        call: &Call,
+        ran: &EndpointRecord,
+        place: &Place,
+    ) -> bool {
         let (request, sent) = (call.fingerprint, place.sent());
         let noticed = self.now();
         let probe = Upstream::connect(ran.address, PROBE_TIMEOUT).await;
@@ -96,7 +102,7 @@
             parts = %call.parts_text(),
         );
         if probe.is_ok() && !has_restarted {
-            return;
+            return false;
         }
         let mut crash = Crash {
             endpoint: ran.name.clone(),
@@ -128,6 +134,7 @@
                 age: self.now().since(noticed),
             });
         }
+        true
     }
 
     /// Counts a crash against the prompt parts of a request.
--- a/cornelstand/src/gateway/daemon.rs
+++ b/cornelstand/src/gateway/daemon.rs
@@ -18,6 +18,8 @@
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::number::to_f64;
 use crate::gateway::pauses::boot_time;
+use crate::gateway::rollout_link::judge_rollouts;
+use crate::gateway::rollout_writer::write_statuses;
 use crate::gateway::settings::peer_address;
 use crate::gateway::stop::drain;
 use crate::gateway::{connection, peers_link};
@@ -163,6 +165,7 @@
         Followed::Configuration,
         Followed::Endpoints,
         Followed::Evacuations,
+        Followed::Rollouts,
     ] {
         spawn(Box::pin(follow(gate.clone(), followed)));
     }
@@ -186,6 +189,8 @@
     )));
     spawn(Box::pin(tick(gate.clone())));
     spawn(Box::pin(expire_state(gate.clone())));
+    spawn(Box::pin(judge_rollouts(gate.clone())));
+    spawn(Box::pin(write_statuses(gate.clone())));
     Ok(peers)
 }
 
@@ -253,6 +258,8 @@
                 if is_asked || has_changed {
                     tracing::info!(event = "reloaded", is_asked, has_changed);
                 }
+                let decisions = &mut gate.state.borrow_mut().rollouts.decisions;
+                decisions.set_bounds(settings.rollout);
                 gate.settings.replace(settings);
             }
             Err(error) => tracing::error!(event = "reload_failed", %error, "settings unchanged"),
--- a/cornelstand/src/gateway/directory.rs
+++ b/cornelstand/src/gateway/directory.rs
@@ -388,10 +388,6 @@
         self.orders.values()
     }
 
-    pub(crate) fn order(&self, name: &str) -> Option<&OrderRecord> {
-        self.orders.get(name)
-    }
-
     /// Sets all orders, as listed.
     pub(crate) fn set_orders(&mut self, orders: impl IntoIterator<Item = OrderRecord>) {
         let by_name = orders.into_iter().map(|o| (o.name.clone(), o));
--- a/cornelstand/src/gateway/exchange.rs
+++ b/cornelstand/src/gateway/exchange.rs
@@ -16,18 +16,31 @@
 impl Gate {
     /// Blocks for a heartbeat, about this instance.
     pub(crate) fn heartbeat_extensions(&self) -> Vec<Extension> {
-        Vec::new()
+        let mut extensions = Vec::new();
+        extensions.extend(self.rollout_heartbeat_block());
+        extensions
     }
 
     /// Blocks for a digest, about the instances of this data centre.
     pub(crate) fn digest_extensions(&self) -> Vec<Extension> {
-        Vec::new()
+        let mut extensions = Vec::new();
+        extensions.extend(self.rollout_digest_block());
+        extensions
     }
 
-    /// Applies the blocks of a heartbeat or a digest.
+    /// Blocks for an alarm, which goes to all instances at once.
+    pub(crate) fn alarm_extensions(&self) -> Vec<Extension> {
+        let mut extensions = Vec::new();
+        extensions.extend(self.rollout_alarm_block());
+        extensions
+    }
+
+    /// Applies the blocks of a heartbeat, a digest or an alarm.
     pub(crate) fn receive_extensions(&self, sender: &Sender, extensions: &[Extension]) {
-        if !extensions.is_empty() {
-            tracing::trace!(event = "extensions", ?sender, count = extensions.len());
+        if extensions.is_empty() {
+            return;
         }
+        tracing::trace!(event = "extensions", ?sender, count = extensions.len());
+        self.receive_rollouts(sender, extensions);
     }
 }
--- a/cornelstand/src/gateway/follow.rs
+++ b/cornelstand/src/gateway/follow.rs
@@ -145,6 +145,9 @@
     for change in &changes {
         apply_change(gate, followed, change, revision);
     }
+    if followed == Followed::Rollouts {
+        apply_orders(gate, revision);
+    }
     Ok((revision, !changes.is_empty()))
 }
 
@@ -257,8 +260,6 @@
                 Some(order) => state.directory.put_order(order),
                 None => state.directory.remove_order(&object.metadata.name),
             }
-            drop(state);
-            apply_orders(gate, revision);
         }
     }
 }
@@ -465,10 +466,7 @@
     let newer_config = state
         .peers
         .newer_config(now, state.directory.catalog().version);
-    let newer_orders = state
-        .rollouts
-        .newer_orders(now, state.directory.order_version())
-        .and_then(|name| state.peers.beliefs(now, centre, name));
+    let newer_orders = state.newer_orders(now, centre);
     newer_snapshot
         .or(newer_orders)
         .filter(|_| may_adopt)
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -21,12 +21,13 @@
 use crate::gateway::peers::{Digest, Heartbeat, PeerLoad, Peers, Updates};
 use crate::gateway::placement::{EndpointIndex, Endpoints, Place, PlaceEnd, PlacementRules};
 use crate::gateway::prompt_suspects::PromptSuspects;
+use crate::gateway::rollout_link::RolloutLink;
 use crate::gateway::settings::{GatewaySettings, peer_address};
 use crate::gateway::stop::Stop;
 use crate::gateway::suspicion_news::{CrashNews, Evidence, Outbox, SuspicionUpdates};
 use crate::gateway::upstream::Pool;
 use crate::moment::{Clock, Moment};
-use crate::name::{AccountName, ServiceName};
+use crate::name::{AccountName, CentreName, ServiceName};
 use crate::suspect::Suspects;
 
 /// Timer lag up to which no streams are shed.
@@ -54,6 +55,7 @@
     pub(crate) suspicion_updates: SuspicionUpdates,
     pub(crate) pool: Pool,
     pub(crate) outputs: Outputs,
+    pub(crate) rollouts: RolloutLink,
     waiters: HashMap<WaitId, Waiter>,
     heartbeat_count: u64,
     digest_count: u64,
@@ -78,6 +80,8 @@
 #[derive(Debug)]
 struct Waiter {
     tried: Vec<EndpointIndex>,
+    /// Random number in 0..1 that decides which version of the service it may go to.
+    draw: f64,
     grant: oneshot::Sender<Place>,
 }
 
@@ -134,6 +138,7 @@
         metrics: GatewayMetrics,
         incarnation: u64,
     ) -> Self {
+        let rollouts = RolloutLink::new(&settings, incarnation);
         Self {
             settings: RefCell::new(settings),
             clock: Clock::start(),
@@ -150,6 +155,7 @@
                 suspicion_updates: SuspicionUpdates::default(),
                 pool: Pool::default(),
                 outputs: Outputs::default(),
+                rollouts,
                 waiters: HashMap::new(),
                 heartbeat_count: 0,
                 digest_count: 0,
@@ -202,7 +208,8 @@
         let mut state = self.state.borrow_mut();
         let id = state.admission.push(waiting);
         let tried = tried.to_vec();
-        state.waiters.insert(id, Waiter { tried, grant });
+        let draw = rand::random();
+        state.waiters.insert(id, Waiter { tried, draw, grant });
         if let Some(rules) = self.rules(&state, &service) {
             self.grant_place(&mut state, now, id, &rules);
         }
@@ -387,6 +394,7 @@
                 }
             }
         }
+        state.note_rollout_endpoints(now);
         release_unservable(&mut state, now);
         drop(state);
         self.serve_queue();
@@ -442,6 +450,24 @@
         state.peers.is_leader(now, &self.settings.borrow(), is_lost)
     }
 
+    /// Position among the instances that write to the store on behalf of the fleet; none if the
+    /// store does not answer this one, or if others of its data centre call it.
+    pub(crate) fn writer_rank(&self) -> Option<usize> {
+        let (state, now) = (self.state.borrow(), self.now());
+        let settings = self.settings.borrow();
+        let directory = &state.directory;
+        let is_lost = directory.is_store_lost(now);
+        if !directory.has_store() || !state.peers.watches_store(now, &settings, is_lost) {
+            return None;
+        }
+        let near = state.peers.store_rank(now, &settings, is_lost);
+        let centre = settings
+            .centres
+            .range::<CentreName, _>(..&settings.centre)
+            .count();
+        Some(near * settings.centres.len().max(1) + centre)
+    }
+
     /// Applies a digest of another data centre. Returns whether it is new.
     pub(crate) fn receive_digest(&self, digest: Digest) -> bool {
         let now = self.now();
@@ -599,7 +625,9 @@
     state
         .endpoints
         .available_from(now, service, |index, record| {
-            !tried.contains(&index) && !directory.is_evacuated(&record.centre)
+            !tried.contains(&index)
+                && !directory.is_evacuated(&record.centre)
+                && state.rollouts.admits(now, record)
         })
 }
 
@@ -660,13 +688,17 @@
     let should_replicate = prompt.is_some_and(|p| state.endpoints.should_replicate(now, p));
     rules.cached_only = now < waiting.cached_until && !should_replicate;
     rules.left = waiting.ends.since(now);
-    let tried = &state.waiters.get(&id)?.tried;
-    let directory = &state.directory;
+    let waiter = state.waiters.get(&id)?;
+    let (directory, tried) = (&state.directory, &waiter.tried);
+    let versions = state
+        .rollouts
+        .filter(now, &waiting.service, &waiting.route, waiter.draw);
     let index = state.endpoints.choose(
         now,
         &waiting.service,
         waiting.prompt.as_ref(),
         &rules,
+        |record| versions.admits(&record.software, &record.name),
         |index, record| !tried.contains(&index) && !directory.is_evacuated(&record.centre),
     );
     Some((index.ok()?, waiting.clone()))
--- a/cornelstand/src/gateway/metrics.rs
+++ b/cornelstand/src/gateway/metrics.rs
@@ -24,6 +24,10 @@
     pub(crate) suspicions: IntCounterVec,
     /// Recent suspicions that did not fit into a message.
     pub(crate) unsent: IntCounter,
+    /// Status writes of roll-outs, by result.
+    pub(crate) rollout_writes: IntCounterVec,
+    /// Requests sent while a roll-out runs, by side.
+    pub(crate) rollout_sends: IntCounterVec,
     pub(crate) connections: IntGauge,
     pub(crate) waiting: IntGauge,
     pub(crate) version: IntGauge,
@@ -88,6 +92,16 @@
                 "cornelstand_suspicions_untold_total",
                 "Recent suspicions that a message had no room for",
             )?,
+            rollout_writes: counters(
+                "cornelstand_rollout_writes_total",
+                "Status writes of roll-outs",
+                "result",
+            )?,
+            rollout_sends: counters(
+                "cornelstand_rollout_sends_total",
+                "Requests sent to the target of a roll-out, withheld from it, or sent to other versions",
+                "side",
+            )?,
             connections: gauge("cornelstand_connections", "Open connections of callers")?,
             waiting: gauge("cornelstand_waiting", "Requests that wait for a place")?,
             version: gauge("cornelstand_config_version", "Configuration in force")?,
--- a/cornelstand/src/gateway/mod.rs
+++ b/cornelstand/src/gateway/mod.rs
@@ -18,9 +18,8 @@
 pub(crate) mod daemon;
 pub(crate) mod directory;
 pub(crate) mod endpoint_state;
-// Until the parts that use them are joined.
-#[allow(clippy::unused_self)]
 pub(crate) mod exchange;
+// Until the parts that use them are joined.
 #[allow(dead_code)]
 pub(crate) mod extensions;
 pub(crate) mod follow;
@@ -40,7 +39,7 @@
 pub(crate) mod relay;
 pub(crate) mod residency;
 pub(crate) mod resume;
-// Until the gate uses it.
+// Until the decisions are whole.
 #[allow(
     dead_code,
     unused_imports,
@@ -48,6 +47,8 @@
     clippy::trivially_copy_pass_by_ref
 )]
 pub(crate) mod rollout;
+pub(crate) mod rollout_link;
+pub(crate) mod rollout_writer;
 pub(crate) mod settings;
 pub(crate) mod stop;
 pub(crate) mod suspicion_news;
--- a/cornelstand/src/gateway/peers.rs
+++ b/cornelstand/src/gateway/peers.rs
@@ -310,6 +310,16 @@
         !self.is_large() || self.count_higher_ranked(now, settings, is_lost) < STORE_WATCHERS
     }
 
+    /// Position among the instances of the same data centre that call the store.
+    pub(crate) fn store_rank(
+        &self,
+        now: Moment,
+        settings: &GatewaySettings,
+        is_lost: bool,
+    ) -> usize {
+        self.count_higher_ranked(now, settings, is_lost)
+    }
+
     /// Number of instances of the same data centre that rank higher. Those whose store calls failed
     /// rank last, in the same order: so the others try it in turn, and during an outage no more ask
     /// it than normally.
@@ -470,6 +480,22 @@
         fresh.map(|(_, d)| d).filter(move |d| d.centre != *centre)
     }
 
+    /// Other data centres than `centre` whose digests arrive.
+    pub(crate) fn digested(
+        &self,
+        now: Moment,
+        centre: &CentreName,
+    ) -> impl Iterator<Item = &CentreName> {
+        self.fresh_digests(now, centre).map(|d| &d.centre)
+    }
+
+    /// Name and data centre of the peer at an address.
+    pub(crate) fn at(&self, address: SocketAddr) -> Option<(&InstanceName, &CentreName)> {
+        let mut peers = self.peers.iter();
+        let (name, peer) = peers.find(|(_, p)| p.address == address)?;
+        Some((name, &peer.centre))
+    }
+
     /// Live heartbeats that no fresh digest covers.
     fn undigested_heartbeats(
         &self,
--- a/cornelstand/src/gateway/peers_link.rs
+++ b/cornelstand/src/gateway/peers_link.rs
@@ -111,11 +111,12 @@
 /// The alarm to send now, if there is any.
 pub(crate) fn alarm_packet(gate: &Gate) -> Option<Packet> {
     let news = gate.take_alarms();
-    if news.is_empty() {
+    let extensions = gate.alarm_extensions();
+    if news.is_empty() && extensions.is_empty() {
         return None;
     }
     let all = gate.state.borrow().peers.addresses();
-    Packet::new(&Message::Alarm(news), &[], all)
+    Packet::new(&Message::Alarm(news), &extensions, all)
 }
 
 /// Handles a datagram. Returns the addresses to which it is forwarded: a new digest of another data
@@ -155,6 +156,15 @@
         }
         Message::Alarm(news) => {
             gate.receive_alarm(&news);
+            if !extensions.is_empty() {
+                let state = gate.state.borrow();
+                let sender = state.peers.at(address);
+                let sender = sender.map(|(name, centre)| (name.clone(), centre.clone()));
+                drop(state);
+                if let Some((name, centre)) = sender {
+                    gate.receive_extensions(&Sender::Instance(name, centre), &extensions);
+                }
+            }
             Vec::new()
         }
     }
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -401,7 +401,8 @@
         busy.map(|s| (s.key, s.own))
     }
 
-    /// Returns the endpoint with the lowest cost for a request, without reserving it.
+    /// Returns the endpoint with the lowest cost for a request, without reserving it. Only
+    /// candidates share out prompt parts; those that are not allowed take no request.
     ///
     /// # Errors
     ///
@@ -412,15 +413,17 @@
         service: &ServiceName,
         prompt: Option<&Prompt>,
         rules: &PlacementRules,
+        is_candidate: impl Fn(&EndpointRecord) -> bool,
         is_allowed: impl Fn(EndpointIndex, &EndpointRecord) -> bool,
     ) -> Result<EndpointIndex, PlacementError> {
         let indices = self.services.get(service).map_or(&[][..], Vec::as_slice);
         let anchor = prompt.and_then(Prompt::anchor);
         let preferred = anchor.map_or(PreferredEndpoints::default(), |a| {
-            self.preferred(now, indices, a)
+            self.preferred(now, indices, a, &is_candidate)
         });
         let is_usable = |(index, state): &(EndpointIndex, &EndpointState)| {
-            state.is_usable(now) && is_allowed(*index, &state.record)
+            let record = &state.record;
+            state.is_usable(now) && is_candidate(record) && is_allowed(*index, record)
         };
         let listed = indices.iter().filter_map(|i| Some((*i, self.get(*i)?)));
         let usable = listed.filter(is_usable);
@@ -597,9 +600,15 @@
     }
 
     /// Preferred endpoints for `anchor` by rendezvous hashing, the same at all instances.
-    fn preferred(&self, now: Moment, indices: &[EndpointIndex], anchor: u64) -> PreferredEndpoints {
+    fn preferred(
+        &self,
+        now: Moment,
+        indices: &[EndpointIndex],
+        anchor: u64,
+        is_candidate: impl Fn(&EndpointRecord) -> bool,
+    ) -> PreferredEndpoints {
         let states = indices.iter().filter_map(|i| Some((*i, self.get(*i)?)));
-        let usable = states.filter(|(_, s)| s.is_usable(now));
+        let usable = states.filter(|(_, s)| s.is_usable(now) && is_candidate(&s.record));
         let mut first = (0, None);
         let mut second = (0, None);
         for (index, state) in usable {
--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -4,7 +4,6 @@
 //! into an error. Stream events are forwarded as soon as each is complete, so that a stream that
 //! breaks off within an event is resumed without a duplicate or partial event.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
@@ -17,6 +16,7 @@
 use crate::gateway::message::{BodyReader, Head, MessageError};
 use crate::gateway::outlet::{ResponseWriter, SendError, write_some};
 use crate::gateway::placement::{AnswerPhase, Place};
+use crate::gateway::rollout_link::{RolloutAttempt, elapsed};
 use crate::gateway::upstream::{Pool, ReadError, Upstream, read_into, reset_on_close};
 use crate::platform::headers::{
     CallerFraming, Forwarding, RequestRef, ResponseFields, read_response, write_request_head,
@@ -66,6 +66,8 @@
     Moved,
     /// Not sent, because the request has become known to crash endpoints.
     Barred,
+    /// Not sent, because the endpoint's version may not get it any more.
+    Withheld,
 }
 
 /// A completely buffered response.
@@ -153,6 +155,16 @@
     {
         return Attempt::NotRun(NotRun::Barred);
     }
+    let sent = RolloutAttempt {
+        call,
+        record,
+        place,
+    };
+    if !gate.note_rollout_send(sent) {
+        let pool: &mut Pool = &mut gate.state.borrow_mut().pool;
+        pool.put(address, upstream, None);
+        return Attempt::NotRun(NotRun::Withheld);
+    }
     let mut request = BytesMut::new();
     let forwarding = Forwarding {
         endpoint,
@@ -171,7 +183,8 @@
     let is_first = upstream.note_request(&call.request_id);
     let mut exchange = Exchange {
         gate,
-        address,
+        record,
+        sent: Instant::now(),
         upstream: &mut upstream,
         unsent: &request,
         rest,
@@ -250,7 +263,8 @@
 /// A request and its response on one upstream connection.
 struct Exchange<'a> {
     gate: &'a Gate,
-    address: SocketAddr,
+    record: &'a EndpointRecord,
+    sent: Instant,
     upstream: &'a mut Upstream,
     /// The part of the request that is written next.
     unsent: &'a [u8],
@@ -289,7 +303,7 @@
             }
             if !is_own {
                 // A late response to an earlier request on this connection.
-                tracing::info!(event = "foreign_answer", request = %call.id(), address = %self.address);
+                tracing::info!(event = "foreign_answer", request = %call.id(), address = %self.record.address);
                 self.is_reusable = false;
                 skipped += 1;
                 if skipped > MAX_FOREIGN_RESPONSES {
@@ -322,6 +336,9 @@
                 return self.forward_events(&head, body, call, writer, place).await;
             }
             self.gate.begin(place);
+            if head.status() < 500 {
+                self.note_good(call, place);
+            }
             let body = self.read_body(&mut body, call, writer).await?;
             let response = BufferedResponse { head, body };
             if !is_good && (writer.has_begun() || call.may_retry()) {
@@ -333,6 +350,16 @@
         }
     }
 
+    /// Records that the answer has begun well.
+    fn note_good(&self, call: &Call, place: &Place) {
+        let attempt = RolloutAttempt {
+            call,
+            record: self.record,
+            place,
+        };
+        self.gate.note_rollout_answer(attempt, elapsed(self.sent));
+    }
+
     /// Sends the rest of the request; stops early if the endpoint responds before it has read all
     /// of it.
     async fn send(&mut self, call: &Call, writer: &mut ResponseWriter) -> Result<(), Interruption> {
@@ -445,6 +472,7 @@
                 call.generated = call.generated.saturating_add(tokens);
                 if std::mem::replace(&mut is_first, false) {
                     self.gate.begin(place);
+                    self.note_good(call, place);
                 } else {
                     self.gate.progress(place, tokens);
                 }
--- a/cornelstand/src/gateway/tests.rs
+++ b/cornelstand/src/gateway/tests.rs
@@ -13,6 +13,7 @@
 mod peers;
 mod placement;
 mod prompt_suspects;
+mod rollout_link;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/cornelstand/src/gateway/tests/placement.rs
+++ b/cornelstand/src/gateway/tests/placement.rs
@@ -64,7 +64,8 @@
     prompt: Option<&Prompt>,
     rules: &PlacementRules,
 ) -> Result<EndpointIndex, PlacementError> {
-    endpoints.choose(now, &ServiceName::from(service), prompt, rules, |_, _| true)
+    let service = ServiceName::from(service);
+    endpoints.choose(now, &service, prompt, rules, |_| true, |_, _| true)
 }
 
 fn take(endpoints: &mut Endpoints, now: Moment, prompt: &Prompt) -> Place {
--- a/cornelstand/src/platform/tests.rs
+++ b/cornelstand/src/platform/tests.rs
@@ -11,6 +11,7 @@
 mod notices;
 mod path;
 mod resumption;
+mod rollouts;
 mod scripted;
 mod second_response;
 mod stop;
--- /dev/null
+++ b/cornelstand/src/platform/tests/rollouts.rs
@@ -0,0 +1,283 @@
+//! Orders of roll-outs in the store, and the status that is written to them.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rstest::rstest;
+use serde_json::{Value, json};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::time::{sleep, timeout};
+
+use crate::gateway::directory::OrderRecord;
+use crate::gateway::follow::{Followed, follow};
+use crate::gateway::gate::Gate;
+use crate::gateway::rollout::{StatusWord, StatusWrite};
+use crate::gateway::rollout_writer::{Written, write_status};
+use crate::gateway::settings::RolloutBounds;
+use crate::gateway::tests::gate;
+use crate::platform::objects::{StoreObject, read_rollout};
+use crate::platform::store::StoreClient;
+use crate::platform::tests::path::run_local;
+use crate::platform::tests::scripted::{TEST_TIMEOUT, read_request};
+
+fn object(revision: u64, spec: &Value, status: &Value) -> Value {
+    let metadata = json!({
+        "name": "models", "revision": revision, "created_rev": 4, "finalizers": [],
+        "deleting": false,
+    });
+    json!({ "metadata": metadata, "spec": spec, "status": status })
+}
+
+fn spec() -> Value {
+    json!({ "service": "models", "target": "v2", "duration_s": 12.5 })
+}
+
+fn status(state: &str, target: &str) -> Value {
+    json!({ "state": state, "target": target })
+}
+
+fn read(spec: &Value, status: &Value) -> Result<OrderRecord, serde_json::Error> {
+    let object: StoreObject = serde_json::from_value(object(7, spec, status)).expect("an object");
+    read_rollout(&object)
+}
+
+#[test]
+fn an_order_is_decoded() {
+    let record = read(&spec(), &Value::Null).expect("valid");
+    assert_eq!((record.name.as_str(), record.revision), ("models", 7));
+    let order = record.order;
+    assert_eq!((order.id.target.as_str(), order.id.created), ("v2", 4));
+    assert_eq!(order.duration, Duration::from_millis(12_500));
+    assert_eq!(order.word(), None);
+}
+
+#[rstest]
+#[case::running(status("running", "v2"), Some(StatusWord::Running))]
+#[case::completed(status("completed", "v2"), Some(StatusWord::Completed))]
+#[case::rolled_back(status("rolled_back", "v2"), Some(StatusWord::RolledBack))]
+#[case::earlier_target(status("completed", "v1"), None)]
+#[case::unknown_state(status("paused", "v2"), None)]
+#[case::no_target(json!({ "state": "completed" }), None)]
+#[case::other_type(json!([1]), None)]
+fn a_status_counts_for_its_own_target(#[case] status: Value, #[case] word: Option<StatusWord>) {
+    assert_eq!(read(&spec(), &status).expect("valid").order.word(), word);
+}
+
+#[rstest]
+#[case::service("service", json!(7))]
+#[case::no_service("service", json!(null))]
+#[case::target("target", json!(2))]
+#[case::no_version("target", json!(""))]
+#[case::duration("duration_s", json!("soon"))]
+#[case::negative("duration_s", json!(-1))]
+#[case::too_long("duration_s", json!(1e300))]
+fn a_malformed_order_is_rejected(#[case] field: &str, #[case] value: Value) {
+    let mut spec = spec();
+    spec[field] = value;
+    assert!(read(&spec, &Value::Null).is_err());
+}
+
+/// A reply of the store: its status and body, or none at all.
+type Reply = Option<(u16, Value)>;
+
+/// A store that answers each call with the next reply, and none after the last.
+async fn store(replies: Vec<Reply>) -> (SocketAddr, Rc<RefCell<Vec<String>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let address = listener.local_addr().expect("bound");
+    let requests: Rc<RefCell<Vec<String>>> = Rc::default();
+    let kept = requests.clone();
+    tokio::task::spawn_local(async move {
+        let mut replies = replies.into_iter();
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("accept");
+            while let Some(request) = read_request(&mut stream).await {
+                kept.borrow_mut().push(request);
+                let Some((status, body)) = replies.next().flatten() else {
+                    break;
+                };
+                let body = body.to_string();
+                let length = body.len();
+                let head = format!("HTTP/1.1 {status} X\r\ncontent-length: {length}\r\n\r\n");
+                let answer = head + &body;
+                stream.write_all(answer.as_bytes()).await.expect("written");
+            }
+        }
+    });
+    (address, requests)
+}
+
+fn now_at(revision: u64, status: &Value) -> Value {
+    object(revision, &spec(), status)
+}
+
+fn replaced() -> Value {
+    let spec = json!({ "service": "models", "target": "v3", "duration_s": 12 });
+    object(9, &spec, &Value::Null)
+}
+
+/// What is known after a write of `completed`, and how many calls that took.
+#[rstest]
+#[case::accepted(vec![Some((200, json!({})))], "done Completed", 1)]
+#[case::another_has_written(
+    vec![Some((409, now_at(9, &status("completed", "v2"))))], "done Completed", 1
+)]
+#[case::another_has_rolled_back(
+    vec![Some((409, now_at(9, &status("rolled_back", "v2"))))], "done RolledBack", 1
+)]
+#[case::another_revision(
+    vec![Some((409, now_at(9, &status("running", "v2"))))], "undone at 9", 1
+)]
+#[case::another_order(vec![Some((409, replaced()))], "replaced", 1)]
+#[case::conflict_without_object(
+    vec![Some((409, json!({}))), Some((200, now_at(9, &Value::Null)))], "undone at 9", 2
+)]
+#[case::lost_and_done(
+    vec![None, Some((200, now_at(8, &status("completed", "v2"))))], "done Completed", 2
+)]
+#[case::lost_and_not_done(vec![None, Some((200, now_at(7, &Value::Null)))], "undone at 7", 2)]
+#[case::lost_and_deleted(vec![None, Some((404, json!({})))], "replaced", 2)]
+#[case::lost_twice(vec![None, None], "undone", 2)]
+#[case::unavailable(vec![Some((503, json!({})))], "undone", 1)]
+#[case::too_many_calls(vec![Some((429, json!({})))], "undone", 1)]
+#[tokio::test]
+async fn after_a_write_the_entry_is_known(
+    #[case] replies: Vec<Reply>,
+    #[case] expected: &str,
+    #[case] calls: usize,
+) {
+    run_local(async {
+        let (address, requests) = store(replies).await;
+        let gate = gate("one", Vec::new());
+        let entry = read(&spec(), &status("running", "v2")).expect("valid");
+        let write = StatusWrite {
+            order: entry.order.id.clone(),
+            word: StatusWord::Completed,
+        };
+        let mut client = StoreClient::new(address);
+        let written = write_status(&gate, &mut client, &write, &entry).await;
+        let found = match written {
+            Written::Done(word) => format!("done {word:?}"),
+            Written::Undone(Some(entry)) => format!("undone at {}", entry.revision),
+            Written::Undone(None) => "undone".to_owned(),
+            Written::Replaced => "replaced".to_owned(),
+        };
+        assert_eq!(found, expected);
+        let requests = requests.borrow();
+        assert_eq!(requests.len(), calls);
+        let (head, body) = requests[0].split_once("\r\n\r\n").expect("a body");
+        assert!(head.starts_with("PUT /-/objects/rollouts/models/status HTTP/1.1\r\n"));
+        let body: Value = serde_json::from_str(body).expect("JSON");
+        assert_eq!(body["metadata"]["revision"], 7);
+        assert_eq!(body["status"], status("completed", "v2"));
+    })
+    .await;
+}
+
+/// A final status is never replaced, whatever this instance concludes.
+#[tokio::test]
+async fn an_order_that_has_ended_is_not_written_again() {
+    run_local(async {
+        let (address, requests) = store(Vec::new()).await;
+        let gate = gate("one", Vec::new());
+        let entry = read(&spec(), &status("rolled_back", "v2")).expect("valid");
+        let mut client = StoreClient::new(address);
+        for word in [StatusWord::Running, StatusWord::Completed] {
+            let order = entry.order.id.clone();
+            let write = StatusWrite { order, word };
+            let written = write_status(&gate, &mut client, &write, &entry).await;
+            assert!(matches!(written, Written::Done(StatusWord::RolledBack)));
+        }
+        assert!(requests.borrow().is_empty());
+    })
+    .await;
+}
+
+fn rollout_gate(address: SocketAddr) -> Rc<Gate> {
+    let gate = gate("one", Vec::new());
+    {
+        let mut settings = gate.settings.borrow_mut();
+        settings.store = address;
+        settings.rollout = Some(RolloutBounds {
+            share: 0.1,
+            slack: 50.0,
+            rollback: Duration::from_secs(5),
+        });
+    }
+    gate.discovery_done.set(true);
+    gate
+}
+
+/// Orders after some answers of a store that also has an unreadable entry and forgets its history.
+#[rstest]
+#[case::listed(1, 5, &["v2"])]
+#[case::unreadable_change(2, 5, &["v2"])]
+#[case::replaced(3, 7, &["v3"])]
+#[case::history_gone(5, 9, &["v4"])]
+#[case::deleted(6, 10, &[])]
+#[tokio::test]
+async fn orders_are_followed(
+    #[case] replies: usize,
+    #[case] revision: u64,
+    #[case] targets: &[&str],
+) {
+    run_local(async {
+        let order = |target: &str, revision: u64| {
+            let spec = json!({ "service": "models", "target": target, "duration_s": 12 });
+            object(revision, &spec, &Value::Null)
+        };
+        let foreign =
+            json!({ "metadata": { "name": "x", "revision": 5 }, "spec": { "target": 1 } });
+        let list = |items: Value, as_of: u64| {
+            Some((
+                200,
+                json!({ "items": items, "has_more": false, "as_of": as_of }),
+            ))
+        };
+        let change = |object: Value, is_deleted: bool, as_of: u64| {
+            let event = json!({ "object": object, "deleted": is_deleted });
+            Some((200, json!({ "events": [event], "as_of": as_of })))
+        };
+        let mut all = vec![
+            list(json!([foreign, order("v2", 4)]), 5),
+            change(foreign.clone(), false, 6),
+            change(order("v3", 7), false, 7),
+            Some((410, json!({}))),
+            list(json!([order("v4", 9)]), 9),
+            change(order("v4", 9), true, 10),
+        ];
+        all.truncate(replies);
+        let (address, requests) = store(all).await;
+        let gate = rollout_gate(address);
+        tokio::task::spawn_local(follow(gate.clone(), Followed::Rollouts));
+        let version = || gate.state.borrow().directory.order_version().revision;
+        let wait = async {
+            while requests.borrow().len() <= replies || version() < revision {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(TEST_TIMEOUT, wait)
+            .await
+            .expect("all answers are read");
+        let state = gate.state.borrow();
+        let known = state.directory.orders().map(|o| &o.order.id.target);
+        let known: Vec<&str> = known.map(|t| t.as_str()).collect();
+        assert_eq!((version(), &known[..]), (revision, targets));
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn without_roll_outs_in_the_settings_the_store_is_not_asked_for_orders() {
+    run_local(async {
+        let (address, requests) = store(Vec::new()).await;
+        let gate = rollout_gate(address);
+        gate.settings.borrow_mut().rollout = None;
+        tokio::task::spawn_local(follow(gate.clone(), Followed::Rollouts));
+        sleep(Duration::from_secs(30)).await;
+        assert!(requests.borrow().is_empty());
+    })
+    .await;
+}
--- a/cornelstand/tests/gateway/platform/mod.rs
+++ b/cornelstand/tests/gateway/platform/mod.rs
@@ -18,6 +18,8 @@
 pub(crate) const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 pub(crate) const KEY: &str = "key-a";
 pub(crate) const EVENTS: u32 = 12;
+/// Software version of the endpoints at the start.
+pub(crate) const VERSION: &str = "v1";
 
 /// Names of the data centres.
 pub(crate) const CENTRES: [&str; 3] = ["north", "south", "west"];
@@ -50,6 +52,8 @@
     pub(crate) endpoints: BTreeMap<String, PlatformEndpoint>,
     /// Addresses of endpoints that are reached through a proxy.
     pub(crate) addresses: BTreeMap<String, SocketAddr>,
+    /// Software versions of endpoints other than [`VERSION`].
+    pub(crate) versions: BTreeMap<String, String>,
     pub(crate) instances: Vec<Instance>,
     pub(crate) http: reqwest::Client,
 }
@@ -71,20 +75,24 @@
         count: u8,
         endpoints: u8,
         work: Duration,
+    ) -> Self {
+        Self::start_for(centres, count, endpoints, work, "")
+    }
+
+    /// The same, with further lines of the instances' settings.
+    pub(crate) fn start_for(
+        centres: &[&'static str],
+        count: u8,
+        endpoints: u8,
+        work: Duration,
+        lines: &str,
     ) -> Self {
         let names = (1..=endpoints).flat_map(|n| [format!("m-{n}"), format!("o-{n}")]);
         let names: Vec<String> = names.collect();
         let store = PlatformStore::start().expect("the store starts");
         let mut endpoints = BTreeMap::new();
         for name in &names {
-            let endpoint = PlatformEndpoint::start(EndpointSettings {
-                name: name.clone(),
-                work,
-                events: EVENTS,
-                pause: Duration::from_millis(20),
-                down: RESTART_DELAY,
-            });
-            endpoints.insert(name.clone(), endpoint.expect("the endpoint starts"));
+            endpoints.insert(name.clone(), endpoint(name, work));
         }
         let world = NEXT_WORLD.fetch_add(1, Ordering::Relaxed);
         let ip = |i: u8| address(std::process::id(), world, i);
@@ -95,6 +103,7 @@
             store,
             endpoints,
             addresses: BTreeMap::new(),
+            versions: BTreeMap::new(),
             instances: Vec::new(),
             http: reqwest::Client::builder()
                 .no_proxy()
@@ -109,7 +118,8 @@
         for i in 0..count {
             let centre = usize::from(i) % centres.len();
             let store = this.store.address();
-            let instance = Instance::new(ip(i), store, &seeds.join(","), centres, centre);
+            let lines = format!("seeds={}\n{lines}", seeds.join(","));
+            let instance = Instance::new(ip(i), store, &lines, centres, centre);
             this.instances.push(instance);
         }
         this.instances.iter_mut().for_each(Instance::start);
@@ -156,11 +166,27 @@
         let spec: Value = json!({
             "service": service, "address": address, "zone": "north",
             "slots": 64, "state": state, "cold_left_ms": 0, "seq": 1,
+            "version": self.versions.get(name).map_or(VERSION, String::as_str),
             "born": 1 + self.endpoints[name].ends().len(),
         });
         self.store.put("servers", name, &spec);
     }
 
+    /// Starts and lists one more endpoint of a version.
+    pub(crate) fn add(&mut self, name: &str, version: &str) {
+        self.endpoints.insert(name.to_owned(), endpoint(name, WORK));
+        self.versions.insert(name.to_owned(), version.to_owned());
+        self.list(name, "ready");
+    }
+
+    /// Orders that a service moves to a version.
+    pub(crate) fn order(&self, service: &str, target: &str, duration: Duration) {
+        let spec = json!({
+            "service": service, "target": target, "duration_s": duration.as_secs(),
+        });
+        self.store.put("rollouts", service, &spec);
+    }
+
     /// Times at which requests crashed endpoints, in order.
     pub(crate) fn ends(&self) -> Vec<std::time::Instant> {
         let ends = self.endpoints.values().flat_map(PlatformEndpoint::ends);
@@ -264,6 +290,17 @@
     }
 }
 
+fn endpoint(name: &str, work: Duration) -> PlatformEndpoint {
+    let endpoint = PlatformEndpoint::start(EndpointSettings {
+        name: name.to_owned(),
+        work,
+        events: EVENTS,
+        pause: Duration::from_millis(20),
+        down: RESTART_DELAY,
+    });
+    endpoint.expect("the endpoint starts")
+}
+
 /// Address of an instance. Processes that run at the same time have identifiers that are close to
 /// one another, and a process has fewer than 32 worlds.
 fn address(process: u32, world: u8, instance: u8) -> Ipv4Addr {
@@ -282,7 +319,7 @@
 }
 
 impl Instance {
-    fn new(ip: Ipv4Addr, store: SocketAddr, seeds: &str, centres: &[&str], centre: usize) -> Self {
+    fn new(ip: Ipv4Addr, store: SocketAddr, lines: &str, centres: &[&str], centre: usize) -> Self {
         let folder = std::env::temp_dir().join(format!("cornelstand-gateway-{ip}"));
         std::fs::create_dir_all(&folder).expect("a folder for the test");
         let settings = folder.join("settings.conf");
@@ -291,8 +328,9 @@
         let text = format!(
             "node=n-{ip}\nzone={zone}\n{zones}listen.front={ip}:8783\n\
              listen.ready={ip}:8780\nlisten.control={ip}:8785\ninternal_ports=7400,7415\n\
-             seeds={seeds}\nlimits.cpu_share=0.25\nlimits.memory_mb=260\nlimits.max_fds=4100\n\
-             bounds.grace_s=8\nbounds.budget_slack=50\nplatform.address={store}\n"
+             limits.cpu_share=0.25\nlimits.memory_mb=260\nlimits.max_fds=4100\n\
+             bounds.grace_s=8\nbounds.budget_slack=50\nplatform.address={store}\n\
+             {lines}"
         );
         std::fs::write(&settings, text).expect("settings are written");
         Self {
--- a/cornelstand/tests/gateway/soak.rs
+++ b/cornelstand/tests/gateway/soak.rs
@@ -187,6 +187,7 @@
                     silent: rng.random_bool(0.3),
                     lost: rng.random_bool(0.3),
                     slow: rng.random_range(0..100),
+                    late: 0,
                 };
                 world.read().await.store.set_faults(faults);
             }
@@ -200,6 +201,7 @@
                     busy: rng.random_bool(0.3),
                     cut: rng.random_bool(0.3),
                     failing: rng.random_bool(0.5),
+                    delay: Duration::ZERO,
                 };
                 world.read().await.endpoints[endpoint].set_faults(faults);
             }
