--- a/cornelstand/src/gateway/exchange.rs
+++ b/cornelstand/src/gateway/exchange.rs
@@ -5,7 +5,7 @@
 use crate::name::{CentreName, InstanceName};
 
 /// Whose state a message tells.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub(crate) enum Sender {
     /// One instance, in its data centre.
     Instance(InstanceName, CentreName),
--- /dev/null
+++ b/cornelstand/src/gateway/rollout/judge.rs
@@ -0,0 +1,204 @@
+//! Whether the canary answers worse than the baseline.
+//!
+//! The rates of failures and of slow answers are compared on each route and over all routes, within
+//! the same spans of time, since endpoints of both versions fail and slow down for other reasons as
+//! well. The log-likelihood ratio of the canary's rate against a tolerated one is the test
+//! statistic: for a rate within the tolerance it exceeds `x` with a probability below `exp(-x)` in
+//! one comparison.
+
+use crate::gateway::rollout::evidence::{Evidence, GROUPS, RouteTally, Tally};
+
+/// Statistic from which a version is bad. Some 5,000 comparisons are made in a roll-out of 12 s, so
+/// a version at the tolerated rate is taken for bad in less than 1 of 80.
+const BAD_STATISTIC: f64 = 13.0;
+/// Statistic that the other groups must reach without the worst group of endpoints.
+const REST_STATISTIC: f64 = 2.0;
+/// Answers of the other groups from which they are asked.
+const MIN_REST: u32 = 6;
+/// Baseline answers within a span from which they are compared; else all since the order are.
+const MIN_BASELINE: u32 = 30;
+/// Tolerated excess of the canary's rate, relative to the baseline's.
+const TOLERATED_FACTOR: f64 = 1.5;
+/// Tolerated excess of the failure rate.
+const TOLERATED_FAILURES: f64 = 0.02;
+/// Tolerated excess of the rate of slow answers.
+const TOLERATED_SLOW: f64 = 0.05;
+/// Tolerated failure rate if there is no baseline.
+const ASSUMED_FAILURES: f64 = 0.05;
+/// Highest tolerated rate.
+const MAX_TOLERATED: f64 = 0.9;
+/// Classes of time above the baseline's median from which an answer is slow: 2 to 2.8 times.
+const SLOW_CLASSES: usize = 3;
+
+/// Result of all comparisons.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Findings {
+    /// Largest statistic.
+    pub(crate) suspicion: f64,
+    /// Whether the version is bad.
+    pub(crate) is_bad: bool,
+}
+
+/// Answers, and how many of them are bad.
+#[derive(Clone, Copy, Debug, Default)]
+struct Count {
+    answers: u32,
+    bad: u32,
+}
+
+impl Count {
+    fn sum(counts: &[Self]) -> Self {
+        Self {
+            answers: counts.iter().map(|c| c.answers).sum(),
+            bad: counts.iter().map(|c| c.bad).sum(),
+        }
+    }
+
+    fn rate(self) -> f64 {
+        (f64::from(self.bad) + 0.5) / (f64::from(self.answers) + 1.0)
+    }
+
+    /// Log-likelihood ratio of the observed rate against a tolerated one, zero if it is lower.
+    fn statistic(self, tolerated: f64) -> f64 {
+        let answers = f64::from(self.answers);
+        let rate = f64::from(self.bad) / answers.max(1.0);
+        if rate <= tolerated {
+            return 0.0;
+        }
+        let good = if self.bad < self.answers {
+            (1.0 - rate) * ((1.0 - rate) / (1.0 - tolerated)).ln()
+        } else {
+            0.0
+        };
+        answers * (rate * (rate / tolerated).ln() + good)
+    }
+}
+
+/// Counts of the canary's groups, and the tolerated rate.
+#[derive(Clone, Copy, Debug)]
+struct Comparison {
+    groups: [Count; GROUPS],
+    tolerated: f64,
+}
+
+impl Comparison {
+    fn find(&self, endpoints: usize) -> Findings {
+        let total = Count::sum(&self.groups);
+        let statistic = total.statistic(self.tolerated);
+        let worst = self.groups.iter().max_by_key(|g| g.bad);
+        let worst = worst.copied().unwrap_or_default();
+        let rest = Count {
+            answers: total.answers - worst.answers,
+            bad: total.bad - worst.bad,
+        };
+        // One endpoint may be at fault, rather than its version.
+        let is_shared = if endpoints <= 1 {
+            true
+        } else if rest.answers < MIN_REST {
+            statistic >= 2.0 * BAD_STATISTIC
+        } else {
+            rest.statistic(self.tolerated) >= REST_STATISTIC
+        };
+        Findings {
+            suspicion: statistic,
+            is_bad: statistic >= BAD_STATISTIC && is_shared,
+        }
+    }
+
+    /// Comparison over several routes.
+    fn joined(routes: &[Self]) -> Self {
+        let mut groups = [Count::default(); GROUPS];
+        let mut expected = 0.0;
+        for route in routes {
+            for (group, count) in groups.iter_mut().zip(&route.groups) {
+                *group = Count::sum(&[*group, *count]);
+            }
+            expected += f64::from(Count::sum(&route.groups).answers) * route.tolerated;
+        }
+        let answers = f64::from(Count::sum(&groups).answers);
+        Self {
+            groups,
+            tolerated: expected / answers.max(1.0),
+        }
+    }
+}
+
+fn tolerated(baseline: Count, excess: f64) -> f64 {
+    (baseline.rate() * TOLERATED_FACTOR + excess).min(MAX_TOLERATED)
+}
+
+/// Compares failures on a route.
+fn failures(route: &RouteTally, baseline: &Tally) -> Comparison {
+    let count = |tally: &Tally| Count {
+        answers: tally.answers(),
+        bad: tally.failed,
+    };
+    let base = count(baseline);
+    let tolerated = if base.answers < MIN_BASELINE {
+        ASSUMED_FAILURES
+    } else {
+        tolerated(base, TOLERATED_FAILURES)
+    };
+    Comparison {
+        groups: [0, 1, 2].map(|g: usize| count(&route.canary[g])),
+        tolerated,
+    }
+}
+
+/// Compares slow answers on a route, if the baseline has enough.
+fn slowness(route: &RouteTally, baseline: &Tally) -> Option<Comparison> {
+    if baseline.timed() < MIN_BASELINE {
+        return None;
+    }
+    let slow = baseline.median() + SLOW_CLASSES;
+    let count = |tally: &Tally| Count {
+        answers: tally.timed(),
+        bad: tally.count_from(slow),
+    };
+    Some(Comparison {
+        groups: [0, 1, 2].map(|g: usize| count(&route.canary[g])),
+        tolerated: tolerated(count(baseline), TOLERATED_SLOW),
+    })
+}
+
+/// Judges a version by its answers since the order, and since some `earlier` states. `endpoints` is
+/// the number of its endpoints.
+pub(crate) fn judge<'a>(
+    whole: &Evidence,
+    earlier: impl IntoIterator<Item = &'a Evidence>,
+    endpoints: usize,
+) -> Findings {
+    let mut findings = judge_span(whole, whole, endpoints);
+    for state in earlier {
+        let found = judge_span(whole, &whole.since(state), endpoints);
+        findings.suspicion = findings.suspicion.max(found.suspicion);
+        findings.is_bad |= found.is_bad;
+    }
+    findings
+}
+
+fn judge_span(whole: &Evidence, span: &Evidence, endpoints: usize) -> Findings {
+    let mut failing = Vec::new();
+    let mut slow = Vec::new();
+    for route in span.routes() {
+        let all = whole.route(&route.route).map(|r| &r.baseline);
+        let all = all.unwrap_or(&route.baseline);
+        let pick = |answers: u32| {
+            if answers < MIN_BASELINE {
+                all
+            } else {
+                &route.baseline
+            }
+        };
+        failing.push(failures(route, pick(route.baseline.answers())));
+        slow.extend(slowness(route, pick(route.baseline.timed())));
+    }
+    let mut findings = Findings::default();
+    let joined = [Comparison::joined(&failing), Comparison::joined(&slow)];
+    for comparison in failing.iter().chain(&slow).chain(&joined) {
+        let found = comparison.find(endpoints);
+        findings.suspicion = findings.suspicion.max(found.suspicion);
+        findings.is_bad |= found.is_bad;
+    }
+    findings
+}
--- a/cornelstand/src/gateway/rollout/mod.rs
+++ b/cornelstand/src/gateway/rollout/mod.rs
@@ -6,9 +6,15 @@
 //! Instances exchange counters of answers, judge them on their own, and stop sending to a bad
 //! version at once. See `docs/design/rollouts.md`.
 
+pub(crate) mod allowance;
+pub(crate) mod evidence;
+pub(crate) mod judge;
 pub(crate) mod news;
 pub(crate) mod order;
+pub(crate) mod peers;
 pub(crate) mod rollouts;
+pub(crate) mod running;
+pub(crate) mod versions;
 
 pub(crate) use news::RolloutNews;
 pub(crate) use order::{Order, OrderId, Status, StatusWord};
