--- a/cornelstand/src/gateway/directory.rs
+++ b/cornelstand/src/gateway/directory.rs
@@ -103,6 +103,8 @@
     listed: bool,
     versions: ViewVersions,
     order_version: ViewVersion,
+    /// Store revision up to which the orders are complete; none if they are not known yet.
+    orders_as_of: Option<u64>,
     /// Number of times a peer's view was adopted.
     adoptions: u64,
 }
@@ -181,6 +183,7 @@
             listed: false,
             versions: ViewVersions::default(),
             order_version: ViewVersion::default(),
+            orders_as_of: None,
             adoptions: 0,
         }
     }
@@ -412,8 +415,19 @@
         self.order_version
     }
 
+    /// Store revision up to which the orders are complete.
+    pub(crate) fn orders_as_of(&self) -> u64 {
+        self.orders_as_of.unwrap_or_default()
+    }
+
+    /// Whether the orders were listed or adopted.
+    pub(crate) fn knows_orders(&self) -> bool {
+        self.orders_as_of.is_some()
+    }
+
     /// Marks the orders as current at store `revision`. Returns whether they changed.
     pub(crate) fn mark_orders(&mut self, revision: u64) -> bool {
+        self.orders_as_of = self.orders_as_of.max(Some(revision));
         let mut hash = Xxh3::new();
         for order in self.orders.values() {
             hash.update(order.name.as_bytes());
@@ -479,6 +493,7 @@
             self.order_version = snapshot.order_version;
             self.set_orders(snapshot.orders);
         }
+        self.orders_as_of = self.orders_as_of.max(Some(self.order_version.revision));
         if !snapshot
             .versions
             .endpoints
--- a/cornelstand/src/gateway/follow.rs
+++ b/cornelstand/src/gateway/follow.rs
@@ -267,8 +267,9 @@
 /// Applies the orders at store `revision`, and notifies the peers if they have changed.
 fn apply_orders(gate: &Gate, revision: u64) {
     let has_changed = gate.state.borrow_mut().directory.mark_orders(revision);
+    // Also without a change: peers may have told of an order that is gone by now.
+    gate.apply_orders();
     if has_changed {
-        gate.apply_orders();
         gate.heartbeat_trigger.notify_one();
     }
 }
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -1,7 +1,7 @@
 //! The state of a gateway instance, and the operations that combine its parts.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -42,6 +42,9 @@
 /// about a tenth of the queue that an engine may have.
 const URGENT_PROMPT_TOKENS: f64 = 1_000.0;
 
+/// Longest time from the start for which an instance is not ready because it knows no orders.
+const ORDERS_WAIT: Duration = Duration::from_secs(3);
+
 /// Mutable gateway state.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -186,7 +189,11 @@
 
     /// Whether callers should be routed here.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.stop.has_begun() && self.state.borrow().directory.is_complete()
+        let directory = &self.state.borrow().directory;
+        let knows_orders = directory.knows_orders() || !self.has_rollouts();
+        // The orders are listed last; a store that does not list them holds nobody up for long.
+        let is_known = knows_orders || self.now().since(Moment::default()) >= ORDERS_WAIT;
+        !self.stop.has_begun() && directory.is_complete() && is_known
     }
 
     /// Whether to shed a new stream, chosen at random, because this instance lacks CPU time.
@@ -375,9 +382,11 @@
     pub(crate) fn apply(&self, changes: Vec<EndpointChange>) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
+        let mut services = BTreeSet::new();
         for change in changes {
             match change {
                 EndpointChange::Listed(record) => {
+                    services.insert(record.service.clone());
                     tracing::info!(
                         event = "endpoint_listed", endpoint = %record.name, service = %record.service,
                         address = %record.address, centre = %record.centre, leaving = record.leaving,
@@ -387,6 +396,9 @@
                 }
                 EndpointChange::Removed(name) => {
                     tracing::info!(event = "endpoint_removed", endpoint = %name);
+                    let index = state.endpoints.find(&name);
+                    let removed = index.and_then(|i| state.endpoints.get(i));
+                    services.extend(removed.map(|s| s.record.service.clone()));
                     state.endpoints.remove(&name);
                 }
                 EndpointChange::Lapsed(name) => {
@@ -394,7 +406,7 @@
                 }
             }
         }
-        state.note_rollout_endpoints(now);
+        state.note_rollout_endpoints(now, &services);
         release_unservable(&mut state, now);
         drop(state);
         self.serve_queue();
@@ -690,16 +702,19 @@
     rules.left = waiting.ends.since(now);
     let waiter = state.waiters.get(&id)?;
     let (directory, tried) = (&state.directory, &waiter.tried);
-    let versions = state
+    let mut versions = state
         .rollouts
-        .filter(now, &waiting.service, &waiting.route, waiter.draw);
-    let index = state.endpoints.choose(
-        now,
-        &waiting.service,
-        waiting.prompt.as_ref(),
-        &rules,
-        |record| versions.admits(&record.software, &record.name),
-        |index, record| !tried.contains(&index) && !directory.is_evacuated(&record.centre),
-    );
-    Some((index.ok()?, waiting.clone()))
+        .filters(now, &waiting.service, &waiting.route, waiter.draw);
+    let index = versions.find_map(|versions| {
+        let chosen = state.endpoints.choose(
+            now,
+            &waiting.service,
+            waiting.prompt.as_ref(),
+            &rules,
+            |record| versions.admits(&record.software, &record.name),
+            |index, record| !tried.contains(&index) && !directory.is_evacuated(&record.centre),
+        );
+        chosen.ok()
+    });
+    Some((index?, waiting.clone()))
 }
--- a/cornelstand/src/gateway/rollout/running.rs
+++ b/cornelstand/src/gateway/rollout/running.rs
@@ -108,6 +108,24 @@
     pub(crate) running: u32,
 }
 
+/// Figures behind the decisions.
+#[derive(Debug)]
+pub(crate) struct Figures<'a> {
+    pub(crate) age: Duration,
+    /// Sends of this instance to the service.
+    pub(crate) sends: u32,
+    /// Sends to the canary among them.
+    pub(crate) canary: u32,
+    /// Largest statistic.
+    pub(crate) suspicion: f64,
+    /// Endpoints of the target.
+    pub(crate) endpoints: usize,
+    /// Endpoints of the baseline.
+    pub(crate) baseline: usize,
+    /// Answers of all known instances.
+    pub(crate) routes: &'a [RouteTally],
+}
+
 /// An order that is not over.
 #[derive(Debug)]
 pub(crate) struct Rollout {
@@ -177,6 +195,18 @@
         now.since(self.started)
     }
 
+    pub(crate) fn figures(&self, now: Moment) -> Figures<'_> {
+        Figures {
+            age: self.age(now),
+            sends: self.allowance.sends,
+            canary: self.allowance.canary,
+            suspicion: self.findings.suspicion,
+            endpoints: self.ranks.len(),
+            baseline: self.baseline,
+            routes: self.whole.routes(),
+        }
+    }
+
     /// Takes over the age that another instance tells.
     pub(crate) fn note_age(&mut self, now: Moment, age: Duration) {
         self.started = self.started.min(now.before(age));
--- a/cornelstand/src/gateway/rollout_link.rs
+++ b/cornelstand/src/gateway/rollout_link.rs
@@ -18,15 +18,17 @@
 use crate::gateway::gate::{Gate, State};
 use crate::gateway::placement::Place;
 use crate::gateway::relay::{Attempt, NotRun};
+use crate::gateway::rollout::evidence::Tally;
+use crate::gateway::rollout::rollouts::Change;
 use crate::gateway::rollout::{
-    Answer, Filter, Fleet, Order, OrderId, RolloutNews, Rollouts, Sent, Side,
+    Answer, Filter, Fleet, Order, OrderId, RolloutNews, Rollouts, Sent, Side, StatusWrite,
 };
 use crate::gateway::settings::GatewaySettings;
 use crate::moment::Moment;
 use crate::name::{CentreName, InstanceName, ServiceName};
 
 /// Interval at which evidence is judged.
-const JUDGE_PERIOD: Duration = Duration::from_millis(50);
+const JUDGE_PERIOD: Duration = Duration::from_millis(100);
 /// Interval of looking for roll-outs in the settings.
 const IDLE_PERIOD: Duration = Duration::from_secs(1);
 /// Multiple of the objective after which a request without an answer counts against its endpoint.
@@ -44,8 +46,6 @@
 #[derive(Debug)]
 pub(crate) struct RolloutLink {
     pub(crate) decisions: Rollouts,
-    /// The order of each service.
-    orders: BTreeMap<ServiceName, Order>,
     /// Version of the orders that each peer knows.
     peer_orders: HashMap<InstanceName, ViewVersion>,
     /// Whether all peers have to be told at once.
@@ -57,22 +57,25 @@
         let instance = settings.instance.clone();
         Self {
             decisions: Rollouts::new(instance, incarnation, settings.rollout),
-            orders: BTreeMap::new(),
             peer_orders: HashMap::new(),
             is_urgent: false,
         }
     }
 
-    /// Endpoints that a queued request of a route may go to, for its `draw` in 0..1.
-    pub(crate) fn filter(
+    /// Endpoints that a queued request of a route may go to, for its `draw` in 0..1, and those that
+    /// it may go to if these have no room.
+    pub(crate) fn filters(
         &self,
         now: Moment,
         service: &ServiceName,
         route: &str,
         draw: f64,
-    ) -> Filter<'_> {
-        let side = self.decisions.side_for(now, service, route, draw);
-        self.decisions.filter(now, service, side)
+    ) -> impl Iterator<Item = Filter<'_>> {
+        let side = |draw| self.decisions.side_for(now, service, route, draw);
+        let first = side(draw);
+        let second = Some(side(1.0)).filter(|second| *second != first);
+        let filter = move |side| self.decisions.filter(now, service, side);
+        std::iter::once(filter(first)).chain(second.map(filter))
     }
 
     /// Whether requests of a service may go to an endpoint at all.
@@ -86,50 +89,6 @@
         };
         admits(Side::Baseline) || admits(Side::Canary)
     }
-
-    /// Replaces the orders. Returns what has changed, for the log.
-    fn replace_orders(&mut self, orders: BTreeMap<ServiceName, Order>) -> Vec<OrderChange> {
-        let before = std::mem::replace(&mut self.orders, orders);
-        let is_same = |a: &Order, b: &Order| a.id == b.id && a.duration == b.duration;
-        let new = self
-            .orders
-            .values()
-            .filter_map(|order| match before.get(&order.id.service) {
-                Some(old) if is_same(old, order) => None,
-                Some(old) => Some(OrderChange::Replaced(order.clone(), old.id.clone())),
-                None => Some(OrderChange::Heard(order.clone())),
-            });
-        let gone = before
-            .iter()
-            .filter(|(service, _)| !self.orders.contains_key(*service));
-        let gone = gone.map(|(_, order)| OrderChange::Removed(order.clone()));
-        new.chain(gone).collect()
-    }
-}
-
-/// A change of the orders.
-#[derive(Clone, Debug)]
-enum OrderChange {
-    Heard(Order),
-    /// An order, and the one that it replaces.
-    Replaced(Order, OrderId),
-    Removed(Order),
-}
-
-impl OrderChange {
-    fn log(&self, as_of: u64) {
-        let (event, order, old) = match self {
-            Self::Heard(order) => ("rollout_ordered", order, None),
-            Self::Replaced(order, old) => ("rollout_replaced", order, Some(old)),
-            Self::Removed(order) => ("rollout_removed", order, None),
-        };
-        let id = &order.id;
-        tracing::info!(
-            event, service = %id.service, target = %id.target, order = id.created, as_of,
-            duration_ms = order.duration.as_millis(), status = ?order.word(),
-            old_target = old.map(|o| o.target.as_str()), old_order = old.map(|o| o.created),
-        );
-    }
 }
 
 impl State {
@@ -144,9 +103,12 @@
         newest.map(|(_, address)| address)
     }
 
-    /// Tells the decisions which endpoints the services with an order have.
-    pub(crate) fn note_rollout_endpoints(&mut self, now: Moment) {
-        for service in self.rollouts.orders.keys() {
+    /// Tells the decisions which endpoints some services have.
+    pub(crate) fn note_rollout_endpoints(&mut self, now: Moment, services: &BTreeSet<ServiceName>) {
+        if !self.rollouts.decisions.is_enabled() {
+            return;
+        }
+        for service in services {
             let records = self.endpoints.of(service).map(|s| &s.record);
             let versions = records.map(|r| (r.name.clone(), r.software.clone()));
             let versions: Vec<_> = versions.collect();
@@ -195,16 +157,12 @@
                 orders.insert(order.id.service.clone(), order.clone());
             }
         }
-        let as_of = state.directory.order_version().revision;
-        let list: Vec<Order> = orders.values().cloned().collect();
-        for change in state.rollouts.replace_orders(orders) {
-            change.log(as_of);
-        }
+        let orders: Vec<Order> = orders.into_values().collect();
         let fleet = state.fleet(now, &self.settings.borrow());
         let decisions = &mut state.rollouts.decisions;
         decisions.set_fleet(now, fleet);
-        decisions.set_orders(now, as_of, &list);
-        state.note_rollout_endpoints(now);
+        decisions.set_orders(now, state.directory.orders_as_of(), &orders);
+        self.log_rollouts(&mut state.rollouts);
     }
 
     /// Advances the roll-outs.
@@ -217,6 +175,50 @@
         link.decisions.tick(now);
         if link.decisions.take_alarm() {
             link.is_urgent = true;
+        }
+        self.log_rollouts(link);
+    }
+
+    /// Records that the entry of an order has a status.
+    pub(crate) fn note_rollout_status(&self, write: &StatusWrite) {
+        let link = &mut self.state.borrow_mut().rollouts;
+        link.decisions.note_status_written(self.now(), write);
+        self.log_rollouts(link);
+    }
+
+    /// Logs what has changed. The ends of roll-outs are told to all peers at once.
+    fn log_rollouts(&self, link: &mut RolloutLink) {
+        for (id, change) in link.decisions.take_changes() {
+            let OrderId {
+                service,
+                target,
+                created,
+            } = &id;
+            link.is_urgent |= matches!(change, Change::Completed | Change::RolledBack);
+            let Some(figures) = link.decisions.figures(self.now(), service) else {
+                tracing::info!(event = %change, %service, %target, order = created);
+                continue;
+            };
+            tracing::info!(
+                event = %change, %service, %target, order = created,
+                age_ms = figures.age.as_millis(), sends = figures.sends, to_target = figures.canary,
+                suspicion = figures.suspicion, endpoints = figures.endpoints,
+                others = figures.baseline,
+            );
+            if change == Change::Ordered {
+                continue;
+            }
+            for route in figures.routes {
+                let (old, new) = (&route.baseline, Tally::sum(&route.canary));
+                tracing::info!(
+                    event = "rollout_evidence", %service, %target, order = created,
+                    route = route.route, answers = new.answers(), failed = new.failed,
+                    median_class = new.median(), other_answers = old.answers(),
+                    other_failed = old.failed, other_median_class = old.median(),
+                );
+            }
+        }
+        if link.is_urgent {
             self.alarm_trigger.notify_one();
         }
     }
@@ -226,14 +228,14 @@
     pub(crate) fn note_rollout_send(&self, attempt: RolloutAttempt<'_>) -> bool {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let sent = attempt.sent(&state, now);
+        let sent = attempt.sent(&state);
         let link = &mut state.rollouts;
         if !link.decisions.is_enabled() {
             return true;
         }
         let is_allowed = link.decisions.note_send(now, sent);
-        if let Some(order) = link.orders.get(sent.service) {
-            let side = match (is_allowed, *sent.software == order.id.target) {
+        if let Some(target) = link.decisions.target(sent.service) {
+            let side = match (is_allowed, sent.software == target) {
                 (false, _) => "withheld",
                 (true, true) => "target",
                 (true, false) => "other",
@@ -248,7 +250,7 @@
     pub(crate) fn note_rollout_answer(&self, attempt: RolloutAttempt<'_>, answer: Answer) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let sent = attempt.sent(&state, now);
+        let sent = attempt.sent(&state);
         let decisions = &mut state.rollouts.decisions;
         if decisions.is_enabled() {
             decisions.note_answer(now, sent, answer);
@@ -259,7 +261,7 @@
     pub(crate) fn note_rollout_end(&self, attempt: RolloutAttempt<'_>, is_failed: bool) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let sent = attempt.sent(&state, now);
+        let sent = attempt.sent(&state);
         let decisions = &mut state.rollouts.decisions;
         if decisions.is_enabled() {
             if is_failed {
@@ -317,6 +319,7 @@
             link.peer_orders.insert(instance.clone(), block.orders);
         }
         link.decisions.merge(now, sender, &block.news);
+        self.log_rollouts(link);
     }
 }
 
@@ -329,7 +332,8 @@
 }
 
 impl<'a> RolloutAttempt<'a> {
-    fn sent(self, state: &State, now: Moment) -> Sent<'a> {
+    fn sent(self, state: &State) -> Sent<'a> {
+        let now = self.place.sent();
         let endpoint = state.endpoints.get(self.place.index);
         Sent {
             service: &self.call.service,
--- a/cornelstand/src/gateway/rollout_writer.rs
+++ b/cornelstand/src/gateway/rollout_writer.rs
@@ -56,9 +56,7 @@
         match write_status(&gate, &mut client, &write, &entry).await {
             Written::Done(word) => {
                 let order = write.order;
-                let mut state = gate.state.borrow_mut();
-                let decisions = &mut state.rollouts.decisions;
-                decisions.note_status_written(gate.now(), &StatusWrite { order, word });
+                gate.note_rollout_status(&StatusWrite { order, word });
                 delay = RETRY_DELAY_MIN;
             }
             Written::Undone(entry) => {
--- a/cornelstand/tests/gateway/main.rs
+++ b/cornelstand/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod platform;
+mod rollout;
 mod soak;
 
 use std::net::SocketAddr;
