--- a/cornelstand/src/gateway/daemon.rs
+++ b/cornelstand/src/gateway/daemon.rs
@@ -258,8 +258,7 @@
                 if is_asked || has_changed {
                     tracing::info!(event = "reloaded", is_asked, has_changed);
                 }
-                let decisions = &mut gate.state.borrow_mut().rollouts.decisions;
-                decisions.set_bounds(settings.rollout);
+                gate.set_rollout_bounds(settings.rollout);
                 gate.settings.replace(settings);
             }
             Err(error) => tracing::error!(event = "reload_failed", %error, "settings unchanged"),
--- a/cornelstand/src/gateway/rollout_link.rs
+++ b/cornelstand/src/gateway/rollout_link.rs
@@ -23,7 +23,7 @@
 use crate::gateway::rollout::{
     Answer, Filter, Fleet, Order, OrderId, RolloutNews, Rollouts, Sent, Side, StatusWrite,
 };
-use crate::gateway::settings::GatewaySettings;
+use crate::gateway::settings::{GatewaySettings, RolloutBounds};
 use crate::moment::Moment;
 use crate::name::{CentreName, InstanceName, ServiceName};
 
@@ -139,6 +139,12 @@
         self.settings.borrow().rollout.is_some()
     }
 
+    /// Applies changed settings.
+    pub(crate) fn set_rollout_bounds(&self, bounds: Option<RolloutBounds>) {
+        let decisions = &mut self.state.borrow_mut().rollouts.decisions;
+        decisions.set_bounds(bounds);
+    }
+
     /// Applies the orders in the directory.
     pub(crate) fn apply_orders(&self) {
         let now = self.now();
@@ -283,8 +289,9 @@
 
     /// Block for an alarm, if all peers have to be told at once.
     pub(crate) fn rollout_alarm_block(&self) -> Option<Extension> {
-        let link = &mut self.state.borrow_mut().rollouts;
-        let is_urgent = std::mem::take(&mut link.is_urgent);
+        let mut state = self.state.borrow_mut();
+        let is_urgent = std::mem::take(&mut state.rollouts.is_urgent);
+        drop(state);
         is_urgent.then(|| self.rollout_block(Rollouts::news))?
     }
 
