--- a/cornelstand/tests/gateway/rollout.rs
+++ b/cornelstand/tests/gateway/rollout.rs
@@ -42,12 +42,15 @@
     world
 }
 
+/// A whole answer, or none.
+type Answer = Option<(u16, String)>;
+
 /// Callers that send one request after another.
 struct Traffic {
     is_over: Arc<AtomicBool>,
     /// Requests that were answered, or not.
     count: Arc<AtomicUsize>,
-    callers: Vec<JoinHandle<Vec<Option<(u16, String)>>>>,
+    callers: Vec<JoinHandle<Vec<Answer>>>,
 }
 
 impl Traffic {
@@ -92,7 +95,7 @@
         world.until("more requests", has_more).await;
     }
 
-    async fn end(self) -> Vec<Option<(u16, String)>> {
+    async fn end(self) -> Vec<Answer> {
         self.is_over.store(true, Ordering::Relaxed);
         let mut answers = Vec::new();
         for caller in self.callers {
