--- a/cornelstand/src/gateway/tests/rollout_link.rs
+++ b/cornelstand/src/gateway/tests/rollout_link.rs
@@ -3,14 +3,25 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rstest::rstest;
+
 use crate::gateway::directory::{DirectorySnapshot, OrderRecord};
+use crate::gateway::exchange::Sender;
 use crate::gateway::gate::Gate;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::peers_link::{Packet, handle_datagram, heartbeat_packet};
-use crate::gateway::rollout::{Order, OrderId};
+use crate::gateway::rollout::{Answer, Order, OrderId, Rollouts, Sent, Side};
 use crate::gateway::settings::RolloutBounds;
-use crate::gateway::tests::{MODELS, catalog, settings};
-use crate::name::{ServiceName, VersionName};
+use crate::gateway::tests::fleet::{CONTACT_TIME, Fleet, Member, Plan};
+use crate::gateway::tests::{MODELS, catalog, list, record, settings};
+use crate::moment::Moment;
+use crate::name::{EndpointName, ServiceName, VersionName};
+
+const BOUNDS: Option<RolloutBounds> = Some(RolloutBounds {
+    share: 0.1,
+    slack: 50.0,
+    rollback: Duration::from_secs(5),
+});
 
 fn order(target: &str, created: u64, revision: u64) -> OrderRecord {
     OrderRecord {
@@ -30,11 +41,7 @@
 
 fn rollout_gate(name: &str) -> Rc<Gate> {
     let mut settings = settings(name);
-    settings.rollout = Some(RolloutBounds {
-        share: 0.1,
-        slack: 50.0,
-        rollback: Duration::from_secs(5),
-    });
+    settings.rollout = BOUNDS;
     let metrics = GatewayMetrics::new().expect("metrics are defined once");
     let gate = Gate::new(settings, metrics, 1);
     gate.state.borrow_mut().directory.set_catalog(catalog(1));
@@ -111,3 +118,115 @@
     let centre = gate.settings.borrow().centre.clone();
     assert_eq!(gate.state.borrow().newer_orders(gate.now(), &centre), None);
 }
+
+fn names(names: &[(&str, &str)]) -> Vec<(EndpointName, VersionName)> {
+    let pair = |(name, version): &(&str, &str)| ((*name).into(), (*version).into());
+    names.iter().map(pair).collect()
+}
+
+fn at(ms: u64) -> Moment {
+    Moment(ms * 1_000)
+}
+
+fn decisions() -> Rollouts {
+    Rollouts::new("one".into(), 1, BOUNDS)
+}
+
+fn admits(decisions: &Rollouts, now: Moment, version: &str) -> bool {
+    let filter = decisions.filter(now, &MODELS.into(), Side::Baseline);
+    filter.admits(&version.into(), &"any".into())
+}
+
+/// A set of orders as of an earlier revision withdrew an order that a peer had told of meanwhile.
+#[test]
+fn orders_as_of_an_earlier_revision_do_not_withdraw_a_later_one() {
+    let peer = rollout_gate("two");
+    hear(&peer, order("v3", 60, 60));
+    let news = peer.state.borrow().rollouts.decisions.news(peer.now());
+    let sender = Sender::Instance("two".into(), "north".into());
+    let older = order("v2", 40, 40).order;
+    for known in [vec![], vec![older]] {
+        let mut decisions = decisions();
+        decisions.set_orders(at(0), 50, &known);
+        decisions.merge(at(10), &sender, &news);
+        decisions.set_orders(at(20), 55, &known);
+        let target = decisions.target(&MODELS.into());
+        assert_eq!(target.map(VersionName::as_str), Some("v3"));
+        decisions.set_orders(at(30), 65, &[]);
+        assert_eq!(decisions.target(&MODELS.into()), None);
+    }
+}
+
+/// A version that appeared beside another one was held back after the other one had gone.
+#[test]
+fn a_version_is_not_held_back_for_one_that_is_gone() {
+    let mut decisions = decisions();
+    let mut list = |now, endpoints: &[(&str, &str)]| {
+        decisions.note_endpoints(now, &MODELS.into(), &names(endpoints));
+        ["v1", "v2"].map(|version| admits(&decisions, now, version))
+    };
+    list(at(0), &[("a", "v1")]);
+    let both = [("a", "v1"), ("b", "v2")];
+    assert_eq!(list(at(5_000), &both), [true, false]);
+    assert_eq!(list(at(5_100), &[("b", "v2")]), [true, true]);
+}
+
+/// One instance finds a version bad. The others, in other data centres as well, have heard of it
+/// within the contact time, also if some messages are lost.
+#[rstest]
+#[case::small(3, 9, 0.0)]
+#[case::large(3, 30, 0.0)]
+#[case::lossy(3, 30, 0.2)]
+#[tokio::test(start_paused = true)]
+async fn a_verdict_reaches_all_instances(
+    #[case] centres: usize,
+    #[case] count: usize,
+    #[case] loss: f64,
+) {
+    let plan = Plan {
+        loss,
+        ..Plan::new(centres, count)
+    };
+    let mut fleet = Fleet::start(plan);
+    let endpoints = [("a", "v1"), ("b", "v2"), ("c", "v2")].map(|(name, version)| {
+        let mut record = record(name, MODELS, ([10, 1, 0, 1], 80).into());
+        record.software = version.into();
+        record
+    });
+    for member in &fleet.members {
+        member.gate.settings.borrow_mut().rollout = BOUNDS;
+        member.gate.set_rollout_bounds(BOUNDS);
+        list(&member.gate, endpoints.to_vec());
+    }
+    fleet.wait(CONTACT_TIME).await;
+    // The others hear of the order from this instance.
+    hear(&fleet.members[0].gate, order("v2", 4, 4));
+    fleet.wait(Duration::from_secs(1)).await;
+    let gate = &fleet.members[0].gate;
+    for (endpoint, version) in [("a", "v1"), ("b", "v2"), ("c", "v2")].repeat(50) {
+        let decisions = &mut gate.state.borrow_mut().rollouts.decisions;
+        let sent = Sent {
+            service: &MODELS.into(),
+            route: "quote",
+            endpoint: &endpoint.into(),
+            software: &version.into(),
+            is_warm: true,
+        };
+        let first = Duration::from_millis(50);
+        let answer = if version == "v2" {
+            Answer::Failed
+        } else {
+            Answer::Good { first }
+        };
+        decisions.note_answer(gate.now(), sent, answer);
+    }
+    gate.advance_rollouts();
+    fleet.wait(Duration::from_secs(1)).await;
+    let is_bad = |member: &Member| {
+        let state = member.gate.state.borrow();
+        let news = state.rollouts.decisions.news(member.gate.now());
+        news.orders.iter().all(|o| o.is_bad) && !news.orders.is_empty()
+    };
+    let informed = fleet.members.iter().filter(|m| is_bad(m)).count();
+    assert_eq!(informed, count);
+}
--- a/cornelstand/src/platform/tests/rollouts.rs
+++ b/cornelstand/src/platform/tests/rollouts.rs
@@ -14,14 +14,23 @@
 use crate::gateway::directory::OrderRecord;
 use crate::gateway::follow::{Followed, follow};
 use crate::gateway::gate::Gate;
+use crate::gateway::rollout::evidence::Tally;
 use crate::gateway::rollout::{StatusWord, StatusWrite};
 use crate::gateway::rollout_writer::{Written, write_status};
 use crate::gateway::settings::RolloutBounds;
-use crate::gateway::tests::gate;
+use crate::gateway::tests::{ORDERS, gate, list, record};
 use crate::platform::objects::{StoreObject, read_rollout};
 use crate::platform::store::StoreClient;
-use crate::platform::tests::path::run_local;
-use crate::platform::tests::scripted::{TEST_TIMEOUT, read_request};
+use crate::platform::tests::path::{connect, fetch, listen, request, run_local};
+use crate::platform::tests::scripted::{
+    Endpoint, Step, TEST_TIMEOUT, answer, own_loopback, read_request, response,
+};
+
+const BOUNDS: Option<RolloutBounds> = Some(RolloutBounds {
+    share: 0.1,
+    slack: 50.0,
+    rollback: Duration::from_secs(5),
+});
 
 fn object(revision: u64, spec: &Value, status: &Value) -> Value {
     let metadata = json!({
@@ -197,14 +206,11 @@
 
 fn rollout_gate(address: SocketAddr) -> Rc<Gate> {
     let gate = gate("one", Vec::new());
+    gate.set_rollout_bounds(BOUNDS);
     {
         let mut settings = gate.settings.borrow_mut();
         settings.store = address;
-        settings.rollout = Some(RolloutBounds {
-            share: 0.1,
-            slack: 50.0,
-            rollback: Duration::from_secs(5),
-        });
+        settings.rollout = BOUNDS;
     }
     gate.discovery_done.set(true);
     gate
@@ -263,7 +269,7 @@
             .expect("all answers are read");
         let state = gate.state.borrow();
         let known = state.directory.orders().map(|o| &o.order.id.target);
-        let known: Vec<&str> = known.map(|t| t.as_str()).collect();
+        let known: Vec<&str> = known.map(crate::name::VersionName::as_str).collect();
         assert_eq!((version(), &known[..]), (revision, targets));
     })
     .await;
@@ -281,3 +287,147 @@
     })
     .await;
 }
+
+/// Answers of an endpoint that are counted, and failures among them.
+#[rstest]
+#[case::good(vec![Step::Read, Step::Write(answer("a1", "", "done"))], (1, 0))]
+#[case::failure(
+    vec![
+        Step::Read,
+        Step::Write(response("a1", "500 Oops", "Content-Length: 0\r\n", "")),
+    ],
+    (1, 1)
+)]
+#[case::own_refusal_of_the_request(
+    vec![
+        Step::Read,
+        Step::Write(response("a1", "404 No", "Content-Length: 0\r\n", "")),
+    ],
+    (1, 0)
+)]
+#[case::time_over_at_once(
+    vec![
+        Step::Read,
+        Step::Write(response("a1", "504 Late", "Content-Length: 0\r\n", "")),
+    ],
+    (0, 0)
+)]
+#[case::cut_before_the_answer(vec![Step::Read, Step::Reset], (1, 1))]
+#[case::cut_in_the_answer(
+    vec![
+        Step::Read,
+        Step::Write(response("a1", "200 OK", "Content-Length: 9\r\n", "part")),
+        Step::Reset,
+    ],
+    (2, 1)
+)]
+#[case::busy(
+    vec![
+        Step::Read,
+        Step::Write(response(
+            "a1",
+            "503 Busy",
+            "X-Cornelstand-Not-Executed: 1\r\nContent-Length: 0\r\n",
+            "",
+        )),
+    ],
+    (0, 0)
+)]
+#[case::moved(
+    vec![
+        Step::Read,
+        Step::Write(response("a1", "421 Moved", "Content-Length: 0\r\n", "")),
+    ],
+    (0, 0)
+)]
+#[tokio::test]
+async fn answers_are_counted(#[case] script: Vec<Step>, #[case] counted: (u32, u32)) {
+    run_local(async {
+        let endpoint = Endpoint::start(vec![script, vec![Step::AwaitClose]]).await;
+        let gate = ordered_gate(endpoint.address);
+        let address = listen(&gate).await;
+        fetch(address, &request("/book/1", "a1")).await;
+        assert_eq!(count(&gate), counted);
+        assert_eq!(endpoint.count(), 1);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn the_crash_of_an_endpoint_is_no_failure_of_its_version() {
+    run_local(async {
+        let listener = TcpListener::bind((own_loopback(), 0))
+            .await
+            .expect("loopback");
+        let gate = ordered_gate(listener.local_addr().expect("bound"));
+        let address = listen(&gate).await;
+        let crash = tokio::task::spawn_local(async move {
+            let (mut stream, _) = listener.accept().await.expect("accept");
+            read_request(&mut stream).await.expect("a request");
+            drop(listener);
+        });
+        fetch(address, &request("/book/1", "a1")).await;
+        crash.await.expect("it crashed");
+        assert_eq!(count(&gate), (0, 0));
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_early_is_no_failure_of_the_endpoint() {
+    run_local(async {
+        let endpoint = Endpoint::start(vec![vec![Step::Read, Step::AwaitClose]]).await;
+        let gate = ordered_gate(endpoint.address);
+        let address = listen(&gate).await;
+        let mut caller = connect(address).await;
+        let request = request("/book/1", "a1");
+        caller.write_all(request.as_bytes()).await.expect("sent");
+        let running = async |expected: u32| {
+            while running(&gate) != expected {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(TEST_TIMEOUT, running(1)).await.expect("it runs");
+        drop(caller);
+        timeout(TEST_TIMEOUT, running(0)).await.expect("it ends");
+        assert_eq!(count(&gate), (0, 0));
+    })
+    .await;
+}
+
+/// A gateway with one endpoint, and an order to move its service to another version.
+fn ordered_gate(endpoint: SocketAddr) -> Rc<Gate> {
+    let gate = gate("one", Vec::new());
+    gate.set_rollout_bounds(BOUNDS);
+    gate.settings.borrow_mut().rollout = BOUNDS;
+    list(&gate, vec![record("o-1", ORDERS, endpoint)]);
+    let mut record = read(&spec(), &Value::Null).expect("valid");
+    record.order.id.service = ORDERS.into();
+    let mut state = gate.state.borrow_mut();
+    state.directory.put_order(record);
+    state.directory.mark_orders(7);
+    drop(state);
+    gate.apply_orders();
+    gate
+}
+
+/// Counted answers of the service's old version, and failures among them.
+fn count(gate: &Gate) -> (u32, u32) {
+    gate.advance_rollouts();
+    assert_eq!(running(gate), 0);
+    let state = gate.state.borrow();
+    let decisions = &state.rollouts.decisions;
+    let figures = decisions
+        .figures(gate.now(), &ORDERS.into())
+        .expect("it runs");
+    let baseline = figures.routes.iter().map(|r| &r.baseline);
+    let sum = Tally::sum(baseline);
+    (sum.answers(), sum.failed)
+}
+
+/// Requests that run at the service's old version.
+fn running(gate: &Gate) -> u32 {
+    let state = gate.state.borrow();
+    let news = state.rollouts.decisions.news(gate.now());
+    news.orders[0].state.running
+}
