--- a/cornelstand/src/platform/tests/rollouts.rs
+++ b/cornelstand/src/platform/tests/rollouts.rs
@@ -1,8 +1,10 @@
 //! Orders of roll-outs in the store, and the status that is written to them.
 
 use std::cell::RefCell;
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use rstest::rstest;
@@ -12,18 +14,20 @@
 use tokio::time::{sleep, timeout};
 
 use crate::gateway::directory::OrderRecord;
+use crate::gateway::exchange::Sender;
 use crate::gateway::follow::{Followed, follow};
 use crate::gateway::gate::Gate;
 use crate::gateway::rollout::evidence::Tally;
 use crate::gateway::rollout::{StatusWord, StatusWrite};
 use crate::gateway::rollout_writer::{Written, write_status};
 use crate::gateway::settings::RolloutBounds;
-use crate::gateway::tests::{ORDERS, gate, list, record};
+use crate::gateway::tests::{MODELS, ORDERS, gate, list, record};
 use crate::platform::objects::{StoreObject, read_rollout};
 use crate::platform::store::StoreClient;
 use crate::platform::tests::path::{connect, fetch, listen, request, run_local};
 use crate::platform::tests::scripted::{
-    Endpoint, Step, TEST_TIMEOUT, answer, own_loopback, read_request, response,
+    Endpoint, Step, TEST_TIMEOUT, answer, chunk, event, own_loopback, read_request, response,
+    stream_head,
 };
 
 const BOUNDS: Option<RolloutBounds> = Some(RolloutBounds {
@@ -431,3 +435,99 @@
     let news = state.rollouts.decisions.news(gate.now());
     news.orders[0].state.running
 }
+
+/// A gateway with an endpoint of each version, whose limits let all requests go to the new one.
+fn open_gate(service: &str, old: SocketAddr, new: SocketAddr) -> Rc<Gate> {
+    let gate = ordered_gate(old);
+    let bounds = BOUNDS.map(|b| RolloutBounds { share: 30.0, ..b });
+    gate.set_rollout_bounds(bounds);
+    let mut order = read(&spec(), &Value::Null).expect("valid");
+    order.order.id.service = service.into();
+    order.revision = 8;
+    let mut state = gate.state.borrow_mut();
+    state.directory.put_order(order);
+    state.directory.mark_orders(8);
+    drop(state);
+    gate.apply_orders();
+    let mut records = [("e-1", old), ("e-2", new)].map(|(name, at)| record(name, service, at));
+    records[1].software = "v2".into();
+    list(&gate, records.to_vec());
+    gate
+}
+
+/// Sends to the service, and those to the new version among them.
+fn sends(gate: &Gate, service: &str) -> (u32, u32) {
+    let state = gate.state.borrow();
+    let decisions = &state.rollouts.decisions;
+    let figures = decisions
+        .figures(gate.now(), &service.into())
+        .expect("it runs");
+    (figures.sends, figures.canary)
+}
+
+/// The version is found bad after the request got a place and before it is sent.
+#[tokio::test]
+async fn a_verdict_holds_for_a_request_that_has_a_place() {
+    run_local(async {
+        let script = vec![Step::Read, Step::Write(answer("a1", "", "done"))];
+        let old = Endpoint::start(vec![script]).await;
+        let new = Endpoint::start(vec![vec![Step::Read]]).await;
+        let gate = open_gate(ORDERS, old.address, new.address);
+        let address = listen(&gate).await;
+        let judged = gate.clone();
+        let verdict = tokio::task::spawn_local(async move {
+            // Unlike `yield_now`, this looks again before the connection is known to be open.
+            poll_fn(|context| {
+                context.waker().wake_by_ref();
+                let loads = judged.state.borrow().endpoints.own_loads().count();
+                if loads > 0 {
+                    Poll::Ready(())
+                } else {
+                    Poll::Pending
+                }
+            })
+            .await;
+            let sender = Sender::Instance("two".into(), "north".into());
+            let mut state = judged.state.borrow_mut();
+            let decisions = &mut state.rollouts.decisions;
+            let mut news = decisions.news(judged.now());
+            news.orders[0].is_bad = true;
+            decisions.merge(judged.now(), &sender, &news);
+        });
+        let text = fetch(address, &request("/stock/1", "a1")).await;
+        verdict.await.expect("a verdict");
+        assert!(text.starts_with("HTTP/1.1 200 OK\r\n"), "{text}");
+        assert_eq!((old.count(), new.count()), (1, 0));
+        assert_eq!(sends(&gate, ORDERS), (1, 0));
+    })
+    .await;
+}
+
+/// The rest of a stream is a request to the version at which it goes on.
+#[tokio::test]
+async fn a_resumed_stream_counts_for_both_versions() {
+    run_local(async {
+        let rest = stream_head("a1") + &chunk(&event(2)) + "0\r\n\r\n";
+        let old = Endpoint::start(vec![vec![Step::Read, Step::Write(rest)]]).await;
+        let first = stream_head("a1") + &chunk(&event(1));
+        let cut = vec![Step::Read, Step::Write(first), Step::Pause(30), Step::Reset];
+        let new = Endpoint::start(vec![cut, vec![Step::AwaitClose]]).await;
+        let gate = open_gate(MODELS, old.address, new.address);
+        let address = listen(&gate).await;
+        let (limited, requests) = (gate.clone(), new.requests.clone());
+        tokio::task::spawn_local(async move {
+            while requests.borrow().is_empty() {
+                sleep(Duration::from_millis(1)).await;
+            }
+            limited.set_rollout_bounds(BOUNDS);
+        });
+        let text = fetch(address, &request("/quote/1", "a1")).await;
+        assert!(
+            text.contains("piece 1") && text.contains("piece 2"),
+            "{text}"
+        );
+        assert_eq!((old.count(), new.count()), (1, 1));
+        assert_eq!(sends(&gate, MODELS), (2, 1));
+    })
+    .await;
+}
