--- a/cornelstand/src/gateway/rollout/evidence.rs
+++ b/cornelstand/src/gateway/rollout/evidence.rs
@@ -170,11 +170,14 @@
         self.combine(other, u32::saturating_add);
     }
 
-    /// Merges a report of the same process.
-    pub(crate) fn merge(&mut self, report: &Self) {
-        if self != report {
-            self.combine(report, u32::max);
+    /// Merges a report of the same process, and adds what it counts more to `sum`.
+    pub(crate) fn merge(&mut self, report: &Self, sum: &mut Self) {
+        if self == report {
+            return;
         }
+        let before = self.clone();
+        self.combine(report, u32::max);
+        sum.add(&self.since(&before));
     }
 
     /// Counts since an earlier state.
--- a/cornelstand/src/gateway/rollout/peers.rs
+++ b/cornelstand/src/gateway/rollout/peers.rs
@@ -23,21 +23,28 @@
     /// Counters of processes; those of ended ones stay.
     instances: HashMap<(InstanceName, u64), Evidence>,
     centres: HashMap<CentreName, Evidence>,
+    /// Sum of the counters of `instances`: those of this data centre, or of a small fleet, without
+    /// the own ones.
+    pub(crate) near: Evidence,
+    /// Sum of the counters of `centres`.
+    pub(crate) far: Evidence,
     states: HashMap<Sender, ToldState>,
 }
 
 impl Reports {
     /// Records a report. Reports may arrive late and in any order.
     pub(crate) fn record(&mut self, sender: &Sender, incarnation: u64, news: &OrderNews) {
-        let evidence = match sender {
-            Sender::Instance(name, _) => self
-                .instances
-                .entry((name.clone(), incarnation))
-                .or_default(),
+        match sender {
+            Sender::Instance(name, _) => {
+                let known = self.instances.entry((name.clone(), incarnation));
+                known.or_default().merge(&news.evidence, &mut self.near);
+            }
             // Leaders change: each one's sum is a lower bound of the true one.
-            Sender::Centre(centre) => self.centres.entry(centre.clone()).or_default(),
-        };
-        evidence.merge(&news.evidence);
+            Sender::Centre(centre) => {
+                let known = self.centres.entry(centre.clone());
+                known.or_default().merge(&news.evidence, &mut self.far);
+            }
+        }
         let told = ToldState {
             incarnation,
             age: news.age,
@@ -51,20 +58,6 @@
         }
     }
 
-    /// Counters of the processes of this data centre, or of a small fleet, without the own ones.
-    pub(crate) fn add_instances(&self, sum: &mut Evidence) {
-        for evidence in self.instances.values() {
-            sum.add(evidence);
-        }
-    }
-
-    /// Counters of the other data centres.
-    pub(crate) fn add_centres(&self, sum: &mut Evidence) {
-        for evidence in self.centres.values() {
-            sum.add(evidence);
-        }
-    }
-
     /// State of the other living instances that send heartbeats here, if all of them told it.
     pub(crate) fn instances_state(&self, own: &InstanceName, fleet: &Fleet) -> Option<MoveState> {
         let told = |name: &InstanceName| {
--- a/cornelstand/src/gateway/rollout/running.rs
+++ b/cornelstand/src/gateway/rollout/running.rs
@@ -325,7 +325,7 @@
     /// What this instance tells about its data centre.
     pub(crate) fn centre_news(&self, now: Moment, scene: Scene<'_>) -> OrderNews {
         let mut news = self.news(now, scene);
-        self.reports.add_instances(&mut news.evidence);
+        news.evidence.add(&self.reports.near);
         let others = self.reports.instances_state(scene.instance, scene.fleet);
         news.state = news.state.join(others.unwrap_or_default());
         news
@@ -361,8 +361,8 @@
 
     fn collect(&mut self, now: Moment) {
         let mut whole = self.own.clone();
-        self.reports.add_instances(&mut whole);
-        self.reports.add_centres(&mut whole);
+        whole.add(&self.reports.near);
+        whole.add(&self.reports.far);
         self.whole = whole;
         let last = self.states.back().map(|(at, _)| *at);
         if last.is_none_or(|last| now.since(last) >= STATE_INTERVAL) {
--- a/cornelstand/src/gateway/tests.rs
+++ b/cornelstand/src/gateway/tests.rs
@@ -13,6 +13,8 @@
 mod peers;
 mod placement;
 mod prompt_suspects;
+mod rollout;
+mod rollout_fleet;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
