--- a/cornelstand/src/gateway/rollout/running.rs
+++ b/cornelstand/src/gateway/rollout/running.rs
@@ -25,9 +25,7 @@
 /// Part of the share that is used; the rest covers attempts that endpoints do not count.
 const USED_FRACTION: f64 = 0.9;
 /// Fraction of requests that the canary gets before everything moves, as part of the share.
-const CANARY_FRACTION: f64 = 0.35;
-/// Most that it may get by then, as part of the share.
-const CANARY_LIMIT: f64 = 0.45;
+const CANARY_FRACTION: f64 = 0.4;
 /// Time before the deadline at which everything moves, as part of the order's duration and of the
 /// share: with the canary's fraction it stays within the used part of the share.
 const MOVE_FRACTION: f64 = 0.5;
@@ -38,10 +36,10 @@
 
 /// Fewest endpoints of the canary, so that a faulty one is told from a bad version.
 const MIN_CHOSEN: usize = 2;
-/// Answers of the canary on each route below which the route gets a larger share.
+/// Answers of the canary on each route up to which the other routes leave it more.
 const ROUTE_ANSWERS: u32 = 12;
-/// Factor on the share of such a route.
-const ROUTE_BOOST: f64 = 2.0;
+/// Chance that a request of another route leaves its place in the canary.
+const LEAVE_CHANCE: f64 = 0.5;
 
 /// Answers of the canary before everything moves.
 const MIN_ANSWERS: u32 = 20;
@@ -224,7 +222,7 @@
         }
         let used = bounds.share * USED_FRACTION;
         match self.stage {
-            Stage::Canary => self.allowance.allows(bounds.share * CANARY_LIMIT),
+            Stage::Canary => self.allowance.allows(bounds.share * CANARY_FRACTION),
             Stage::Moved { .. } => {
                 let extra = bounds.slack * SLACK_FRACTION / to_f64(fleet.count.max(1));
                 self.is_past(now) || self.allowance.allows_beyond(used, extra)
@@ -263,16 +261,11 @@
         if self.stage != Stage::Canary || self.baseline == 0 {
             return Side::Canary;
         }
-        let answers = self
-            .whole
-            .route(route)
-            .map_or(0, RouteTally::canary_answers);
-        let boost = if answers < ROUTE_ANSWERS {
-            ROUTE_BOOST
-        } else {
-            1.0
-        };
-        if draw < bounds.share * CANARY_FRACTION * boost {
+        let has_enough = |r: &RouteTally| r.canary_answers() >= ROUTE_ANSWERS;
+        let leaves = self.whole.route(route).is_some_and(has_enough)
+            && !self.whole.routes().iter().all(has_enough);
+        let chance = if leaves { LEAVE_CHANCE } else { 1.0 };
+        if draw < chance {
             Side::Canary
         } else {
             Side::Baseline
