--- a/cornelstand/src/gateway/rollout/judge.rs
+++ b/cornelstand/src/gateway/rollout/judge.rs
@@ -15,12 +15,16 @@
 const REST_STATISTIC: f64 = 2.0;
 /// Answers of the other groups from which they are asked.
 const MIN_REST: u32 = 6;
+/// Rate of the worst group relative to the others' from which it alone is at fault.
+const ISOLATED_FACTOR: f64 = 5.0;
+/// Answers of the others that this needs.
+const MIN_CLEAR: u32 = 20;
 /// Baseline answers within a span from which they are compared; else all since the order are.
 const MIN_BASELINE: u32 = 30;
 /// Tolerated excess of the canary's rate, relative to the baseline's.
 const TOLERATED_FACTOR: f64 = 1.5;
 /// Tolerated excess of the failure rate.
-const TOLERATED_FAILURES: f64 = 0.02;
+const TOLERATED_FAILURES: f64 = 0.015;
 /// Tolerated excess of the rate of slow answers.
 const TOLERATED_SLOW: f64 = 0.05;
 /// Tolerated failure rate if there is no baseline.
@@ -33,7 +37,7 @@
 /// Result of all comparisons.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct Findings {
-    /// Largest statistic.
+    /// Largest statistic, without a group that alone is at fault.
     pub(crate) suspicion: f64,
     /// Whether the version is bad.
     pub(crate) is_bad: bool,
@@ -99,8 +103,15 @@
         } else {
             rest.statistic(self.tolerated) >= REST_STATISTIC
         };
+        let is_isolated = endpoints > 1
+            && rest.answers >= MIN_CLEAR
+            && worst.rate() >= ISOLATED_FACTOR * rest.rate();
         Findings {
-            suspicion: statistic,
+            suspicion: if is_isolated {
+                rest.statistic(self.tolerated)
+            } else {
+                statistic
+            },
             is_bad: statistic >= BAD_STATISTIC && is_shared,
         }
     }
--- a/cornelstand/src/gateway/rollout/news.rs
+++ b/cornelstand/src/gateway/rollout/news.rs
@@ -44,14 +44,24 @@
     pub(crate) is_moved: bool,
     /// Attempts that run at the baseline.
     pub(crate) running: u32,
+    /// Attempts that went to the baseline a moment ago although everything has moved.
+    pub(crate) leaks: u32,
 }
 
 impl MoveState {
+    /// State of no instance.
+    pub(crate) const NONE: Self = Self {
+        is_moved: true,
+        running: 0,
+        leaks: 0,
+    };
+
     /// State of both.
     pub(crate) fn join(self, other: Self) -> Self {
         Self {
             is_moved: self.is_moved && other.is_moved,
             running: self.running.saturating_add(other.running),
+            leaks: self.leaks.saturating_add(other.leaks),
         }
     }
 }
--- a/cornelstand/src/gateway/rollout/peers.rs
+++ b/cornelstand/src/gateway/rollout/peers.rs
@@ -66,10 +66,7 @@
             found.map(|(_, told)| told.state)
         };
         let others = fleet.instances.iter().filter(|name| *name != own);
-        let mut all = MoveState {
-            is_moved: true,
-            running: 0,
-        };
+        let mut all = MoveState::NONE;
         for name in others {
             all = all.join(told(name)?);
         }
@@ -78,10 +75,7 @@
 
     /// State of the other data centres, if all of them told it.
     pub(crate) fn centres_state(&self, fleet: &Fleet) -> Option<MoveState> {
-        let mut all = MoveState {
-            is_moved: true,
-            running: 0,
-        };
+        let mut all = MoveState::NONE;
         for centre in &fleet.centres {
             let told = self.states.get(&Sender::Centre(centre.clone()))?;
             all = all.join(told.state);
--- a/cornelstand/src/gateway/rollout/rollouts.rs
+++ b/cornelstand/src/gateway/rollout/rollouts.rs
@@ -8,7 +8,7 @@
 use crate::gateway::exchange::Sender;
 use crate::gateway::rollout::news::{OrderNews, RolloutNews};
 use crate::gateway::rollout::order::{Order, OrderId, Status, StatusWord};
-use crate::gateway::rollout::running::{Rollout, Scene, Stage};
+use crate::gateway::rollout::running::{Rollout, Scene};
 use crate::gateway::rollout::versions::Versions;
 use crate::gateway::settings::RolloutBounds;
 use crate::moment::Moment;
@@ -80,9 +80,6 @@
     /// Everything goes to the target from now on.
     #[display("rollout_moved")]
     Moved,
-    /// Everything goes back to the baseline until the evidence is clear.
-    #[display("rollout_returned")]
-    Returned,
     /// The version was found bad, here or by another instance.
     #[display("rollout_bad")]
     Bad,
@@ -179,6 +176,7 @@
     fleet: Fleet,
     services: HashMap<ServiceName, ServiceState>,
     alarm_due: bool,
+    heartbeat_due: bool,
     changes: Vec<(OrderId, Change)>,
 }
 
@@ -197,6 +195,7 @@
             fleet: Fleet::default(),
             services: HashMap::new(),
             alarm_due: false,
+            heartbeat_due: false,
             changes: Vec::new(),
         }
     }
@@ -376,14 +375,9 @@
             let Some((id, before, after, is_news)) = ticked else {
                 continue;
             };
-            match (before, after) {
-                (Stage::Canary, Stage::Moved { .. }) => {
-                    self.changes.push((id.clone(), Change::Moved));
-                }
-                (Stage::Moved { .. }, Stage::Canary) => {
-                    self.changes.push((id.clone(), Change::Returned));
-                }
-                _ => {}
+            if before != after {
+                self.heartbeat_due = true;
+                self.changes.push((id.clone(), Change::Moved));
             }
             if is_news {
                 self.alarm_due = true;
@@ -449,7 +443,7 @@
         let state = self.services.entry(sent.service.clone()).or_default();
         *state.running.entry(sent.software.clone()).or_default() += 1;
         if let Some(Phase::Running(rollout)) = &mut state.phase {
-            rollout.count_send(is_canary);
+            rollout.count_send(now, is_canary);
         }
         true
     }
@@ -475,6 +469,12 @@
                 state.running.remove(sent.software);
             }
         }
+        if let Some(rollout) = state.rollout()
+            && rollout.is_moved()
+            && rollout.target() != sent.software
+        {
+            self.heartbeat_due |= state.running_beside(rollout.target()) == 0;
+        }
     }
 
     /// Block for a heartbeat or an alarm, about this instance.
@@ -571,6 +571,12 @@
         std::mem::take(&mut self.alarm_due)
     }
 
+    /// Whether the receivers of heartbeats should hear [`Self::news`] now: nothing runs at the
+    /// baseline here any more.
+    pub(crate) fn take_urgent(&mut self) -> bool {
+        std::mem::take(&mut self.heartbeat_due)
+    }
+
     /// Changes since the last call, for the log.
     pub(crate) fn take_changes(&mut self) -> Vec<(OrderId, Change)> {
         std::mem::take(&mut self.changes)
--- a/cornelstand/src/gateway/rollout/running.rs
+++ b/cornelstand/src/gateway/rollout/running.rs
@@ -30,10 +30,7 @@
 /// share: with the canary's fraction it stays within the used part of the share.
 const MOVE_FRACTION: f64 = 0.5;
 /// Part of the slack that instances may use together while everything moves.
-const SLACK_FRACTION: f64 = 0.25;
-/// Time after the deadline until the share ends to bind, longer than orders take to be read.
-const SHARE_GRACE: Duration = Duration::from_millis(300);
-
+const SLACK_FRACTION: f64 = 0.5;
 /// Fewest endpoints of the canary, so that a faulty one is told from a bad version.
 const MIN_CHOSEN: usize = 2;
 /// Answers of the canary on each route up to which the other routes leave it more.
@@ -54,11 +51,8 @@
 /// Multiple of the duration after which everything moves with less evidence, or less capacity.
 const PATIENCE: u32 = 2;
 
-/// Statistic up to which everything may move.
-const MOVE_SUSPICION: f64 = 3.0;
-/// Statistic from which it moves back until the evidence is clear.
-const RETURN_SUSPICION: f64 = 7.0;
-
+/// Statistic up to which everything may move, and the order may be completed.
+const MOVE_SUSPICION: f64 = 2.0;
 /// Answers after the move that a completion needs.
 const MOVED_ANSWERS: f64 = 20.0;
 /// Time after the move that a completion needs.
@@ -69,6 +63,10 @@
 const RESIDUE_TIME: Duration = Duration::from_millis(150);
 /// Attempts of the whole fleet that may be cut off then.
 const RESIDUE: u32 = 2;
+/// Time for which sends to the baseline after the move count as leaks.
+const LEAK_TIME: Duration = Duration::from_millis(250);
+/// Leaks of the whole fleet that do not delay a completion before the deadline.
+const MAX_LEAKS: u32 = 8;
 
 /// Time without news of other instances after which nothing goes to the canary: they may have found
 /// it bad.
@@ -134,6 +132,8 @@
     pub(crate) stage: Stage,
     /// Answers of the canary when everything moved.
     moved_answers: u32,
+    /// Sends to the baseline since everything moved, as the limits required.
+    leaks: VecDeque<Moment>,
     last_news: Moment,
     /// Status that the order should get, and since when.
     pub(crate) due: Option<(StatusWord, Moment)>,
@@ -162,6 +162,7 @@
             is_bad: false,
             stage: Stage::Canary,
             moved_answers: 0,
+            leaks: VecDeque::new(),
             last_news: now,
             due: None,
         }
@@ -171,6 +172,11 @@
         &self.order.id.target
     }
 
+    /// Whether everything goes to the target.
+    pub(crate) fn is_moved(&self) -> bool {
+        self.stage != Stage::Canary
+    }
+
     fn age(&self, now: Moment) -> Duration {
         now.since(self.started)
     }
@@ -210,9 +216,9 @@
         fleet.count > 1 && now.since(self.last_news.max(self.heard)) >= BLIND_TIME
     }
 
-    /// Whether the share binds no more.
+    /// Whether the share binds no more. Orders are heard of late, so this is never early.
     fn is_past(&self, now: Moment) -> bool {
-        self.age(now) >= self.order.duration + SHARE_GRACE
+        self.age(now) >= self.order.duration
     }
 
     /// Whether the limits leave room for one more send to the canary.
@@ -237,7 +243,7 @@
 
     /// Whether an endpoint of the target may get requests of the canary.
     pub(crate) fn is_chosen(&self, endpoint: &EndpointName) -> bool {
-        if self.stage != Stage::Canary || self.baseline == 0 || self.is_only {
+        if self.is_moved() || self.baseline == 0 || self.is_only {
             return true;
         }
         self.ranks.get(endpoint).is_some_and(|r| *r < self.chosen)
@@ -258,7 +264,7 @@
         if self.ranks.is_empty() || !self.is_open(now, bounds, fleet) {
             return Side::Baseline;
         }
-        if self.stage != Stage::Canary || self.baseline == 0 {
+        if self.is_moved() || self.baseline == 0 {
             return Side::Canary;
         }
         let has_enough = |r: &RouteTally| r.canary_answers() >= ROUTE_ANSWERS;
@@ -272,8 +278,19 @@
         }
     }
 
-    pub(crate) fn count_send(&mut self, is_canary: bool) {
+    pub(crate) fn count_send(&mut self, now: Moment, is_canary: bool) {
         self.allowance.count(is_canary);
+        if self.is_moved() && !is_canary {
+            self.leaks.push_back(now);
+            self.trim_leaks(now);
+        }
+    }
+
+    fn trim_leaks(&mut self, now: Moment) {
+        let is_old = |at: &Moment| now.since(*at) >= LEAK_TIME;
+        while self.leaks.front().is_some_and(is_old) {
+            self.leaks.pop_front();
+        }
     }
 
     pub(crate) fn count_answer(&mut self, sent: Sent<'_>, answer: Answer) {
@@ -310,7 +327,7 @@
             word: self.order.word(),
             age: self.age(now),
             is_bad: self.is_bad,
-            state: self.state(scene),
+            state: self.state(now, scene),
             evidence: self.own.clone(),
         }
     }
@@ -324,19 +341,32 @@
         news
     }
 
-    fn state(&self, scene: Scene<'_>) -> MoveState {
+    fn state(&self, now: Moment, scene: Scene<'_>) -> MoveState {
+        let leaks = self.leaks.iter().filter(|at| now.since(**at) < LEAK_TIME);
         MoveState {
-            is_moved: self.stage != Stage::Canary,
+            is_moved: self.is_moved(),
             running: scene.running,
+            leaks: u32::try_from(leaks.count()).unwrap_or(u32::MAX),
         }
     }
 
-    /// Attempts that run at the baseline anywhere, if everything has moved everywhere.
-    fn residue(&self, scene: Scene<'_>) -> Option<u32> {
+    /// State of the whole fleet, if all of it told.
+    fn fleet_state(&self, now: Moment, scene: Scene<'_>) -> Option<MoveState> {
         let instances = self.reports.instances_state(scene.instance, scene.fleet)?;
         let centres = self.reports.centres_state(scene.fleet)?;
-        let all = self.state(scene).join(instances).join(centres);
-        all.is_moved.then_some(all.running)
+        Some(self.state(now, scene).join(instances).join(centres))
+    }
+
+    /// Whether nothing, or next to nothing shortly before the deadline, is left at the baseline.
+    fn is_vacated(&self, now: Moment, scene: Scene<'_>) -> bool {
+        let Some(state) = self.fleet_state(now, scene) else {
+            return false;
+        };
+        let is_past = self.is_past(now);
+        let is_urgent = !is_past && self.age(now) + RESIDUE_TIME >= self.order.duration;
+        let residue = if is_urgent { RESIDUE } else { 0 };
+        let leaks = if is_past { 0 } else { MAX_LEAKS };
+        state.is_moved && state.running <= residue && state.leaks <= leaks
     }
 
     /// Judges the evidence and advances. Returns whether this instance now found the version bad.
@@ -407,15 +437,9 @@
     }
 
     fn advance(&mut self, now: Moment, scene: Scene<'_>) {
-        match self.stage {
-            Stage::Canary if self.is_ready(now, scene.bounds) => {
-                self.stage = Stage::Moved { since: now };
-                self.moved_answers = self.whole.canary_answers();
-            }
-            Stage::Moved { .. } if self.findings.suspicion >= RETURN_SUSPICION => {
-                self.stage = Stage::Canary;
-            }
-            _ => {}
+        if self.stage == Stage::Canary && self.is_ready(now, scene.bounds) {
+            self.stage = Stage::Moved { since: now };
+            self.moved_answers = self.whole.canary_answers();
         }
     }
 
@@ -435,14 +459,10 @@
         let enough = (rate * moved.as_secs_f64() * MIN_EXPECTED).clamp(1.0, MOVED_ANSWERS);
         let answers = f64::from(answers.saturating_sub(self.moved_answers));
         let is_proven = moved >= MOVED_TIME && answers >= enough || moved >= QUIET_TIME;
-        let is_urgent = age + RESIDUE_TIME >= self.order.duration && age < self.order.duration;
-        let residue = if is_urgent { RESIDUE } else { 0 };
         is_proven
             && self.findings.suspicion < MOVE_SUSPICION
             && !self.is_blind(now, scene.fleet)
-            && self
-                .residue(scene)
-                .is_some_and(|running| running <= residue)
+            && self.is_vacated(now, scene)
     }
 
     fn set_due(&mut self, now: Moment, scene: Scene<'_>) {
--- a/cornelstand/src/gateway/tests/rollout_fleet.rs
+++ b/cornelstand/src/gateway/tests/rollout_fleet.rs
@@ -30,6 +30,8 @@
 const STEP_MS: u64 = 5;
 /// Time that is simulated after the end.
 const AFTERMATH_MS: u64 = 2_000;
+/// Interval of the instances' decisions.
+const TICK_MS: u64 = 100;
 /// Start of the target's endpoints.
 const STARTED_MS: u64 = ORDERED_MS + 300;
 /// Largest fleet without digests.
@@ -161,6 +163,7 @@
     incarnation: u64,
     is_dead: bool,
     beats_at: u64,
+    ticks_at: u64,
 }
 
 /// An attempt that runs.
@@ -255,6 +258,7 @@
                 incarnation: 1,
                 is_dead: false,
                 beats_at: simulation.rng.random_range(0..200),
+                ticks_at: 0,
             });
             simulation.list(index);
         }
@@ -343,8 +347,21 @@
         }
         self.arrive();
         for index in 0..self.nodes.len() {
-            if self.nodes[index].beats_at <= self.now && !self.is_frozen(index) {
-                self.beat(index);
+            if self.nodes[index].is_dead || self.is_frozen(index) {
+                continue;
+            }
+            let now = at(self.now);
+            let node = &mut self.nodes[index];
+            if node.ticks_at <= self.now {
+                node.ticks_at = self.now + TICK_MS;
+                node.rollouts.tick(now);
+                self.write(index);
+            }
+            let node = &mut self.nodes[index];
+            let is_alarm = node.rollouts.take_alarm();
+            let is_urgent = node.rollouts.take_urgent();
+            if is_alarm || is_urgent || node.beats_at <= self.now {
+                self.beat(index, is_alarm);
             }
         }
     }
@@ -551,16 +568,11 @@
     }
 
     /// A heartbeat of an instance, with all that goes with it.
-    fn beat(&mut self, index: usize) {
-        if self.nodes[index].is_dead {
-            return;
-        }
+    fn beat(&mut self, index: usize, is_alarm: bool) {
         let interval = if self.is_small() { 80 } else { 250 };
         self.nodes[index].beats_at = self.now + interval;
         let now = at(self.now);
         let node = &mut self.nodes[index];
-        node.rollouts.tick(now);
-        let is_alarm = node.rollouts.take_alarm();
         let centre = node.centre;
         let sender = Sender::Instance(node.name.clone(), centre_name(centre));
         let beat = Rc::new((sender, node.rollouts.news(now)));
@@ -575,7 +587,6 @@
             let digest = Rc::new((Sender::Centre(centre_name(centre)), news));
             self.send(index, &digest, |n| n.centre != centre);
         }
-        self.write(index);
     }
 
     fn send(
