--- a/cornelstand/src/gateway/rollout/running.rs
+++ b/cornelstand/src/gateway/rollout/running.rs
@@ -23,12 +23,12 @@
 use crate::name::{EndpointName, InstanceName, VersionName};
 
 /// Part of the share that is used; the rest covers attempts that endpoints do not count.
-const USED_FRACTION: f64 = 0.9;
+const USED_FRACTION: f64 = 0.95;
 /// Fraction of requests that the canary gets before everything moves, as part of the share.
-const CANARY_FRACTION: f64 = 0.4;
+const CANARY_FRACTION: f64 = 0.35;
 /// Time before the deadline at which everything moves, as part of the order's duration and of the
 /// share: with the canary's fraction it stays within the used part of the share.
-const MOVE_FRACTION: f64 = 0.5;
+const MOVE_FRACTION: f64 = 0.6;
 /// Part of the slack that instances may use together while everything moves.
 const SLACK_FRACTION: f64 = 0.5;
 /// Fewest endpoints of the canary, so that a faulty one is told from a bad version.
--- a/cornelstand/src/gateway/tests/rollout_fleet.rs
+++ b/cornelstand/src/gateway/tests/rollout_fleet.rs
@@ -421,7 +421,8 @@
     fn place(&mut self, route: &'static str, first: f64, whole: f64) {
         let index = self.rng.random_range(0..self.nodes.len());
         if self.nodes[index].is_dead || self.is_frozen(index) {
-            return;
+            // Its callers try another one.
+            return self.place(route, first, whole);
         }
         let now = at(self.now);
         let draw = self.rng.random();
@@ -569,19 +570,23 @@
 
     /// A heartbeat of an instance, with all that goes with it.
     fn beat(&mut self, index: usize, is_alarm: bool) {
-        let interval = if self.is_small() { 80 } else { 250 };
+        let centre = self.nodes[index].centre;
+        let leader = (0..self.nodes.len()).find(|i| {
+            self.nodes[*i].centre == centre && !self.nodes[*i].is_dead && !self.is_frozen(*i)
+        });
+        let interval = match self.plan.instances {
+            0..=SMALL_FLEET => 80,
+            _ if leader == Some(index) => 160,
+            _ => 400,
+        };
         self.nodes[index].beats_at = self.now + interval;
         let now = at(self.now);
         let node = &mut self.nodes[index];
-        let centre = node.centre;
         let sender = Sender::Instance(node.name.clone(), centre_name(centre));
         let beat = Rc::new((sender, node.rollouts.news(now)));
         let is_small = self.is_small();
         let near = |n: &Node| is_small || is_alarm || n.centre == centre;
         self.send(index, &beat, near);
-        let leader = (0..self.nodes.len()).find(|i| {
-            self.nodes[*i].centre == centre && !self.nodes[*i].is_dead && !self.is_frozen(*i)
-        });
         if !is_small && leader == Some(index) {
             let news = self.nodes[index].rollouts.centre_news(now);
             let digest = Rc::new((Sender::Centre(centre_name(centre)), news));
