--- a/cornelstand/src/gateway/rollout_link.rs
+++ b/cornelstand/src/gateway/rollout_link.rs
@@ -227,6 +227,9 @@
         if link.is_urgent {
             self.alarm_trigger.notify_one();
         }
+        if link.decisions.take_urgent() {
+            self.heartbeat_trigger.notify_one();
+        }
     }
 
     /// Counts a request that is about to be sent. Returns false if it may no longer go to this
@@ -274,6 +277,9 @@
                 decisions.note_answer(now, sent, Answer::Failed);
             }
             decisions.note_end(now, sent);
+            if decisions.take_urgent() {
+                self.heartbeat_trigger.notify_one();
+            }
         }
     }
 
