--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -422,7 +422,10 @@
             if spec.engine.is_none() {
                 continue;
             }
-            let summary = state.endpoints.summary(now, service);
+            // Endpoints that get no requests because of their version are no capacity.
+            let rollouts = &state.rollouts;
+            let is_candidate = |record: &EndpointRecord| rollouts.admits(now, record);
+            let summary = state.endpoints.summary(now, service, is_candidate);
             let rate = f64::from(summary.usable) * 1e3 / summary.prefill_pace.max(1e-3);
             let instances = to_f64(state.peers.count());
             state.admission.set_capacity(service, rate, instances);
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -238,8 +238,15 @@
         })
     }
 
-    pub(crate) fn summary(&self, now: Moment, service: &ServiceName) -> Summary {
+    /// Average load of the usable endpoints of a service, as far as they are candidates.
+    pub(crate) fn summary(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+        is_candidate: impl Fn(&EndpointRecord) -> bool,
+    ) -> Summary {
         let usable = self.of(service).filter(|s| s.is_usable(now));
+        let usable = usable.filter(|s| is_candidate(&s.record));
         let mut summary = Summary::default();
         for state in usable {
             let load = state.total();
