--- a/cornelstand/src/gateway/follow.rs
+++ b/cornelstand/src/gateway/follow.rs
@@ -46,6 +46,8 @@
 const INSTANCE_RETRY_DELAY_MAX: Duration = Duration::from_secs(4);
 /// Interval of listing the instances at a leader. New ones also announce themselves by heartbeats.
 const LEADER_LIST_PERIOD: Duration = Duration::from_secs(10);
+/// Interval of looking whether the settings have a part that was not used so far.
+const UNUSED_PERIOD: Duration = Duration::from_secs(1);
 /// Interval of checking the peers for newer state.
 const PEER_CHECK_PERIOD: Duration = Duration::from_millis(100);
 /// Timeout for fetching the directory snapshot of a peer.
@@ -88,8 +90,12 @@
     let mut revision = None;
     let mut adoptions = 0;
     loop {
-        let is_used = followed != Followed::Rollouts || gate.has_rollouts();
-        if !is_used || !gate.watches_store() {
+        if followed == Followed::Rollouts && !gate.has_rollouts() {
+            revision = None;
+            sleep(UNUSED_PERIOD).await;
+            continue;
+        }
+        if !gate.watches_store() {
             // Others of this data centre watch, and this one fetches from them.
             revision = None;
             sleep(PEER_CHECK_PERIOD).await;
--- a/cornelstand/tests/gateway/rollout.rs
+++ b/cornelstand/tests/gateway/rollout.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use crate::full_stream;
-use crate::platform::{CENTRES, World, send};
+use crate::platform::{CENTRES, Instance, World, send};
 
 const SHARE: f64 = 0.1;
 const SLACK: f64 = 50.0;
@@ -30,14 +30,18 @@
 const INSTANCES: u8 = 2;
 
 async fn start() -> World {
+    start_all(INSTANCES).await
+}
+
+async fn start_all(count: u8) -> World {
     let lines = format!(
         "contracts=core,rollout\nbounds.canary_share={SHARE}\nbounds.canary_slack={SLACK}\n\
          bounds.rollback_ms=5000\n"
     );
-    let world = World::start_for(&CENTRES[..1], INSTANCES, 2, WORK, &lines);
-    for i in 0..usize::from(INSTANCES) {
+    let world = World::start_for(&CENTRES[..1], count, 2, WORK, &lines);
+    for i in 0..usize::from(count) {
         world.await_ready(i, true).await;
-        world.await_peers(i, 1).await;
+        world.await_peers(i, usize::from(count) - 1).await;
     }
     world
 }
@@ -250,6 +254,39 @@
     assert_eq!(states(&world, "orders"), ["running", "completed"]);
 }
 
+/// The instance that wrote the last status is killed, and starts again without state.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_is_completed_although_the_writer_is_killed() {
+    let mut world = start_all(3).await;
+    let traffic = Traffic::start(&world, "/stock/1", 16);
+    traffic.more(&world).await;
+    for name in ["o-3", "o-4"] {
+        world.add(name, "v2", WORK);
+    }
+    world.order("orders", "v2", DURATION);
+    until_state(&world, "orders", "running").await;
+    let wrote = |i: &Instance| i.log().contains("rollout_status_written");
+    world
+        .until("the writer's log", async || {
+            world.instances.iter().any(wrote)
+        })
+        .await;
+    let writer = world.instances.iter().position(wrote);
+    let writer = &mut world.instances[writer.expect("a writer")];
+    writer.kill();
+    writer.start();
+    until_state(&world, "orders", "completed").await;
+    until_logged(&world, "rollout_completed").await;
+    let before = runs(&world, &["o-1", "o-2"]);
+    traffic.more(&world).await;
+    assert_eq!(runs(&world, &["o-1", "o-2"]), before);
+    for answer in traffic.end().await {
+        // 503 is the answer of the new process until it knows a configuration.
+        assert!(answer.is_none_or(|(status, _)| matches!(status, 200 | 503)));
+    }
+    assert_eq!(states(&world, "orders"), ["running", "completed"]);
+}
+
 /// Without roll-outs in the settings, all versions are used alike and the store is not written to.
 #[tokio::test(flavor = "multi_thread")]
 async fn without_roll_outs_an_order_has_no_effect() {
