--- a/cornelstand/src/gateway/rollout/running.rs
+++ b/cornelstand/src/gateway/rollout/running.rs
@@ -12,7 +12,7 @@
 use crate::gateway::number::{to_f64, to_u64};
 use crate::gateway::rollout::allowance::Allowance;
 use crate::gateway::rollout::evidence::{Evidence, GROUPS, Outcome, RouteTally};
-use crate::gateway::rollout::judge::{Findings, judge};
+use crate::gateway::rollout::judge::{Findings, Hardest, judge};
 use crate::gateway::rollout::news::{MoveState, OrderNews};
 use crate::gateway::rollout::order::{Order, StatusWord};
 use crate::gateway::rollout::peers::Reports;
@@ -48,7 +48,8 @@
 const MIN_EXPECTED: f64 = 0.5;
 /// Endpoints of the target per endpoint of the baseline, before everything moves.
 const MIN_CAPACITY: f64 = 0.75;
-/// Multiple of the duration after which everything moves with less evidence, or less capacity.
+/// Multiple of the duration after which everything moves with less evidence, or less capacity, and
+/// a version in doubt is bad.
 const PATIENCE: u32 = 2;
 
 /// Statistic up to which everything may move, and the order may be completed.
@@ -126,6 +127,7 @@
     /// All known evidence, as of the last tick.
     whole: Evidence,
     states: VecDeque<(Moment, Evidence)>,
+    hardest: Hardest,
     findings: Findings,
     /// Whether any instance found the version bad.
     pub(crate) is_bad: bool,
@@ -158,6 +160,7 @@
             reports: Reports::default(),
             whole: Evidence::default(),
             states: VecDeque::new(),
+            hardest: Hardest::default(),
             findings: Findings::default(),
             is_bad: false,
             stage: Stage::Canary,
@@ -406,15 +409,20 @@
             let start = states.find(|(at, _)| now.since(*at) >= *span);
             start.map(|(_, state)| state)
         });
-        self.findings = judge(&self.whole, starts, self.ranks.len());
-        self.is_bad |= self.findings.is_bad;
+        let starts: Vec<&Evidence> = starts.collect();
+        if let Some(second) = starts.first() {
+            self.hardest.note(&self.whole.since(second));
+        }
+        self.findings = judge(&self.whole, &starts, &self.hardest, self.ranks.len());
+        let is_late = self.age(now) >= self.order.duration * PATIENCE;
+        self.is_bad |= self.findings.is_bad || is_late && self.is_doubtful();
     }
 
     /// Whether there is enough evidence, and room, to move everything.
     fn is_ready(&self, now: Moment, bounds: RolloutBounds) -> bool {
         let age = self.age(now);
         let lead = self.order.duration.mul_f64(bounds.share * MOVE_FRACTION);
-        if self.findings.suspicion >= MOVE_SUSPICION || age + lead < self.order.duration {
+        if self.is_doubtful() || age + lead < self.order.duration {
             return false;
         }
         if age >= self.order.duration * PATIENCE {
@@ -436,6 +444,11 @@
         has_room && has_routes && canary > 0 && is_enough(canary, baseline, MIN_ANSWERS)
     }
 
+    /// Whether the evidence speaks against a move or a completion.
+    fn is_doubtful(&self) -> bool {
+        self.findings.suspicion >= MOVE_SUSPICION
+    }
+
     fn advance(&mut self, now: Moment, scene: Scene<'_>) {
         if self.stage == Stage::Canary && self.is_ready(now, scene.bounds) {
             self.stage = Stage::Moved { since: now };
@@ -460,7 +473,7 @@
         let answers = f64::from(answers.saturating_sub(self.moved_answers));
         let is_proven = moved >= MOVED_TIME && answers >= enough || moved >= QUIET_TIME;
         is_proven
-            && self.findings.suspicion < MOVE_SUSPICION
+            && !self.is_doubtful()
             && !self.is_blind(now, scene.fleet)
             && self.is_vacated(now, scene)
     }
