--- a/cornelstand/src/gateway/rollout/judge.rs
+++ b/cornelstand/src/gateway/rollout/judge.rs
@@ -23,6 +23,12 @@
 const MIN_CLEAR: u32 = 20;
 /// Baseline answers within a span from which they are compared; else all since the order are.
 const MIN_BASELINE: u32 = 30;
+/// Baseline answers for each of the canary that this needs as well.
+const BASELINE_FACTOR: u32 = 10;
+/// Excess of the rate of bad answers over the tolerated one that a completion rules out.
+const BAD_EXCESS: f64 = 0.1;
+/// Statistic against that rate: a version of that kind passes in less than 1 of 20.
+const CLEAR_STATISTIC: f64 = 3.0;
 /// Tolerated excess of the canary's rate, relative to the baseline's.
 const TOLERATED_FACTOR: f64 = 1.5;
 /// Tolerated excess of the failure rate.
@@ -64,19 +70,34 @@
         (f64::from(self.bad) + 0.5) / (f64::from(self.answers) + 1.0)
     }
 
-    /// Log-likelihood ratio of the observed rate against a tolerated one, zero if it is lower.
-    fn statistic(self, tolerated: f64) -> f64 {
+    /// Log-likelihood ratio of the observed rate against another one.
+    fn ratio(self, other: f64) -> f64 {
         let answers = f64::from(self.answers);
         let rate = f64::from(self.bad) / answers.max(1.0);
-        if rate <= tolerated {
-            return 0.0;
-        }
-        let good = if self.bad < self.answers {
-            (1.0 - rate) * ((1.0 - rate) / (1.0 - tolerated)).ln()
+        let term = |part: f64, other: f64| {
+            if part > 0.0 {
+                part * (part / other).ln()
+            } else {
+                0.0
+            }
+        };
+        answers * (term(rate, other) + term(1.0 - rate, 1.0 - other))
+    }
+
+    /// Statistic against a tolerated rate, zero if the observed one is lower.
+    fn statistic(self, tolerated: f64) -> f64 {
+        let is_above = f64::from(self.bad) > f64::from(self.answers) * tolerated;
+        if is_above { self.ratio(tolerated) } else { 0.0 }
+    }
+
+    /// Statistic against a bad rate, zero if the observed one is higher.
+    fn clearance(self, bad: f64) -> f64 {
+        let is_below = f64::from(self.bad) < f64::from(self.answers) * bad;
+        if is_below {
+            self.ratio(bad.min(MAX_TOLERATED))
         } else {
             0.0
-        };
-        answers * (rate * (rate / tolerated).ln() + good)
+        }
     }
 }
 
@@ -229,29 +250,7 @@
 }
 
 fn judge_span(whole: &Evidence, span: &Evidence, hardest: &Hardest, endpoints: usize) -> Findings {
-    let mut failing = Vec::new();
-    let mut slow = Vec::new();
-    for route in span.routes() {
-        let all = whole.route(&route.route).map(|r| &r.baseline);
-        let all = all.unwrap_or(&route.baseline);
-        let hardest = hardest.0.get(&route.route);
-        let base = if route.baseline.answers() >= MIN_BASELINE {
-            &route.baseline
-        } else {
-            let hardest = hardest.map_or(all, |h| &h.failing);
-            let is_harder = failed(hardest).rate() > failed(all).rate();
-            if is_harder { hardest } else { all }
-        };
-        failing.push(failures(route, base));
-        let base = if route.baseline.timed() >= MIN_BASELINE {
-            &route.baseline
-        } else {
-            let hardest = hardest.map_or(all, |h| &h.slow);
-            let is_harder = hardest.median() > all.median();
-            if is_harder { hardest } else { all }
-        };
-        slow.extend(slowness(route, base));
-    }
+    let (failing, slow) = compare(whole, span, hardest);
     let mut findings = Findings::default();
     let joined = [Comparison::joined(&failing), Comparison::joined(&slow)];
     for comparison in failing.iter().chain(&slow).chain(&joined) {
@@ -261,3 +260,43 @@
     }
     findings
 }
+
+/// Whether the answers of `span` rule out that the version is bad by [`BAD_EXCESS`] or more.
+pub(crate) fn is_clear(whole: &Evidence, span: &Evidence, hardest: &Hardest) -> bool {
+    let (failing, slow) = compare(whole, span, hardest);
+    let is_clear = |comparisons: &[Comparison]| {
+        let joined = Comparison::joined(comparisons);
+        let total = Count::sum(&joined.groups);
+        total.clearance(joined.tolerated + BAD_EXCESS) >= CLEAR_STATISTIC
+    };
+    is_clear(&failing) && (slow.is_empty() || is_clear(&slow))
+}
+
+/// Comparisons of failures, and of slow answers, on each route.
+fn compare(
+    whole: &Evidence,
+    span: &Evidence,
+    hardest: &Hardest,
+) -> (Vec<Comparison>, Vec<Comparison>) {
+    let mut failing = Vec::new();
+    let mut slow = Vec::new();
+    for route in span.routes() {
+        let all = whole.route(&route.route).map(|r| &r.baseline);
+        let all = all.unwrap_or(&route.baseline);
+        let hardest = hardest.0.get(&route.route);
+        // Without enough answers at the same time, the baseline's worst ones count.
+        let enough = MIN_BASELINE.max(BASELINE_FACTOR * route.canary_answers());
+        if route.baseline.answers() >= enough {
+            failing.push(failures(route, &route.baseline));
+            slow.extend(slowness(route, &route.baseline));
+            continue;
+        }
+        let failed_most = hardest.map_or(all, |h| &h.failing);
+        let is_harder = failed(failed_most).rate() > failed(all).rate();
+        failing.push(failures(route, if is_harder { failed_most } else { all }));
+        let slowest = hardest.map_or(all, |h| &h.slow);
+        let is_harder = slowest.median() > all.median();
+        slow.extend(slowness(route, if is_harder { slowest } else { all }));
+    }
+    (failing, slow)
+}
--- a/cornelstand/src/gateway/rollout/running.rs
+++ b/cornelstand/src/gateway/rollout/running.rs
@@ -12,7 +12,7 @@
 use crate::gateway::number::{to_f64, to_u64};
 use crate::gateway::rollout::allowance::Allowance;
 use crate::gateway::rollout::evidence::{Evidence, GROUPS, Outcome, RouteTally};
-use crate::gateway::rollout::judge::{Findings, Hardest, judge};
+use crate::gateway::rollout::judge::{Findings, Hardest, is_clear, judge};
 use crate::gateway::rollout::news::{MoveState, OrderNews};
 use crate::gateway::rollout::order::{Order, StatusWord};
 use crate::gateway::rollout::peers::Reports;
@@ -54,11 +54,9 @@
 
 /// Statistic up to which everything may move, and the order may be completed.
 const MOVE_SUSPICION: f64 = 2.0;
-/// Answers after the move that a completion needs.
-const MOVED_ANSWERS: f64 = 20.0;
 /// Time after the move that a completion needs.
 const MOVED_TIME: Duration = Duration::from_millis(250);
-/// Time after which a service with few requests is completed on fewer answers.
+/// Time after which a service with few requests is completed without evidence for it.
 const QUIET_TIME: Duration = Duration::from_secs(3);
 /// Time before the deadline from which few attempts that run do not delay the completion.
 const RESIDUE_TIME: Duration = Duration::from_millis(150);
@@ -111,8 +109,8 @@
     pub(crate) order: Order,
     /// When this instance heard of it.
     heard: Moment,
-    /// When it was given, at the latest.
-    started: Moment,
+    /// Time from the order to a moment, at least.
+    age: (Duration, Moment),
     allowance: Allowance,
     /// The target's endpoints by their rank, which is the same at all instances.
     ranks: HashMap<EndpointName, usize>,
@@ -132,8 +130,8 @@
     /// Whether any instance found the version bad.
     pub(crate) is_bad: bool,
     pub(crate) stage: Stage,
-    /// Answers of the canary when everything moved.
-    moved_answers: u32,
+    /// Evidence when everything moved.
+    moved_from: Evidence,
     /// Sends to the baseline since everything moved, as the limits required.
     leaks: VecDeque<Moment>,
     last_news: Moment,
@@ -150,7 +148,7 @@
         Self {
             order,
             heard: now,
-            started: now.before(age),
+            age: (age, now),
             allowance: Allowance::new(rounding),
             ranks: HashMap::new(),
             chosen: 0,
@@ -164,7 +162,7 @@
             findings: Findings::default(),
             is_bad: false,
             stage: Stage::Canary,
-            moved_answers: 0,
+            moved_from: Evidence::default(),
             leaks: VecDeque::new(),
             last_news: now,
             due: None,
@@ -181,12 +179,15 @@
     }
 
     fn age(&self, now: Moment) -> Duration {
-        now.since(self.started)
+        let (age, at) = self.age;
+        age + now.since(at)
     }
 
     /// Takes over the age that another instance tells.
     pub(crate) fn note_age(&mut self, now: Moment, age: Duration) {
-        self.started = self.started.min(now.before(age));
+        if age > self.age(now) {
+            self.age = (age, now);
+        }
     }
 
     /// Sets whether the target was in use before the order, without another version.
@@ -452,7 +453,7 @@
     fn advance(&mut self, now: Moment, scene: Scene<'_>) {
         if self.stage == Stage::Canary && self.is_ready(now, scene.bounds) {
             self.stage = Stage::Moved { since: now };
-            self.moved_answers = self.whole.canary_answers();
+            self.moved_from = self.whole.clone();
         }
     }
 
@@ -465,13 +466,9 @@
             return false;
         };
         let moved = now.since(since);
-        let age = self.age(now);
-        let answers = self.whole.canary_answers();
-        let total = f64::from(answers + self.whole.baseline_answers());
-        let rate = total / age.as_secs_f64().max(f64::EPSILON);
-        let enough = (rate * moved.as_secs_f64() * MIN_EXPECTED).clamp(1.0, MOVED_ANSWERS);
-        let answers = f64::from(answers.saturating_sub(self.moved_answers));
-        let is_proven = moved >= MOVED_TIME && answers >= enough || moved >= QUIET_TIME;
+        let span = self.whole.since(&self.moved_from);
+        let is_clear = || is_clear(&self.whole, &span, &self.hardest);
+        let is_proven = moved >= QUIET_TIME || moved >= MOVED_TIME && is_clear();
         is_proven
             && !self.is_doubtful()
             && !self.is_blind(now, scene.fleet)
--- a/cornelstand/src/gateway/tests/rollout_fleet.rs
+++ b/cornelstand/src/gateway/tests/rollout_fleet.rs
@@ -164,6 +164,8 @@
     is_dead: bool,
     beats_at: u64,
     ticks_at: u64,
+    /// Start of its clock.
+    booted: u64,
 }
 
 /// An attempt that runs.
@@ -201,10 +203,6 @@
     outcome: Outcome,
 }
 
-fn at(ms: u64) -> Moment {
-    Moment::default().after(Duration::from_millis(ms))
-}
-
 fn service() -> ServiceName {
     ServiceName::from("shop")
 }
@@ -259,6 +257,7 @@
                 is_dead: false,
                 beats_at: simulation.rng.random_range(0..200),
                 ticks_at: 0,
+                booted: 0,
             });
             simulation.list(index);
         }
@@ -298,6 +297,12 @@
         rollouts.set_fleet(at(self.now), fleet);
     }
 
+    /// An instance's time.
+    fn time(&self, index: usize) -> Moment {
+        let uptime = self.now - self.nodes[index].booted;
+        Moment::default().after(Duration::from_millis(uptime))
+    }
+
     fn push(&mut self, due: u64, event: Event) {
         self.count += 1;
         self.events.insert(self.count, event);
@@ -369,6 +374,7 @@
     fn restart(&mut self, index: usize) {
         let node = &mut self.nodes[index];
         node.incarnation += 1;
+        node.booted = self.now;
         node.rollouts = Rollouts::new(node.name.clone(), node.incarnation, Some(BOUNDS));
         self.list(index);
         if self.now >= ORDERED_MS {
