--- a/cornelstand/src/gateway/tests.rs
+++ b/cornelstand/src/gateway/tests.rs
@@ -15,6 +15,7 @@
 mod prompt_suspects;
 mod rollout;
 mod rollout_fleet;
+mod rollout_orders;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/cornelstand/src/gateway/tests/rollout_fleet.rs
+++ b/cornelstand/src/gateway/tests/rollout_fleet.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rand::{Rng, RngExt, SeedableRng};
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::gateway::exchange::Sender;
@@ -141,10 +141,6 @@
     pub(super) fn is(&self, word: StatusWord) -> bool {
         self.end.is_some_and(|(end, _)| end == word)
     }
-
-    pub(super) fn is_in_time(&self, word: StatusWord) -> bool {
-        self.end == self.end.filter(|(_, at)| *at <= DEADLINE_MS) && self.is(word)
-    }
 }
 
 #[derive(Debug)]
@@ -175,7 +171,6 @@
     incarnation: u64,
     backend: usize,
     route: &'static str,
-    sent: u64,
     answer: Answer,
 }
 
@@ -292,9 +287,10 @@
             centres: far.map(|n| centre_name(n.centre)).collect(),
             count: living.count(),
         };
+        let now = self.time(index);
         let rollouts = &mut self.nodes[index].rollouts;
-        rollouts.note_endpoints(at(self.now), &service(), &listed);
-        rollouts.set_fleet(at(self.now), fleet);
+        rollouts.note_endpoints(now, &service(), &listed);
+        rollouts.set_fleet(now, fleet);
     }
 
     /// An instance's time.
@@ -355,7 +351,7 @@
             if self.nodes[index].is_dead || self.is_frozen(index) {
                 continue;
             }
-            let now = at(self.now);
+            let now = self.time(index);
             let node = &mut self.nodes[index];
             if node.ticks_at <= self.now {
                 node.ticks_at = self.now + TICK_MS;
@@ -387,8 +383,9 @@
             Event::Answer(attempt) => self.answer(attempt),
             Event::End(attempt) => self.end(attempt),
             Event::Message(to, message) => {
-                let node = &mut self.nodes[to];
-                node.rollouts.merge(at(self.now), &message.0, &message.1);
+                let now = self.time(to);
+                let rollouts = &mut self.nodes[to].rollouts;
+                rollouts.merge(now, &message.0, &message.1);
             }
             Event::Order(to, revision, status) => {
                 if self.is_during(self.plan.trouble.outage) || self.is_frozen(to) {
@@ -405,8 +402,9 @@
                     duration: Duration::from_millis(DURATION_MS),
                     status: status.map(|word| Status { word, target }),
                 };
-                let node = &mut self.nodes[to];
-                node.rollouts.set_orders(at(self.now), revision, &[order]);
+                let now = self.time(to);
+                let rollouts = &mut self.nodes[to].rollouts;
+                rollouts.set_orders(now, revision, &[order]);
             }
         }
     }
@@ -430,7 +428,7 @@
             // Its callers try another one.
             return self.place(route, first, whole);
         }
-        let now = at(self.now);
+        let now = self.time(index);
         let draw = self.rng.random();
         let rollouts = &self.nodes[index].rollouts;
         let side = rollouts.side_for(now, &service(), route, draw);
@@ -450,7 +448,6 @@
             incarnation: self.nodes[index].incarnation,
             backend,
             route,
-            sent: self.now,
             answer: Answer::Failed,
         };
         let is_sent = self.note(attempt, |rollouts, now, sent| rollouts.note_send(now, sent));
@@ -518,9 +515,8 @@
 
     /// Selects the less loaded of two random endpoints.
     fn choose(&mut self, index: usize, side: Side) -> Option<usize> {
-        let filter = self.nodes[index]
-            .rollouts
-            .filter(at(self.now), &service(), side);
+        let now = self.time(index);
+        let filter = self.nodes[index].rollouts.filter(now, &service(), side);
         let is_alive = |b: &Backend| match b.version.as_str() {
             "v1" => self.status != Some(StatusWord::Completed),
             _ => self.now >= STARTED_MS,
@@ -549,6 +545,7 @@
         attempt: Attempt,
         note: impl FnOnce(&mut Rollouts, Moment, Sent<'_>) -> T,
     ) -> Option<T> {
+        let now = self.time(attempt.node);
         let backend = &self.backends[attempt.backend];
         let node = &mut self.nodes[attempt.node];
         let sent = Sent {
@@ -558,8 +555,7 @@
             software: &backend.version,
             is_warm: true,
         };
-        (node.incarnation == attempt.incarnation)
-            .then(|| note(&mut node.rollouts, at(self.now), sent))
+        (node.incarnation == attempt.incarnation).then(|| note(&mut node.rollouts, now, sent))
     }
 
     fn answer(&mut self, attempt: Attempt) {
@@ -586,7 +582,7 @@
             _ => 400,
         };
         self.nodes[index].beats_at = self.now + interval;
-        let now = at(self.now);
+        let now = self.time(index);
         let node = &mut self.nodes[index];
         let sender = Sender::Instance(node.name.clone(), centre_name(centre));
         let beat = Rc::new((sender, node.rollouts.news(now)));
@@ -626,10 +622,9 @@
         }
         let living = self.nodes[..index].iter().filter(|n| !n.is_dead);
         let rank = living.count();
-        let write = self.nodes[index]
-            .rollouts
-            .status_to_write(at(self.now), rank);
-        let Some(write) = write else {
+        let now = self.time(index);
+        let rollouts = &self.nodes[index].rollouts;
+        let Some(write) = rollouts.status_to_write(now, rank) else {
             return;
         };
         let is_end = write.word != StatusWord::Running;
@@ -653,9 +648,8 @@
             self.outcome.cut = old.map(|b| b.running).sum();
         }
         if dies.is_none() {
-            self.nodes[index]
-                .rollouts
-                .note_status_written(at(self.now), &write);
+            let rollouts = &mut self.nodes[index].rollouts;
+            rollouts.note_status_written(now, &write);
         }
         self.publish();
     }
