--- a/cornelstand/src/gateway/rollout/judge.rs
+++ b/cornelstand/src/gateway/rollout/judge.rs
@@ -6,6 +6,8 @@
 //! statistic: for a rate within the tolerance it exceeds `x` with a probability below `exp(-x)` in
 //! one comparison.
 
+use std::collections::BTreeMap;
+
 use crate::gateway::rollout::evidence::{Evidence, GROUPS, RouteTally, Tally};
 
 /// Statistic from which a version is bad. Some 5,000 comparisons are made in a roll-out of 12 s, so
@@ -21,6 +23,12 @@
 const MIN_CLEAR: u32 = 20;
 /// Baseline answers within a span from which they are compared; else all since the order are.
 const MIN_BASELINE: u32 = 30;
+/// Baseline answers for each of the canary that this needs as well.
+const BASELINE_FACTOR: u32 = 10;
+/// Excess of the rate of bad answers over the tolerated one that a completion rules out.
+const BAD_EXCESS: f64 = 0.1;
+/// Statistic against that rate: a version of that kind passes in less than 1 of 20.
+const CLEAR_STATISTIC: f64 = 3.0;
 /// Tolerated excess of the canary's rate, relative to the baseline's.
 const TOLERATED_FACTOR: f64 = 1.5;
 /// Tolerated excess of the failure rate.
@@ -62,19 +70,34 @@
         (f64::from(self.bad) + 0.5) / (f64::from(self.answers) + 1.0)
     }
 
-    /// Log-likelihood ratio of the observed rate against a tolerated one, zero if it is lower.
-    fn statistic(self, tolerated: f64) -> f64 {
+    /// Log-likelihood ratio of the observed rate against another one.
+    fn ratio(self, other: f64) -> f64 {
         let answers = f64::from(self.answers);
         let rate = f64::from(self.bad) / answers.max(1.0);
-        if rate <= tolerated {
-            return 0.0;
-        }
-        let good = if self.bad < self.answers {
-            (1.0 - rate) * ((1.0 - rate) / (1.0 - tolerated)).ln()
+        let term = |part: f64, other: f64| {
+            if part > 0.0 {
+                part * (part / other).ln()
+            } else {
+                0.0
+            }
+        };
+        answers * (term(rate, other) + term(1.0 - rate, 1.0 - other))
+    }
+
+    /// Statistic against a tolerated rate, zero if the observed one is lower.
+    fn statistic(self, tolerated: f64) -> f64 {
+        let is_above = f64::from(self.bad) > f64::from(self.answers) * tolerated;
+        if is_above { self.ratio(tolerated) } else { 0.0 }
+    }
+
+    /// Statistic against a bad rate, zero if the observed one is higher.
+    fn clearance(self, bad: f64) -> f64 {
+        let is_below = f64::from(self.bad) < f64::from(self.answers) * bad;
+        if is_below {
+            self.ratio(bad.min(MAX_TOLERATED))
         } else {
             0.0
-        };
-        answers * (rate * (rate / tolerated).ln() + good)
+        }
     }
 }
 
@@ -138,20 +161,23 @@
     (baseline.rate() * TOLERATED_FACTOR + excess).min(MAX_TOLERATED)
 }
 
-/// Compares failures on a route.
-fn failures(route: &RouteTally, baseline: &Tally) -> Comparison {
-    let count = |tally: &Tally| Count {
+fn failed(tally: &Tally) -> Count {
+    Count {
         answers: tally.answers(),
         bad: tally.failed,
-    };
-    let base = count(baseline);
+    }
+}
+
+/// Compares failures on a route.
+fn failures(route: &RouteTally, baseline: &Tally) -> Comparison {
+    let base = failed(baseline);
     let tolerated = if base.answers < MIN_BASELINE {
         ASSUMED_FAILURES
     } else {
         tolerated(base, TOLERATED_FAILURES)
     };
     Comparison {
-        groups: [0, 1, 2].map(|g: usize| count(&route.canary[g])),
+        groups: route.canary.each_ref().map(failed),
         tolerated,
     }
 }
@@ -167,43 +193,64 @@
         bad: tally.count_from(slow),
     };
     Some(Comparison {
-        groups: [0, 1, 2].map(|g: usize| count(&route.canary[g])),
+        groups: route.canary.each_ref().map(count),
         tolerated: tolerated(count(baseline), TOLERATED_SLOW),
     })
 }
 
+/// The hardest seconds of the baseline so far: what the canary is compared with while the baseline
+/// gets nothing.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Hardest(BTreeMap<String, HardestRoute>);
+
+#[derive(Clone, Debug, Default)]
+struct HardestRoute {
+    /// With the highest failure rate.
+    failing: Tally,
+    /// With the highest median time.
+    slow: Tally,
+}
+
+impl Hardest {
+    /// Takes a second into account.
+    pub(crate) fn note(&mut self, second: &Evidence) {
+        for route in second.routes() {
+            let tally = &route.baseline;
+            if tally.timed() < MIN_BASELINE {
+                continue;
+            }
+            let hardest = self.0.entry(route.route.clone()).or_default();
+            if failed(tally).rate() > failed(&hardest.failing).rate()
+                || hardest.failing.answers() == 0
+            {
+                hardest.failing = tally.clone();
+            }
+            if tally.median() > hardest.slow.median() {
+                hardest.slow = tally.clone();
+            }
+        }
+    }
+}
+
 /// Judges a version by its answers since the order, and since some `earlier` states. `endpoints` is
 /// the number of its endpoints.
-pub(crate) fn judge<'a>(
+pub(crate) fn judge(
     whole: &Evidence,
-    earlier: impl IntoIterator<Item = &'a Evidence>,
+    earlier: &[&Evidence],
+    hardest: &Hardest,
     endpoints: usize,
 ) -> Findings {
-    let mut findings = judge_span(whole, whole, endpoints);
+    let mut findings = judge_span(whole, whole, hardest, endpoints);
     for state in earlier {
-        let found = judge_span(whole, &whole.since(state), endpoints);
+        let found = judge_span(whole, &whole.since(state), hardest, endpoints);
         findings.suspicion = findings.suspicion.max(found.suspicion);
         findings.is_bad |= found.is_bad;
     }
     findings
 }
 
-fn judge_span(whole: &Evidence, span: &Evidence, endpoints: usize) -> Findings {
-    let mut failing = Vec::new();
-    let mut slow = Vec::new();
-    for route in span.routes() {
-        let all = whole.route(&route.route).map(|r| &r.baseline);
-        let all = all.unwrap_or(&route.baseline);
-        let pick = |answers: u32| {
-            if answers < MIN_BASELINE {
-                all
-            } else {
-                &route.baseline
-            }
-        };
-        failing.push(failures(route, pick(route.baseline.answers())));
-        slow.extend(slowness(route, pick(route.baseline.timed())));
-    }
+fn judge_span(whole: &Evidence, span: &Evidence, hardest: &Hardest, endpoints: usize) -> Findings {
+    let (failing, slow) = compare(whole, span, hardest);
     let mut findings = Findings::default();
     let joined = [Comparison::joined(&failing), Comparison::joined(&slow)];
     for comparison in failing.iter().chain(&slow).chain(&joined) {
@@ -213,3 +260,43 @@
     }
     findings
 }
+
+/// Whether the answers of `span` rule out that the version is bad by [`BAD_EXCESS`] or more.
+pub(crate) fn is_clear(whole: &Evidence, span: &Evidence, hardest: &Hardest) -> bool {
+    let (failing, slow) = compare(whole, span, hardest);
+    let is_clear = |comparisons: &[Comparison]| {
+        let joined = Comparison::joined(comparisons);
+        let total = Count::sum(&joined.groups);
+        total.clearance(joined.tolerated + BAD_EXCESS) >= CLEAR_STATISTIC
+    };
+    is_clear(&failing) && (slow.is_empty() || is_clear(&slow))
+}
+
+/// Comparisons of failures, and of slow answers, on each route.
+fn compare(
+    whole: &Evidence,
+    span: &Evidence,
+    hardest: &Hardest,
+) -> (Vec<Comparison>, Vec<Comparison>) {
+    let mut failing = Vec::new();
+    let mut slow = Vec::new();
+    for route in span.routes() {
+        let all = whole.route(&route.route).map(|r| &r.baseline);
+        let all = all.unwrap_or(&route.baseline);
+        let hardest = hardest.0.get(&route.route);
+        // Without enough answers at the same time, the baseline's worst ones count.
+        let enough = MIN_BASELINE.max(BASELINE_FACTOR * route.canary_answers());
+        if route.baseline.answers() >= enough {
+            failing.push(failures(route, &route.baseline));
+            slow.extend(slowness(route, &route.baseline));
+            continue;
+        }
+        let failed_most = hardest.map_or(all, |h| &h.failing);
+        let is_harder = failed(failed_most).rate() > failed(all).rate();
+        failing.push(failures(route, if is_harder { failed_most } else { all }));
+        let slowest = hardest.map_or(all, |h| &h.slow);
+        let is_harder = slowest.median() > all.median();
+        slow.extend(slowness(route, if is_harder { slowest } else { all }));
+    }
+    (failing, slow)
+}
--- a/cornelstand/src/gateway/rollout/running.rs
+++ b/cornelstand/src/gateway/rollout/running.rs
@@ -12,7 +12,7 @@
 use crate::gateway::number::{to_f64, to_u64};
 use crate::gateway::rollout::allowance::Allowance;
 use crate::gateway::rollout::evidence::{Evidence, GROUPS, Outcome, RouteTally};
-use crate::gateway::rollout::judge::{Findings, judge};
+use crate::gateway::rollout::judge::{Findings, Hardest, is_clear, judge};
 use crate::gateway::rollout::news::{MoveState, OrderNews};
 use crate::gateway::rollout::order::{Order, StatusWord};
 use crate::gateway::rollout::peers::Reports;
@@ -48,16 +48,15 @@
 const MIN_EXPECTED: f64 = 0.5;
 /// Endpoints of the target per endpoint of the baseline, before everything moves.
 const MIN_CAPACITY: f64 = 0.75;
-/// Multiple of the duration after which everything moves with less evidence, or less capacity.
+/// Multiple of the duration after which everything moves with less evidence, or less capacity, and
+/// a version in doubt is bad.
 const PATIENCE: u32 = 2;
 
 /// Statistic up to which everything may move, and the order may be completed.
 const MOVE_SUSPICION: f64 = 2.0;
-/// Answers after the move that a completion needs.
-const MOVED_ANSWERS: f64 = 20.0;
 /// Time after the move that a completion needs.
 const MOVED_TIME: Duration = Duration::from_millis(250);
-/// Time after which a service with few requests is completed on fewer answers.
+/// Time after which a service with few requests is completed without evidence for it.
 const QUIET_TIME: Duration = Duration::from_secs(3);
 /// Time before the deadline from which few attempts that run do not delay the completion.
 const RESIDUE_TIME: Duration = Duration::from_millis(150);
@@ -128,8 +127,8 @@
     pub(crate) order: Order,
     /// When this instance heard of it.
     heard: Moment,
-    /// When it was given, at the latest.
-    started: Moment,
+    /// Time from the order to a moment, at least.
+    age: (Duration, Moment),
     allowance: Allowance,
     /// The target's endpoints by their rank, which is the same at all instances.
     ranks: HashMap<EndpointName, usize>,
@@ -144,12 +143,13 @@
     /// All known evidence, as of the last tick.
     whole: Evidence,
     states: VecDeque<(Moment, Evidence)>,
+    hardest: Hardest,
     findings: Findings,
     /// Whether any instance found the version bad.
     pub(crate) is_bad: bool,
     pub(crate) stage: Stage,
-    /// Answers of the canary when everything moved.
-    moved_answers: u32,
+    /// Evidence when everything moved.
+    moved_from: Evidence,
     /// Sends to the baseline since everything moved, as the limits required.
     leaks: VecDeque<Moment>,
     last_news: Moment,
@@ -166,7 +166,7 @@
         Self {
             order,
             heard: now,
-            started: now.before(age),
+            age: (age, now),
             allowance: Allowance::new(rounding),
             ranks: HashMap::new(),
             chosen: 0,
@@ -176,10 +176,11 @@
             reports: Reports::default(),
             whole: Evidence::default(),
             states: VecDeque::new(),
+            hardest: Hardest::default(),
             findings: Findings::default(),
             is_bad: false,
             stage: Stage::Canary,
-            moved_answers: 0,
+            moved_from: Evidence::default(),
             leaks: VecDeque::new(),
             last_news: now,
             due: None,
@@ -196,7 +197,8 @@
     }
 
     fn age(&self, now: Moment) -> Duration {
-        now.since(self.started)
+        let (age, at) = self.age;
+        age + now.since(at)
     }
 
     pub(crate) fn figures(&self, now: Moment) -> Figures<'_> {
@@ -213,7 +215,9 @@
 
     /// Takes over the age that another instance tells.
     pub(crate) fn note_age(&mut self, now: Moment, age: Duration) {
-        self.started = self.started.min(now.before(age));
+        if age > self.age(now) {
+            self.age = (age, now);
+        }
     }
 
     /// Sets whether the target was in use before the order, without another version.
@@ -436,15 +440,20 @@
             let start = states.find(|(at, _)| now.since(*at) >= *span);
             start.map(|(_, state)| state)
         });
-        self.findings = judge(&self.whole, starts, self.ranks.len());
-        self.is_bad |= self.findings.is_bad;
+        let starts: Vec<&Evidence> = starts.collect();
+        if let Some(second) = starts.first() {
+            self.hardest.note(&self.whole.since(second));
+        }
+        self.findings = judge(&self.whole, &starts, &self.hardest, self.ranks.len());
+        let is_late = self.age(now) >= self.order.duration * PATIENCE;
+        self.is_bad |= self.findings.is_bad || is_late && self.is_doubtful();
     }
 
     /// Whether there is enough evidence, and room, to move everything.
     fn is_ready(&self, now: Moment, bounds: RolloutBounds) -> bool {
         let age = self.age(now);
         let lead = self.order.duration.mul_f64(bounds.share * MOVE_FRACTION);
-        if self.findings.suspicion >= MOVE_SUSPICION || age + lead < self.order.duration {
+        if self.is_doubtful() || age + lead < self.order.duration {
             return false;
         }
         if age >= self.order.duration * PATIENCE {
@@ -466,10 +475,15 @@
         has_room && has_routes && canary > 0 && is_enough(canary, baseline, MIN_ANSWERS)
     }
 
+    /// Whether the evidence speaks against a move or a completion.
+    fn is_doubtful(&self) -> bool {
+        self.findings.suspicion >= MOVE_SUSPICION
+    }
+
     fn advance(&mut self, now: Moment, scene: Scene<'_>) {
         if self.stage == Stage::Canary && self.is_ready(now, scene.bounds) {
             self.stage = Stage::Moved { since: now };
-            self.moved_answers = self.whole.canary_answers();
+            self.moved_from = self.whole.clone();
         }
     }
 
@@ -482,15 +496,11 @@
             return false;
         };
         let moved = now.since(since);
-        let age = self.age(now);
-        let answers = self.whole.canary_answers();
-        let total = f64::from(answers + self.whole.baseline_answers());
-        let rate = total / age.as_secs_f64().max(f64::EPSILON);
-        let enough = (rate * moved.as_secs_f64() * MIN_EXPECTED).clamp(1.0, MOVED_ANSWERS);
-        let answers = f64::from(answers.saturating_sub(self.moved_answers));
-        let is_proven = moved >= MOVED_TIME && answers >= enough || moved >= QUIET_TIME;
+        let span = self.whole.since(&self.moved_from);
+        let is_clear = || is_clear(&self.whole, &span, &self.hardest);
+        let is_proven = moved >= QUIET_TIME || moved >= MOVED_TIME && is_clear();
         is_proven
-            && self.findings.suspicion < MOVE_SUSPICION
+            && !self.is_doubtful()
             && !self.is_blind(now, scene.fleet)
             && self.is_vacated(now, scene)
     }
--- a/cornelstand/src/gateway/rollout_link.rs
+++ b/cornelstand/src/gateway/rollout_link.rs
@@ -141,8 +141,14 @@
 
     /// Applies changed settings.
     pub(crate) fn set_rollout_bounds(&self, bounds: Option<RolloutBounds>) {
-        let decisions = &mut self.state.borrow_mut().rollouts.decisions;
+        let mut state = self.state.borrow_mut();
+        let decisions = &mut state.rollouts.decisions;
+        let was_enabled = decisions.is_enabled();
         decisions.set_bounds(bounds);
+        if !was_enabled {
+            let services = state.directory.catalog().services.keys().cloned().collect();
+            state.note_rollout_endpoints(self.now(), &services);
+        }
     }
 
     /// Applies the orders in the directory.
--- a/cornelstand/src/gateway/tests.rs
+++ b/cornelstand/src/gateway/tests.rs
@@ -16,6 +16,7 @@
 mod rollout;
 mod rollout_fleet;
 mod rollout_link;
+mod rollout_orders;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/cornelstand/src/gateway/tests/rollout_link.rs
+++ b/cornelstand/src/gateway/tests/rollout_link.rs
@@ -230,3 +230,36 @@
     let informed = fleet.members.iter().filter(|m| is_bad(m)).count();
     assert_eq!(informed, count);
 }
+
+/// Versions that were listed before the settings had roll-outs are known.
+#[test]
+fn roll_outs_may_be_turned_on_while_the_process_runs() {
+    let gate = super::gate("one", Vec::new());
+    let mut new = record("b", MODELS, ([10, 1, 0, 2], 80).into());
+    new.software = "v2".into();
+    let old = record("a", MODELS, ([10, 1, 0, 1], 80).into());
+    list(&gate, vec![old, new]);
+    gate.settings.borrow_mut().rollout = BOUNDS;
+    gate.set_rollout_bounds(BOUNDS);
+    hear(&gate, order("v2", 4, 4));
+    let state = gate.state.borrow();
+    let figures = state.rollouts.decisions.figures(gate.now(), &MODELS.into());
+    let figures = figures.expect("it runs");
+    assert_eq!((figures.endpoints, figures.baseline), (1, 1));
+}
+
+/// A new process sent to a version that was rolled back, until it had read the orders.
+#[tokio::test(start_paused = true)]
+async fn an_instance_is_ready_when_it_knows_the_orders() {
+    let gate = rollout_gate("one");
+    list(&gate, vec![record("a", MODELS, ([10, 1, 0, 1], 80).into())]);
+    assert!(!gate.is_ready());
+    gate.state.borrow_mut().directory.mark_orders(4);
+    assert!(gate.is_ready());
+    // A store that does not list them holds it up for a while only.
+    let other = rollout_gate("two");
+    list(&other, Vec::new());
+    assert!(!other.is_ready());
+    tokio::time::advance(Duration::from_secs(3)).await;
+    assert!(other.is_ready());
+}
