--- a/cornelstand/src/gateway/rollout/rollouts.rs
+++ b/cornelstand/src/gateway/rollout/rollouts.rs
@@ -8,7 +8,7 @@
 use crate::gateway::exchange::Sender;
 use crate::gateway::rollout::news::{OrderNews, RolloutNews};
 use crate::gateway::rollout::order::{Order, OrderId, Status, StatusWord};
-use crate::gateway::rollout::running::{Rollout, Scene};
+use crate::gateway::rollout::running::{Figures, Rollout, Scene};
 use crate::gateway::rollout::versions::Versions;
 use crate::gateway::settings::RolloutBounds;
 use crate::moment::Moment;
@@ -217,7 +217,9 @@
         }
         self.as_of = as_of;
         for order in orders {
-            self.set_order(now, order, Duration::ZERO);
+            if !self.is_later(&order.id.service, as_of) {
+                self.set_order(now, order, Duration::ZERO);
+            }
         }
         let gone: Vec<ServiceName> = self
             .services
@@ -225,12 +227,19 @@
             .filter(|(_, s)| s.phase.is_some())
             .map(|(name, _)| name.clone())
             .filter(|name| orders.iter().all(|o| o.id.service != *name))
+            .filter(|name| !self.is_later(name, as_of))
             .collect();
         for service in gone {
             self.withdraw(now, &service);
         }
     }
 
+    /// Whether the order of a service was created after `as_of`: peers have told of it.
+    fn is_later(&self, service: &ServiceName, as_of: u64) -> bool {
+        let phase = self.services.get(service).and_then(|s| s.phase.as_ref());
+        phase.is_some_and(|phase| phase.order().id.created > as_of)
+    }
+
     /// Takes over an order, and its status.
     fn set_order(&mut self, now: Moment, order: &Order, age: Duration) {
         let known = self
@@ -582,6 +591,17 @@
         std::mem::take(&mut self.changes)
     }
 
+    /// Target of a service's running order.
+    pub(crate) fn target(&self, service: &ServiceName) -> Option<&VersionName> {
+        let rollout = self.services.get(service)?.rollout()?;
+        Some(rollout.target())
+    }
+
+    /// Figures of a service's running order, for the log.
+    pub(crate) fn figures(&self, now: Moment, service: &ServiceName) -> Option<Figures<'_>> {
+        Some(self.services.get(service)?.rollout()?.figures(now))
+    }
+
     /// Status that this instance should write, one at a time. `rank` is its position among the
     /// instances that reach the store; each one waits longer than the one before it. It is asked
     /// for until the status is known to be written.
--- a/cornelstand/src/gateway/rollout/running.rs
+++ b/cornelstand/src/gateway/rollout/running.rs
@@ -35,8 +35,10 @@
 const MIN_CHOSEN: usize = 2;
 /// Answers of the canary on each route up to which the other routes leave it more.
 const ROUTE_ANSWERS: u32 = 12;
-/// Chance that a request of another route leaves its place in the canary.
-const LEAVE_CHANCE: f64 = 0.5;
+/// Chance that a request takes a place in the canary, so that few do at the same time.
+const TAKE_CHANCE: f64 = 0.3;
+/// The same for a request whose place a route with fewer answers may take.
+const LEAVE_CHANCE: f64 = 0.15;
 
 /// Answers of the canary before everything moves.
 const MIN_ANSWERS: u32 = 20;
@@ -103,6 +105,24 @@
     pub(crate) running: u32,
 }
 
+/// Figures behind the decisions.
+#[derive(Debug)]
+pub(crate) struct Figures<'a> {
+    pub(crate) age: Duration,
+    /// Sends of this instance to the service.
+    pub(crate) sends: u32,
+    /// Sends to the canary among them.
+    pub(crate) canary: u32,
+    /// Largest statistic.
+    pub(crate) suspicion: f64,
+    /// Endpoints of the target.
+    pub(crate) endpoints: usize,
+    /// Endpoints of the baseline.
+    pub(crate) baseline: usize,
+    /// Answers of all known instances.
+    pub(crate) routes: &'a [RouteTally],
+}
+
 /// An order that is not over.
 #[derive(Debug)]
 pub(crate) struct Rollout {
@@ -183,6 +203,18 @@
         age + now.since(at)
     }
 
+    pub(crate) fn figures(&self, now: Moment) -> Figures<'_> {
+        Figures {
+            age: self.age(now),
+            sends: self.allowance.sends,
+            canary: self.allowance.canary,
+            suspicion: self.findings.suspicion,
+            endpoints: self.ranks.len(),
+            baseline: self.baseline,
+            routes: self.whole.routes(),
+        }
+    }
+
     /// Takes over the age that another instance tells.
     pub(crate) fn note_age(&mut self, now: Moment, age: Duration) {
         if age > self.age(now) {
@@ -274,7 +306,7 @@
         let has_enough = |r: &RouteTally| r.canary_answers() >= ROUTE_ANSWERS;
         let leaves = self.whole.route(route).is_some_and(has_enough)
             && !self.whole.routes().iter().all(has_enough);
-        let chance = if leaves { LEAVE_CHANCE } else { 1.0 };
+        let chance = if leaves { LEAVE_CHANCE } else { TAKE_CHANCE };
         if draw < chance {
             Side::Canary
         } else {
--- a/cornelstand/src/gateway/rollout/versions.rs
+++ b/cornelstand/src/gateway/rollout/versions.rs
@@ -49,6 +49,13 @@
             });
             known.listed = now;
         }
+        // Nothing is held back for versions that are gone.
+        if !listed.iter().any(|v| self.admits(now, v)) {
+            let known = self.known.iter_mut();
+            for (_, known) in known.filter(|(version, _)| listed.contains(version)) {
+                known.held_until = known.held_until.min(now);
+            }
+        }
         self.known.retain(|version, known| {
             listed.contains(version)
                 || now.since(known.listed) < FORGET_TIME
