--- a/cornelstand/src/gateway/rollout/running.rs
+++ b/cornelstand/src/gateway/rollout/running.rs
@@ -35,8 +35,10 @@
 const MIN_CHOSEN: usize = 2;
 /// Answers of the canary on each route up to which the other routes leave it more.
 const ROUTE_ANSWERS: u32 = 12;
-/// Chance that a request of another route leaves its place in the canary.
-const LEAVE_CHANCE: f64 = 0.5;
+/// Chance that a request takes a place in the canary, so that few do at the same time.
+const TAKE_CHANCE: f64 = 0.3;
+/// The same for a request whose place a route with fewer answers may take.
+const LEAVE_CHANCE: f64 = 0.15;
 
 /// Answers of the canary before everything moves.
 const MIN_ANSWERS: u32 = 20;
@@ -304,7 +306,7 @@
         let has_enough = |r: &RouteTally| r.canary_answers() >= ROUTE_ANSWERS;
         let leaves = self.whole.route(route).is_some_and(has_enough)
             && !self.whole.routes().iter().all(has_enough);
-        let chance = if leaves { LEAVE_CHANCE } else { 1.0 };
+        let chance = if leaves { LEAVE_CHANCE } else { TAKE_CHANCE };
         if draw < chance {
             Side::Canary
         } else {
