--- a/cornelstand/src/gateway/mod.rs
+++ b/cornelstand/src/gateway/mod.rs
@@ -39,13 +39,6 @@
 pub(crate) mod relay;
 pub(crate) mod residency;
 pub(crate) mod resume;
-// Until the decisions are whole.
-#[allow(
-    dead_code,
-    unused_imports,
-    clippy::unused_self,
-    clippy::trivially_copy_pass_by_ref
-)]
 pub(crate) mod rollout;
 pub(crate) mod rollout_link;
 pub(crate) mod rollout_writer;
