--- a/cornelstand/src/gateway/rollout/running.rs
+++ b/cornelstand/src/gateway/rollout/running.rs
@@ -48,10 +48,10 @@
 const ROUTE_TRAFFIC: f64 = 0.05;
 /// Fraction of the expected answers that suffices for a service with few requests.
 const MIN_EXPECTED: f64 = 0.5;
-/// Endpoints of the target per endpoint of the baseline, before everything moves.
+/// Endpoints of the target per endpoint of the baseline, before everything moves before the deadline.
 const MIN_CAPACITY: f64 = 0.75;
-/// Multiple of the duration after which everything moves with less evidence, or less capacity, and
-/// a version in doubt is bad.
+/// Multiple of the duration after which everything moves with less evidence, and a version in doubt
+/// is bad.
 const PATIENCE: u32 = 2;
 
 /// Statistic up to which everything may move, and the order may be completed.
@@ -461,7 +461,8 @@
         if age >= self.order.duration * PATIENCE {
             return !self.ranks.is_empty();
         }
-        let has_room = to_f64(self.ranks.len()) >= to_f64(self.baseline) * MIN_CAPACITY;
+        let has_room =
+            self.is_past(now) || to_f64(self.ranks.len()) >= to_f64(self.baseline) * MIN_CAPACITY;
         let expected = bounds.share * CANARY_FRACTION * MIN_EXPECTED;
         let is_enough = |canary: u32, baseline: u32, enough: u32| {
             f64::from(canary) >= f64::from(enough).min(f64::from(baseline) * expected)
