--- a/cornelstand/src/gateway/rollout/judge.rs
+++ b/cornelstand/src/gateway/rollout/judge.rs
@@ -10,8 +10,8 @@
 
 use crate::gateway::rollout::evidence::{Evidence, GROUPS, RouteTally, Tally};
 
-/// Statistic from which a version is bad. Some 5,000 comparisons are made in a roll-out of 12 s, so
-/// a version at the tolerated rate is taken for bad in less than 1 of 80.
+/// Statistic from which a version is bad. A version at the tolerated rate exceeds it in less than 1 of
+/// 20,000 comparisons; a good one is well below that rate.
 const BAD_STATISTIC: f64 = 10.0;
 /// Statistic that the other groups must reach without the worst group of endpoints.
 const REST_STATISTIC: f64 = 2.0;
