--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -1,7 +1,7 @@
 //! The state of a gateway instance, and the operations that combine its parts.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,6 +21,7 @@
 use crate::gateway::peers::{Digest, Heartbeat, PeerLoad, Peers, Updates};
 use crate::gateway::placement::{EndpointIndex, Endpoints, Place, PlaceEnd, PlacementRules};
 use crate::gateway::prompt_suspects::PromptSuspects;
+use crate::gateway::rollout_link::RolloutLink;
 use crate::gateway::settings::{GatewaySettings, peer_address};
 use crate::gateway::stop::Stop;
 use crate::gateway::suspicion_news::{CrashNews, Evidence, Outbox, SuspicionUpdates};
@@ -45,6 +46,9 @@
 /// about a tenth of the queue that an engine may have.
 const URGENT_PROMPT_TOKENS: f64 = 1_000.0;
 
+/// Longest time from the start for which an instance is not ready because it knows no orders.
+const ORDERS_WAIT: Duration = Duration::from_secs(3);
+
 /// Mutable gateway state.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -58,6 +62,7 @@
     pub(crate) suspicion_updates: SuspicionUpdates,
     pub(crate) pool: Pool,
     pub(crate) outputs: Outputs,
+    pub(crate) rollouts: RolloutLink,
     waiters: HashMap<WaitId, Waiter>,
     heartbeat_count: u64,
     digest_count: u64,
@@ -82,6 +87,8 @@
 #[derive(Debug)]
 struct Waiter {
     tried: Vec<EndpointIndex>,
+    /// Random number in 0..1 that decides which version of the service it may go to.
+    draw: f64,
     grant: oneshot::Sender<Place>,
 }
 
@@ -138,6 +145,7 @@
         metrics: GatewayMetrics,
         incarnation: u64,
     ) -> Self {
+        let rollouts = RolloutLink::new(&settings, incarnation);
         Self {
             settings: RefCell::new(settings),
             clock: Clock::start(),
@@ -154,6 +162,7 @@
                 suspicion_updates: SuspicionUpdates::default(),
                 pool: Pool::default(),
                 outputs: Outputs::default(),
+                rollouts,
                 waiters: HashMap::new(),
                 heartbeat_count: 0,
                 digest_count: 0,
@@ -184,7 +193,11 @@
 
     /// Whether callers should be routed here.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.stop.has_begun() && self.state.borrow().directory.is_complete()
+        let directory = &self.state.borrow().directory;
+        let knows_orders = directory.knows_orders() || !self.has_rollouts();
+        // The orders are listed last; a store that does not list them holds nobody up for long.
+        let is_known = knows_orders || self.now().since(Moment::default()) >= ORDERS_WAIT;
+        !self.stop.has_begun() && directory.is_complete() && is_known
     }
 
     /// Whether to shed a new stream, chosen at random, because this instance lacks CPU time.
@@ -206,7 +219,8 @@
         let mut state = self.state.borrow_mut();
         let id = state.admission.push(waiting);
         let tried = tried.to_vec();
-        state.waiters.insert(id, Waiter { tried, grant });
+        let draw = rand::random();
+        state.waiters.insert(id, Waiter { tried, draw, grant });
         if let Some(rules) = self.rules(&state, &service) {
             self.grant_place(&mut state, now, id, &rules);
         }
@@ -381,9 +395,11 @@
     pub(crate) fn apply(&self, changes: Vec<EndpointChange>) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
+        let mut services = BTreeSet::new();
         for change in changes {
             match change {
                 EndpointChange::Listed(record) => {
+                    services.insert(record.service.clone());
                     tracing::info!(
                         event = "endpoint_listed", endpoint = %record.name, service = %record.service,
                         address = %record.address, centre = %record.centre, leaving = record.leaving,
@@ -393,6 +409,9 @@
                 }
                 EndpointChange::Removed(name) => {
                     tracing::info!(event = "endpoint_removed", endpoint = %name);
+                    let index = state.endpoints.find(&name);
+                    let removed = index.and_then(|i| state.endpoints.get(i));
+                    services.extend(removed.map(|s| s.record.service.clone()));
                     state.endpoints.remove(&name);
                 }
                 EndpointChange::Lapsed(name) => {
@@ -400,6 +419,7 @@
                 }
             }
         }
+        state.note_rollout_endpoints(now, &services);
         release_unservable(&mut state, now);
         drop(state);
         self.serve_queue();
@@ -415,7 +435,10 @@
             if spec.engine.is_none() {
                 continue;
             }
-            let summary = state.endpoints.summary(now, service);
+            // Endpoints that get no requests because of their version are no capacity.
+            let rollouts = &state.rollouts;
+            let is_candidate = |record: &EndpointRecord| rollouts.admits(now, record);
+            let summary = state.endpoints.summary(now, service, is_candidate);
             let rate = f64::from(summary.usable) * 1e3 / summary.prefill_pace.max(1e-3);
             let instances = to_f64(state.peers.count());
             state.admission.set_capacity(service, rate, instances);
@@ -455,6 +478,24 @@
         state.peers.is_leader(now, &self.settings.borrow(), is_lost)
     }
 
+    /// Position among the instances that write to the store on behalf of the fleet; none if the
+    /// store does not answer this one, or if others of its data centre call it.
+    pub(crate) fn writer_rank(&self) -> Option<usize> {
+        let (state, now) = (self.state.borrow(), self.now());
+        let settings = self.settings.borrow();
+        let directory = &state.directory;
+        let is_lost = directory.is_store_lost(now);
+        if !directory.has_store() || !state.peers.watches_store(now, &settings, is_lost) {
+            return None;
+        }
+        let near = state.peers.store_rank(now, &settings, is_lost);
+        let centre = settings
+            .centres
+            .range::<CentreName, _>(..&settings.centre)
+            .count();
+        Some(near * settings.centres.len().max(1) + centre)
+    }
+
     /// Applies a digest of another data centre. Returns whether it is new.
     pub(crate) fn receive_digest(&self, digest: Digest) -> bool {
         let now = self.now();
@@ -612,7 +653,9 @@
     state
         .endpoints
         .available_from(now, service, |index, record| {
-            !tried.contains(&index) && !directory.is_evacuated(&record.centre)
+            !tried.contains(&index)
+                && !directory.is_evacuated(&record.centre)
+                && state.rollouts.admits(now, record)
         })
 }
 
@@ -673,14 +716,21 @@
     let should_replicate = prompt.is_some_and(|p| state.endpoints.should_replicate(now, p));
     rules.cached_only = now < waiting.cached_until && !should_replicate;
     rules.left = waiting.ends.since(now);
-    let tried = &state.waiters.get(&id)?.tried;
-    let directory = &state.directory;
-    let index = state.endpoints.choose(
-        now,
-        &waiting.service,
-        waiting.prompt.as_ref(),
-        &rules,
-        |index, record| !tried.contains(&index) && !directory.is_evacuated(&record.centre),
-    );
-    Some((index.ok()?, waiting.clone()))
+    let waiter = state.waiters.get(&id)?;
+    let (directory, tried) = (&state.directory, &waiter.tried);
+    let mut versions = state
+        .rollouts
+        .filters(now, &waiting.service, &waiting.route, waiter.draw);
+    let index = versions.find_map(|versions| {
+        let chosen = state.endpoints.choose(
+            now,
+            &waiting.service,
+            waiting.prompt.as_ref(),
+            &rules,
+            |record| versions.admits(&record.software, &record.name),
+            |index, record| !tried.contains(&index) && !directory.is_evacuated(&record.centre),
+        );
+        chosen.ok()
+    });
+    Some((index?, waiting.clone()))
 }
--- a/cornelstand/src/gateway/tests.rs
+++ b/cornelstand/src/gateway/tests.rs
@@ -13,6 +13,10 @@
 mod peers;
 mod placement;
 mod prompt_suspects;
+mod rollout;
+mod rollout_fleet;
+mod rollout_link;
+mod rollout_orders;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/cornelstand/src/platform/tests/abandoned.rs
+++ b/cornelstand/src/platform/tests/abandoned.rs
@@ -105,7 +105,7 @@
         let request = request("/digest/1", "a1").replacen("5000", "4000", 1);
         caller.write_all(request.as_bytes()).await.expect("sent");
         if is_heard {
-            sleep(Duration::from_millis(1_000)).await;
+            sleep(Duration::from_secs(1)).await;
             gate.receive_heartbeat(engine, heartbeat_of("two", "south", 2));
         }
         let mut answer = [0; 12];
