Gateway: long answers are passed on, and what is held has a bound

Cause: an answer of a call was read whole, up to 16 MB, into a buffer that doubles, and copied to be sent; nothing counted these bytes. Connections were bounded by descriptors only, and each could leave 64 kB unparsed and some 175 kB unread in the kernel. Change: an answer up to 256 kB is still read whole before its first byte goes out, with room from one account of held bytes (a quarter of the memory, which request bodies and heads share above 8 kB); without room, and beyond 256 kB, it is passed on 16 kB at a time, no faster than its caller reads. One that breaks off then is cut so that it cannot look whole, and not repeated. Half of the memory at 40 kB each bounds the connections; beyond, the one that waits longest for its request makes room for a new one. A loss after the caller kept a write waiting is not held against the endpoint. Answers to other requests are discarded as they come. Small answers keep their single write. The test of endless input expected a 502 for a body without length that does not end. Such an answer now begins; its replacement checks that it never looks whole, that it is limited and that memory stays bounded.

--- a/cornelstand/src/gateway/admin.rs
+++ b/cornelstand/src/gateway/admin.rs
@@ -5,11 +5,12 @@
 
 use bytes::BytesMut;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::gateway::connection::accept_next;
 use crate::gateway::gate::Gate;
 use crate::gateway::message::{Head, reason};
+use crate::gateway::metrics::Limit;
 use crate::gateway::outlet::write_all;
 use crate::gateway::upstream::read_into;
 
@@ -18,6 +19,11 @@
 /// Time limit for the next request on a connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time limit to send a page.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Most connections of a listener; the platform and the instances of a data centre need fewer.
+const MAX_CONNECTIONS: usize = 256;
+
 /// Pages that a listener serves.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Role {
@@ -29,9 +35,18 @@
 
 /// Accepts connections until the process ends.
 pub(crate) async fn accept(gate: Rc<Gate>, listener: TcpListener, role: Role) {
+    let open: Rc<()> = Rc::default();
     loop {
         let stream = accept_next(&listener).await;
-        tokio::task::spawn_local(serve(gate.clone(), stream, role));
+        if Rc::strong_count(&open) > MAX_CONNECTIONS {
+            gate.metrics.note_limit(Limit::Connections);
+            continue;
+        }
+        let (gate, open) = (gate.clone(), open.clone());
+        tokio::task::spawn_local(async move {
+            serve(gate, stream, role).await;
+            drop(open);
+        });
     }
 }
 
@@ -55,7 +70,8 @@
         )
         .into_bytes();
         out.extend_from_slice(&body);
-        if write_all(&stream, &out).await.is_err() || !head.keeps_alive() {
+        let sent = timeout(WRITE_TIMEOUT, write_all(&stream, &out)).await;
+        if !matches!(sent, Ok(Ok(()))) || !head.keeps_alive() {
             return;
         }
         until = Instant::now() + IDLE_TIMEOUT;
--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -14,6 +14,7 @@
 use crate::gateway::endpoint_state::Prompt;
 use crate::gateway::gate::Gate;
 use crate::gateway::message::Head;
+use crate::gateway::metrics::Limit;
 use crate::gateway::outlet::{ResponseWriter, SendError};
 use crate::gateway::pauses::boot_time;
 use crate::gateway::placement::{EndpointIndex, Place, PlaceEnd};
@@ -332,7 +333,7 @@
     match acquire(gate, call, writer).await {
         Acquired::Place(place) => run_attempt(gate, call, writer, place).await,
         Acquired::Refused(refused) => Next::Respond(refused),
-        Acquired::CallerGone => Next::Finish(caller_gone()),
+        Acquired::CallerGone => Next::Finish(caller_gone(gate, writer)),
     }
 }
 
@@ -352,7 +353,7 @@
                 status,
                 reason: "the endpoint failed",
             },
-            Err(SendError::CallerGone) => caller_gone(),
+            Err(SendError::CallerGone) => caller_gone(gate, writer),
             Err(SendError::OtherBegun) => truncated("the endpoint failed"),
         };
     }
@@ -370,11 +371,16 @@
     }
 }
 
-fn caller_gone() -> Outcome {
+fn caller_gone(gate: &Gate, writer: &ResponseWriter) -> Outcome {
+    let mut reason = "the caller left";
+    if writer.is_too_slow() {
+        gate.metrics.note_limit(Limit::ReadingPace);
+        reason = "the caller reads too slowly";
+    }
     Outcome {
         name: "left",
         status: 0,
-        reason: "the caller left",
+        reason,
     }
 }
 
@@ -438,7 +444,7 @@
                 reason: "",
             })
         }
-        Attempt::Gone => Next::Finish(caller_gone()),
+        Attempt::Gone => Next::Finish(caller_gone(gate, writer)),
         Attempt::Late if writer.has_begun() => {
             Next::Finish(truncated("the time for the answer is over"))
         }
@@ -512,7 +518,7 @@
     let is_refused = gate
         .crash_refusal(call.fingerprint, call.prompt.as_ref())
         .is_some();
-    if call.may_retry() && !is_refused && take_retry(gate, call, writer) {
+    if writer.may_continue() && call.may_retry() && !is_refused && take_retry(gate, call, writer) {
         return Next::Retry;
     }
     if writer.has_begun() {
--- a/cornelstand/src/gateway/connection.rs
+++ b/cornelstand/src/gateway/connection.rs
@@ -4,14 +4,17 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::gateway::body_room::MAX_UNCOUNTED_BYTES;
 use crate::gateway::call::{self, Refused};
 use crate::gateway::catalog::RequestLimits;
 use crate::gateway::gate::Gate;
+use crate::gateway::held_bytes::{self, RECEIVE_BYTES, SMALL_BYTES};
 use crate::gateway::message::{BodyReader, Head, MessageError};
+use crate::gateway::metrics::Limit;
 use crate::gateway::number::{gauge, to_f64};
 use crate::gateway::outlet::ResponseWriter;
 use crate::gateway::upstream::{read_into, set_socket_options};
@@ -25,6 +28,10 @@
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 /// Reason in refusals of requests whose body finds no memory.
 const NO_ROOM_REASON: &str = "no memory is left for the body";
+/// Reason in refusals of requests whose head finds no memory.
+const NO_HEAD_ROOM_REASON: &str = "no memory is left for the head";
+/// Largest body of unknown length that does not take room for the largest body, in bytes.
+const SHORT_BODY_BYTES: usize = 64 * 1024;
 /// `Retry-After` when there is no memory for a body; short, since the load balancer sends the retry
 /// to another instance.
 const BODY_ROOM_RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -38,11 +45,18 @@
 /// Accepts callers' connections until the process ends.
 pub(crate) async fn accept(gate: Rc<Gate>, listener: TcpListener) {
     let limit = max_connections(&gate);
+    // Accepted connections have the buffer of their listener.
+    if let Err(error) = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BYTES) {
+        tracing::debug!(event = "socket_option_refused", %error);
+    }
     loop {
         let stream = accept_next(&listener).await;
         if gate.connections.get() >= limit {
-            tracing::warn!(event = "connection_refused", connections = limit);
-            continue;
+            gate.metrics.note_limit(Limit::Connections);
+            if !gate.waiting_callers.close_first() {
+                tracing::warn!(event = "connection_refused", connections = limit);
+                continue;
+            }
         }
         let gate = gate.clone();
         tokio::task::spawn_local(async move {
@@ -69,13 +83,19 @@
 }
 
 fn max_connections(gate: &Gate) -> usize {
+    let memory = gate.settings.borrow().memory;
+    max_descriptors(gate).min(held_bytes::max_connections(memory))
+}
+
+/// Descriptors for connections of callers.
+fn max_descriptors(gate: &Gate) -> usize {
     let limit = gate.settings.borrow().descriptors;
     limit.saturating_sub(RESERVED_DESCRIPTORS).max(256)
 }
 
 /// Whether connections are closed after their response to free descriptors.
 fn is_crowded(gate: &Gate) -> bool {
-    to_f64(gate.connections.get()) >= to_f64(max_connections(gate)) * CROWDED_SHARE
+    to_f64(gate.connections.get()) >= to_f64(max_descriptors(gate)) * CROWDED_SHARE
 }
 
 /// Reason why no request was read.
@@ -89,6 +109,8 @@
     NoRoom(Bytes, BodyReader),
     /// The request may outlast the stop of this instance; with the same.
     Stopping(Bytes, BodyReader),
+    /// The same is so of heads.
+    NoHeadRoom,
     Malformed(MessageError),
 }
 
@@ -101,12 +123,23 @@
 async fn serve(gate: &Rc<Gate>, stream: TcpStream) {
     set_socket_options(&stream);
     let mut writer = ResponseWriter::new(stream);
+    let close = Rc::new(Notify::new());
     while writer.next_request() {
+        if writer.input.is_empty() && writer.input.capacity() > SMALL_BYTES {
+            writer.input = BytesMut::new();
+        }
+        let waiting = gate.waiting_callers.add(&close);
         let limits = gate.state.borrow().directory.catalog().limits;
-        let mut share = gate.bodies.share();
+        let mut share = gate.held.share();
         let memory = gate.settings.borrow().memory;
         let room = |bytes| share.grow(bytes, memory);
-        let refusal = match read_request(gate, &mut writer, &limits, room).await {
+        let read = tokio::select! {
+            biased;
+            read = read_request(gate, &mut writer, &limits, room) => read,
+            () = close.notified() => return tracing::info!(event = "connection_closed", limit = %Limit::Connections),
+        };
+        drop(waiting);
+        let refusal = match read {
             Ok((head, body, arrived)) => {
                 writer.keep_alive =
                     head.keeps_alive() && !gate.stop.has_begun() && !is_crowded(gate);
@@ -116,6 +149,7 @@
             Err(ReadFailure::Closed) => return,
             Err(ReadFailure::TimedOut) => (408, "the request was not sent in time"),
             Err(ReadFailure::NoRoom(id, body)) => {
+                gate.metrics.note_limit(Limit::HeldBytes);
                 let refused = Refused::new(503, NO_ROOM_REASON, Some(BODY_ROOM_RETRY_AFTER));
                 return refuse_body(gate, &mut writer, &id, body, &refused).await;
             }
@@ -123,6 +157,10 @@
                 let refused = Refused::stopping(true);
                 return refuse_body(gate, &mut writer, &id, body, &refused).await;
             }
+            Err(ReadFailure::NoHeadRoom) => {
+                gate.metrics.note_limit(Limit::HeldBytes);
+                (503, NO_HEAD_ROOM_REASON)
+            }
             Err(ReadFailure::Malformed(MessageError::HeadTooLarge)) => {
                 (431, "the head is too large")
             }
@@ -134,7 +172,8 @@
         let (status, reason) = refusal;
         tracing::info!(event = "request_unreadable", status, reason);
         writer.keep_alive = false;
-        let refused = Refused::new(status, reason, None);
+        let retry_after = (status == 503).then_some(BODY_ROOM_RETRY_AFTER);
+        let refused = Refused::new(status, reason, retry_after);
         call::send_own_response(gate, &mut writer, &Bytes::new(), &refused).await;
         drain(&mut writer).await;
     }
@@ -195,12 +234,21 @@
     }
     let arrived = Instant::now();
     let until = arrived + limits.head_time;
+    let mut head_room = 0;
     let head = loop {
-        match Head::parse_request(&mut writer.input, limits.head_bytes)? {
-            Some(head) => break head,
-            None => read_more(writer, until).await?,
+        if let Some(head) = Head::parse_request(&mut writer.input, limits.head_bytes)? {
+            break head;
         }
+        if writer.input.len() > SMALL_BYTES {
+            // Buffers grow to twice what they hold.
+            head_room = 2 * writer.input.len();
+            if !room(head_room) {
+                return Err(ReadFailure::NoHeadRoom);
+            }
+        }
+        read_more(writer, until).await?;
     };
+    let mut room = |bytes| room(head_room + bytes);
     writer.note_request(&head);
     let mut reader = head.request_body()?;
     let is_too_large = |length: u64| length > limits.body_bytes as u64;
@@ -223,13 +271,21 @@
         if body.len() > limits.body_bytes {
             return Err(MessageError::BodyTooLarge.into());
         }
-        if length.is_none() && body.len() > MAX_UNCOUNTED_BYTES {
-            // A body of unknown length gets all that it may need, or several would run out of room
-            // together.
-            if !room(limits.body_bytes) {
+        if length.is_none() && body.len() > SMALL_BYTES {
+            // A long body of unknown length gets all that it may need, or several would run out of
+            // room together.
+            let is_short = body.len() <= SHORT_BODY_BYTES;
+            let bytes = if is_short {
+                2 * body.len()
+            } else {
+                limits.body_bytes
+            };
+            if !room(bytes) {
                 return Err(ReadFailure::NoRoom(identity(&head), reader));
             }
-            body.reserve(limits.body_bytes - body.len());
+            if !is_short {
+                body.reserve(limits.body_bytes - body.len());
+            }
         }
         if reader.is_done() {
             return Ok((head, body.freeze(), arrived));
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -8,11 +8,11 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::gateway::admission::{Admission, WaitId, Waiting};
-use crate::gateway::body_room::BodyRoom;
 use crate::gateway::budget::{RetryQuota, cold_quota};
 use crate::gateway::catalog::GatewayService;
 use crate::gateway::containment::Source;
 use crate::gateway::directory::{Directory, EndpointChange, EndpointRecord};
+use crate::gateway::held_bytes::HeldBytes;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::notices::Notice;
 use crate::gateway::number::{gauge, to_f32, to_f64};
@@ -25,6 +25,7 @@
 use crate::gateway::stop::Stop;
 use crate::gateway::suspicion_news::{CrashNews, Evidence, Outbox, SuspicionUpdates};
 use crate::gateway::upstream::Pool;
+use crate::gateway::waiting_callers::WaitingCallers;
 use crate::moment::{Clock, Moment};
 use crate::name::{AccountName, ServiceName};
 use crate::suspect::Suspects;
@@ -105,8 +106,9 @@
     /// Wakes the alarm sender.
     pub(crate) alarm_trigger: Notify,
     pub(crate) connections: Cell<usize>,
-    /// Memory for request bodies.
-    pub(crate) bodies: BodyRoom,
+    /// Memory for what is held for callers and endpoints.
+    pub(crate) held: HeldBytes,
+    pub(crate) waiting_callers: WaitingCallers,
     /// Detects pauses of the process.
     pub(crate) pauses: PauseWatch,
 }
@@ -163,7 +165,8 @@
             heartbeat_trigger: Notify::new(),
             alarm_trigger: Notify::new(),
             connections: Cell::new(0),
-            bodies: BodyRoom::default(),
+            held: HeldBytes::default(),
+            waiting_callers: WaitingCallers::default(),
             pauses: PauseWatch::default(),
         }
     }
--- a/cornelstand/src/gateway/metrics.rs
+++ b/cornelstand/src/gateway/metrics.rs
@@ -1,5 +1,6 @@
 //! Prometheus metrics of a gateway, with handles registered once at start.
 
+use derive_more::Display;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -10,6 +11,20 @@
     0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15.0,
 ];
 
+/// A limit on what callers may have an instance hold.
+#[derive(Clone, Copy, Debug, Display)]
+pub(crate) enum Limit {
+    /// Connections of callers.
+    #[display("connections")]
+    Connections,
+    /// Bytes that are counted in the account.
+    #[display("held_bytes")]
+    HeldBytes,
+    /// Time for a caller to read a piece of its response.
+    #[display("reading_pace")]
+    ReadingPace,
+}
+
 /// Handles of all metrics.
 #[derive(Debug)]
 pub(crate) struct GatewayMetrics {
@@ -24,6 +39,8 @@
     pub(crate) suspicions: IntCounterVec,
     /// Recent suspicions that did not fit into a message.
     pub(crate) unsent: IntCounter,
+    /// Requests and connections that ended at a limit, by limit.
+    limits: IntCounterVec,
     pub(crate) connections: IntGauge,
     pub(crate) waiting: IntGauge,
     pub(crate) version: IntGauge,
@@ -88,6 +105,11 @@
                 "cornelstand_suspicions_untold_total",
                 "Recent suspicions that a message had no room for",
             )?,
+            limits: counters(
+                "cornelstand_limits_total",
+                "Requests and connections that ended at a limit",
+                "limit",
+            )?,
             connections: gauge("cornelstand_connections", "Open connections of callers")?,
             waiting: gauge("cornelstand_waiting", "Requests that wait for a place")?,
             version: gauge("cornelstand_config_version", "Configuration in force")?,
@@ -106,6 +128,11 @@
         })
     }
 
+    /// Counts a request or connection that ended at `limit`.
+    pub(crate) fn note_limit(&self, limit: Limit) {
+        self.limits.with_label_values(&[&limit.to_string()]).inc();
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/cornelstand/src/gateway/mod.rs
+++ b/cornelstand/src/gateway/mod.rs
@@ -9,7 +9,6 @@
 pub(crate) mod acquire;
 pub(crate) mod admin;
 pub(crate) mod admission;
-pub(crate) mod body_room;
 pub(crate) mod budget;
 pub(crate) mod call;
 pub(crate) mod catalog;
@@ -25,6 +24,7 @@
 pub(crate) mod extensions;
 pub(crate) mod follow;
 pub(crate) mod gate;
+pub(crate) mod held_bytes;
 pub(crate) mod logs;
 pub(crate) mod message;
 pub(crate) mod metrics;
@@ -44,6 +44,7 @@
 pub(crate) mod stop;
 pub(crate) mod suspicion_news;
 pub(crate) mod upstream;
+pub(crate) mod waiting_callers;
 
 #[cfg(test)]
 pub(crate) mod tests;
--- a/cornelstand/src/gateway/outlet.rs
+++ b/cornelstand/src/gateway/outlet.rs
@@ -5,18 +5,28 @@
 use std::time::Duration;
 
 use bytes::{BufMut, BytesMut};
+use derive_more::IsVariant;
 use socket2::SockRef;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
+use crate::gateway::held_bytes::SMALL_BYTES;
 use crate::gateway::message::Head;
 use crate::gateway::upstream::{close_in_order, reset_on_close};
 use crate::platform::headers::{CallerFraming, write_response_head};
 
-/// Time-out for a write to a caller that does not read its response.
+/// Largest piece of a response that is written at once, in bytes.
+pub(crate) const PIECE_BYTES: usize = 16 * 1024;
+/// Time limit for one piece: a caller has to read 3 kB a second.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Wait in a write from which a loss is put down to the caller: endpoints cut responses that stay
+/// unread.
+const SLOW_WRITE: Duration = Duration::from_secs(1);
 /// Maximum read-ahead while a request is served; further bytes stay in the socket.
-const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
+const MAX_READ_AHEAD_BYTES: usize = SMALL_BYTES;
+
+/// End of a body in chunks.
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
 /// Why a response was not sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -33,6 +43,8 @@
     Nothing,
     /// The head of a stream was sent, and maybe events.
     Begun(BegunResponse),
+    /// Part of a response was sent that only its endpoint can complete.
+    Partly(CallerFraming),
     /// A write was not finished.
     Broken,
     /// Also the state before the first request.
@@ -61,6 +73,14 @@
     }
 }
 
+/// How a caller reads.
+#[derive(Clone, Copy, Debug, IsVariant)]
+enum Pace {
+    Fair,
+    /// A response was given up for it.
+    TooSlow,
+}
+
 /// A caller's connection, which carries one response to each request.
 #[derive(Debug)]
 pub(crate) struct ResponseWriter {
@@ -73,7 +93,10 @@
     pub(crate) lacks_chunking: bool,
     /// Whether the caller asked for the head of a response only.
     pub(crate) is_head_only: bool,
+    pace: Pace,
     progress: Progress,
+    /// How long the last write waited for the caller.
+    waited: Duration,
 }
 
 impl ResponseWriter {
@@ -84,7 +107,9 @@
             keep_alive: true,
             lacks_chunking: false,
             is_head_only: false,
+            pace: Pace::Fair,
             progress: Progress::Complete,
+            waited: Duration::ZERO,
         }
     }
 
@@ -112,12 +137,33 @@
         !matches!(self.progress, Progress::Nothing)
     }
 
+    /// Whether another attempt could go on with the response.
+    pub(crate) fn may_continue(&self) -> bool {
+        matches!(self.progress, Progress::Nothing | Progress::Begun(_))
+    }
+
+    /// Whether the response was given up because the caller reads too slowly.
+    pub(crate) fn is_too_slow(&self) -> bool {
+        self.pace.is_too_slow()
+    }
+
+    /// Whether the caller kept the last write waiting for so long that its endpoint may have cut
+    /// the response for it.
+    pub(crate) fn has_waited(&self) -> bool {
+        self.waited >= SLOW_WRITE
+    }
+
+    /// Records that the response is given up because the caller reads too slowly.
+    pub(crate) fn note_slow_caller(&mut self) {
+        self.pace = Pace::TooSlow;
+    }
+
     /// Whether events of a response with this head may follow what the caller has got.
     pub(crate) fn may_continue_with(&self, head: &Head) -> bool {
         match &self.progress {
             Progress::Nothing => true,
             Progress::Begun(begun) => begun.is_continued_by(head),
-            Progress::Broken | Progress::Complete => false,
+            Progress::Partly(_) | Progress::Broken | Progress::Complete => false,
         }
     }
 
@@ -154,15 +200,81 @@
     ///
     /// Sends nothing if the caller has got part of another one.
     pub(crate) async fn send_whole(&mut self, response: &[u8]) -> Result<(), SendError> {
+        self.send_parts([response, &[]]).await
+    }
+
+    /// Sends a whole response that is in two parts.
+    ///
+    /// # Errors
+    ///
+    /// Sends nothing if the caller has got part of another one.
+    pub(crate) async fn send_parts(&mut self, response: [&[u8]; 2]) -> Result<(), SendError> {
         if self.has_begun() {
             return Err(self.refuse());
         }
         self.progress = Progress::Broken;
-        self.write(response).await?;
+        for part in response {
+            self.write(part).await?;
+        }
         self.progress = Progress::Complete;
         Ok(())
     }
 
+    /// Begins a response whose body is passed on as it is read. Its length is `length`, if known.
+    ///
+    /// # Errors
+    ///
+    /// Sends nothing if the caller has got part of another one.
+    pub(crate) async fn begin_body(
+        &mut self,
+        head: &Head,
+        length: Option<usize>,
+    ) -> Result<(), SendError> {
+        if self.has_begun() {
+            return Err(self.refuse());
+        }
+        self.progress = Progress::Broken;
+        let framing = match length {
+            Some(length) => CallerFraming::Length(length),
+            None => self.endless_framing(),
+        };
+        let mut out = BytesMut::new();
+        write_response_head(&mut out, head, framing, self.connection_header());
+        self.write(&out).await?;
+        self.progress = Progress::Partly(framing);
+        Ok(())
+    }
+
+    /// Sends more of the body of a response that [`begin_body`](Self::begin_body) began.
+    ///
+    /// # Errors
+    ///
+    /// Sends nothing if the caller has got part of another one.
+    pub(crate) async fn send_body(&mut self, bytes: &[u8], is_end: bool) -> Result<(), SendError> {
+        let Progress::Partly(framing) = self.progress else {
+            return Err(self.refuse());
+        };
+        self.progress = Progress::Broken;
+        let mut out = BytesMut::new();
+        for piece in bytes.chunks(PIECE_BYTES) {
+            out.clear();
+            write_part(&mut out, piece, framing);
+            self.write(&out).await?;
+        }
+        if is_end {
+            if matches!(framing, CallerFraming::Chunked) {
+                self.write(LAST_CHUNK).await?;
+            }
+            close_in_order(&self.stream);
+        }
+        self.progress = if is_end {
+            Progress::Complete
+        } else {
+            Progress::Partly(framing)
+        };
+        Ok(())
+    }
+
     /// Sends parts of a stream, after its head if the caller has got none.
     ///
     /// # Errors
@@ -182,11 +294,16 @@
             Progress::Begun(begun) => begun,
             _ => self.begin_stream(&mut out, head),
         };
+        let framing = if self.lacks_chunking {
+            CallerFraming::UntilClose
+        } else {
+            CallerFraming::Chunked
+        };
         for part in parts {
-            self.write_part(&mut out, part);
+            write_part(&mut out, part, framing);
         }
         if is_end && !self.lacks_chunking {
-            out.put_slice(b"0\r\n\r\n");
+            out.put_slice(LAST_CHUNK);
         }
         self.write(&out).await?;
         self.progress = if is_end {
@@ -210,38 +327,50 @@
         self.write(response).await
     }
 
+    /// Framing of a response whose length is not known.
+    fn endless_framing(&mut self) -> CallerFraming {
+        if !self.lacks_chunking {
+            return CallerFraming::Chunked;
+        }
+        self.keep_alive = false;
+        // Until the end was sent, the connection must not be closed in order, whatever ends it.
+        reset_on_close(&self.stream);
+        CallerFraming::UntilClose
+    }
+
     fn begin_stream(&mut self, out: &mut BytesMut, head: &Head) -> BegunResponse {
-        let framing = if self.lacks_chunking {
-            self.keep_alive = false;
-            // Until the end was sent, the connection must not be closed in order, whatever ends it.
-            reset_on_close(&self.stream);
-            CallerFraming::UntilClose
-        } else {
-            CallerFraming::Chunked
-        };
+        let framing = self.endless_framing();
         write_response_head(out, head, framing, self.connection_header());
         BegunResponse::new(head)
     }
 
-    /// Appends a part of a stream to the output.
-    fn write_part(&self, out: &mut BytesMut, bytes: &[u8]) {
-        if self.lacks_chunking {
-            out.put_slice(bytes);
-        } else if !bytes.is_empty() {
-            let size = format!("{:x}\r\n", bytes.len());
-            out.put_slice(size.as_bytes());
-            out.put_slice(bytes);
-            out.put_slice(b"\r\n");
+    async fn write(&mut self, bytes: &[u8]) -> Result<(), SendError> {
+        self.waited = Duration::ZERO;
+        for piece in bytes.chunks(PIECE_BYTES) {
+            let written = match self.stream.try_write(piece) {
+                Ok(count) if count == piece.len() => continue,
+                Ok(count) => count,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => 0,
+                Err(_) => return Err(self.lose()),
+            };
+            let started = Instant::now();
+            let rest = write_all(&self.stream, &piece[written..]);
+            let sent = timeout(WRITE_TIMEOUT, rest).await;
+            self.waited += started.elapsed();
+            if !matches!(sent, Ok(Ok(()))) {
+                // The system resets a connection whose peer stays silent or reads nothing.
+                if self.has_waited() {
+                    self.note_slow_caller();
+                }
+                return Err(self.lose());
+            }
         }
+        Ok(())
     }
 
-    async fn write(&mut self, bytes: &[u8]) -> Result<(), SendError> {
-        let sent = timeout(WRITE_TIMEOUT, write_all(&self.stream, bytes)).await;
-        if let Ok(Ok(())) = sent {
-            return Ok(());
-        }
+    fn lose(&mut self) -> SendError {
         self.keep_alive = false;
-        Err(SendError::CallerGone)
+        SendError::CallerGone
     }
 
     fn refuse(&mut self) -> SendError {
@@ -269,6 +398,18 @@
     }
 }
 
+/// Appends a part of a body to the output.
+fn write_part(out: &mut BytesMut, bytes: &[u8], framing: CallerFraming) {
+    if !matches!(framing, CallerFraming::Chunked) {
+        out.put_slice(bytes);
+    } else if !bytes.is_empty() {
+        let size = format!("{:x}\r\n", bytes.len());
+        out.put_slice(size.as_bytes());
+        out.put_slice(bytes);
+        out.put_slice(b"\r\n");
+    }
+}
+
 pub(crate) async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
     while !bytes.is_empty() {
         bytes = &bytes[write_some(stream, bytes).await?..];
--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -1,7 +1,7 @@
 //! Sends a request to one endpoint and forwards the response to the caller.
 //!
 //! Responses to calls are buffered until complete, so that a truncated one can be retried or turned
-//! into an error. Stream events are forwarded as soon as each is complete, so that a stream that
+//! into an error. Larger ones are passed on as they are read, no faster than the caller reads. Stream events are forwarded as soon as each is complete, so that a stream that
 //! breaks off within an event is resumed without a duplicate or partial event.
 
 use std::net::SocketAddr;
@@ -14,10 +14,14 @@
 use crate::gateway::call::Call;
 use crate::gateway::directory::EndpointRecord;
 use crate::gateway::gate::Gate;
+use crate::gateway::held_bytes::{SMALL_BYTES, Share};
 use crate::gateway::message::{BodyReader, Head, MessageError};
-use crate::gateway::outlet::{ResponseWriter, SendError, write_some};
+use crate::gateway::metrics::Limit;
+use crate::gateway::outlet::{PIECE_BYTES, ResponseWriter, SendError, write_some};
 use crate::gateway::placement::{AnswerPhase, Place};
-use crate::gateway::upstream::{Pool, ReadError, Upstream, read_into, reset_on_close};
+use crate::gateway::upstream::{
+    Pool, ReadError, Upstream, read_into, reset_on_close, set_receive_buffer,
+};
 use crate::platform::headers::{
     CallerFraming, Forwarding, RequestRef, ResponseFields, read_response, write_request_head,
     write_response_head,
@@ -28,10 +32,16 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// Largest response head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
-/// Largest request body that is copied behind its head, to be written in one piece, in bytes.
+/// Largest body that is copied behind its head, to be written in one piece, in bytes.
 const MAX_COPIED_BODY_BYTES: usize = 16 * 1024;
-/// Largest response body that is buffered, in bytes.
+/// Largest response body, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// Largest response body that is buffered until complete, in bytes.
+const MAX_WHOLE_BYTES: usize = 256 * 1024;
+/// Part of the account of held bytes that buffered responses leave to requests.
+const REQUESTS_DIVISOR: usize = 2;
+/// Receive buffer of the connection to an endpoint whose response is passed on, in bytes.
+const RECEIVE_BYTES: usize = 64 * 1024;
 /// Most responses to other requests that are skipped on a connection.
 const MAX_FOREIGN_RESPONSES: u32 = 4;
 /// Share of the silence callers tolerate after which a stream is resumed at another endpoint. The
@@ -73,6 +83,8 @@
 pub(crate) struct BufferedResponse {
     pub(crate) head: Head,
     pub(crate) body: Bytes,
+    /// Memory for the body.
+    pub(crate) _share: Share,
 }
 
 /// Reason why an attempt was interrupted.
@@ -295,7 +307,7 @@
                 if skipped > MAX_FOREIGN_RESPONSES {
                     return Ok(Attempt::Lost("foreign answers"));
                 }
-                self.read_body(&mut body, call, writer).await?;
+                self.discard_body(&mut body, call, writer).await?;
                 continue;
             }
             self.idle = response.idle;
@@ -303,7 +315,7 @@
             self.is_reusable &= is_named && head.keeps_alive() && !body.is_until_close();
             if response.not_run {
                 let moved = head.status() == 421;
-                let _body = self.read_body(&mut body, call, writer).await?;
+                self.discard_body(&mut body, call, writer).await?;
                 let reason = if moved { NotRun::Moved } else { NotRun::Busy };
                 return Ok(Attempt::NotRun(reason));
             }
@@ -322,8 +334,27 @@
                 return self.forward_events(&head, body, call, writer, place).await;
             }
             self.gate.begin(place);
-            let body = self.read_body(&mut body, call, writer).await?;
-            let response = BufferedResponse { head, body };
+            let length = body.length();
+            let (bytes, share) = match self.read_held(&mut body, call, writer).await? {
+                Held::Whole(bytes, share) => (bytes, share),
+                Held::Partly(..) if writer.has_begun() => {
+                    return Ok(Attempt::Lost("no continuation of the stream"));
+                }
+                Held::Partly(bytes, share) => {
+                    let part = Part {
+                        bytes,
+                        share,
+                        reader: body,
+                        length,
+                    };
+                    return self.pass_on(&head, part, call, writer).await;
+                }
+            };
+            let response = BufferedResponse {
+                head,
+                body: bytes,
+                _share: share,
+            };
             if !is_good && (writer.has_begun() || call.may_retry()) {
                 return Ok(Attempt::Failed(response));
             }
@@ -395,14 +426,109 @@
         is_moved.then_some(()).ok_or(Interruption::Silent)
     }
 
-    async fn read_body(
+    async fn discard_body(
+        &mut self,
+        body: &mut BodyReader,
+        call: &Call,
+        writer: &mut ResponseWriter,
+    ) -> Result<(), Interruption> {
+        let discarded = self.upstream.discard_body(body, MAX_BODY_BYTES);
+        Ok(with_deadline(discarded, writer, call.deadline).await??)
+    }
+
+    /// Reads a body as far as it may be buffered.
+    async fn read_held(
         &mut self,
         body: &mut BodyReader,
         call: &Call,
         writer: &mut ResponseWriter,
-    ) -> Result<Bytes, Interruption> {
-        let read = self.upstream.read_body(body, MAX_BODY_BYTES);
-        Ok(with_deadline(read, writer, call.deadline).await??)
+    ) -> Result<Held, Interruption> {
+        let length = body
+            .length()
+            .map_or(0, |l| usize::try_from(l).unwrap_or(usize::MAX));
+        if length > MAX_BODY_BYTES {
+            return Err(ReadError::from(MessageError::BodyTooLarge).into());
+        }
+        let mut share = self.gate.held.share();
+        let memory = self.gate.settings.borrow().memory / REQUESTS_DIVISOR;
+        let is_short = length <= MAX_WHOLE_BYTES && share.grow(length, memory);
+        let mut room = if is_short {
+            length.max(SMALL_BYTES)
+        } else {
+            SMALL_BYTES
+        };
+        let mut bytes = BytesMut::with_capacity(if is_short { length } else { 0 });
+        let upstream = &mut *self.upstream;
+        let read = async {
+            loop {
+                body.read(&mut upstream.input, &mut bytes)?;
+                if body.is_done() {
+                    return Ok(true);
+                }
+                while bytes.len() >= room {
+                    room *= 2;
+                    if room > MAX_WHOLE_BYTES || !share.grow(room, memory) {
+                        return Ok(false);
+                    }
+                    bytes.reserve(room - bytes.len());
+                }
+                match upstream.read_more().await {
+                    Err(ReadError::Closed) if body.is_until_close() => return Ok(true),
+                    other => other?,
+                }
+            }
+        };
+        let is_whole: Result<bool, ReadError> = with_deadline(read, writer, call.deadline).await?;
+        let is_whole = is_whole?;
+        Ok(if is_whole {
+            Held::Whole(bytes.freeze(), share)
+        } else {
+            Held::Partly(bytes, share)
+        })
+    }
+
+    /// Passes a long response on as it is read.
+    async fn pass_on(
+        &mut self,
+        head: &Head,
+        mut part: Part,
+        call: &mut Call,
+        writer: &mut ResponseWriter,
+    ) -> Result<Attempt, Interruption> {
+        set_receive_buffer(&self.upstream.stream, RECEIVE_BYTES);
+        let length = part.length.and_then(|l| usize::try_from(l).ok());
+        call.first_byte.get_or_insert_with(Instant::now);
+        writer.begin_body(head, length).await?;
+        let mut total = 0;
+        let mut is_closed = false;
+        loop {
+            let is_end = part.reader.is_done() || is_closed;
+            total += part.bytes.len();
+            if total > MAX_BODY_BYTES {
+                return Ok(Attempt::Lost("endless body"));
+            }
+            writer.send_body(&part.bytes, is_end).await?;
+            if is_end {
+                return Ok(Attempt::Delivered(head.status()));
+            }
+            if part.bytes.capacity() > 2 * PIECE_BYTES {
+                part.bytes = BytesMut::with_capacity(PIECE_BYTES);
+                part.share.clear();
+            }
+            part.bytes.clear();
+            self.upstream.input.reserve(PIECE_BYTES);
+            let more = self.read_more(&part.reader, call, writer, Instant::now());
+            is_closed = match more.await {
+                Err(Interruption::Read(_)) if writer.has_waited() => {
+                    writer.note_slow_caller();
+                    return Err(Interruption::Gone);
+                }
+                other => other?,
+            };
+            part.reader
+                .read(&mut self.upstream.input, &mut part.bytes)
+                .map_err(ReadError::from)?;
+        }
     }
 
     /// Forwards each event of a stream once it is complete.
@@ -422,6 +548,7 @@
         let mut is_closed = false;
         let mut is_first = true;
         let mut progressed = Instant::now();
+        let mut share = self.gate.held.share();
         loop {
             body.read(&mut self.upstream.input, splitter.buffer())
                 .map_err(ReadError::from)?;
@@ -456,9 +583,16 @@
             if is_end {
                 return Ok(Attempt::Delivered(head.status()));
             }
-            if splitter.pending().len() > EVENT_BYTES {
+            let pending = splitter.pending().len();
+            if pending > EVENT_BYTES {
                 return Ok(Attempt::Lost("endless event"));
             }
+            // Buffers grow to twice what they hold.
+            if pending > SMALL_BYTES && !share.grow(2 * pending, self.gate.settings.borrow().memory)
+            {
+                self.gate.metrics.note_limit(Limit::HeldBytes);
+                return Ok(Attempt::Lost("no memory is left for the event"));
+            }
             is_closed = self.read_more(&body, call, writer, progressed).await?;
         }
     }
@@ -487,6 +621,21 @@
     }
 }
 
+/// A response's body, as far as it was buffered.
+enum Held {
+    Whole(Bytes, Share),
+    Partly(BytesMut, Share),
+}
+
+/// The part of a body that was read, and what the rest needs.
+struct Part {
+    bytes: BytesMut,
+    share: Share,
+    reader: BodyReader,
+    /// Length of the whole body, if the head states it.
+    length: Option<u64>,
+}
+
 fn is_success(head: &Head) -> bool {
     (200..300).contains(&head.status())
 }
@@ -516,8 +665,12 @@
         framing,
         writer.connection_header(),
     );
-    out.put_slice(&response.body);
     call.first_byte.get_or_insert_with(Instant::now);
-    writer.send_whole(&out).await?;
+    if response.body.len() <= MAX_COPIED_BODY_BYTES {
+        out.put_slice(&response.body);
+        writer.send_whole(&out).await?;
+    } else {
+        writer.send_parts([&out, &response.body]).await?;
+    }
     Ok(Attempt::Delivered(status))
 }
--- a/cornelstand/src/gateway/upstream.rs
+++ b/cornelstand/src/gateway/upstream.rs
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::gateway::held_bytes::SMALL_BYTES;
 use crate::gateway::message::{BodyReader, Head, MessageError};
 use crate::gateway::outlet::write_all;
 
@@ -147,6 +148,35 @@
         Ok((head, body))
     }
 
+    /// Reads a complete body and discards it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is truncated, badly framed or longer than `limit`.
+    pub(crate) async fn discard_body(
+        &mut self,
+        reader: &mut BodyReader,
+        limit: usize,
+    ) -> Result<(), ReadError> {
+        let mut discarded = BytesMut::new();
+        let mut total = 0;
+        loop {
+            reader.read(&mut self.input, &mut discarded)?;
+            total += discarded.len();
+            discarded.clear();
+            if total > limit {
+                return Err(MessageError::BodyTooLarge.into());
+            }
+            if reader.is_done() {
+                return Ok(());
+            }
+            match self.read_more().await {
+                Err(ReadError::Closed) if reader.is_until_close() => return Ok(()),
+                other => other?,
+            }
+        }
+    }
+
     /// Reads a complete body.
     ///
     /// # Errors
@@ -174,6 +204,13 @@
     }
 }
 
+/// Sets the receive buffer of a connection, for which its bytes that are not read count as held.
+pub(crate) fn set_receive_buffer(stream: &TcpStream, bytes: usize) {
+    if let Err(error) = SockRef::from(stream).set_recv_buffer_size(bytes) {
+        tracing::debug!(event = "socket_option_refused", %error);
+    }
+}
+
 /// Makes the close of a connection reset it, which also discards what was not received yet.
 pub(crate) fn reset_on_close(stream: &TcpStream) {
     set_linger(stream, Some(Duration::ZERO));
@@ -251,7 +288,15 @@
     }
 
     /// Pools a connection that the endpoint keeps open for `idle`, if it announced a time.
-    pub(crate) fn put(&mut self, address: SocketAddr, upstream: Upstream, idle: Option<Duration>) {
+    pub(crate) fn put(
+        &mut self,
+        address: SocketAddr,
+        mut upstream: Upstream,
+        idle: Option<Duration>,
+    ) {
+        if upstream.input.capacity() > SMALL_BYTES {
+            upstream.input = BytesMut::new();
+        }
         let time = idle.map_or(MAX_IDLE, |i| i.saturating_sub(IDLE_MARGIN));
         let until = Instant::now() + time.min(MAX_IDLE);
         let pooled = self.idle.entry(address).or_default();
--- a/cornelstand/src/platform/tests.rs
+++ b/cornelstand/src/platform/tests.rs
@@ -7,6 +7,7 @@
 mod large_bodies;
 mod late_answers;
 mod late_copies;
+mod long_answers;
 mod loss_reasons;
 mod notices;
 mod path;
