Serve: long answers are limited in number, and unread ones end

Cause: the HTTP libraries buffer up to 400 KiB of an answer on each side, a chunk in the queue kept the whole buffer that it was read into, sockets took megabytes of what the caller did not read, and nothing limited how many answers were on their way. A connection whose caller read nothing was never closed. Change: answers over 32 KiB need room, one for every 64 connections allowed (4 at least); others wait unread at their endpoint, and meanwhile a caller that does not take 8 KiB in 1 s loses its answer. Streams need room only while their caller keeps a write waiting for 1 s. Queued parts are copied out of their buffers, the server's buffers follow entry.header-bytes, a write that makes no progress for entry.idle-ms ends its connection, and at most 32 idle connections to an endpoint are kept. A counter and a line name the limit.

--- a/cornelstand/src/caller.rs
+++ b/cornelstand/src/caller.rs
@@ -7,18 +7,20 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
 use futures::Stream;
 use http::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use http::{HeaderMap, StatusCode};
 use snafu::Snafu;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
+use tokio::time::{sleep, timeout};
 use warp::Reply;
 use warp::reply::Response;
 
 use crate::attempt::{Answering, Verdict};
 use crate::entry_core::{Core, OpenRequest};
 use crate::headers::REQUEST_ID;
+use crate::long_answers::{PRESSED_TIMEOUT, SHORT_BYTES};
 use crate::name::RequestId;
 use crate::problem::{Problem, ProblemKind, id_value};
 use crate::timeline::Topic;
@@ -27,6 +29,9 @@
 const REPLAYED: HeaderName = HeaderName::from_static("idempotent-replayed");
 /// Capacity of the channel of body chunks to the caller.
 const CHANNEL_CHUNKS: usize = 4;
+/// Largest chunk in the channel, in bytes. Chunks of longer answers are copied, since each would keep
+/// the buffer in memory that it was read into.
+const CHUNK_BYTES: usize = 8 * 1024;
 
 /// The answer ended early. It aborts the caller's stream, so that the answer cannot be mistaken
 /// for a complete one.
@@ -34,6 +39,14 @@
 #[snafu(display("the answer was truncated"))]
 pub(crate) struct TruncatedError;
 
+/// Why a part of an answer was not written.
+enum Unwritten {
+    /// The caller disconnected.
+    Gone,
+    /// The caller reads too slowly for the limit of this name.
+    AtLimit(&'static str),
+}
+
 /// The caller no longer takes the answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Gone;
@@ -172,6 +185,7 @@
         answering: Answering,
         status: StatusCode,
         headers: HeaderMap,
+        is_stream: bool,
     ) -> BodyWriter {
         let (chunks, receiver) = mpsc::channel(CHANNEL_CHUNKS);
         let is_complete = Arc::new(AtomicBool::new(false));
@@ -191,6 +205,9 @@
             chunks,
             is_complete,
             is_gone: false,
+            is_stream,
+            passed: 0,
+            room: None,
             open: self.open,
         }
     }
@@ -225,6 +242,12 @@
     is_complete: Arc<AtomicBool>,
     /// Whether a chunk could not be written.
     is_gone: bool,
+    /// Whether the answer is a stream of events.
+    is_stream: bool,
+    /// Bytes written.
+    passed: usize,
+    /// Room for a long answer.
+    room: Option<OwnedSemaphorePermit>,
     open: OpenRequest,
 }
 
@@ -238,11 +261,61 @@
     /// caller did not take in time, no other is written.
     pub(crate) async fn write(&mut self, chunk: Bytes, idle: Duration) -> Result<(), Gone> {
         if !self.is_gone && !chunk.is_empty() {
-            self.is_gone = self.chunks.send_timeout(chunk, idle).await.is_err();
+            self.passed = self.passed.saturating_add(chunk.len());
+            let written = self.write_parts(chunk, idle).await;
+            self.is_gone = written.is_err();
+            if let Err(Unwritten::AtLimit(limit)) = written {
+                self.core.metrics.limits.with_label_values(&[limit]).inc();
+                tracing::info!(limit, "answer cut");
+            }
         }
         if self.is_gone { Err(Gone) } else { Ok(()) }
     }
 
+    async fn write_parts(&mut self, mut chunk: Bytes, idle: Duration) -> Result<(), Unwritten> {
+        let is_long = !self.is_stream && self.passed > SHORT_BYTES;
+        if is_long && self.room.is_none() {
+            self.room = tokio::select! {
+                room = self.core.long_answers.take(idle) => room,
+                () = self.chunks.closed() => return Err(Unwritten::Gone),
+            };
+            if self.room.is_none() {
+                return Err(Unwritten::AtLimit("long_answers"));
+            }
+        }
+        if self.is_stream || self.passed > CHUNK_BYTES {
+            while !chunk.is_empty() {
+                let part = Bytes::copy_from_slice(&chunk[..chunk.len().min(CHUNK_BYTES)]);
+                chunk.advance(part.len());
+                self.write_part(part, idle).await?;
+            }
+            return Ok(());
+        }
+        self.write_part(chunk, idle).await
+    }
+
+    async fn write_part(&mut self, part: Bytes, idle: Duration) -> Result<(), Unwritten> {
+        let Err(full) = self.chunks.try_send(part) else {
+            return Ok(());
+        };
+        let mut sent = std::pin::pin!(self.chunks.send(full.into_inner()));
+        if self.room.is_none() {
+            if let Ok(sent) = timeout(PRESSED_TIMEOUT.min(idle), &mut sent).await {
+                return sent.map_err(|_| Unwritten::Gone);
+            }
+            self.room = self.core.long_answers.try_take();
+            if self.room.is_none() {
+                return Err(Unwritten::AtLimit("long_answers"));
+            }
+        }
+        tokio::select! {
+            biased;
+            sent = &mut sent => sent.map_err(|_| Unwritten::Gone),
+            () = self.core.long_answers.pressed() => Err(Unwritten::AtLimit("long_answers")),
+            () = sleep(idle) => Err(Unwritten::AtLimit("idle")),
+        }
+    }
+
     /// Ends a complete answer, unless the caller missed a part of it.
     pub(crate) fn finish(self) -> OpenRequest {
         if self.is_gone {
--- a/cornelstand/src/deliver.rs
+++ b/cornelstand/src/deliver.rs
@@ -126,7 +126,12 @@
             Err(loss) => return self.lost(sent, loss, leg, caller).await,
         };
         let mut recorder = self.is_claimed().then(|| AnswerRecorder::new(&head));
-        let mut writer = caller.begin(sent.answering(), head.status, head.for_caller());
+        let mut writer = caller.begin(
+            sent.answering(),
+            head.status,
+            head.for_caller(),
+            head.events,
+        );
         let delivered = self
             .forward(&mut leg, body, &mut writer, ahead, &mut recorder)
             .await;
--- a/cornelstand/src/entry.rs
+++ b/cornelstand/src/entry.rs
@@ -95,6 +95,7 @@
         ConnectionLimits {
             header: Duration::from_millis(self.header_ms),
             bytes: self.header_bytes,
+            idle: self.idle(),
             count: self.connections,
         }
     }
--- a/cornelstand/src/entry_core.rs
+++ b/cornelstand/src/entry_core.rs
@@ -18,6 +18,7 @@
 use crate::entry::{EntryLimits, EntryParts};
 use crate::entry_metrics::EntryMetrics;
 use crate::ledger::Ledger;
+use crate::long_answers::LongAnswers;
 use crate::moment::Clock;
 use crate::name::{AttemptId, BootId, EndpointName, InstanceName};
 use crate::pause::{PauseWatch, TICK};
@@ -43,6 +44,7 @@
     pub(crate) upstreams: Upstreams,
     pub(crate) pauses: PauseWatch,
     pub(crate) closing: Closing,
+    pub(crate) long_answers: LongAnswers,
     config: watch::Receiver<Arc<Config>>,
     view: Mutex<View>,
     budgets: Mutex<RetryBudgets>,
@@ -77,6 +79,7 @@
             upstreams: Upstreams::new(),
             pauses: PauseWatch::new(parts.clock.now()),
             closing: Closing::default(),
+            long_answers: LongAnswers::new(parts.limits.connections),
             config: parts.config,
             view: Mutex::default(),
             budgets: Mutex::default(),
--- a/cornelstand/src/entry_metrics.rs
+++ b/cornelstand/src/entry_metrics.rs
@@ -25,6 +25,8 @@
     pub(crate) foreign_answers: IntCounter,
     /// Connection pools replaced.
     pub(crate) pools_replaced: IntCounter,
+    /// Answers cut because the caller read too slowly or found no room, by limit.
+    pub(crate) limits: IntCounterVec,
     /// Pauses of the process.
     pub(crate) pauses: IntCounter,
     /// Open requests.
@@ -83,6 +85,11 @@
                 "entry_pools_replaced_total",
                 "Pools of connections replaced",
             )?,
+            limits: vec(
+                "entry_limits_total",
+                "Answers cut at a limit on what callers may have held",
+                "limit",
+            )?,
             pauses: counter("entry_pauses_total", "Pauses of the process")?,
             open: gauge("entry_requests_open", "Requests accepted and not ended")?,
             waiting: gauge("entry_requests_waiting", "Requests waiting for an endpoint")?,
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -80,6 +80,7 @@
 mod load_call;
 mod load_plan;
 mod load_result;
+mod long_answers;
 mod member;
 mod member_message;
 mod membership;
--- a/cornelstand/src/listener.rs
+++ b/cornelstand/src/listener.rs
@@ -33,6 +33,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Maximum bytes per read from a connection.
 const READ_BYTES: usize = 16 * 1024;
+/// Smallest limit of the buffers of a connection, in bytes.
+const MIN_BUFFER_BYTES: usize = 32 * 1024;
 /// Maximum number of headers of a request.
 const MAX_HEADERS: usize = 100;
 
@@ -43,6 +45,8 @@
     pub(crate) header: Duration,
     /// Maximum size of a request's header in bytes.
     pub(crate) bytes: usize,
+    /// Maximum time for a caller that does not read its answer.
+    pub(crate) idle: Duration,
     /// Maximum number of connections.
     pub(crate) count: usize,
 }
@@ -116,6 +120,8 @@
     let io = TokioIo {
         stream,
         lacks_chunking: lacks_chunking.clone(),
+        idle: limits.idle,
+        stall: None,
     };
     let service = service_fn(move |request: http::Request<Incoming>| {
         if request.version() < Version::HTTP_11 {
@@ -130,6 +136,7 @@
             .header_read_timeout(limits.header)
             .max_headers(MAX_HEADERS)
             .max_header_size(limits.bytes)
+            .max_buf_size(limits.bytes.max(MIN_BUFFER_BYTES))
             .serve_connection(io, service)
     );
     let stopping = stopped.wait_for(|&stop| stop);
@@ -146,9 +153,31 @@
     stream: TcpStream,
     /// Set by a request of a caller that does not know chunks, until the next write.
     lacks_chunking: Arc<AtomicBool>,
+    /// Maximum wait for a caller that does not read.
+    idle: Duration,
+    /// End of that wait.
+    stall: Option<Pin<Box<tokio::time::Sleep>>>,
 }
 
 impl TokioIo {
+    /// Fails a write that waits too long.
+    fn check_stall(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<std::io::Result<usize>>,
+    ) -> Poll<std::io::Result<usize>> {
+        if written.is_ready() {
+            self.stall = None;
+            return written;
+        }
+        let idle = self.idle;
+        let stall = self
+            .stall
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(idle)));
+        ready!(stall.as_mut().poll(cx));
+        Poll::Ready(Err(std::io::ErrorKind::TimedOut.into()))
+    }
+
     /// Has the connection reset if it ends before its shutdown.
     fn prepare_write(&self) -> std::io::Result<()> {
         if self.lacks_chunking.swap(false, Ordering::Relaxed) {
@@ -180,7 +209,8 @@
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
         self.prepare_write()?;
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.check_stall(cx, written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
@@ -202,7 +232,8 @@
         parts: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
         self.prepare_write()?;
-        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, parts);
+        self.check_stall(cx, written)
     }
 }
 
--- a/cornelstand/src/upstream.rs
+++ b/cornelstand/src/upstream.rs
@@ -22,6 +22,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after which an idle pooled connection is closed.
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Maximum number of idle connections to an endpoint: each keeps the buffer of its longest answer.
+const MAX_IDLE_CONNECTIONS: usize = 32;
 /// Interval of TCP keepalive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 /// Unanswered keepalive probes after which a connection is closed.
@@ -144,7 +146,7 @@
     fn pool(&self, address: SocketAddr) -> Client {
         lock(&self.pools)
             .entry(address)
-            .or_insert_with(|| client(usize::MAX))
+            .or_insert_with(|| client(MAX_IDLE_CONNECTIONS))
             .clone()
     }
 }
--- a/cornelstand/tests/entry/main.rs
+++ b/cornelstand/tests/entry/main.rs
@@ -5,6 +5,7 @@
 mod connections;
 mod endings;
 mod fleet;
+mod long_answers;
 mod orders;
 mod parsers;
 mod problems;
