Gateway: hand connections over to neighbours that have processor time

Cause: the load balancer picks an instance by the client, so a heavy client's connections all come to one instance.

Change: at a request boundary, an instance that is short of processor time offers a caller's connection to a neighbour (one message and one byte back over TCP) and copies bytes both ways from then on. The neighbour serves it like one of its own callers and never hands it on. Load is the share of time in which the thread does not wait, and the timer lag; neighbours report it with heartbeats. An offer needs the same data centre, the same version of the configuration, a view of the store that is not older, and a recent report; nothing is offered by or to an instance that stops. If nobody takes a connection, streams are shed as before, but by what accounts recently asked for here (max-min) instead of by lot. A neighbour that dies before a response to the last bytes began leaves the caller a 502, everything else that is not an orderly close a reset; nothing is sent twice. Only large fleets use any of it.

--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -121,11 +121,14 @@
     }
 
     pub(crate) fn account_name(&self) -> AccountName {
-        let anonymous = || AccountName::from(ANONYMOUS_ACCOUNT);
-        self.account.clone().unwrap_or_else(anonymous)
+        self.account.clone().unwrap_or_else(anonymous_account)
     }
 }
 
+fn anonymous_account() -> AccountName {
+    AccountName::from(ANONYMOUS_ACCOUNT)
+}
+
 /// How a request ended, for logs and metrics.
 #[derive(Clone, Copy, Debug)]
 struct Outcome {
@@ -224,14 +227,6 @@
     if !gate.stop.admits(Instant::now(), arrived + time) {
         return Err(Refused::stopping(true));
     }
-    if route.kind.is_stream() && gate.should_shed() {
-        let retry_after = Some(OVERLOAD_RETRY_AFTER);
-        return Err(Refused::new(
-            503,
-            "this instance is overloaded",
-            retry_after,
-        ));
-    }
     let account = if catalog.keyed && !route.public {
         let key = fields.key.as_deref().unwrap_or_default();
         let account = catalog.keys.get(key).cloned();
@@ -239,6 +234,18 @@
     } else {
         None
     };
+    let counted = account.clone().unwrap_or_else(anonymous_account);
+    let mut state = gate.state.borrow_mut();
+    state.recent_requests.count(gate.now(), &counted);
+    drop(state);
+    if route.kind.is_stream() && gate.should_shed(&counted) {
+        let retry_after = Some(OVERLOAD_RETRY_AFTER);
+        return Err(Refused::new(
+            503,
+            "this instance is overloaded",
+            retry_after,
+        ));
+    }
     let service = route.target(rand::random()).cloned();
     let service = service.ok_or(Refused::new(503, "the route has no service", None))?;
     let fingerprint = fingerprint(account.as_ref(), head.target(), &body);
--- a/cornelstand/src/gateway/connection.rs
+++ b/cornelstand/src/gateway/connection.rs
@@ -11,6 +11,7 @@
 use crate::gateway::call::{self, Refused};
 use crate::gateway::catalog::RequestLimits;
 use crate::gateway::gate::Gate;
+use crate::gateway::handover::{self, Origin, Visit};
 use crate::gateway::message::{BodyReader, Head, MessageError};
 use crate::gateway::number::{gauge, to_f64};
 use crate::gateway::outlet::ResponseWriter;
@@ -48,7 +49,7 @@
         tokio::task::spawn_local(async move {
             gate.connections.set(gate.connections.get() + 1);
             gate.metrics.connections.set(gauge(gate.connections.get()));
-            serve(&gate, stream).await;
+            serve(&gate, stream, &Origin::Caller).await;
             gate.connections.set(gate.connections.get() - 1);
             gate.metrics.connections.set(gauge(gate.connections.get()));
         });
@@ -68,7 +69,7 @@
     }
 }
 
-fn max_connections(gate: &Gate) -> usize {
+pub(crate) fn max_connections(gate: &Gate) -> usize {
     let limit = gate.settings.borrow().descriptors;
     limit.saturating_sub(RESERVED_DESCRIPTORS).max(256)
 }
@@ -98,18 +99,31 @@
     }
 }
 
-async fn serve(gate: &Rc<Gate>, stream: TcpStream) {
+/// Serves the requests on a connection from `origin` until it ends or is handed over.
+pub(crate) async fn serve(gate: &Rc<Gate>, stream: TcpStream, origin: &Origin) {
     set_socket_options(&stream);
-    let mut writer = ResponseWriter::new(stream);
+    let mut writer = ResponseWriter::new(stream, origin.on_death());
+    let mut visit = Visit::begin();
     while writer.next_request() {
         let limits = gate.state.borrow().directory.catalog().limits;
+        tokio::select! {
+            biased;
+            begun = await_request(&mut writer, &limits) => if begun.is_err() { return },
+            () = origin.left(gate) => return,
+        }
+        let arrived = Instant::now();
+        writer = match handover::hand_over(gate, writer, origin, &mut visit).await {
+            Some(writer) => writer,
+            None => return,
+        };
         let mut share = gate.bodies.share();
         let memory = gate.settings.borrow().memory;
         let room = |bytes| share.grow(bytes, memory);
-        let refusal = match read_request(gate, &mut writer, &limits, room).await {
-            Ok((head, body, arrived)) => {
+        let refusal = match read_request(gate, &mut writer, &limits, arrived, room).await {
+            Ok((head, body)) => {
                 writer.keep_alive =
                     head.keeps_alive() && !gate.stop.has_begun() && !is_crowded(gate);
+                writer.keep_alive &= !origin.has_left(gate);
                 call::serve(gate, head, body, &mut writer, arrived).await;
                 continue;
             }
@@ -179,21 +193,29 @@
     }
 }
 
-/// Reads a request, whose body has to get `room` for its bytes. Also returns the time at which the
-/// first byte of the request arrived.
-async fn read_request(
-    gate: &Gate,
+/// Waits for the first bytes of a request.
+async fn await_request(
     writer: &mut ResponseWriter,
     limits: &RequestLimits,
-    mut room: impl FnMut(usize) -> bool,
-) -> Result<(Head, Bytes, Instant), ReadFailure> {
+) -> Result<(), ReadFailure> {
     if writer.input.is_empty() {
         let until = Instant::now() + limits.idle_time;
         read_more(writer, until)
             .await
             .map_err(|_| ReadFailure::Closed)?;
     }
-    let arrived = Instant::now();
+    Ok(())
+}
+
+/// Reads a request whose first bytes arrived at `arrived`, and whose body has to get `room` for its
+/// bytes.
+async fn read_request(
+    gate: &Gate,
+    writer: &mut ResponseWriter,
+    limits: &RequestLimits,
+    arrived: Instant,
+    mut room: impl FnMut(usize) -> bool,
+) -> Result<(Head, Bytes), ReadFailure> {
     let until = arrived + limits.head_time;
     let head = loop {
         match Head::parse_request(&mut writer.input, limits.head_bytes)? {
@@ -232,7 +254,7 @@
             body.reserve(limits.body_bytes - body.len());
         }
         if reader.is_done() {
-            return Ok((head, body.freeze(), arrived));
+            return Ok((head, body.freeze()));
         }
         let (body_deadline, _active) =
             times.get_or_insert_with(|| (arrived + body_timeout(&head), gate.activate()));
--- a/cornelstand/src/gateway/daemon.rs
+++ b/cornelstand/src/gateway/daemon.rs
@@ -20,7 +20,7 @@
 use crate::gateway::pauses::boot_time;
 use crate::gateway::settings::peer_address;
 use crate::gateway::stop::drain;
-use crate::gateway::{connection, peers_link};
+use crate::gateway::{connection, handover, peers_link};
 use crate::platform::settings::{SettingsFileError, read_settings};
 
 /// Port of the metrics listener; the deploy file contains it as well.
@@ -159,6 +159,14 @@
             Err(error) => tracing::warn!(event = "control_unavailable", %error),
         }
     }
+    match bind(peer).await {
+        Ok(listener) => {
+            spawn(Box::pin(handover::accept(gate.clone(), listener)));
+        }
+        // Callers can be served without the neighbours' connections.
+        Err(error) => tracing::warn!(event = "handover_unavailable", %error),
+    }
+    spawn(Box::pin(handover::watch(gate.clone())));
     for followed in [
         Followed::Configuration,
         Followed::Endpoints,
@@ -231,6 +239,7 @@
         state.endpoints.remove_expired(now);
         state.pool.expire();
         state.suspects.remove_expired(now);
+        state.recent_requests.remove_expired(now);
         for peer in state.peers.newly_silent(before, now) {
             tracing::warn!(event = "peer_lost", %peer);
         }
--- a/cornelstand/src/gateway/exchange.rs
+++ b/cornelstand/src/gateway/exchange.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::extensions::Extension;
 use crate::gateway::gate::Gate;
+use crate::gateway::handover;
 use crate::name::{CentreName, InstanceName};
 
 /// Whose state a message tells.
@@ -16,7 +17,7 @@
 impl Gate {
     /// Blocks for a heartbeat, about this instance.
     pub(crate) fn heartbeat_extensions(&self) -> Vec<Extension> {
-        Vec::new()
+        Vec::from_iter(handover::report_block(self))
     }
 
     /// Blocks for a digest, about the instances of this data centre.
@@ -26,6 +27,7 @@
 
     /// Applies the blocks of a heartbeat or a digest.
     pub(crate) fn receive_extensions(&self, sender: &Sender, extensions: &[Extension]) {
+        handover::receive_report(self, sender, extensions);
         if !extensions.is_empty() {
             tracing::trace!(event = "extensions", ?sender, count = extensions.len());
         }
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -13,6 +13,8 @@
 use crate::gateway::catalog::GatewayService;
 use crate::gateway::containment::Source;
 use crate::gateway::directory::{Directory, EndpointChange, EndpointRecord};
+use crate::gateway::handover::Handover;
+use crate::gateway::handover::shedding::RecentRequests;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::notices::Notice;
 use crate::gateway::number::{gauge, to_f32, to_f64};
@@ -54,6 +56,7 @@
     pub(crate) suspicion_updates: SuspicionUpdates,
     pub(crate) pool: Pool,
     pub(crate) outputs: Outputs,
+    pub(crate) recent_requests: RecentRequests,
     waiters: HashMap<WaitId, Waiter>,
     heartbeat_count: u64,
     digest_count: u64,
@@ -109,6 +112,8 @@
     pub(crate) bodies: BodyRoom,
     /// Detects pauses of the process.
     pub(crate) pauses: PauseWatch,
+    /// Connections handed over to neighbours and taken from them.
+    pub(crate) handover: Handover,
 }
 
 /// A queued request.
@@ -150,6 +155,7 @@
                 suspicion_updates: SuspicionUpdates::default(),
                 pool: Pool::default(),
                 outputs: Outputs::default(),
+                recent_requests: RecentRequests::default(),
                 waiters: HashMap::new(),
                 heartbeat_count: 0,
                 digest_count: 0,
@@ -165,6 +171,7 @@
             connections: Cell::new(0),
             bodies: BodyRoom::default(),
             pauses: PauseWatch::default(),
+            handover: Handover::default(),
         }
     }
 
@@ -183,10 +190,16 @@
         !self.stop.has_begun() && self.state.borrow().directory.is_complete()
     }
 
-    /// Whether to shed a new stream, chosen at random, because this instance lacks CPU time.
-    pub(crate) fn should_shed(&self) -> bool {
+    /// Whether to shed a new stream of an account because this instance lacks CPU time. Accounts with
+    /// fewer recent requests than others are shed last.
+    pub(crate) fn should_shed(&self, account: &AccountName) -> bool {
         let excess = (self.lag.get() - LAG_TOLERATED_MS) / LAG_SPAN_MS;
-        excess > 0.0 && rand::random::<f64>() < excess.min(MAX_SHED_SHARE)
+        if excess <= 0.0 {
+            return false;
+        }
+        let recent = &self.state.borrow().recent_requests;
+        let share = recent.shed_share(self.now(), account, excess.min(MAX_SHED_SHARE));
+        rand::random::<f64>() < share
     }
 
     /// Queues a request and grants it a place if there is one. Fails with the delay after which
--- a/cornelstand/src/gateway/metrics.rs
+++ b/cornelstand/src/gateway/metrics.rs
@@ -1,7 +1,7 @@
 //! Prometheus metrics of a gateway, with handles registered once at start.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
 };
 
@@ -28,6 +28,14 @@
     pub(crate) waiting: IntGauge,
     pub(crate) version: IntGauge,
     pub(crate) peers: IntGauge,
+    /// Hand-overs of connections, by result.
+    pub(crate) handovers: IntCounterVec,
+    /// Connections of callers that neighbours serve.
+    pub(crate) handed_over: IntGauge,
+    /// Connections that are served for neighbours.
+    pub(crate) taken: IntGauge,
+    /// Share of the time in which the process does not wait for events.
+    pub(crate) processor: Gauge,
     pub(crate) queue_time: Histogram,
     pub(crate) first_time: Histogram,
     pub(crate) total_time: Histogram,
@@ -58,6 +66,11 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
+        let share = |name: &str, help: &str| {
+            let gauge = Gauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
         let histogram = |name: &str, help: &str| {
             let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
             let histogram = Histogram::with_opts(options)?;
@@ -95,6 +108,23 @@
                 "cornelstand_peers",
                 "Peers that are known, silent ones included",
             )?,
+            handovers: counters(
+                "cornelstand_handovers_total",
+                "Hand-overs of connections",
+                "result",
+            )?,
+            handed_over: gauge(
+                "cornelstand_handed_over",
+                "Connections of callers that neighbours serve",
+            )?,
+            taken: gauge(
+                "cornelstand_taken",
+                "Connections that are served for neighbours",
+            )?,
+            processor: share(
+                "cornelstand_processor_share",
+                "Share of the time in which the process did not wait for events",
+            )?,
             queue_time: histogram("cornelstand_queue_seconds", "Time until a place was found")?,
             first_time: histogram("cornelstand_first_seconds", "Time until the answer began")?,
             total_time: histogram("cornelstand_whole_seconds", "Time until the answer ended")?,
--- a/cornelstand/src/gateway/mod.rs
+++ b/cornelstand/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 pub(crate) mod extensions;
 pub(crate) mod follow;
 pub(crate) mod gate;
+pub(crate) mod handover;
 pub(crate) mod logs;
 pub(crate) mod message;
 pub(crate) mod metrics;
--- a/cornelstand/src/gateway/outlet.rs
+++ b/cornelstand/src/gateway/outlet.rs
@@ -61,6 +61,15 @@
     }
 }
 
+/// How a connection ends when the process dies.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum OnDeath {
+    /// As the system closes it.
+    Close,
+    /// By a reset; it is closed in order only between responses.
+    Reset,
+}
+
 /// A caller's connection, which carries one response to each request.
 #[derive(Debug)]
 pub(crate) struct ResponseWriter {
@@ -73,17 +82,32 @@
     pub(crate) lacks_chunking: bool,
     /// Whether the caller asked for the head of a response only.
     pub(crate) is_head_only: bool,
+    on_death: OnDeath,
     progress: Progress,
 }
 
+impl Drop for ResponseWriter {
+    fn drop(&mut self) {
+        if self.on_death == OnDeath::Reset
+            && matches!(self.progress, Progress::Nothing | Progress::Complete)
+        {
+            close_in_order(&self.stream);
+        }
+    }
+}
+
 impl ResponseWriter {
-    pub(crate) fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: TcpStream, on_death: OnDeath) -> Self {
+        if on_death == OnDeath::Reset {
+            reset_on_close(&stream);
+        }
         Self {
             stream,
             input: BytesMut::new(),
             keep_alive: true,
             lacks_chunking: false,
             is_head_only: false,
+            on_death,
             progress: Progress::Complete,
         }
     }
--- a/cornelstand/src/gateway/peers.rs
+++ b/cornelstand/src/gateway/peers.rs
@@ -7,7 +7,7 @@
 //! instance grow with its data centre and not with the fleet.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -450,6 +450,49 @@
         live.filter_map(|p| p.heartbeat.as_ref())
     }
 
+    /// Last heartbeats of the live instances of a data centre, with their addresses and ages.
+    pub(crate) fn neighbours(
+        &self,
+        now: Moment,
+        centre: &CentreName,
+    ) -> impl Iterator<Item = (&Heartbeat, SocketAddr, Duration)> {
+        let live = self
+            .peers
+            .values()
+            .filter(move |p| p.is_live(now) && p.centre == *centre);
+        live.filter_map(move |p| {
+            let age = now.since(p.last_heard?);
+            Some((p.heartbeat.as_ref()?, p.address, age))
+        })
+    }
+
+    /// Last heartbeat of an instance, and its age.
+    pub(crate) fn last_heartbeat(
+        &self,
+        now: Moment,
+        name: &InstanceName,
+    ) -> Option<(&Heartbeat, Duration)> {
+        let peer = self.peers.get(name)?;
+        Some((peer.heartbeat.as_ref()?, now.since(peer.last_heard?)))
+    }
+
+    /// Whether `name` is an instance of this data centre at an IP address.
+    pub(crate) fn is_neighbour(
+        &self,
+        name: &InstanceName,
+        centre: &CentreName,
+        ip: IpAddr,
+    ) -> bool {
+        let peer = self.peers.get(name);
+        peer.is_some_and(|p| p.centre == *centre && p.address.ip() == ip)
+    }
+
+    /// Whether any instance of this data centre is known at an IP address.
+    pub(crate) fn has_neighbour_at(&self, centre: &CentreName, ip: IpAddr) -> bool {
+        let mut peers = self.peers.values();
+        peers.any(|p| p.centre == *centre && p.address.ip() == ip)
+    }
+
     /// Number of instances that may be running, with silent ones and this one.
     pub(crate) fn count(&self) -> usize {
         let reported: usize = self.centres.values().map(|(_, d)| d.members).sum();
--- a/cornelstand/src/gateway/settings.rs
+++ b/cornelstand/src/gateway/settings.rs
@@ -20,7 +20,7 @@
     pub(crate) readiness: SocketAddr,
     /// Listen address for operators and peers, if any.
     pub(crate) control: Option<SocketAddr>,
-    /// UDP ports for messages between instances.
+    /// Ports for messages between instances (UDP) and connections that they hand over (TCP).
     pub(crate) peer_ports: RangeInclusive<u16>,
     /// Control addresses of some instances; may be outdated.
     pub(crate) seeds: Vec<SocketAddr>,
@@ -56,7 +56,7 @@
     pub(crate) rollback: Duration,
 }
 
-/// UDP address at which this instance receives messages from other instances.
+/// Address at which this instance receives messages and connections from other instances.
 pub(crate) fn peer_address(settings: &GatewaySettings) -> SocketAddr {
     SocketAddr::new(settings.callers.ip(), *settings.peer_ports.start())
 }
--- a/cornelstand/src/gateway/tests.rs
+++ b/cornelstand/src/gateway/tests.rs
@@ -6,6 +6,7 @@
 mod directory;
 mod extensions;
 mod fleet;
+mod handover;
 mod heavy_load;
 mod message;
 mod outputs;
--- a/cornelstand/src/platform/tests.rs
+++ b/cornelstand/src/platform/tests.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod endless;
 mod foreign_entries;
+mod handover;
 mod large_bodies;
 mod late_answers;
 mod late_copies;
--- a/cornelstand/src/platform/tests/second_response.rs
+++ b/cornelstand/src/platform/tests/second_response.rs
@@ -7,7 +7,7 @@
 
 use crate::gateway::call::{Refused, send_own_response};
 use crate::gateway::message::Head;
-use crate::gateway::outlet::{ResponseWriter, SendError};
+use crate::gateway::outlet::{OnDeath, ResponseWriter, SendError};
 use crate::gateway::tests::gate;
 use crate::platform::tests::path::connect;
 use crate::platform::tests::scripted::{answer, chunk, event, response, stream_head};
@@ -19,7 +19,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
     let caller = connect(listener.local_addr().expect("bound")).await;
     let (stream, _) = listener.accept().await.expect("accepted");
-    let mut writer = ResponseWriter::new(stream);
+    let mut writer = ResponseWriter::new(stream, OnDeath::Close);
     assert!(writer.next_request());
     (writer, caller)
 }
--- a/cornelstand/tests/gateway/main.rs
+++ b/cornelstand/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests: gateway processes against stand-ins for the platform's store and endpoints.
 
 mod crashes;
+mod handover;
 mod platform;
 mod soak;
 
