--- a/cornelstand/src/gateway/connection.rs
+++ b/cornelstand/src/gateway/connection.rs
@@ -12,6 +12,7 @@
 use crate::gateway::call::{self, Refused};
 use crate::gateway::catalog::RequestLimits;
 use crate::gateway::gate::Gate;
+use crate::gateway::handover::{self, Origin, Visit};
 use crate::gateway::held_bytes::{self, RECEIVE_BYTES, SMALL_BYTES};
 use crate::gateway::message::{BodyReader, Head, MessageError};
 use crate::gateway::metrics::Limit;
@@ -62,7 +63,7 @@
         tokio::task::spawn_local(async move {
             gate.connections.set(gate.connections.get() + 1);
             gate.metrics.connections.set(gauge(gate.connections.get()));
-            serve(&gate, stream).await;
+            serve(&gate, stream, &Origin::Caller).await;
             gate.connections.set(gate.connections.get() - 1);
             gate.metrics.connections.set(gauge(gate.connections.get()));
         });
@@ -82,7 +83,7 @@
     }
 }
 
-fn max_connections(gate: &Gate) -> usize {
+pub(crate) fn max_connections(gate: &Gate) -> usize {
     let memory = gate.settings.borrow().memory;
     max_descriptors(gate).min(held_bytes::max_connections(memory))
 }
@@ -120,9 +121,11 @@
     }
 }
 
-async fn serve(gate: &Rc<Gate>, stream: TcpStream) {
+/// Serves the requests on a connection from `origin` until it ends or is handed over.
+pub(crate) async fn serve(gate: &Rc<Gate>, stream: TcpStream, origin: &Origin) {
     set_socket_options(&stream);
-    let mut writer = ResponseWriter::new(stream);
+    let mut writer = ResponseWriter::new(stream, origin.on_death());
+    let mut visit = Visit::begin();
     let close = Rc::new(Notify::new());
     while writer.next_request() {
         if writer.input.is_empty() && writer.input.capacity() > SMALL_BYTES {
@@ -130,19 +133,31 @@
         }
         let waiting = gate.waiting_callers.add(&close);
         let limits = gate.state.borrow().directory.catalog().limits;
+        tokio::select! {
+            biased;
+            begun = await_request(&mut writer, &limits) => if begun.is_err() { return },
+            () = origin.left(gate) => return,
+            () = close.notified() => return log_closed(),
+        }
+        let arrived = Instant::now();
+        writer = match handover::hand_over(gate, writer, origin, &mut visit).await {
+            Some(writer) => writer,
+            None => return,
+        };
         let mut share = gate.held.share();
         let memory = gate.settings.borrow().memory;
         let room = |bytes| share.grow(bytes, memory);
         let read = tokio::select! {
             biased;
-            read = read_request(gate, &mut writer, &limits, room) => read,
-            () = close.notified() => return tracing::info!(event = "connection_closed", limit = %Limit::Connections),
+            read = read_request(gate, &mut writer, &limits, arrived, room) => read,
+            () = close.notified() => return log_closed(),
         };
         drop(waiting);
         let refusal = match read {
-            Ok((head, body, arrived)) => {
+            Ok((head, body)) => {
                 writer.keep_alive =
                     head.keeps_alive() && !gate.stop.has_begun() && !is_crowded(gate);
+                writer.keep_alive &= !origin.has_left(gate);
                 call::serve(gate, head, body, &mut writer, arrived).await;
                 continue;
             }
@@ -179,6 +194,11 @@
     }
 }
 
+/// Logs that a connection without a whole request was closed for another one.
+fn log_closed() {
+    tracing::info!(event = "connection_closed", limit = %Limit::Connections);
+}
+
 /// Refuses a request whose body is not read, and discards what is still sent of it.
 async fn refuse_body(
     gate: &Gate,
@@ -218,21 +238,29 @@
     }
 }
 
-/// Reads a request, whose body has to get `room` for its bytes. Also returns the time at which the
-/// first byte of the request arrived.
-async fn read_request(
-    gate: &Gate,
+/// Waits for the first bytes of a request.
+async fn await_request(
     writer: &mut ResponseWriter,
     limits: &RequestLimits,
-    mut room: impl FnMut(usize) -> bool,
-) -> Result<(Head, Bytes, Instant), ReadFailure> {
+) -> Result<(), ReadFailure> {
     if writer.input.is_empty() {
         let until = Instant::now() + limits.idle_time;
         read_more(writer, until)
             .await
             .map_err(|_| ReadFailure::Closed)?;
     }
-    let arrived = Instant::now();
+    Ok(())
+}
+
+/// Reads a request whose first bytes arrived at `arrived`, and whose body has to get `room` for its
+/// bytes.
+async fn read_request(
+    gate: &Gate,
+    writer: &mut ResponseWriter,
+    limits: &RequestLimits,
+    arrived: Instant,
+    mut room: impl FnMut(usize) -> bool,
+) -> Result<(Head, Bytes), ReadFailure> {
     let until = arrived + limits.head_time;
     let mut head_room = 0;
     let head = loop {
@@ -288,7 +316,7 @@
             }
         }
         if reader.is_done() {
-            return Ok((head, body.freeze(), arrived));
+            return Ok((head, body.freeze()));
         }
         let (body_deadline, _active) =
             times.get_or_insert_with(|| (arrived + body_timeout(&head), gate.activate()));
--- a/cornelstand/src/gateway/exchange.rs
+++ b/cornelstand/src/gateway/exchange.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::extensions::Extension;
 use crate::gateway::gate::Gate;
+use crate::gateway::handover;
 use crate::name::{CentreName, InstanceName};
 
 /// Whose state a message tells.
@@ -18,6 +19,7 @@
     pub(crate) fn heartbeat_extensions(&self) -> Vec<Extension> {
         let mut extensions = Vec::new();
         extensions.extend(self.rollout_heartbeat_block());
+        extensions.extend(handover::report_block(self));
         extensions
     }
 
@@ -41,6 +43,7 @@
             return;
         }
         tracing::trace!(event = "extensions", ?sender, count = extensions.len());
+        handover::receive_report(self, sender, extensions);
         self.receive_rollouts(sender, extensions);
     }
 }
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -12,6 +12,8 @@
 use crate::gateway::catalog::GatewayService;
 use crate::gateway::containment::Source;
 use crate::gateway::directory::{Directory, EndpointChange, EndpointRecord};
+use crate::gateway::handover::Handover;
+use crate::gateway::handover::shedding::RecentRequests;
 use crate::gateway::held_bytes::HeldBytes;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::notices::Notice;
@@ -64,6 +66,7 @@
     pub(crate) pool: Pool,
     pub(crate) outputs: Outputs,
     pub(crate) rollouts: RolloutLink,
+    pub(crate) recent_requests: RecentRequests,
     waiters: HashMap<WaitId, Waiter>,
     heartbeat_count: u64,
     digest_count: u64,
@@ -122,6 +125,8 @@
     pub(crate) waiting_callers: WaitingCallers,
     /// Detects pauses of the process.
     pub(crate) pauses: PauseWatch,
+    /// Connections handed over to neighbours and taken from them.
+    pub(crate) handover: Handover,
 }
 
 /// A queued request.
@@ -165,6 +170,7 @@
                 pool: Pool::default(),
                 outputs: Outputs::default(),
                 rollouts,
+                recent_requests: RecentRequests::default(),
                 waiters: HashMap::new(),
                 heartbeat_count: 0,
                 digest_count: 0,
@@ -181,6 +187,7 @@
             held: HeldBytes::default(),
             waiting_callers: WaitingCallers::default(),
             pauses: PauseWatch::default(),
+            handover: Handover::default(),
         }
     }
 
@@ -203,10 +210,16 @@
         !self.stop.has_begun() && directory.is_complete() && is_known
     }
 
-    /// Whether to shed a new stream, chosen at random, because this instance lacks CPU time.
-    pub(crate) fn should_shed(&self) -> bool {
+    /// Whether to shed a new stream of an account because this instance lacks CPU time. Accounts with
+    /// fewer recent requests than others are shed last.
+    pub(crate) fn should_shed(&self, account: &AccountName) -> bool {
         let excess = (self.lag.get() - LAG_TOLERATED_MS) / LAG_SPAN_MS;
-        excess > 0.0 && rand::random::<f64>() < excess.min(MAX_SHED_SHARE)
+        if excess <= 0.0 {
+            return false;
+        }
+        let recent = &self.state.borrow().recent_requests;
+        let share = recent.shed_share(self.now(), account, excess.min(MAX_SHED_SHARE));
+        rand::random::<f64>() < share
     }
 
     /// Queues a request and grants it a place if there is one. Fails with the delay after which
--- a/cornelstand/src/gateway/outlet.rs
+++ b/cornelstand/src/gateway/outlet.rs
@@ -81,6 +81,15 @@
     TooSlow,
 }
 
+/// How a connection ends when the process dies.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum OnDeath {
+    /// As the system closes it.
+    Close,
+    /// By a reset; it is closed in order only between responses.
+    Reset,
+}
+
 /// A caller's connection, which carries one response to each request.
 #[derive(Debug)]
 pub(crate) struct ResponseWriter {
@@ -94,13 +103,27 @@
     /// Whether the caller asked for the head of a response only.
     pub(crate) is_head_only: bool,
     pace: Pace,
+    on_death: OnDeath,
     progress: Progress,
     /// How long the last write waited for the caller.
     waited: Duration,
 }
 
+impl Drop for ResponseWriter {
+    fn drop(&mut self) {
+        if self.on_death == OnDeath::Reset
+            && matches!(self.progress, Progress::Nothing | Progress::Complete)
+        {
+            close_in_order(&self.stream);
+        }
+    }
+}
+
 impl ResponseWriter {
-    pub(crate) fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: TcpStream, on_death: OnDeath) -> Self {
+        if on_death == OnDeath::Reset {
+            reset_on_close(&stream);
+        }
         Self {
             stream,
             input: BytesMut::new(),
@@ -108,6 +131,7 @@
             lacks_chunking: false,
             is_head_only: false,
             pace: Pace::Fair,
+            on_death,
             progress: Progress::Complete,
             waited: Duration::ZERO,
         }
