--- a/cornelstand/src/gateway/endpoint_state.rs
+++ b/cornelstand/src/gateway/endpoint_state.rs
@@ -7,6 +7,7 @@
 use derive_more::IsVariant;
 
 use crate::gateway::directory::EndpointRecord;
+use crate::gateway::endpoint_load::SpeedBelief;
 use crate::gateway::notices::NoticeState;
 use crate::gateway::peers::endpoint_key;
 use crate::gateway::residency::MIN_ADVERTISED_TOKENS;
@@ -152,6 +153,10 @@
     pub(crate) cold_sends: VecDeque<Moment>,
     /// Notices from its own responses and from peers.
     pub(crate) noted: NoticeState,
+    /// Belief about its speed, if it tells its pace.
+    pub(crate) speed: Option<SpeedBelief>,
+    /// Whether it told figures that cannot be read.
+    pub(crate) told_unreadable: bool,
 }
 
 impl EndpointState {
@@ -170,6 +175,8 @@
             last_sent: Moment::default(),
             cold_sends: VecDeque::new(),
             noted: NoticeState::default(),
+            speed: None,
+            told_unreadable: false,
         }
     }
 
--- a/cornelstand/src/gateway/exchange.rs
+++ b/cornelstand/src/gateway/exchange.rs
@@ -16,18 +16,23 @@
 impl Gate {
     /// Blocks for a heartbeat, about this instance.
     pub(crate) fn heartbeat_extensions(&self) -> Vec<Extension> {
-        Vec::new()
+        let mut extensions = Vec::new();
+        extensions.extend(self.pace_block());
+        extensions
     }
 
     /// Blocks for a digest, about the instances of this data centre.
     pub(crate) fn digest_extensions(&self) -> Vec<Extension> {
-        Vec::new()
+        let mut extensions = Vec::new();
+        extensions.extend(self.pace_digest_block());
+        extensions
     }
 
     /// Applies the blocks of a heartbeat or a digest.
     pub(crate) fn receive_extensions(&self, sender: &Sender, extensions: &[Extension]) {
         if !extensions.is_empty() {
             tracing::trace!(event = "extensions", ?sender, count = extensions.len());
+            self.receive_paces(sender, extensions);
         }
     }
 }
--- a/cornelstand/src/gateway/metrics.rs
+++ b/cornelstand/src/gateway/metrics.rs
@@ -24,6 +24,8 @@
     pub(crate) suspicions: IntCounterVec,
     /// Recent suspicions that did not fit into a message.
     pub(crate) unsent: IntCounter,
+    /// Answers by what they tell of their endpoint's load.
+    pub(crate) load_reports: IntCounterVec,
     pub(crate) connections: IntGauge,
     pub(crate) waiting: IntGauge,
     pub(crate) version: IntGauge,
@@ -88,6 +90,11 @@
                 "cornelstand_suspicions_untold_total",
                 "Recent suspicions that a message had no room for",
             )?,
+            load_reports: counters(
+                "cornelstand_load_reports_total",
+                "Answers by what they tell of their endpoint's load",
+                "result",
+            )?,
             connections: gauge("cornelstand_connections", "Open connections of callers")?,
             waiting: gauge("cornelstand_waiting", "Requests that wait for a place")?,
             version: gauge("cornelstand_config_version", "Configuration in force")?,
--- a/cornelstand/src/gateway/mod.rs
+++ b/cornelstand/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub(crate) mod containment;
 pub(crate) mod daemon;
 pub(crate) mod directory;
+pub(crate) mod endpoint_load;
 pub(crate) mod endpoint_state;
 // Until the parts that use them are joined.
 #[allow(clippy::unused_self)]
@@ -25,6 +26,7 @@
 pub(crate) mod extensions;
 pub(crate) mod follow;
 pub(crate) mod gate;
+pub(crate) mod load_reports;
 pub(crate) mod logs;
 pub(crate) mod message;
 pub(crate) mod metrics;
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -17,6 +17,9 @@
 
 use crate::gateway::admission::DecayingSum;
 use crate::gateway::directory::EndpointRecord;
+use crate::gateway::endpoint_load::{
+    NewsRelay, PaceNews, ToldLoad, max_told, record_news, record_report, take_news,
+};
 use crate::gateway::endpoint_state::{EndpointState, Load, Preference, Prompt};
 use crate::gateway::notices::{Notice, Notices};
 use crate::gateway::residency::{ResidencyLog, Resident};
@@ -212,6 +215,17 @@
     /// Recently refused requests by anchor, although an engine caches that part.
     refused: HashMap<u64, DecayingSum>,
     keys: HashMap<u32, EndpointIndex>,
+    /// News of paces for other data centres, if this instance leads its own.
+    pub(crate) pace_relay: NewsRelay,
+}
+
+/// Effect of what an answer said of its endpoint's load.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct LoadNoted {
+    /// Whether the endpoint tells its pace at other times.
+    pub(crate) tells_pace: bool,
+    /// Whether its figures could not be read for the first time.
+    pub(crate) is_newly_unreadable: bool,
 }
 
 impl Endpoints {
@@ -294,6 +308,44 @@
         is_new
     }
 
+    /// Records what an answer for `place` said of its endpoint's load.
+    pub(crate) fn note_load(&mut self, now: Moment, place: &Place, told: ToldLoad) -> LoadNoted {
+        let Some(state) = self.reserved_state(place) else {
+            return LoadNoted::default();
+        };
+        let mut noted = LoadNoted {
+            tells_pace: state.speed.is_some(),
+            is_newly_unreadable: false,
+        };
+        match told {
+            ToldLoad::Missing => {}
+            ToldLoad::Unreadable => {
+                noted.is_newly_unreadable = !std::mem::replace(&mut state.told_unreadable, true);
+            }
+            ToldLoad::Report(report) => {
+                let known = state.total().running;
+                record_report(&mut state.speed, now, report, known);
+            }
+        }
+        noted
+    }
+
+    /// Takes what peers are to be told of the endpoints' paces.
+    pub(crate) fn take_pace_news(&mut self, now: Moment) -> Vec<PaceNews> {
+        let states = self.states.iter_mut().flatten();
+        let news = states.filter_map(|s| take_news(s.key, s.speed.as_mut()?, now));
+        news.take(max_told()).collect()
+    }
+
+    /// Records what peers told of the endpoints' paces.
+    pub(crate) fn record_pace_news(&mut self, now: Moment, news: &[PaceNews]) {
+        for new in news {
+            if let Some(state) = self.by_key(new.endpoint) {
+                record_news(&mut state.speed, now, new);
+            }
+        }
+    }
+
     /// Marks endpoints that peers report as leaving. Returns those that were not known to be.
     pub(crate) fn note_leaving(&mut self, now: Moment, endpoints: &[u32]) -> Vec<EndpointName> {
         let notice = Notice {
--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -298,6 +298,10 @@
                 self.read_body(&mut body, call, writer).await?;
                 continue;
             }
+            // An endpoint that moved away does not answer for the one of this place.
+            if head.status() != 421 {
+                self.gate.note_load(place, response.load);
+            }
             self.idle = response.idle;
             let is_named = response.request_id.is_some();
             self.is_reusable &= is_named && head.keeps_alive() && !body.is_until_close();
--- a/cornelstand/src/platform/headers.rs
+++ b/cornelstand/src/platform/headers.rs
@@ -7,6 +7,7 @@
 
 use crate::gateway::call::Refused;
 use crate::gateway::catalog::EngineSpec;
+use crate::gateway::endpoint_load::{LoadReport, ToldLoad};
 use crate::gateway::endpoint_state::{Prompt, PromptPart};
 use crate::gateway::message::{Head, reason};
 use crate::gateway::notices::Notice;
@@ -38,6 +39,9 @@
 const RETRY_AFTER: &str = "retry-after";
 /// `timeout=N`: an idle connection stays open for N seconds.
 const KEEP_ALIVE: &str = "keep-alive";
+/// Running and waiting requests and slots of the endpoint, separated by commas; some endpoints add
+/// the time that work takes at this moment, in hundredths of the usual time.
+const LOAD: &str = "x-cornelstand-replica-load";
 
 /// Limit of the back-off that an endpoint can request, in seconds.
 const MAX_BACKOFF_S: f64 = 3_600.0;
@@ -233,6 +237,8 @@
     pub(crate) idle: Option<Duration>,
     /// The endpoint's notice about its own state.
     pub(crate) notice: Notice,
+    /// The endpoint's load.
+    pub(crate) load: ToldLoad,
 }
 
 /// Decodes the headers of a response.
@@ -264,9 +270,38 @@
                 .filter(|_| head.status() == 503)
                 .and_then(parse_backoff),
         },
+        load: read_load(head),
     }
 }
 
+/// Reads the load that an endpoint tells. A response with two different loads tells none.
+fn read_load(head: &Head) -> ToldLoad {
+    let mut values = head.values(LOAD);
+    let Some(first) = values.next() else {
+        return ToldLoad::Missing;
+    };
+    let text = std::str::from_utf8(first).ok();
+    let report = text.filter(|_| values.next().is_none()).and_then(parse_load);
+    report.map_or(ToldLoad::Unreadable, ToldLoad::Report)
+}
+
+fn parse_load(text: &str) -> Option<LoadReport> {
+    let mut fields = text.split(',').map(str::trim);
+    let mut count = || fields.next()?.parse().ok();
+    let (running, waiting, slots) = (count()?, count()?, count()?);
+    let pace = match fields.next() {
+        Some(percent) => Some(percent.parse::<f64>().ok()? / 100.0),
+        None => None,
+    };
+    let report = LoadReport {
+        running,
+        waiting,
+        slots,
+        pace,
+    };
+    (fields.next().is_none() && report.is_sound()).then_some(report)
+}
+
 /// Parses the back-off that an endpoint requests; none if it is malformed or zero.
 fn parse_backoff(text: &str) -> Option<Duration> {
     let Some(seconds) = text
