--- a/cornelstand/src/gateway/endpoint_load.rs
+++ b/cornelstand/src/gateway/endpoint_load.rs
@@ -16,7 +16,7 @@
 use crate::moment::Moment;
 
 /// Age at which a report says nothing more about the present than the usual pace does.
-const REPORT_LIFETIME: Duration = Duration::from_millis(400);
+const REPORT_LIFETIME: Duration = Duration::from_millis(600);
 /// Reports over which the usual pace is averaged: the present pace of any one is mostly chance.
 const USUAL_REPORTS: f64 = 40.0;
 /// Accepted paces: one hundredth to a hundred times the usual time for the same work.
@@ -45,7 +45,9 @@
     pub(crate) fn is_sound(&self) -> bool {
         let counts = [self.running, self.waiting, self.slots];
         let is_pace = |p: f64| (PACE_BOUNDS.0..=PACE_BOUNDS.1).contains(&p);
-        counts.into_iter().all(|c| c <= MAX_COUNT) && self.slots > 0 && self.pace.is_none_or(is_pace)
+        counts.into_iter().all(|c| c <= MAX_COUNT)
+            && self.slots > 0
+            && self.pace.is_none_or(is_pace)
     }
 }
 
@@ -185,11 +187,7 @@
 
 /// Takes what is to be told to peers of one endpoint: its new reports, if they differ from what is
 /// believed or nothing was told for a while.
-pub(crate) fn take_news(
-    endpoint: u32,
-    belief: &mut SpeedBelief,
-    now: Moment,
-) -> Option<PaceNews> {
+pub(crate) fn take_news(endpoint: u32, belief: &mut SpeedBelief, now: Moment) -> Option<PaceNews> {
     let unsent = &mut belief.unsent;
     if unsent.count < 1.0 {
         return None;
--- a/cornelstand/src/gateway/endpoint_state.rs
+++ b/cornelstand/src/gateway/endpoint_state.rs
@@ -25,6 +25,10 @@
 /// Window of the rate limit of cold endpoints.
 const COLD_LIMIT_WINDOW: Duration = Duration::from_millis(1_100);
 
+/// Largest factor on the token time limit for slow engines; the limit leaves half of a route's
+/// timeout.
+const MAX_ALLOWED_SLOWNESS: f64 = 2.0;
+
 /// Most shared parts of a prompt that are logged and may be suspected of crashes. Callers choose how
 /// many there are; the first ones are common to most requests.
 const MAX_SHARED_IDS: usize = 64;
@@ -252,6 +256,45 @@
         shared[cached..].iter().map(|p| f64::from(p.tokens)).sum()
     }
 
+    /// Expected shared prefix tokens of `prompt` that the engine does not keep, where a part is kept
+    /// with a chance that depends on its age in milliseconds.
+    pub(crate) fn expected_unread(
+        &self,
+        now: Moment,
+        prompt: &Prompt,
+        kept_chance: impl Fn(f64) -> f64,
+    ) -> f64 {
+        // A part counts only if all parts before it are kept.
+        let mut chance = 1.0;
+        let mut unread = 0.0;
+        for part in prompt.shared() {
+            chance *= match self.parts.get(&part.id).filter(|_| chance > 0.0) {
+                Some(cached) if cached.users > 0 => 1.0,
+                Some(cached) => kept_chance(now.since(cached.used).as_secs_f64() * 1e3),
+                None => 0.0,
+            };
+            unread += f64::from(part.tokens) * (1.0 - chance);
+        }
+        unread
+    }
+
+    /// Expected milliseconds for a prompt token now.
+    pub(crate) fn read_time(&self, now: Moment) -> f64 {
+        self.prefill_pace * self.speed.map_or(1.0, |s| s.pace(now))
+    }
+
+    /// Expected milliseconds between two tokens now.
+    pub(crate) fn token_time(&self, now: Moment, load: Load) -> f64 {
+        load.token_time * self.speed.map_or(1.0, |s| s.pace(now) / s.usual())
+    }
+
+    /// Factor on the token time limit: an engine that is always slower than usual serves what ends
+    /// in time there.
+    pub(crate) fn allowed_slowness(&self) -> f64 {
+        self.speed
+            .map_or(1.0, |s| s.usual().clamp(1.0, MAX_ALLOWED_SLOWNESS))
+    }
+
     /// Memory that `prompt` adds to the running requests, in tokens.
     pub(crate) fn memory(&self, prompt: &Prompt) -> f64 {
         let is_used = |p: &&PromptPart| self.parts.get(&p.id).is_some_and(|k| k.users > 0);
--- a/cornelstand/src/gateway/load_reports.rs
+++ b/cornelstand/src/gateway/load_reports.rs
@@ -40,7 +40,12 @@
 
     /// Block on paces for a digest.
     pub(crate) fn pace_digest_block(&self) -> Option<Extension> {
-        let news = self.state.borrow_mut().endpoints.pace_relay.take(self.now());
+        let news = self
+            .state
+            .borrow_mut()
+            .endpoints
+            .pace_relay
+            .take(self.now());
         block(&news)
     }
 
--- a/cornelstand/src/gateway/tests.rs
+++ b/cornelstand/src/gateway/tests.rs
@@ -62,6 +62,7 @@
         cores: 0.25,
         descriptors: 4_096,
         memory: 256 * 1024 * 1024,
+        weighs_prompts: false,
         rollout: None,
     }
 }
--- a/cornelstand/src/platform/headers.rs
+++ b/cornelstand/src/platform/headers.rs
@@ -281,7 +281,9 @@
         return ToldLoad::Missing;
     };
     let text = std::str::from_utf8(first).ok();
-    let report = text.filter(|_| values.next().is_none()).and_then(parse_load);
+    let report = text
+        .filter(|_| values.next().is_none())
+        .and_then(parse_load);
     report.map_or(ToldLoad::Unreadable, ToldLoad::Report)
 }
 
