--- a/cornelstand/src/gateway/endpoint_load.rs
+++ b/cornelstand/src/gateway/endpoint_load.rs
@@ -1,8 +1,9 @@
 //! What endpoints tell of their load and speed in their answers.
 //!
 //! A report is already old when it arrives, and the speed in it changes many times a second. So a
-//! report counts for [`REPORT_LIFETIME`] at most, less the older it is, and what remains is the
-//! endpoint's usual pace, averaged over the reports of all instances. Requests that this instance or
+//! report counts for [`REPORT_LIFETIME`] at most, less the older it is and the worse earlier reports
+//! foretold the next ones. What remains is the endpoint's usual pace, from the mean speed in the
+//! reports of all instances. Requests that this instance or
 //! its peers sent or ended after the report are counted in. Only endpoints that tell their pace are
 //! treated so; the counts of others are not used.
 
@@ -19,6 +20,11 @@
 const REPORT_LIFETIME: Duration = Duration::from_millis(600);
 /// Reports over which the usual pace is averaged: the present pace of any one is mostly chance.
 const USUAL_REPORTS: f64 = 40.0;
+/// Least age of a report against which the next one is compared: answers that come together say
+/// nothing about change.
+const MIN_CHECKED_AGE: Duration = Duration::from_millis(20);
+/// Weight of a new report in the moving averages of the errors of the two predictions.
+const ERROR_WEIGHT: f64 = 0.1;
 /// Accepted paces: one hundredth to a hundred times the usual time for the same work.
 const PACE_BOUNDS: (f64, f64) = (0.01, 100.0);
 /// Largest accepted count of requests or slots.
@@ -64,14 +70,18 @@
 /// Belief about the load and speed of one endpoint that tells its pace.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct SpeedBelief {
-    /// Mean pace over the last reports of all instances.
-    usual: f64,
+    /// Mean speed, the inverse of the pace, over the last reports of all instances: a queue is worked
+    /// off at this speed.
+    speed: f64,
     reports: f64,
     latest: f64,
     at: Moment,
     /// Requests that the endpoint had, and how many of them this instance knew of.
     counted: Option<(u32, u32)>,
     unsent: Unsent,
+    /// Mean squared errors of the speed in the latest report and of the mean speed as predictions of
+    /// the next report.
+    errors: (f64, f64),
 }
 
 /// Own reports that peers have not been told.
@@ -86,7 +96,8 @@
     /// Starts from a first report or news of a peer.
     fn new(now: Moment, pace: f64) -> Self {
         Self {
-            usual: pace,
+            speed: 1.0 / pace,
+            errors: (0.0, 0.0),
             reports: 0.0,
             latest: pace,
             at: now,
@@ -95,9 +106,21 @@
         }
     }
 
-    fn average(&mut self, pace: f64, count: f64) {
+    fn average(&mut self, speed: f64, count: f64) {
         self.reports = (self.reports + count).min(USUAL_REPORTS);
-        self.usual += (pace - self.usual) * (count / self.reports.max(1.0)).min(1.0);
+        self.speed += (speed - self.speed) * (count / self.reports.max(1.0)).min(1.0);
+    }
+
+    /// Compares a new report with both predictions, if the latest one was still fresh.
+    fn check(&mut self, now: Moment, speed: f64) {
+        let age = now.since(self.at);
+        if age >= REPORT_LIFETIME || age < MIN_CHECKED_AGE {
+            return;
+        }
+        let latest = speed - 1.0 / self.latest;
+        let mean = speed - self.speed;
+        self.errors.0 += ERROR_WEIGHT * (latest * latest - self.errors.0);
+        self.errors.1 += ERROR_WEIGHT * (mean * mean - self.errors.1);
     }
 
     /// Share of the latest report that still counts.
@@ -106,14 +129,25 @@
         (1.0 - age).max(0.0)
     }
 
+    /// Share of a report that foretells the next ones, from 0 to 1.
+    fn trust(&self) -> f64 {
+        let (latest, mean) = self.errors;
+        if latest <= 0.0 {
+            return 1.0;
+        }
+        // Two unrelated reports differ by twice the variance.
+        (1.0 - 0.5 * latest / mean.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0)
+    }
+
     /// Expected time for work, as a multiple of the usual time.
     pub(crate) fn pace(&self, now: Moment) -> f64 {
-        self.usual + (self.latest - self.usual) * self.freshness(now)
+        let usual = self.usual();
+        usual + (self.latest - usual) * self.freshness(now) * self.trust()
     }
 
-    /// Long-run mean of the pace.
+    /// Pace of the mean speed.
     pub(crate) fn usual(&self) -> f64 {
-        self.usual
+        1.0 / self.speed
     }
 
     /// Expected requests at the endpoint if `known` of them are known to this instance now. The
@@ -139,11 +173,12 @@
         return;
     };
     let belief = belief.get_or_insert(SpeedBelief::new(now, pace));
-    belief.average(pace, 1.0);
+    belief.check(now, 1.0 / pace);
+    belief.average(1.0 / pace, 1.0);
     belief.latest = pace;
     belief.at = now;
     belief.counted = Some((report.running.saturating_add(report.waiting), known));
-    belief.unsent.sum += pace;
+    belief.unsent.sum += 1.0 / pace;
     belief.unsent.count += 1.0;
 }
 
@@ -152,8 +187,8 @@
 pub(crate) struct PaceNews {
     /// See [`crate::gateway::peers::endpoint_key`].
     pub(crate) endpoint: u32,
-    /// Mean over the sender's new reports.
-    mean: f32,
+    /// Mean speed over the sender's new reports.
+    speed: f32,
     /// Number of these reports.
     count: u8,
     /// Pace in the latest of them, and its age in milliseconds.
@@ -164,7 +199,7 @@
 impl PaceNews {
     fn is_sound(&self) -> bool {
         let is_pace = |p: f32| (PACE_BOUNDS.0..=PACE_BOUNDS.1).contains(&f64::from(p));
-        is_pace(self.mean) && is_pace(self.latest) && self.count > 0
+        is_pace(self.speed) && is_pace(self.latest) && self.count > 0
     }
 }
 
@@ -173,10 +208,10 @@
     if !news.is_sound() {
         return;
     }
-    let (mean, latest) = (f64::from(news.mean), f64::from(news.latest));
+    let (speed, latest) = (f64::from(news.speed), f64::from(news.latest));
     let at = now.before(Duration::from_millis(u64::from(news.age)));
-    let belief = belief.get_or_insert(SpeedBelief::new(at, mean));
-    belief.average(mean, f64::from(news.count));
+    let belief = belief.get_or_insert(SpeedBelief::new(at, 1.0 / speed));
+    belief.average(speed, f64::from(news.count));
     if at > belief.at {
         belief.latest = latest;
         belief.at = at;
@@ -192,9 +227,9 @@
     if unsent.count < 1.0 {
         return None;
     }
-    let mean = unsent.sum / unsent.count;
+    let speed = unsent.sum / unsent.count;
     let is_due = unsent.told.is_none_or(|t| now.since(t) >= REPEAT_INTERVAL);
-    if !is_due && (mean / belief.usual - 1.0).abs() < TOLD_CHANGE {
+    if !is_due && (speed / belief.speed - 1.0).abs() < TOLD_CHANGE {
         return None;
     }
     let count = unsent.count;
@@ -205,7 +240,7 @@
     let age = now.since(belief.at).as_millis();
     Some(PaceNews {
         endpoint,
-        mean: to_f32(mean),
+        speed: to_f32(speed),
         count: bounded_count(count),
         latest: to_f32(belief.latest),
         age: u16::try_from(age).unwrap_or(u16::MAX),
@@ -230,7 +265,7 @@
                 continue;
             };
             let (a, b) = (f32::from(known.count), f32::from(new.count));
-            known.mean = (known.mean * a + new.mean * b) / (a + b);
+            known.speed = (known.speed * a + new.speed * b) / (a + b);
             known.count = known.count.saturating_add(new.count);
             if at > *latest_at {
                 *latest_at = at;
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -22,8 +22,9 @@
 };
 use crate::gateway::endpoint_state::{EndpointState, Load, Preference, Prompt};
 use crate::gateway::notices::{Notice, Notices};
+use crate::gateway::number::to_f64;
 use crate::gateway::prompt_cost::{
-    Candidate, Room, estimate, is_worth_waiting, kept_chance, lifetime, until_end,
+    Candidate, Room, estimate, is_worth_waiting, kept_chance, lifetime, may_read, until_end,
 };
 use crate::gateway::residency::{ResidencyLog, Resident};
 use crate::moment::Moment;
@@ -80,9 +81,10 @@
 const INITIAL_REQUEST_MS: f64 = 1_000.0;
 /// Weight of a new measurement in the moving average of that time.
 const REQUEST_TIME_WEIGHT: f64 = 0.05;
-/// Range of the random part of an engine's cost, in milliseconds: about what other instances place
-/// on an engine before this one hears of it.
-const SPREAD_MS: f64 = 10.0;
+/// Least range of the random part of an engine's cost, in milliseconds.
+const MIN_SPREAD_MS: f64 = 10.0;
+/// Queue of an engine of which this instance has not heard yet, as a multiple of the mean queue.
+const UNHEARD_FRACTION: f64 = 1.0;
 /// Part of the usual time by which a request at an endpoint without an engine takes longer when all
 /// its slots are in use.
 const FULL_SLOWDOWN: f64 = 0.25;
@@ -584,6 +586,8 @@
         };
         let failure_rates = usable.iter().map(|(_, s, _)| s.failure_rate);
         let least = failure_rates.fold(1.0, f64::min);
+        let queue_times = usable.iter().map(|(_, _, c)| c.queued * c.read_time);
+        let spread = unheard_time(queue_times.sum::<f64>() / to_f64(usable.len()));
         let mut best: Option<(bool, f64, f64, EndpointIndex)> = None;
         let mut awaited: Option<(f64, Room)> = None;
         for (index, state, candidate) in &usable {
@@ -597,13 +601,18 @@
             total += total * 4.0 * excess;
             let is_failing =
                 excess > MAX_EXCESS_FAILURES && now.since(state.last_sent) < PROBE_INTERVAL;
-            if candidate.room.is_free() {
-                let order = total + SPREAD_MS * draw(now, rules.seed, state.key);
+            let may_read = is_kept(candidate)
+                || is_preferred
+                || !rules.cached_only
+                || may_read(estimate, rules.objective);
+            if candidate.room.is_free() && may_read {
+                let order = total + spread * draw(now, rules.seed, state.key);
                 if best.is_none_or(|(failing, least, _, _)| (is_failing, order) < (failing, least))
                 {
                     best = Some((is_failing, order, total, *index));
                 }
-            } else if (is_kept(candidate) || is_preferred)
+            } else if !candidate.room.is_free()
+                && (is_kept(candidate) || is_preferred)
                 && !is_failing
                 && awaited.is_none_or(|(least, _)| total < least)
             {
@@ -936,13 +945,17 @@
         Room::Free
     };
     let in_use = f64::from(load.running) / f64::from(slots);
+    let queue_use = load.unread_tokens * read_time / limit.max(1.0);
     Candidate {
         queued: load.unread_tokens,
         own,
         unread,
         read_time,
         token_time,
-        occupancy: in_use.max(load.token_time / token_limit).min(1.0),
+        occupancy: in_use
+            .max(load.token_time / token_limit)
+            .max(queue_use)
+            .min(1.0),
         room,
     }
 }
@@ -962,6 +975,12 @@
     (time, ((slots - requests) / pace).max(MIN_FREE_SLOTS))
 }
 
+/// Range of the random part of an engine's cost, in milliseconds, for a mean queue of all engines:
+/// what other instances place on an engine before this one hears of it.
+fn unheard_time(queue_time: f64) -> f64 {
+    MIN_SPREAD_MS + UNHEARD_FRACTION * queue_time
+}
+
 /// Number between 0 and 1 that differs between instances, endpoints and times.
 fn draw(now: Moment, seed: u64, endpoint: u32) -> f64 {
     // The finalizer of SplitMix64.
--- a/cornelstand/src/gateway/prompt_cost.rs
+++ b/cornelstand/src/gateway/prompt_cost.rs
@@ -82,7 +82,7 @@
     let displaced = if is_preferred {
         0.0
     } else {
-        1.0 + DISPLACED_REQUESTS * c.occupancy * c.occupancy
+        1.0 + DISPLACED_REQUESTS * c.occupancy
     };
     Estimate {
         first: wait + reads + stride * c.token_time,
@@ -101,6 +101,12 @@
     wait <= left && free.is_none_or(|free| total + QUEUE_LOOK_MS < free)
 }
 
+/// Whether an engine with room may read shared tokens that it does not keep: not if that costs
+/// all callers together more than one of them may wait.
+pub(crate) fn may_read(estimate: Estimate, objective: Duration) -> bool {
+    estimate.total() <= objective.as_secs_f64() * 1e3
+}
+
 /// Milliseconds until one of an engine's running requests ends.
 pub(crate) fn until_end(running: u32, request_time: f64) -> f64 {
     request_time / f64::from(running.max(1))
--- a/cornelstand/src/gateway/tests.rs
+++ b/cornelstand/src/gateway/tests.rs
@@ -7,6 +7,7 @@
 mod extensions;
 mod fleet;
 mod heavy_load;
+mod kept_prompts;
 mod message;
 mod outputs;
 mod pauses;
