--- a/cornelstand/src/gateway/endpoint_state.rs
+++ b/cornelstand/src/gateway/endpoint_state.rs
@@ -283,6 +283,11 @@
         self.prefill_pace * self.speed.map_or(1.0, |s| s.pace(now))
     }
 
+    /// Expected milliseconds for reading what is queued now.
+    pub(crate) fn queue_time(&self, now: Moment) -> f64 {
+        self.total().unread_tokens * self.read_time(now)
+    }
+
     /// Expected milliseconds between two tokens now.
     pub(crate) fn token_time(&self, now: Moment, load: Load) -> f64 {
         load.token_time * self.speed.map_or(1.0, |s| s.pace(now) / s.usual())
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -97,6 +97,9 @@
 /// Position of an endpoint in [`Endpoints`].
 pub(crate) type EndpointIndex = usize;
 
+/// An endpoint with the order in which it was drawn and its cost; one that fails costs most.
+type Drawn = (f64, (bool, f64), EndpointIndex);
+
 /// The two endpoints with the highest hash weight for an anchor.
 #[derive(Clone, Copy, Debug, Default)]
 struct PreferredEndpoints {
@@ -496,14 +499,13 @@
         is_allowed: impl Fn(EndpointIndex, &EndpointRecord) -> bool,
     ) -> Result<EndpointIndex, PlacementError> {
         let indices = self.services.get(service).map_or(&[][..], Vec::as_slice);
-        let tells_pace = || self.of(service).any(|s| s.speed.is_some());
-        if let Some(prompt) = prompt
-            && (rules.weighs_prompts || tells_pace())
-        {
-            return self.choose_by_cost(now, service, prompt, rules, is_allowed);
-        }
-        if prompt.is_none() && tells_pace() {
-            return self.choose_by_pace(now, service, rules, is_allowed);
+        let tells_pace = self.of(service).any(|s| s.speed.is_some());
+        match prompt {
+            Some(prompt) if rules.weighs_prompts => {
+                return self.choose_by_cost(now, service, prompt, rules, is_allowed);
+            }
+            None if tells_pace => return self.choose_by_pace(now, service, rules, is_allowed),
+            _ => {}
         }
         let anchor = prompt.and_then(Prompt::anchor);
         let preferred = anchor.map_or(PreferredEndpoints::default(), |a| {
@@ -528,6 +530,12 @@
             .iter()
             .map(|(_, s, _)| s.failure_rate)
             .fold(1.0, f64::min);
+        let spread = if tells_pace {
+            let queue_times = usable.iter().map(|(_, s, _)| s.queue_time(now));
+            unheard_time(queue_times.sum::<f64>() / to_f64(usable.len()))
+        } else {
+            0.0
+        };
         // Endpoints with a high failure rate are used only if no other has room.
         let mut best: Option<(bool, f64, EndpointIndex)> = None;
         for (index, state, uncached) in usable {
@@ -535,10 +543,12 @@
             let needs_prefill = uncached >= MIN_PREFIX_TOKENS;
             let cost = match prompt {
                 Some(_) if !has_capacity(state, rules) => None,
-                Some(_) if needs_prefill && !may_prefill(state, rules, preference, is_cached) => {
+                Some(_)
+                    if needs_prefill && !may_prefill(now, state, rules, preference, is_cached) =>
+                {
                     None
                 }
-                Some(prompt) => engine_cost(state, prompt, uncached, rules),
+                Some(prompt) => engine_cost(now, state, prompt, uncached, rules),
                 None => plain_cost(state),
             };
             let Some(mut cost) = cost.filter(|_| state.allows_send(now, rules.cold_quota)) else {
@@ -547,6 +557,9 @@
             if state.record.centre != rules.centre {
                 cost += CROSS_CENTRE_COST_MS;
             }
+            if tells_pace {
+                cost += spread * draw(now, rules.seed, state.key);
+            }
             let excess = state.failure_rate - least;
             cost += cost * 4.0 * excess;
             let is_failing =
@@ -590,9 +603,11 @@
         let spread = unheard_time(queue_times.sum::<f64>() / to_f64(usable.len()));
         let mut best: Option<(bool, f64, f64, EndpointIndex)> = None;
         let mut awaited: Option<(f64, Room)> = None;
+        let occupancies = usable.iter().map(|(_, _, c)| c.occupancy);
+        let in_use = occupancies.sum::<f64>() / to_f64(usable.len());
         for (index, state, candidate) in &usable {
             let is_preferred = preferred.of(*index).is_first();
-            let estimate = estimate(candidate, rules.stride, is_preferred);
+            let estimate = estimate(candidate, rules.stride, in_use, is_preferred);
             let mut total = estimate.total();
             if state.record.centre != rules.centre {
                 total += CROSS_CENTRE_COST_MS;
@@ -647,7 +662,7 @@
         let failure_rates = usable.iter().map(|(_, s)| s.failure_rate);
         let least = failure_rates.fold(1.0, f64::min);
         // The two endpoints with the lowest draws: order of the draw, cost, index.
-        let mut drawn: [Option<(f64, (bool, f64), EndpointIndex)>; 2] = [None; 2];
+        let mut drawn: [Option<Drawn>; 2] = [None; 2];
         for (index, state) in usable {
             let has_room = plain_cost(state).is_some();
             if !has_room || !state.allows_send(now, rules.cold_quota) {
@@ -849,7 +864,8 @@
 /// short enough for the longest responses to end before their callers give up.
 fn has_capacity(state: &EndpointState, rules: &PlacementRules) -> bool {
     let load = state.total();
-    load.token_time <= rules.token_time && load.running < state.record.slots
+    let limit = rules.token_time * state.allowed_slowness();
+    load.token_time <= limit && load.running < state.record.slots
 }
 
 /// Whether a request may go to an engine that does not have its shared prefix cached. An uncached
@@ -858,6 +874,7 @@
 /// cache cannot meet demand or for an interrupted stream: under load, engine time serves more
 /// requests with a cached prefix.
 fn may_prefill(
+    now: Moment,
     state: &EndpointState,
     rules: &PlacementRules,
     preference: Preference,
@@ -869,13 +886,14 @@
         return true;
     }
     (!rules.cached_only || is_preferred)
-        && load.unread_tokens * state.prefill_pace < REREAD_MAX_QUEUE_MS
+        && state.queue_time(now) < REREAD_MAX_QUEUE_MS
         && load.token_time < rules.token_time * REREAD_TOKEN_TIME_FRACTION
 }
 
 /// Cost in milliseconds of engine time and waiting at an engine that has room, where `uncached`
 /// tokens of the shared prefix have to be read.
 fn engine_cost(
+    now: Moment,
     state: &EndpointState,
     prompt: &Prompt,
     uncached: f64,
@@ -887,17 +905,18 @@
     if !is_idle && load.memory + state.memory(prompt) > memory {
         return None;
     }
-    let output_time = f64::from(prompt.output) * load.token_time;
+    let output_time = f64::from(prompt.output) * state.token_time(now, load);
     if output_time > rules.left.as_secs_f64() * 1e3 * OUTPUT_FRACTION {
         return None;
     }
-    let own = (prompt.own() + uncached) * state.prefill_pace;
-    let wait = load.unread_tokens * state.prefill_pace;
+    let read_time = state.read_time(now);
+    let own = (prompt.own() + uncached) * read_time;
+    let wait = load.unread_tokens * read_time;
     let limit = (rules.objective.as_secs_f64() * 1e3 * QUEUE_FRACTION).min(MAX_QUEUE_MS);
     if load.unread_tokens > 0.0 && wait > limit - own.min(limit * MAX_OWN_FRACTION) {
         return None;
     }
-    let reread = uncached * state.prefill_pace * (REREAD_WEIGHT - 1.0);
+    let reread = uncached * read_time * (REREAD_WEIGHT - 1.0);
     Some(wait + own + reread + f64::from(load.running) * RUNNING_COST_MS)
 }
 
--- a/cornelstand/src/gateway/prompt_cost.rs
+++ b/cornelstand/src/gateway/prompt_cost.rs
@@ -68,10 +68,17 @@
     }
 }
 
-/// Estimates the times for a request whose first event holds `stride` tokens. A preferred engine is
+/// Estimates the times for a request whose first event holds `stride` tokens, where `in_use` is the
+/// mean share of all engines' capacity in use: an engine that is idle for a moment would soon serve
+/// others. A preferred engine is
 /// one where a part that no engine keeps is to be read: its first reading burdens nobody more than
 /// elsewhere.
-pub(crate) fn estimate(candidate: &Candidate, stride: f64, is_preferred: bool) -> Estimate {
+pub(crate) fn estimate(
+    candidate: &Candidate,
+    stride: f64,
+    in_use: f64,
+    is_preferred: bool,
+) -> Estimate {
     let c = candidate;
     let reads = (c.queued + c.own + c.unread) * c.read_time;
     let wait = match c.room {
@@ -82,7 +89,7 @@
     let displaced = if is_preferred {
         0.0
     } else {
-        1.0 + DISPLACED_REQUESTS * c.occupancy
+        1.0 + DISPLACED_REQUESTS * c.occupancy.max(in_use)
     };
     Estimate {
         first: wait + reads + stride * c.token_time,
@@ -94,9 +101,8 @@
 /// that takes longer than `left`, the time for which the request may be queued, is not worth it.
 pub(crate) fn is_worth_waiting(room: Room, total: f64, free: Option<f64>, left: f64) -> bool {
     let wait = match room {
-        Room::Free => return false,
+        Room::Free | Room::Never => return false,
         Room::After(wait) | Room::Drains(wait) => wait + QUEUE_LOOK_MS,
-        Room::Never => return false,
     };
     wait <= left && free.is_none_or(|free| total + QUEUE_LOOK_MS < free)
 }
