--- a/cornelstand/src/gateway/tests.rs
+++ b/cornelstand/src/gateway/tests.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod containment;
 mod directory;
+mod endpoint_load;
 mod extensions;
 mod fleet;
 mod heavy_load;
--- a/cornelstand/src/platform/tests/wire.rs
+++ b/cornelstand/src/platform/tests/wire.rs
@@ -6,6 +6,7 @@
 use rstest::rstest;
 use serde_json::json;
 
+use crate::gateway::endpoint_load::{LoadReport, ToldLoad};
 use crate::gateway::message::Head;
 use crate::platform::headers::{
     CallerFraming, Forwarding, read_call, read_response, write_request_head, write_response_head,
@@ -171,6 +172,53 @@
     insta::assert_snapshot!(String::from_utf8_lossy(&out).replace('\r', ""));
 }
 
+fn load_of(values: &[&str]) -> ToldLoad {
+    let headers: String = values
+        .iter()
+        .map(|v| format!("X-Cornelstand-Replica-Load: {v}\r\n"))
+        .collect();
+    let mut input = BytesMut::from(&*format!("HTTP/1.1 200 Fine\r\n{headers}\r\n"));
+    let head = Head::parse_response(&mut input, 4_096).expect("valid");
+    read_response(&head.expect("complete")).load
+}
+
+#[rstest]
+#[case::without_a_pace("3,0,8", None)]
+#[case::with_a_pace("3, 0, 8, 250", Some(2.5))]
+fn an_answer_tells_the_load_of_its_endpoint(#[case] value: &str, #[case] pace: Option<f64>) {
+    let report = LoadReport {
+        running: 3,
+        waiting: 0,
+        slots: 8,
+        pace,
+    };
+    assert_eq!(load_of(&[value]), ToldLoad::Report(report));
+}
+
+#[rstest]
+#[case::empty("")]
+#[case::too_few("3,0")]
+#[case::too_many("3,0,8,100,1")]
+#[case::negative("-3,0,8,100")]
+#[case::no_slots("0,0,0,100")]
+#[case::huge("4294967295,0,8,100")]
+#[case::no_number("3,0,8,fast")]
+#[case::no_pace("3,0,8,NaN")]
+#[case::endless("3,0,8,inf")]
+#[case::negative_pace("3,0,8,-100")]
+#[case::still("3,0,8,0")]
+#[case::huge_pace("3,0,8,1e9")]
+#[case::fraction("3.5,0,8")]
+fn figures_of_load_that_are_absurd_are_no_load_at_all(#[case] value: &str) {
+    assert_eq!(load_of(&[value]), ToldLoad::Unreadable);
+}
+
+#[test]
+fn an_answer_may_tell_no_load_and_not_two() {
+    assert_eq!(load_of(&[]), ToldLoad::Missing);
+    assert_eq!(load_of(&["1,0,8", "2,0,8"]), ToldLoad::Unreadable);
+}
+
 fn entry(spec: &serde_json::Value) -> StoreObject {
     serde_json::from_value(json!({ "metadata": { "name": "i-1" }, "spec": spec })).expect("object")
 }
