--- a/cornelstand/src/gateway/endpoint_load.rs
+++ b/cornelstand/src/gateway/endpoint_load.rs
@@ -34,7 +34,7 @@
 /// Change of the average of new reports against the usual pace that is told to peers.
 const TOLD_CHANGE: f64 = 0.1;
 /// Most endpoints in one message, so that it fits a datagram beside the rest.
-const MAX_TOLD: usize = 64;
+pub(crate) const MAX_TOLD: usize = 64;
 
 /// Load that an endpoint tells in an answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -296,11 +296,6 @@
     }
 }
 
-/// Most endpoints that one message tells of.
-pub(crate) const fn max_told() -> usize {
-    MAX_TOLD
-}
-
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -18,7 +18,7 @@
 use crate::gateway::admission::DecayingSum;
 use crate::gateway::directory::EndpointRecord;
 use crate::gateway::endpoint_load::{
-    NewsRelay, PaceNews, ToldLoad, max_told, record_news, record_report, take_news,
+    MAX_TOLD, NewsRelay, PaceNews, ToldLoad, record_news, record_report, take_news,
 };
 use crate::gateway::endpoint_state::{EndpointState, Load, Preference, Prompt};
 use crate::gateway::notices::{Notice, Notices};
@@ -366,7 +366,7 @@
     pub(crate) fn take_pace_news(&mut self, now: Moment) -> Vec<PaceNews> {
         let states = self.states.iter_mut().flatten();
         let news = states.filter_map(|s| take_news(s.key, s.speed.as_mut()?, now));
-        news.take(max_told()).collect()
+        news.take(MAX_TOLD).collect()
     }
 
     /// Records what peers told of the endpoints' paces.
--- a/cornelstand/src/gateway/tests/endpoint_load.rs
+++ b/cornelstand/src/gateway/tests/endpoint_load.rs
@@ -8,7 +8,7 @@
     LoadReport, NewsRelay, SpeedBelief, ToldLoad, record_news, record_report, take_news,
 };
 use crate::gateway::endpoint_state::Load;
-use crate::gateway::number::to_f64;
+use crate::gateway::number::{to_f64, to_u64};
 use crate::gateway::placement::{Endpoints, Place, PlaceEnd, PlacementRules};
 use crate::gateway::tests::{ORDERS, record};
 use crate::moment::Moment;
@@ -59,7 +59,7 @@
     let belief = belief(&[1.0]);
     let counts = [(0, 2), (0, 5), (600, 5)].map(|(age, known)| belief.requests(at(age), known));
     // Three were told where two were known.
-    assert_eq!(counts.map(|c| c.round()), [3.0, 6.0, 5.0]);
+    assert_eq!(counts.map(to_u64), [3, 6, 5]);
 }
 
 #[test]
--- a/cornelstand/src/platform/tests/wire.rs
+++ b/cornelstand/src/platform/tests/wire.rs
@@ -173,11 +173,11 @@
 }
 
 fn load_of(values: &[&str]) -> ToldLoad {
-    let headers: String = values
-        .iter()
-        .map(|v| format!("X-Cornelstand-Replica-Load: {v}\r\n"))
-        .collect();
-    let mut input = BytesMut::from(&*format!("HTTP/1.1 200 Fine\r\n{headers}\r\n"));
+    let mut input = BytesMut::from("HTTP/1.1 200 Fine\r\n");
+    for value in values {
+        input.extend_from_slice(format!("X-Cornelstand-Replica-Load: {value}\r\n").as_bytes());
+    }
+    input.extend_from_slice(b"\r\n");
     let head = Head::parse_response(&mut input, 4_096).expect("valid");
     read_response(&head.expect("complete")).load
 }
