--- a/cornelstand/src/gateway/endpoint_state.rs
+++ b/cornelstand/src/gateway/endpoint_state.rs
@@ -256,28 +256,6 @@
         shared[cached..].iter().map(|p| f64::from(p.tokens)).sum()
     }
 
-    /// Expected shared prefix tokens of `prompt` that the engine does not keep, where a part is kept
-    /// with a chance that depends on its age in milliseconds.
-    pub(crate) fn expected_unread(
-        &self,
-        now: Moment,
-        prompt: &Prompt,
-        kept_chance: impl Fn(f64) -> f64,
-    ) -> f64 {
-        // A part counts only if all parts before it are kept.
-        let mut chance = 1.0;
-        let mut unread = 0.0;
-        for part in prompt.shared() {
-            chance *= match self.parts.get(&part.id).filter(|_| chance > 0.0) {
-                Some(cached) if cached.users > 0 => 1.0,
-                Some(cached) => kept_chance(now.since(cached.used).as_secs_f64() * 1e3),
-                None => 0.0,
-            };
-            unread += f64::from(part.tokens) * (1.0 - chance);
-        }
-        unread
-    }
-
     /// Expected milliseconds for a prompt token now.
     pub(crate) fn read_time(&self, now: Moment) -> f64 {
         self.prefill_pace * self.speed.map_or(1.0, |s| s.pace(now))
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -321,9 +321,6 @@
                 .then(|| cold_quota(limit, state.peers.count(), rank)),
             centre: settings.centre.clone(),
             cached_only: false,
-            weighs_prompts: settings.weighs_prompts,
-            wait_left: Duration::ZERO,
-            stride: spec.engine.as_ref().map_or(1.0, |e| f64::from(e.stride)),
             seed: xxhash_rust::xxh3::xxh3_64(settings.instance.as_str().as_bytes()),
             left: Duration::MAX,
             token_time: state.outputs.token_time(service),
@@ -664,7 +661,6 @@
     let should_replicate = prompt.is_some_and(|p| state.endpoints.should_replicate(now, p));
     rules.cached_only = now < waiting.cached_until && !should_replicate;
     rules.left = waiting.ends.since(now);
-    rules.wait_left = waiting.queue_deadline.since(now);
     let tried = &state.waiters.get(&id)?.tried;
     let directory = &state.directory;
     let index = state.endpoints.choose(
--- a/cornelstand/src/gateway/mod.rs
+++ b/cornelstand/src/gateway/mod.rs
@@ -38,7 +38,6 @@
 pub(crate) mod peers;
 pub(crate) mod peers_link;
 pub(crate) mod placement;
-pub(crate) mod prompt_cost;
 pub(crate) mod prompt_suspects;
 pub(crate) mod relay;
 pub(crate) mod residency;
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -23,9 +23,6 @@
 use crate::gateway::endpoint_state::{EndpointState, Load, Preference, Prompt};
 use crate::gateway::notices::{Notice, Notices};
 use crate::gateway::number::to_f64;
-use crate::gateway::prompt_cost::{
-    Candidate, Room, estimate, is_worth_waiting, kept_chance, lifetime, may_read, until_end,
-};
 use crate::gateway::residency::{ResidencyLog, Resident};
 use crate::moment::Moment;
 use crate::name::{CentreName, EndpointName, ServiceName};
@@ -77,10 +74,6 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(700);
 /// Requests, running and queued, that an endpoint without an engine may hold per slot.
 const REQUESTS_PER_SLOT: u32 = 2;
-/// Time from sending a request to an engine to its end before any is measured, in milliseconds.
-const INITIAL_REQUEST_MS: f64 = 1_000.0;
-/// Weight of a new measurement in the moving average of that time.
-const REQUEST_TIME_WEIGHT: f64 = 0.05;
 /// Least range of the random part of an engine's cost, in milliseconds.
 const MIN_SPREAD_MS: f64 = 10.0;
 /// Queue of an engine of which this instance has not heard yet, as a multiple of the mean queue.
@@ -136,13 +129,6 @@
     pub(crate) centre: CentreName,
     /// Whether only endpoints with the shared prefix cached will do.
     pub(crate) cached_only: bool,
-    /// Whether kept prompt parts are weighed against their wait; see
-    /// [`crate::gateway::prompt_cost`]. This is also done where endpoints tell their pace.
-    pub(crate) weighs_prompts: bool,
-    /// Time for which the request may still be queued.
-    pub(crate) wait_left: Duration,
-    /// Tokens of an event.
-    pub(crate) stride: f64,
     /// Differs between instances, so that they do not all choose the same endpoint.
     pub(crate) seed: u64,
 }
@@ -245,8 +231,6 @@
     /// Recently refused requests by anchor, although an engine caches that part.
     refused: HashMap<u64, DecayingSum>,
     keys: HashMap<u32, EndpointIndex>,
-    /// Mean time from sending a request to its end, in milliseconds.
-    request_times: HashMap<ServiceName, f64>,
     /// News of paces for other data centres, if this instance leads its own.
     pub(crate) pace_relay: NewsRelay,
 }
@@ -500,12 +484,8 @@
     ) -> Result<EndpointIndex, PlacementError> {
         let indices = self.services.get(service).map_or(&[][..], Vec::as_slice);
         let tells_pace = self.of(service).any(|s| s.speed.is_some());
-        match prompt {
-            Some(prompt) if rules.weighs_prompts => {
-                return self.choose_by_cost(now, service, prompt, rules, is_allowed);
-            }
-            None if tells_pace => return self.choose_by_pace(now, service, rules, is_allowed),
-            _ => {}
+        if tells_pace && prompt.is_none() {
+            return self.choose_by_pace(now, service, rules, is_allowed);
         }
         let anchor = prompt.and_then(Prompt::anchor);
         let preferred = anchor.map_or(PreferredEndpoints::default(), |a| {
@@ -571,77 +551,6 @@
         best.map(|(_, _, index)| index).ok_or(PlacementError::Full)
     }
 
-    /// Returns the engine with the lowest estimate for a request. Fails with
-    /// [`PlacementError::Full`] also if waiting for an engine without room is worth it.
-    fn choose_by_cost(
-        &self,
-        now: Moment,
-        service: &ServiceName,
-        prompt: &Prompt,
-        rules: &PlacementRules,
-        is_allowed: impl Fn(EndpointIndex, &EndpointRecord) -> bool,
-    ) -> Result<EndpointIndex, PlacementError> {
-        let indices = self.services.get(service).map_or(&[][..], Vec::as_slice);
-        let listed = indices.iter().filter_map(|i| Some((*i, self.get(*i)?)));
-        let usable = listed.filter(|(i, s)| s.is_usable(now) && is_allowed(*i, &s.record));
-        let request_time = self.request_time(service);
-        let candidate = |s: &EndpointState| candidate(now, s, prompt, rules, request_time);
-        let usable: Vec<_> = usable.map(|(i, s)| (i, s, candidate(s))).collect();
-        if usable.is_empty() {
-            return Err(PlacementError::NoEndpoint);
-        }
-        let is_kept = |c: &Candidate| c.unread < MIN_PREFIX_TOKENS;
-        let preferred = match prompt.anchor() {
-            Some(anchor) if !usable.iter().any(|(_, _, c)| is_kept(c)) => {
-                self.preferred(now, indices, anchor)
-            }
-            _ => PreferredEndpoints::default(),
-        };
-        let failure_rates = usable.iter().map(|(_, s, _)| s.failure_rate);
-        let least = failure_rates.fold(1.0, f64::min);
-        let queue_times = usable.iter().map(|(_, _, c)| c.queued * c.read_time);
-        let spread = unheard_time(queue_times.sum::<f64>() / to_f64(usable.len()));
-        let mut best: Option<(bool, f64, f64, EndpointIndex)> = None;
-        let mut awaited: Option<(f64, Room)> = None;
-        let occupancies = usable.iter().map(|(_, _, c)| c.occupancy);
-        let in_use = occupancies.sum::<f64>() / to_f64(usable.len());
-        for (index, state, candidate) in &usable {
-            let is_preferred = preferred.of(*index).is_first();
-            let estimate = estimate(candidate, rules.stride, in_use, is_preferred);
-            let mut total = estimate.total();
-            if state.record.centre != rules.centre {
-                total += CROSS_CENTRE_COST_MS;
-            }
-            let excess = state.failure_rate - least;
-            total += total * 4.0 * excess;
-            let is_failing =
-                excess > MAX_EXCESS_FAILURES && now.since(state.last_sent) < PROBE_INTERVAL;
-            let may_read = is_kept(candidate)
-                || is_preferred
-                || !rules.cached_only
-                || may_read(estimate, rules.objective);
-            if candidate.room.is_free() && may_read {
-                let order = total + spread * draw(now, rules.seed, state.key);
-                if best.is_none_or(|(failing, least, _, _)| (is_failing, order) < (failing, least))
-                {
-                    best = Some((is_failing, order, total, *index));
-                }
-            } else if !candidate.room.is_free()
-                && (is_kept(candidate) || is_preferred)
-                && !is_failing
-                && awaited.is_none_or(|(least, _)| total < least)
-            {
-                awaited = Some((total, candidate.room));
-            }
-        }
-        let free = best.map(|(_, _, total, _)| total);
-        let left = rules.wait_left.as_secs_f64() * 1e3;
-        if awaited.is_some_and(|(total, room)| is_worth_waiting(room, total, free, left)) {
-            return Err(PlacementError::Full);
-        }
-        best.map(|(.., index)| index).ok_or(PlacementError::Full)
-    }
-
     /// Returns an endpoint without an engine, of two drawn by their free capacity the one where the
     /// request is expected to end first: all instances see the same reports, and would else run to
     /// the same endpoint.
@@ -694,11 +603,6 @@
             .ok_or(PlacementError::Full)
     }
 
-    fn request_time(&self, service: &ServiceName) -> f64 {
-        let time = self.request_times.get(service);
-        time.copied().unwrap_or(INITIAL_REQUEST_MS)
-    }
-
     /// Reserves a place for a request.
     pub(crate) fn take(
         &mut self,
@@ -798,8 +702,6 @@
                 cached.used = now;
             }
         }
-        let took = now.since(place.sent).as_secs_f64() * 1e3;
-        let service = state.record.service.clone();
         match end {
             PlaceEnd::Good => {
                 state.connect_failures = 0;
@@ -813,11 +715,6 @@
             PlaceEnd::Failed => state.failure_rate += FAILURE_WEIGHT * (1.0 - state.failure_rate),
             PlaceEnd::Busy | PlaceEnd::Neutral => {}
         }
-        if end.is_good() {
-            let mean = self.request_times.entry(service);
-            let mean = mean.or_insert(INITIAL_REQUEST_MS);
-            *mean += REQUEST_TIME_WEIGHT * (took - *mean);
-        }
     }
 
     /// Drops expired parts, notices and counts.
@@ -928,57 +825,6 @@
     has_room.then(|| 10.0 * f64::from(load.running) / f64::from(slots))
 }
 
-/// Estimates what an engine is as a place for a request.
-fn candidate(
-    now: Moment,
-    state: &EndpointState,
-    prompt: &Prompt,
-    rules: &PlacementRules,
-    request_time: f64,
-) -> Candidate {
-    let load = state.total();
-    let slots = state.record.slots.max(1);
-    let read_time = state.read_time(now);
-    let token_time = state.token_time(now, load);
-    let token_limit = rules.token_time * state.allowed_slowness();
-    let memory = rules.memory.unwrap_or_default();
-    let lifetime = lifetime(memory, load.memory, request_time);
-    let unread = state.expected_unread(now, prompt, |age| kept_chance(age, lifetime));
-    let own = prompt.own();
-    let limit = (rules.objective.as_secs_f64() * 1e3 * QUEUE_FRACTION).min(MAX_QUEUE_MS);
-    let reads = (own + unread) * read_time;
-    let excess = load.unread_tokens * read_time - (limit - reads.min(limit * MAX_OWN_FRACTION));
-    let output_time = f64::from(prompt.output) * token_time;
-    let is_full = load.running >= slots
-        || load.token_time > token_limit
-        || (load.running > 0 && load.memory + state.memory(prompt) > memory * MEMORY_FRACTION);
-    let is_possible = output_time <= rules.left.as_secs_f64() * 1e3 * OUTPUT_FRACTION
-        && state.allows_send(now, rules.cold_quota);
-    let room = if !is_possible {
-        Room::Never
-    } else if is_full {
-        Room::After(until_end(load.running, request_time))
-    } else if load.unread_tokens > 0.0 && excess > 0.0 {
-        Room::Drains(excess)
-    } else {
-        Room::Free
-    };
-    let in_use = f64::from(load.running) / f64::from(slots);
-    let queue_use = load.unread_tokens * read_time / limit.max(1.0);
-    Candidate {
-        queued: load.unread_tokens,
-        own,
-        unread,
-        read_time,
-        token_time,
-        occupancy: in_use
-            .max(load.token_time / token_limit)
-            .max(queue_use)
-            .min(1.0),
-        room,
-    }
-}
-
 /// Expected time for a request at an endpoint without an engine, as a multiple of the usual time,
 /// and its free capacity in slots of usual speed.
 fn plain_expectation(now: Moment, state: &EndpointState) -> (f64, f64) {
--- a/cornelstand/src/gateway/settings.rs
+++ b/cornelstand/src/gateway/settings.rs
@@ -41,8 +41,6 @@
     pub(crate) descriptors: usize,
     /// Memory limit of the process, in bytes.
     pub(crate) memory: usize,
-    /// Whether kept prompt parts are weighed against their wait.
-    pub(crate) weighs_prompts: bool,
     /// Limits of roll-outs, if the deployment has any.
     pub(crate) rollout: Option<RolloutBounds>,
 }
--- a/cornelstand/src/gateway/tests.rs
+++ b/cornelstand/src/gateway/tests.rs
@@ -8,13 +8,13 @@
 mod extensions;
 mod fleet;
 mod heavy_load;
-mod kept_prompts;
 mod message;
 mod outputs;
 mod pauses;
 mod peers;
 mod placement;
 mod prompt_suspects;
+mod uneven_speed;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -64,7 +64,6 @@
         cores: 0.25,
         descriptors: 4_096,
         memory: 256 * 1024 * 1024,
-        weighs_prompts: false,
         rollout: None,
     }
 }
--- a/cornelstand/src/platform/settings.rs
+++ b/cornelstand/src/platform/settings.rs
@@ -89,7 +89,6 @@
             .unwrap_or(1.0),
         descriptors: file.value("limits.max_fds", "a number")?,
         memory: file.value::<usize>("limits.memory_mb", "a number")? * MEGABYTE,
-        weighs_prompts: file.has_contract("pressure"),
         rollout: file.rollout()?,
     })
 }
@@ -134,15 +133,10 @@
         .fail()
     }
 
-    /// Whether a part of the rules is in force.
-    fn has_contract(&self, name: &str) -> bool {
-        let contracts = self.0.get("contracts").copied().unwrap_or_default();
-        contracts.split(',').any(|c| c.trim() == name)
-    }
-
     /// Limits of roll-outs, if they are among the parts of the rules in force.
     fn rollout(&self) -> Result<Option<RolloutBounds>, SettingsFileError> {
-        if !self.has_contract("rollout") {
+        let contracts = self.0.get("contracts").copied().unwrap_or_default();
+        if !contracts.split(',').any(|c| c.trim() == "rollout") {
             return Ok(None);
         }
         Ok(Some(RolloutBounds {
