--- a/cornelstand/src/gateway/endpoint_load.rs
+++ b/cornelstand/src/gateway/endpoint_load.rs
@@ -150,6 +150,11 @@
         1.0 / self.speed
     }
 
+    /// Whether work does not take the usual time in the long run.
+    pub(crate) fn is_unusual(&self) -> bool {
+        (self.speed - 1.0).abs() > TOLD_CHANGE
+    }
+
     /// Expected requests at the endpoint if `known` of them are known to this instance now. The
     /// report counts the less, the older it is.
     pub(crate) fn requests(&self, now: Moment, known: u32) -> f64 {
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -510,7 +510,10 @@
             .iter()
             .map(|(_, s, _)| s.failure_rate)
             .fold(1.0, f64::min);
-        let spread = if tells_pace {
+        let is_uneven = self
+            .of(service)
+            .any(|s| s.speed.is_some_and(|b| b.is_unusual()));
+        let spread = if is_uneven {
             let queue_times = usable.iter().map(|(_, s, _)| s.queue_time(now));
             unheard_time(queue_times.sum::<f64>() / to_f64(usable.len()))
         } else {
@@ -537,7 +540,7 @@
             if state.record.centre != rules.centre {
                 cost += CROSS_CENTRE_COST_MS;
             }
-            if tells_pace {
+            if is_uneven {
                 cost += spread * draw(now, rules.seed, state.key);
             }
             let excess = state.failure_rate - least;
