--- a/cornelstand/src/gateway/endpoint_state.rs
+++ b/cornelstand/src/gateway/endpoint_state.rs
@@ -7,6 +7,7 @@
 use derive_more::IsVariant;
 
 use crate::gateway::directory::EndpointRecord;
+use crate::gateway::endpoint_load::SpeedBelief;
 use crate::gateway::notices::NoticeState;
 use crate::gateway::peers::endpoint_key;
 use crate::gateway::residency::MIN_ADVERTISED_TOKENS;
@@ -24,6 +25,10 @@
 /// Window of the rate limit of cold endpoints.
 const COLD_LIMIT_WINDOW: Duration = Duration::from_millis(1_100);
 
+/// Largest factor on the token time limit for slow engines; the limit leaves half of a route's
+/// timeout.
+const MAX_ALLOWED_SLOWNESS: f64 = 2.0;
+
 /// Most shared parts of a prompt that are logged and may be suspected of crashes. Callers choose how
 /// many there are; the first ones are common to most requests.
 const MAX_SHARED_IDS: usize = 64;
@@ -152,6 +157,10 @@
     pub(crate) cold_sends: VecDeque<Moment>,
     /// Notices from its own responses and from peers.
     pub(crate) noted: NoticeState,
+    /// Belief about its speed, if it tells its pace.
+    pub(crate) speed: Option<SpeedBelief>,
+    /// Whether it told figures that cannot be read.
+    pub(crate) told_unreadable: bool,
 }
 
 impl EndpointState {
@@ -170,6 +179,8 @@
             last_sent: Moment::default(),
             cold_sends: VecDeque::new(),
             noted: NoticeState::default(),
+            speed: None,
+            told_unreadable: false,
         }
     }
 
@@ -245,6 +256,28 @@
         shared[cached..].iter().map(|p| f64::from(p.tokens)).sum()
     }
 
+    /// Expected milliseconds for a prompt token now.
+    pub(crate) fn read_time(&self, now: Moment) -> f64 {
+        self.prefill_pace * self.speed.map_or(1.0, |s| s.pace(now))
+    }
+
+    /// Expected milliseconds for reading what is queued now.
+    pub(crate) fn queue_time(&self, now: Moment) -> f64 {
+        self.total().unread_tokens * self.read_time(now)
+    }
+
+    /// Expected milliseconds between two tokens now.
+    pub(crate) fn token_time(&self, now: Moment, load: Load) -> f64 {
+        load.token_time * self.speed.map_or(1.0, |s| s.pace(now) / s.usual())
+    }
+
+    /// Factor on the token time limit: an engine that is always slower than usual serves what ends
+    /// in time there.
+    pub(crate) fn allowed_slowness(&self) -> f64 {
+        self.speed
+            .map_or(1.0, |s| s.usual().clamp(1.0, MAX_ALLOWED_SLOWNESS))
+    }
+
     /// Memory that `prompt` adds to the running requests, in tokens.
     pub(crate) fn memory(&self, prompt: &Prompt) -> f64 {
         let is_used = |p: &&PromptPart| self.parts.get(&p.id).is_some_and(|k| k.users > 0);
--- a/cornelstand/src/gateway/exchange.rs
+++ b/cornelstand/src/gateway/exchange.rs
@@ -20,6 +20,7 @@
         let mut extensions = Vec::new();
         extensions.extend(self.rollout_heartbeat_block());
         extensions.extend(handover::report_block(self));
+        extensions.extend(self.pace_block());
         extensions
     }
 
@@ -27,6 +28,7 @@
     pub(crate) fn digest_extensions(&self) -> Vec<Extension> {
         let mut extensions = Vec::new();
         extensions.extend(self.rollout_digest_block());
+        extensions.extend(self.pace_digest_block());
         extensions
     }
 
@@ -45,5 +47,6 @@
         tracing::trace!(event = "extensions", ?sender, count = extensions.len());
         handover::receive_report(self, sender, extensions);
         self.receive_rollouts(sender, extensions);
+        self.receive_paces(sender, extensions);
     }
 }
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -355,6 +355,7 @@
                 .then(|| cold_quota(limit, state.peers.count(), rank)),
             centre: settings.centre.clone(),
             cached_only: false,
+            seed: xxhash_rust::xxh3::xxh3_64(settings.instance.as_str().as_bytes()),
             left: Duration::MAX,
             token_time: state.outputs.token_time(service),
         })
--- a/cornelstand/src/gateway/metrics.rs
+++ b/cornelstand/src/gateway/metrics.rs
@@ -1,6 +1,7 @@
 //! Prometheus metrics of a gateway, with handles registered once at start.
 
 use derive_more::Display;
+use prometheus::core::Collector;
 use prometheus::{
     Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -45,6 +46,8 @@
     pub(crate) rollout_sends: IntCounterVec,
     /// Requests and connections that ended at a limit, by limit.
     limits: IntCounterVec,
+    /// Answers by what they tell of their endpoint's load.
+    pub(crate) load_reports: IntCounterVec,
     pub(crate) connections: IntGauge,
     pub(crate) waiting: IntGauge,
     pub(crate) version: IntGauge,
@@ -64,6 +67,42 @@
     pub(crate) lag: Histogram,
 }
 
+/// Registers metrics as it creates them.
+struct MetricRegistry(Registry);
+
+impl MetricRegistry {
+    fn counter(&self, name: &str, help: &str) -> Result<IntCounter, prometheus::Error> {
+        self.register(IntCounter::new(name, help)?)
+    }
+
+    fn counters(
+        &self,
+        name: &str,
+        help: &str,
+        label: &str,
+    ) -> Result<IntCounterVec, prometheus::Error> {
+        self.register(IntCounterVec::new(Opts::new(name, help), &[label])?)
+    }
+
+    fn gauge(&self, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
+        self.register(IntGauge::new(name, help)?)
+    }
+
+    fn share(&self, name: &str, help: &str) -> Result<Gauge, prometheus::Error> {
+        self.register(Gauge::new(name, help)?)
+    }
+
+    fn histogram(&self, name: &str, help: &str) -> Result<Histogram, prometheus::Error> {
+        let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+        self.register(Histogram::with_opts(options)?)
+    }
+
+    fn register<M: Collector + Clone + 'static>(&self, metric: M) -> Result<M, prometheus::Error> {
+        self.0.register(Box::new(metric.clone()))?;
+        Ok(metric)
+    }
+}
+
 impl GatewayMetrics {
     /// Registers all metrics.
     ///
@@ -71,104 +110,83 @@
     ///
     /// Fails if a name is registered twice.
     pub(crate) fn new() -> Result<Self, prometheus::Error> {
-        let registry = Registry::new();
-        let counter = |name: &str, help: &str| {
-            let counter = IntCounter::new(name, help)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok::<_, prometheus::Error>(counter)
-        };
-        let counters = |name: &str, help: &str, label: &str| {
-            let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
-            registry.register(Box::new(counters.clone()))?;
-            Ok::<_, prometheus::Error>(counters)
-        };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, prometheus::Error>(gauge)
-        };
-        let share = |name: &str, help: &str| {
-            let gauge = Gauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, prometheus::Error>(gauge)
-        };
-        let histogram = |name: &str, help: &str| {
-            let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
-            let histogram = Histogram::with_opts(options)?;
-            registry.register(Box::new(histogram.clone()))?;
-            Ok::<_, prometheus::Error>(histogram)
-        };
+        let registry = MetricRegistry(Registry::new());
         Ok(Self {
-            requests: counter("cornelstand_requests_total", "Requests read")?,
-            outcomes: counters(
+            requests: registry.counter("cornelstand_requests_total", "Requests read")?,
+            outcomes: registry.counters(
                 "cornelstand_outcomes_total",
                 "Requests by outcome",
                 "outcome",
             )?,
-            retries: counter("cornelstand_repeats_total", "Requests sent once more")?,
-            lost_responses: counter("cornelstand_losses_total", "Answers that broke off")?,
-            store_calls: counters(
+            retries: registry.counter("cornelstand_repeats_total", "Requests sent once more")?,
+            lost_responses: registry.counter("cornelstand_losses_total", "Answers that broke off")?,
+            store_calls: registry.counters(
                 "cornelstand_store_calls_total",
                 "Calls to the store",
                 "result",
             )?,
-            heartbeats: counter("cornelstand_beats_total", "Beats of peers taken in")?,
-            suspicions: counters(
+            heartbeats: registry.counter("cornelstand_beats_total", "Beats of peers taken in")?,
+            suspicions: registry.counters(
                 "cornelstand_suspicions_total",
                 "Changes of what is held against requests",
                 "source",
             )?,
-            unsent: counter(
+            unsent: registry.counter(
                 "cornelstand_suspicions_untold_total",
                 "Recent suspicions that a message had no room for",
             )?,
-            rollout_writes: counters(
+            rollout_writes: registry.counters(
                 "cornelstand_rollout_writes_total",
                 "Status writes of roll-outs",
                 "result",
             )?,
-            rollout_sends: counters(
+            rollout_sends: registry.counters(
                 "cornelstand_rollout_sends_total",
                 "Requests sent to the target of a roll-out, withheld from it, or sent to other versions",
                 "side",
             )?,
-            limits: counters(
+            limits: registry.counters(
                 "cornelstand_limits_total",
                 "Requests and connections that ended at a limit",
                 "limit",
             )?,
-            connections: gauge("cornelstand_connections", "Open connections of callers")?,
-            waiting: gauge("cornelstand_waiting", "Requests that wait for a place")?,
-            version: gauge("cornelstand_config_version", "Configuration in force")?,
-            peers: gauge(
+            load_reports: registry.counters(
+                "cornelstand_load_reports_total",
+                "Answers by what they tell of their endpoint's load",
+                "result",
+            )?,
+            connections: registry.gauge("cornelstand_connections", "Open connections of callers")?,
+            waiting: registry.gauge("cornelstand_waiting", "Requests that wait for a place")?,
+            version: registry.gauge("cornelstand_config_version", "Configuration in force")?,
+            peers: registry.gauge(
                 "cornelstand_peers",
                 "Peers that are known, silent ones included",
             )?,
-            handovers: counters(
+            handovers: registry.counters(
                 "cornelstand_handovers_total",
                 "Hand-overs of connections",
                 "result",
             )?,
-            handed_over: gauge(
+            handed_over: registry.gauge(
                 "cornelstand_handed_over",
                 "Connections of callers that neighbours serve",
             )?,
-            taken: gauge(
+            taken: registry.gauge(
                 "cornelstand_taken",
                 "Connections that are served for neighbours",
             )?,
-            processor: share(
+            processor: registry.share(
                 "cornelstand_processor_share",
                 "Share of the time in which the process did not wait for events",
             )?,
-            queue_time: histogram("cornelstand_queue_seconds", "Time until a place was found")?,
-            first_time: histogram("cornelstand_first_seconds", "Time until the answer began")?,
-            total_time: histogram("cornelstand_whole_seconds", "Time until the answer ended")?,
-            lag: histogram(
+            queue_time: registry.histogram("cornelstand_queue_seconds", "Time until a place was found")?,
+            first_time: registry.histogram("cornelstand_first_seconds", "Time until the answer began")?,
+            total_time: registry.histogram("cornelstand_whole_seconds", "Time until the answer ended")?,
+            lag: registry.histogram(
                 "cornelstand_lag_seconds",
                 "Lateness of the process's own timers",
             )?,
-            registry,
+            registry: registry.0,
         })
     }
 
--- a/cornelstand/src/gateway/mod.rs
+++ b/cornelstand/src/gateway/mod.rs
@@ -16,15 +16,15 @@
 pub(crate) mod containment;
 pub(crate) mod daemon;
 pub(crate) mod directory;
+pub(crate) mod endpoint_load;
 pub(crate) mod endpoint_state;
 pub(crate) mod exchange;
-// Until the parts that use them are joined.
-#[allow(dead_code)]
 pub(crate) mod extensions;
 pub(crate) mod follow;
 pub(crate) mod gate;
 pub(crate) mod handover;
 pub(crate) mod held_bytes;
+pub(crate) mod load_reports;
 pub(crate) mod logs;
 pub(crate) mod message;
 pub(crate) mod metrics;
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -17,8 +17,12 @@
 
 use crate::gateway::admission::DecayingSum;
 use crate::gateway::directory::EndpointRecord;
+use crate::gateway::endpoint_load::{
+    MAX_TOLD, NewsRelay, PaceNews, ToldLoad, record_news, record_report, take_news,
+};
 use crate::gateway::endpoint_state::{EndpointState, Load, Preference, Prompt};
 use crate::gateway::notices::{Notice, Notices};
+use crate::gateway::number::to_f64;
 use crate::gateway::residency::{ResidencyLog, Resident};
 use crate::moment::Moment;
 use crate::name::{CentreName, EndpointName, ServiceName};
@@ -70,12 +74,25 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(700);
 /// Requests, running and queued, that an endpoint without an engine may hold per slot.
 const REQUESTS_PER_SLOT: u32 = 2;
+/// Least range of the random part of an engine's cost, in milliseconds.
+const MIN_SPREAD_MS: f64 = 10.0;
+/// Queue of an engine of which this instance has not heard yet, as a multiple of the mean queue.
+const UNHEARD_FRACTION: f64 = 1.0;
+/// Part of the usual time by which a request at an endpoint without an engine takes longer when all
+/// its slots are in use.
+const FULL_SLOWDOWN: f64 = 0.25;
+/// Least free capacity that an endpoint counts as, in slots: a slow or full one gets less than the
+/// others and never nothing.
+const MIN_FREE_SLOTS: f64 = 0.1;
 /// Weight of a new result in the moving average of the failure rate.
 const FAILURE_WEIGHT: f64 = 0.1;
 
 /// Position of an endpoint in [`Endpoints`].
 pub(crate) type EndpointIndex = usize;
 
+/// An endpoint with the order in which it was drawn and its cost; one that fails costs most.
+type Drawn = (f64, (bool, f64), EndpointIndex);
+
 /// The two endpoints with the highest hash weight for an anchor.
 #[derive(Clone, Copy, Debug, Default)]
 struct PreferredEndpoints {
@@ -112,6 +129,8 @@
     pub(crate) centre: CentreName,
     /// Whether only endpoints with the shared prefix cached will do.
     pub(crate) cached_only: bool,
+    /// Differs between instances, so that they do not all choose the same endpoint.
+    pub(crate) seed: u64,
 }
 
 /// A request's reservation at an endpoint.
@@ -212,6 +231,17 @@
     /// Recently refused requests by anchor, although an engine caches that part.
     refused: HashMap<u64, DecayingSum>,
     keys: HashMap<u32, EndpointIndex>,
+    /// News of paces for other data centres, if this instance leads its own.
+    pub(crate) pace_relay: NewsRelay,
+}
+
+/// Effect of what an answer said of its endpoint's load.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct LoadNoted {
+    /// Whether the endpoint tells its pace at other times.
+    pub(crate) tells_pace: bool,
+    /// Whether its figures could not be read for the first time.
+    pub(crate) is_newly_unreadable: bool,
 }
 
 impl Endpoints {
@@ -301,6 +331,44 @@
         is_new
     }
 
+    /// Records what an answer for `place` said of its endpoint's load.
+    pub(crate) fn note_load(&mut self, now: Moment, place: &Place, told: ToldLoad) -> LoadNoted {
+        let Some(state) = self.reserved_state(place) else {
+            return LoadNoted::default();
+        };
+        let mut noted = LoadNoted {
+            tells_pace: state.speed.is_some(),
+            is_newly_unreadable: false,
+        };
+        match told {
+            ToldLoad::Missing => {}
+            ToldLoad::Unreadable => {
+                noted.is_newly_unreadable = !std::mem::replace(&mut state.told_unreadable, true);
+            }
+            ToldLoad::Report(report) => {
+                let known = state.total().running;
+                record_report(&mut state.speed, now, report, known);
+            }
+        }
+        noted
+    }
+
+    /// Takes what peers are to be told of the endpoints' paces.
+    pub(crate) fn take_pace_news(&mut self, now: Moment) -> Vec<PaceNews> {
+        let states = self.states.iter_mut().flatten();
+        let news = states.filter_map(|s| take_news(s.key, s.speed.as_mut()?, now));
+        news.take(MAX_TOLD).collect()
+    }
+
+    /// Records what peers told of the endpoints' paces.
+    pub(crate) fn record_pace_news(&mut self, now: Moment, news: &[PaceNews]) {
+        for new in news {
+            if let Some(state) = self.by_key(new.endpoint) {
+                record_news(&mut state.speed, now, new);
+            }
+        }
+    }
+
     /// Marks endpoints that peers report as leaving. Returns those that were not known to be.
     pub(crate) fn note_leaving(&mut self, now: Moment, endpoints: &[u32]) -> Vec<EndpointName> {
         let notice = Notice {
@@ -424,6 +492,10 @@
         is_allowed: impl Fn(EndpointIndex, &EndpointRecord) -> bool,
     ) -> Result<EndpointIndex, PlacementError> {
         let indices = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        let tells_pace = self.of(service).any(|s| s.speed.is_some());
+        if tells_pace && prompt.is_none() {
+            return self.choose_by_pace(now, service, rules, is_allowed);
+        }
         let anchor = prompt.and_then(Prompt::anchor);
         let preferred = anchor.map_or(PreferredEndpoints::default(), |a| {
             self.preferred(now, indices, a, &is_candidate)
@@ -448,6 +520,15 @@
             .iter()
             .map(|(_, s, _)| s.failure_rate)
             .fold(1.0, f64::min);
+        let is_uneven = self
+            .of(service)
+            .any(|s| s.speed.is_some_and(|b| b.is_unusual()));
+        let spread = if is_uneven {
+            let queue_times = usable.iter().map(|(_, s, _)| s.queue_time(now));
+            unheard_time(queue_times.sum::<f64>() / to_f64(usable.len()))
+        } else {
+            0.0
+        };
         // Endpoints with a high failure rate are used only if no other has room.
         let mut best: Option<(bool, f64, EndpointIndex)> = None;
         for (index, state, uncached) in usable {
@@ -455,10 +536,12 @@
             let needs_prefill = uncached >= MIN_PREFIX_TOKENS;
             let cost = match prompt {
                 Some(_) if !has_capacity(state, rules) => None,
-                Some(_) if needs_prefill && !may_prefill(state, rules, preference, is_cached) => {
+                Some(_)
+                    if needs_prefill && !may_prefill(now, state, rules, preference, is_cached) =>
+                {
                     None
                 }
-                Some(prompt) => engine_cost(state, prompt, uncached, rules),
+                Some(prompt) => engine_cost(now, state, prompt, uncached, rules),
                 None => plain_cost(state),
             };
             let Some(mut cost) = cost.filter(|_| state.allows_send(now, rules.cold_quota)) else {
@@ -467,6 +550,9 @@
             if state.record.centre != rules.centre {
                 cost += CROSS_CENTRE_COST_MS;
             }
+            if is_uneven {
+                cost += spread * draw(now, rules.seed, state.key);
+            }
             let excess = state.failure_rate - least;
             cost += cost * 4.0 * excess;
             let is_failing =
@@ -478,6 +564,58 @@
         best.map(|(_, _, index)| index).ok_or(PlacementError::Full)
     }
 
+    /// Returns an endpoint without an engine, of two drawn by their free capacity the one where the
+    /// request is expected to end first: all instances see the same reports, and would else run to
+    /// the same endpoint.
+    fn choose_by_pace(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+        rules: &PlacementRules,
+        is_allowed: impl Fn(EndpointIndex, &EndpointRecord) -> bool,
+    ) -> Result<EndpointIndex, PlacementError> {
+        let indices = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        let listed = indices.iter().filter_map(|i| Some((*i, self.get(*i)?)));
+        let usable = listed.filter(|(i, s)| s.is_usable(now) && is_allowed(*i, &s.record));
+        let usable: Vec<_> = usable.collect();
+        if usable.is_empty() {
+            return Err(PlacementError::NoEndpoint);
+        }
+        let failure_rates = usable.iter().map(|(_, s)| s.failure_rate);
+        let least = failure_rates.fold(1.0, f64::min);
+        // The two endpoints with the lowest draws: order of the draw, cost, index.
+        let mut drawn: [Option<Drawn>; 2] = [None; 2];
+        for (index, state) in usable {
+            let has_room = plain_cost(state).is_some();
+            if !has_room || !state.allows_send(now, rules.cold_quota) {
+                continue;
+            }
+            let (time, free) = plain_expectation(now, state);
+            let excess = state.failure_rate - least;
+            let is_failing =
+                excess > MAX_EXCESS_FAILURES && now.since(state.last_sent) < PROBE_INTERVAL;
+            let cost = (is_failing, time * (1.0 + 4.0 * excess));
+            // The lowest of these is an endpoint drawn with a chance in proportion to `free`.
+            let order = -draw(now, rules.seed, state.key).max(f64::MIN_POSITIVE).ln() / free;
+            let order = if is_failing { f64::INFINITY } else { order };
+            let entry = Some((order, cost, index));
+            match drawn {
+                [None, _] => drawn[0] = entry,
+                [Some((first, ..)), _] if order < first => drawn = [entry, drawn[0]],
+                [_, None] => drawn[1] = entry,
+                [_, Some((second, ..))] if order < second => drawn[1] = entry,
+                _ => {}
+            }
+        }
+        let chosen = drawn
+            .into_iter()
+            .flatten()
+            .reduce(|a, b| if b.1 < a.1 { b } else { a });
+        chosen
+            .map(|(_, _, index)| index)
+            .ok_or(PlacementError::Full)
+    }
+
     /// Reserves a place for a request.
     pub(crate) fn take(
         &mut self,
@@ -537,6 +675,7 @@
         state.own.unread_tokens = (state.own.unread_tokens - place.load.unread_tokens).max(0.0);
         if place.ahead >= MIN_PACE_TOKENS {
             let measured = now.since(place.sent).as_secs_f64() * 1e3 / place.ahead;
+            let measured = measured / state.speed.map_or(1.0, |s| s.pace(now));
             let measured = measured.clamp(PACE_BOUNDS_MS.0, PACE_BOUNDS_MS.1);
             state.prefill_pace += PACE_WEIGHT * (measured - state.prefill_pace);
         }
@@ -641,7 +780,8 @@
 /// short enough for the longest responses to end before their callers give up.
 fn has_capacity(state: &EndpointState, rules: &PlacementRules) -> bool {
     let load = state.total();
-    load.token_time <= rules.token_time && load.running < state.record.slots
+    let limit = rules.token_time * state.allowed_slowness();
+    load.token_time <= limit && load.running < state.record.slots
 }
 
 /// Whether a request may go to an engine that does not have its shared prefix cached. An uncached
@@ -650,6 +790,7 @@
 /// cache cannot meet demand or for an interrupted stream: under load, engine time serves more
 /// requests with a cached prefix.
 fn may_prefill(
+    now: Moment,
     state: &EndpointState,
     rules: &PlacementRules,
     preference: Preference,
@@ -661,13 +802,14 @@
         return true;
     }
     (!rules.cached_only || is_preferred)
-        && load.unread_tokens * state.prefill_pace < REREAD_MAX_QUEUE_MS
+        && state.queue_time(now) < REREAD_MAX_QUEUE_MS
         && load.token_time < rules.token_time * REREAD_TOKEN_TIME_FRACTION
 }
 
 /// Cost in milliseconds of engine time and waiting at an engine that has room, where `uncached`
 /// tokens of the shared prefix have to be read.
 fn engine_cost(
+    now: Moment,
     state: &EndpointState,
     prompt: &Prompt,
     uncached: f64,
@@ -679,17 +821,18 @@
     if !is_idle && load.memory + state.memory(prompt) > memory {
         return None;
     }
-    let output_time = f64::from(prompt.output) * load.token_time;
+    let output_time = f64::from(prompt.output) * state.token_time(now, load);
     if output_time > rules.left.as_secs_f64() * 1e3 * OUTPUT_FRACTION {
         return None;
     }
-    let own = (prompt.own() + uncached) * state.prefill_pace;
-    let wait = load.unread_tokens * state.prefill_pace;
+    let read_time = state.read_time(now);
+    let own = (prompt.own() + uncached) * read_time;
+    let wait = load.unread_tokens * read_time;
     let limit = (rules.objective.as_secs_f64() * 1e3 * QUEUE_FRACTION).min(MAX_QUEUE_MS);
     if load.unread_tokens > 0.0 && wait > limit - own.min(limit * MAX_OWN_FRACTION) {
         return None;
     }
-    let reread = uncached * state.prefill_pace * (REREAD_WEIGHT - 1.0);
+    let reread = uncached * read_time * (REREAD_WEIGHT - 1.0);
     Some(wait + own + reread + f64::from(load.running) * RUNNING_COST_MS)
 }
 
@@ -700,3 +843,34 @@
     let has_room = load.running < slots.saturating_mul(REQUESTS_PER_SLOT);
     has_room.then(|| 10.0 * f64::from(load.running) / f64::from(slots))
 }
+
+/// Expected time for a request at an endpoint without an engine, as a multiple of the usual time,
+/// and its free capacity in slots of usual speed.
+fn plain_expectation(now: Moment, state: &EndpointState) -> (f64, f64) {
+    let known = state.total().running;
+    let (pace, requests) = match &state.speed {
+        Some(speed) => (speed.pace(now), speed.requests(now, known)),
+        None => (1.0, f64::from(known)),
+    };
+    let slots = f64::from(state.record.slots.max(1));
+    let queued = (requests + 1.0 - slots).max(0.0);
+    let slowdown = FULL_SLOWDOWN * (requests / slots).min(1.0);
+    let time = pace * (1.0 + slowdown + queued / slots);
+    (time, ((slots - requests) / pace).max(MIN_FREE_SLOTS))
+}
+
+/// Range of the random part of an engine's cost, in milliseconds, for a mean queue of all engines:
+/// what other instances place on an engine before this one hears of it.
+fn unheard_time(queue_time: f64) -> f64 {
+    MIN_SPREAD_MS + UNHEARD_FRACTION * queue_time
+}
+
+/// Number between 0 and 1 that differs between instances, endpoints and times.
+fn draw(now: Moment, seed: u64, endpoint: u32) -> f64 {
+    // The finalizer of SplitMix64.
+    let mut z = seed ^ now.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ (u64::from(endpoint) << 32);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    let high = u32::try_from((z ^ (z >> 31)) >> 32).unwrap_or_default();
+    f64::from(high) / f64::from(u32::MAX)
+}
--- a/cornelstand/src/gateway/tests.rs
+++ b/cornelstand/src/gateway/tests.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod containment;
 mod directory;
+mod endpoint_load;
 mod extensions;
 mod fleet;
 mod handover;
@@ -19,6 +20,7 @@
 mod rollout_fleet;
 mod rollout_link;
 mod rollout_orders;
+mod uneven_speed;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/cornelstand/src/gateway/tests/placement.rs
+++ b/cornelstand/src/gateway/tests/placement.rs
@@ -45,6 +45,7 @@
         cold_quota: Some(2),
         centre: CentreName::from("north"),
         cached_only: false,
+        seed: 1,
     }
 }
 
