--- a/cornelstand/src/platform/tests/abandoned.rs
+++ b/cornelstand/src/platform/tests/abandoned.rs
@@ -16,12 +16,14 @@
 use crate::name::{CentreName, InstanceName};
 use crate::platform::tests::path::{connect, listen, request, run_local};
 use crate::platform::tests::scripted::{
-    TEST_TIMEOUT, chunk, event, read_request, response, stream_head,
+    TEST_TIMEOUT, chunk, event, own_loopback, read_request, response, stream_head,
 };
 
 /// An endpoint that sends `text` and tells how its connection ended.
 async fn endpoint(text: String) -> (SocketAddr, oneshot::Receiver<io::Result<usize>>) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let listener = TcpListener::bind((own_loopback(), 0))
+        .await
+        .expect("loopback");
     let address = listener.local_addr().expect("bound");
     let (ended, end) = oneshot::channel();
     tokio::task::spawn_local(async move {
--- a/cornelstand/src/platform/tests/endless.rs
+++ b/cornelstand/src/platform/tests/endless.rs
@@ -15,7 +15,7 @@
     connect, fetch, listen, request, run_local, status, with_engines,
 };
 use crate::platform::tests::scripted::{
-    Endpoint, Step, TEST_TIMEOUT, answer, chunk, event, stream_head,
+    Endpoint, Step, TEST_TIMEOUT, answer, chunk, event, own_loopback, stream_head,
 };
 use crate::platform::tests::truncation::send;
 
@@ -25,7 +25,7 @@
 /// An endpoint on a separate thread that responds to each request with `start`, followed by
 /// `filler` repeated without end, as fast as it is read.
 fn flood(start: String, filler: &'static str) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let listener = TcpListener::bind((own_loopback(), 0)).expect("loopback");
     let address = listener.local_addr().expect("bound");
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -145,7 +145,7 @@
 #[case::no_answer("and more")]
 #[tokio::test]
 async fn a_pooled_connection_with_input_from_a_pause_is_not_reused(#[case] late: &str) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let listener = TcpListener::bind((own_loopback(), 0)).expect("loopback");
     let address = listener.local_addr().expect("bound");
     let upstream = Upstream::connect(address, TEST_TIMEOUT)
         .await
--- a/cornelstand/src/platform/tests/foreign_entries.rs
+++ b/cornelstand/src/platform/tests/foreign_entries.rs
@@ -15,11 +15,13 @@
 use crate::name::EndpointName;
 use crate::platform::store::StoreClient;
 use crate::platform::tests::path::run_local;
-use crate::platform::tests::scripted::{TEST_TIMEOUT, read_request};
+use crate::platform::tests::scripted::{TEST_TIMEOUT, own_loopback, read_request};
 
 /// A store that answers each call with the next body, and the last one not at all.
 async fn store(bodies: Vec<Vec<u8>>) -> (SocketAddr, Rc<std::cell::RefCell<Vec<String>>>) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let listener = TcpListener::bind((own_loopback(), 0))
+        .await
+        .expect("loopback");
     let address = listener.local_addr().expect("bound");
     let requests: Rc<std::cell::RefCell<Vec<String>>> = Rc::default();
     let kept = requests.clone();
--- a/cornelstand/src/platform/tests/path.rs
+++ b/cornelstand/src/platform/tests/path.rs
@@ -17,7 +17,7 @@
 use crate::gateway::tests::{MODELS, ORDERS, gate, list, record};
 use crate::name::{AccountName, ServiceName};
 use crate::platform::tests::scripted::{
-    Endpoint, Step, TEST_TIMEOUT, answer, chunk, event, read_request, stream_head,
+    Endpoint, Step, TEST_TIMEOUT, answer, chunk, event, own_loopback, read_request, stream_head,
 };
 
 /// Runs a test in a `LocalSet`, since the gateway spawns local tasks.
@@ -27,7 +27,9 @@
 
 /// Starts a listener for callers and returns its address.
 pub(super) async fn listen(gate: &Rc<Gate>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let listener = TcpListener::bind((own_loopback(), 0))
+        .await
+        .expect("loopback");
     let address = listener.local_addr().expect("bound");
     tokio::task::spawn_local(connection::accept(gate.clone(), listener));
     address
@@ -308,7 +310,9 @@
 #[tokio::test]
 async fn a_refused_connection_does_not_count_as_an_attempt() {
     run_local(async {
-        let closed = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+        let closed = TcpListener::bind((own_loopback(), 0))
+            .await
+            .expect("loopback");
         let refusing = closed.local_addr().expect("bound");
         drop(closed);
         let good =
@@ -499,7 +503,9 @@
     run_local(async {
         let mut records = Vec::new();
         for name in ["m-0", "m-1", "m-2"] {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+            let listener = TcpListener::bind((own_loopback(), 0))
+                .await
+                .expect("loopback");
             records.push(record(name, MODELS, listener.local_addr().expect("bound")));
             tokio::task::spawn_local(async move {
                 let (mut stream, _) = listener.accept().await.expect("accept");
--- a/cornelstand/src/platform/tests/rollouts.rs
+++ b/cornelstand/src/platform/tests/rollouts.rs
@@ -98,7 +98,9 @@
 
 /// A store that answers each call with the next reply, and none after the last.
 async fn store(replies: Vec<Reply>) -> (SocketAddr, Rc<RefCell<Vec<String>>>) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let listener = TcpListener::bind((own_loopback(), 0))
+        .await
+        .expect("loopback");
     let address = listener.local_addr().expect("bound");
     let requests: Rc<RefCell<Vec<String>>> = Rc::default();
     let kept = requests.clone();
--- a/cornelstand/src/platform/tests/second_response.rs
+++ b/cornelstand/src/platform/tests/second_response.rs
@@ -10,13 +10,15 @@
 use crate::gateway::outlet::{OnDeath, ResponseWriter, SendError};
 use crate::gateway::tests::gate;
 use crate::platform::tests::path::connect;
-use crate::platform::tests::scripted::{answer, chunk, event, response, stream_head};
+use crate::platform::tests::scripted::{answer, chunk, event, own_loopback, response, stream_head};
 
 const EVENTS: &str = "Content-Type: text/event-stream\r\nContent-Length: 0\r\n";
 
 /// A caller's connection during a request, and the caller's end of it.
 async fn pair() -> (ResponseWriter, TcpStream) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let listener = TcpListener::bind((own_loopback(), 0))
+        .await
+        .expect("loopback");
     let caller = connect(listener.local_addr().expect("bound")).await;
     let (stream, _) = listener.accept().await.expect("accepted");
     let mut writer = ResponseWriter::new(stream, OnDeath::Close);
--- a/cornelstand/src/platform/tests/stop.rs
+++ b/cornelstand/src/platform/tests/stop.rs
@@ -19,7 +19,7 @@
 use crate::gateway::tests::{MODELS, ORDERS, catalog, gate, record};
 use crate::platform::tests::path::{connect, fetch, request, run_local, status};
 use crate::platform::tests::scripted::{
-    Endpoint, Step, TEST_TIMEOUT, answer, chunk, event, response, stream_head,
+    Endpoint, Step, TEST_TIMEOUT, answer, chunk, event, own_loopback, response, stream_head,
 };
 
 /// Step of the paused time, so that it does not run ahead of the connections.
@@ -48,7 +48,9 @@
             (route.timeout, route.attempts) = (Duration::from_secs(30), 2);
         }
         gate.state.borrow_mut().directory.set_catalog(catalog);
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+        let listener = TcpListener::bind((own_loopback(), 0))
+            .await
+            .expect("loopback");
         let address = listener.local_addr().expect("bound");
         gate.stop.begin(gate.settings.borrow().grace);
         let instance = LocalSet::new();
--- a/cornelstand/src/platform/tests/store_loss.rs
+++ b/cornelstand/src/platform/tests/store_loss.rs
@@ -11,7 +11,7 @@
 use crate::gateway::tests::{ORDERS, gate, record};
 use crate::name::CentreName;
 use crate::platform::tests::path::run_local;
-use crate::platform::tests::scripted::{TEST_TIMEOUT, read_request};
+use crate::platform::tests::scripted::{TEST_TIMEOUT, own_loopback, read_request};
 
 /// A gateway that was cut off from the store alone kept using endpoints whose entries had gone, as
 /// if the store had been away and the entries had lapsed.
@@ -49,7 +49,9 @@
 #[tokio::test]
 async fn a_call_that_times_out_after_an_answer_does_not_show_a_lost_store() {
     run_local(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+        let listener = TcpListener::bind((own_loopback(), 0))
+            .await
+            .expect("loopback");
         let address = listener.local_addr().expect("bound");
         tokio::task::spawn_local(async move {
             loop {
