Tests: an endless body delays no other request, as before

The case of a body without end had left the test of endless responses, since its answer now begins and is cut in place of a 502. Its test checks again that another request is served meanwhile.

--- a/cornelstand/src/platform/tests/endless.rs
+++ b/cornelstand/src/platform/tests/endless.rs
@@ -108,13 +108,27 @@
 
 /// A long body is passed on as it is read, until it is found to be endless.
 #[tokio::test]
-async fn an_endless_body_is_cut_and_never_looks_whole() {
+async fn an_endless_body_is_cut_and_delays_no_other_request() {
     run_local(async {
         let before = resident_memory();
         let bad = flood(head("\r\n"), "more and more and more");
-        let gate = gate("one", vec![record("o-1", ORDERS, bad)]);
+        let stream = answer("a2", "", &event(1));
+        let good = Endpoint::start(vec![vec![Step::Read, Step::Write(stream)]]).await;
+        let good = record("m-1", MODELS, good.address);
+        let gate = gate("one", vec![record("o-1", ORDERS, bad), good]);
         let address = listen(&gate).await;
-        let received = send(address, &request("/book/1", "a1")).await;
+        let flooded =
+            tokio::task::spawn_local(async move { send(address, &request("/book/1", "a1")).await });
+        sleep(Duration::from_millis(30)).await;
+        let started = Instant::now();
+        let text = fetch(address, &request("/digest/1", "a2")).await;
+        assert_eq!(status(&text), "200", "{text}");
+        assert!(
+            started.elapsed() < Duration::from_secs(1),
+            "{:?}",
+            started.elapsed()
+        );
+        let received = flooded.await.expect("a caller");
         assert_eq!(received.whole(), None);
         assert!(received.bytes.len() < MAX_MEMORY, "the flood was limited");
         drop(received);
