Hand-over: nothing is sent into a running stream when the neighbour dies

Cause: a neighbour that dies after the caller's last bytes is answered by 502 at the entry, which took bytes behind a running stream for a request without a response. A caller that pipelines got the head of the 502 into the middle of its stream. Change: the entry notes whether the neighbour's response comes in chunks and whether the last one came; what the caller sends before it is pipelined, and the connection is reset.

--- a/cornelstand/src/gateway/handover/link.rs
+++ b/cornelstand/src/gateway/handover/link.rs
@@ -17,6 +17,7 @@
 
 use crate::gateway::directory::ViewVersions;
 use crate::gateway::handover::balance::Decline;
+use crate::gateway::message::Head;
 use crate::gateway::outlet::{ResponseWriter, write_all};
 use crate::gateway::upstream::{close_in_order, read_into, reset_on_close, set_socket_options};
 use crate::moment::Moment;
@@ -32,6 +33,8 @@
 const CHUNK_BYTES: usize = 16 * 1024;
 /// Time-out for a write to a side that does not read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// End of a response in chunks without trailers.
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 /// Longest time to read and discard a caller's input after its connection was closed: closing with
 /// unread bytes would reset it, and the end of the response may be lost.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
@@ -210,21 +213,55 @@
     }
 }
 
-/// Whose bytes came last on a connection, which is all that a copying instance knows of requests.
+/// Whose bytes came last on a connection, which is almost all that a copying instance knows of
+/// requests.
 #[derive(Debug, Default)]
 struct Turn {
     /// Whether the caller has sent bytes since the neighbour last did.
     is_callers: Cell<bool>,
     /// Whether these began like a request for a head only.
     is_head_only: Cell<bool>,
+    chunks: Cell<Chunks>,
+}
+
+/// Chunks of the neighbour's response.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Chunks {
+    /// It has none.
+    #[default]
+    None,
+    /// The last one is still to come. What the caller sends meanwhile is pipelined.
+    Open,
+    Ended,
 }
 
 impl Turn {
     fn note_caller(&self, bytes: &[u8]) {
-        if !bytes.is_empty() && !self.is_callers.replace(true) {
+        let is_pipelined = self.chunks.get() == Chunks::Open;
+        if !bytes.is_empty() && !is_pipelined && !self.is_callers.replace(true) {
             self.is_head_only.set(bytes.starts_with(b"HEAD "));
         }
     }
+
+    fn note_neighbour(&self, bytes: &[u8]) {
+        let is_chunked = if self.is_callers.replace(false) {
+            is_chunked(bytes)
+        } else {
+            self.chunks.get() != Chunks::None
+        };
+        self.chunks.set(match is_chunked {
+            false => Chunks::None,
+            true if bytes.ends_with(LAST_CHUNK) => Chunks::Ended,
+            true => Chunks::Open,
+        });
+    }
+}
+
+/// Whether bytes begin with the head of a response in chunks.
+fn is_chunked(bytes: &[u8]) -> bool {
+    let mut input = BytesMut::from(bytes);
+    let head = Head::parse_response(&mut input, bytes.len());
+    head.is_ok_and(|h| h.is_some_and(|h| h.has_token("transfer-encoding", "chunked")))
 }
 
 /// Copies bytes between the caller of `writer` and a neighbour until either side ends, and ends the
@@ -258,8 +295,8 @@
         }
     };
     let down = async {
-        let note = |_: &[u8]| {
-            turn.is_callers.set(false);
+        let note = |bytes: &[u8]| {
+            turn.note_neighbour(bytes);
             link.chunks.set(link.chunks.get() + 1);
         };
         match copy(buffer, neighbour, caller, note).await {
--- a/cornelstand/src/platform/tests/handover.rs
+++ b/cornelstand/src/platform/tests/handover.rs
@@ -398,6 +398,23 @@
     .await;
 }
 
+/// A request that the caller pipelines behind a running stream gets no response into the middle of it.
+#[tokio::test]
+async fn a_stream_with_a_request_behind_it_is_cut_when_the_neighbour_dies() {
+    run_local(async {
+        let begun = stream_head("a1") + &chunk(&event(1));
+        let script = vec![Step::Read, Step::Write(begun), Step::Read, Step::Reset];
+        let (pair, _endpoint, _) = Pair::scripted(Some(Ok(())), script).await;
+        let mut caller = send(pair.address, &request("/digest/1", "a1")).await;
+        read_until(&mut caller, "piece 1").await;
+        let next = request("/digest/1", "a2");
+        caller.write_all(next.as_bytes()).await.expect("sent");
+        let (text, is_orderly) = read_end(&mut caller).await;
+        assert!(!text.contains("HTTP/1.") && !is_orderly, "{text}");
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_response_to_the_head_only_has_no_body_when_the_neighbour_dies() {
     run_local(async {
