--- a/cornelstand/src/gateway/admission.rs
+++ b/cornelstand/src/gateway/admission.rs
@@ -42,9 +42,6 @@
 /// Demand, in seconds of the capacity of all endpoints, above which accounts with more attained
 /// service yield: a single request that fits no endpoint must not block the others.
 const MIN_DEMAND_SECONDS: f64 = 0.02;
-/// Further demand, in seconds of the capacity that is free, that others need not yield to: refused
-/// demand is counted for about as long, and idle engines serve it meanwhile.
-const FREE_DEMAND_SECONDS: f64 = 0.3;
 /// Maximum number of demand entries in a message.
 const MAX_DEMANDS: usize = 32;
 /// Relative and absolute (weighted tokens) difference up to which demands are merged: less than the
@@ -175,8 +172,6 @@
     all: f64,
     /// Share of this instance if all instances are equally loaded.
     share: f64,
-    /// Part of it that is free, from 0 to 1.
-    free: f64,
 }
 
 /// The queue in front of the endpoints and the attained service of the accounts.
@@ -233,9 +228,8 @@
     /// Replaces the unserved demand at the peers.
     pub(crate) fn set_peer_demands(&mut self, demands: HashMap<ServiceName, Vec<Demand>>) {
         let min_attained = |(service, demands): (ServiceName, Vec<Demand>)| {
-            let capacity = self.capacity.get(&service).copied().unwrap_or_default();
-            let seconds = MIN_DEMAND_SECONDS + FREE_DEMAND_SECONDS * capacity.free;
-            let mut left = capacity.all * seconds;
+            let all = self.capacity.get(&service).map_or(0.0, |c| c.all);
+            let mut left = all * MIN_DEMAND_SECONDS;
             for demand in merge_demands(demands) {
                 left -= f64::from(demand.tokens);
                 if left <= 0.0 {
@@ -400,14 +394,9 @@
 
     /// Sets the throughput of a service over all `instances`, in weighted tokens per second.
     pub(crate) fn set_capacity(&mut self, service: &ServiceName, all: f64, instances: f64) {
-        let capacity = self.capacity.entry(service.clone()).or_default();
-        capacity.all = all;
-        capacity.share = all / instances;
-    }
-
-    /// Sets the part of a service's capacity that is free, from 0 to 1.
-    pub(crate) fn set_free(&mut self, service: &ServiceName, free: f64) {
-        self.capacity.entry(service.clone()).or_default().free = free;
+        let share = all / instances;
+        self.capacity
+            .insert(service.clone(), Capacity { all, share });
     }
 
     /// Attained service of the account at a peer to which others yield, if there is one.
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -594,32 +594,11 @@
         state
             .admission
             .set_peers(now, state.peers.attained_service(now, centre));
-        if state.peers.is_large() {
-            self.update_free_capacity(state, now);
-        }
         state
             .admission
             .set_peer_demands(state.peers.demands(now, centre));
     }
 
-    /// Updates the free capacity of the services with engines. In a large fleet the demand of others
-    /// is known late, and would keep engines idle that have room for it.
-    fn update_free_capacity(&self, state: &mut State, now: Moment) {
-        let catalog = state.directory.catalog().clone();
-        let services = catalog.services.iter().filter(|(_, s)| s.engine.is_some());
-        for (service, _) in services {
-            let Some(rules) = self.rules(state, service) else {
-                continue;
-            };
-            let rollouts = &state.rollouts;
-            let is_candidate = |record: &EndpointRecord| rollouts.admits(now, record);
-            let free = state
-                .endpoints
-                .free_share(now, service, &rules, is_candidate);
-            state.admission.set_free(service, free);
-        }
-    }
-
     /// Builds the next heartbeat.
     pub(crate) fn heartbeat(&self) -> Heartbeat {
         self.build_heartbeat(self.now(), |updates| &mut updates.heartbeats)
--- a/cornelstand/src/gateway/placement.rs
+++ b/cornelstand/src/gateway/placement.rs
@@ -296,29 +296,6 @@
         summary
     }
 
-    /// Part of the engines' capacity that is free, from 0 to 1: of each usable engine, what the
-    /// scarcest of slots, queue and token time leaves.
-    pub(crate) fn free_share(
-        &self,
-        now: Moment,
-        service: &ServiceName,
-        rules: &PlacementRules,
-        is_candidate: impl Fn(&EndpointRecord) -> bool,
-    ) -> f64 {
-        let limit = queue_limit(rules);
-        let free = |state: &EndpointState| {
-            let load = state.total();
-            let slots = f64::from(load.running) / f64::from(state.record.slots.max(1));
-            let queue = load.unread_tokens * state.prefill_pace / limit;
-            let token_time = load.token_time / rules.token_time;
-            1.0 - slots.max(queue).max(token_time).clamp(0.0, 1.0)
-        };
-        let usable = self.of(service).filter(|s| s.is_usable(now));
-        let usable = usable.filter(|s| is_candidate(&s.record));
-        let (count, sum) = usable.fold((0_u32, 0.0), |(n, sum), s| (n + 1, sum + free(s)));
-        sum / f64::from(count.max(1))
-    }
-
     /// Adds or updates an endpoint. A restart resets its state.
     pub(crate) fn put(&mut self, now: Moment, record: Rc<EndpointRecord>) {
         if let Some(index) = self.find(&record.name)
@@ -829,11 +806,6 @@
         && load.token_time < rules.token_time * REREAD_TOKEN_TIME_FRACTION
 }
 
-/// Longest queue of an engine, in milliseconds.
-fn queue_limit(rules: &PlacementRules) -> f64 {
-    (rules.objective.as_secs_f64() * 1e3 * QUEUE_FRACTION).min(MAX_QUEUE_MS)
-}
-
 /// Cost in milliseconds of engine time and waiting at an engine that has room, where `uncached`
 /// tokens of the shared prefix have to be read.
 fn engine_cost(
@@ -856,7 +828,7 @@
     let read_time = state.read_time(now);
     let own = (prompt.own() + uncached) * read_time;
     let wait = load.unread_tokens * read_time;
-    let limit = queue_limit(rules);
+    let limit = (rules.objective.as_secs_f64() * 1e3 * QUEUE_FRACTION).min(MAX_QUEUE_MS);
     if load.unread_tokens > 0.0 && wait > limit - own.min(limit * MAX_OWN_FRACTION) {
         return None;
     }
--- a/cornelstand/src/gateway/tests/admission.rs
+++ b/cornelstand/src/gateway/tests/admission.rs
@@ -181,24 +181,6 @@
     assert!(admission.must_yield(at(0), &heavy));
 }
 
-/// Accounts with little service ask for less than idle engines can take: those with more do not wait.
-#[test]
-fn demand_that_free_engines_can_serve_does_not_block() {
-    let mut admission = Admission::default();
-    let service = ServiceName::from(MODELS);
-    admission.set_capacity(&service, 100_000.0, 2.0);
-    admission.set_free(&service, 0.5);
-    let heavy = waiting(at(0), "ada", 90_000);
-    admission.charge(at(0), &heavy);
-    admission.set_peer_demands(demands(1_000.0, 10_000.0));
-    assert!(!admission.must_yield(at(0), &heavy));
-    admission.set_peer_demands(demands(1_000.0, 40_000.0));
-    assert!(admission.must_yield(at(0), &heavy));
-    admission.set_free(&service, 0.0);
-    admission.set_peer_demands(demands(1_000.0, 10_000.0));
-    assert!(admission.must_yield(at(0), &heavy));
-}
-
 #[test]
 fn refused_requests_count_as_demand_for_a_short_time() {
     let mut admission = Admission::default();
