Hand-over: idle connections of a stopping entry are closed later

Cause: a neighbour closes the idle connections of an entry that stops, 1 s after it heard of the stop. Change: 5 s, when the load balancer has taken the entry out for about 3 s, and before the end of the grace period.

--- a/cornelstand/src/gateway/handover/mod.rs
+++ b/cornelstand/src/gateway/handover/mod.rs
@@ -47,7 +47,8 @@
 /// end. Its machine may still acknowledge bytes.
 const LOST_AFTER: Duration = Duration::from_millis(2_500);
 /// Time for which a connection stays open between requests after its entry has announced its stop.
-const IDLE_TIME: Duration = Duration::from_secs(1);
+/// By then the load balancer has long taken the entry out, so that few requests cross the close.
+const IDLE_TIME: Duration = Duration::from_secs(5);
 /// Memory for each connection that is handed over or taken, for the limit of their number.
 const CONNECTION_BYTES: usize = 64 * 1024;
 /// Shares of the connection limit of the entry: above the first, a neighbour closes what it takes
