Hand-over: the stop of the entry binds requests at the neighbour

Callers saw a request that was sent long after the SIGTERM of the instance they were connected to be taken and run, and then their connection reset without an answer; the same for requests that were open when its grace period ended.

A neighbour that serves a handed-over connection asked only its own stop whether work may begin and until when. The entry, whose process has the caller's connection, exits at the end of its grace period whatever passes through it.

The heartbeat of a stopping instance now tells the times of its stop in a block of its own (STOP, 4; older builds skip it, and an entry without it is taken to have the neighbour's grace period). Each link has a stop that learns from it, and all questions (new requests, bodies, the queue, repeated sends, resumed streams, the final response) go to the stops that bind the connection, `Stops`.

--- a/cornelstand/src/gateway/acquire.rs
+++ b/cornelstand/src/gateway/acquire.rs
@@ -31,7 +31,8 @@
     }
     let started = Instant::now();
     let finish = call.finish(writer, started);
-    if !gate.stop.admits(started, finish) {
+    let stops = writer.stops(&gate.stop);
+    if !stops.admit(started, finish) {
         return Acquired::Refused(Refused::stopping(call.sends == 0));
     }
     let now = gate.now();
@@ -74,7 +75,7 @@
             return Acquired::CallerGone;
         }
         () = sleep_until(until) => None,
-        () = gate.stop.refused(finish) => None,
+        () = stops.refused(finish) => None,
     };
     call.queued += started.elapsed();
     gate.metrics
@@ -84,7 +85,7 @@
         return Acquired::Place(place);
     }
     let retry_after = gate.withdraw(ticket.id);
-    if !gate.stop.admits(Instant::now(), finish) {
+    if !stops.admit(Instant::now(), finish) {
         return Acquired::Refused(Refused::stopping(call.sends == 0));
     }
     if let Some(refused) = crash_refused(gate, call) {
--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -21,6 +21,7 @@
 use crate::gateway::relay::{self, Attempt, BufferedResponse, NotRun};
 use crate::gateway::resume::ResumePoint;
 use crate::gateway::rollout_link::RolloutAttempt;
+use crate::gateway::stop::Stops;
 use crate::name::{AccountName, Fingerprint, ServiceName};
 use crate::platform::headers::{CallFields, read_call, write_own_response};
 use crate::sse::Events;
@@ -157,14 +158,15 @@
         }
     };
     let request_id = fields.request_id.clone();
-    match open(gate, head, body, fields, arrived) {
+    let stops = writer.stops(&gate.stop);
+    match open(gate, &stops, head, body, fields, arrived) {
         Ok(mut call) => process(gate, &mut call, writer).await,
         Err(refused) => {
             tracing::info!(
                 event = "refused", request = %String::from_utf8_lossy(&request_id),
                 status = refused.status, reason = refused.reason,
                 version = gate.state.borrow().directory.catalog().version,
-                left_ms = gate.stop.left_ms(),
+                left_ms = stops.left_ms(),
             );
             send_own_response(gate, writer, &request_id, &refused).await;
         }
@@ -200,6 +202,7 @@
 /// Resolves a request's route, account, service and deadline, or refuses it.
 fn open(
     gate: &Gate,
+    stops: &Stops<'_>,
     head: Head,
     body: Bytes,
     fields: CallFields,
@@ -226,7 +229,7 @@
     let route = catalog.route(host, path).cloned();
     let route = route.ok_or(Refused::new(404, "no route", None))?;
     let time = fields.timeout.unwrap_or(route.timeout).min(route.timeout);
-    if !gate.stop.admits(Instant::now(), arrived + time) {
+    if !stops.admit(Instant::now(), arrived + time) {
         return Err(Refused::stopping(true));
     }
     let account = if catalog.keyed && !route.public {
@@ -315,7 +318,8 @@
         }
     }
     let active = gate.activate();
-    let mut over = std::pin::pin!(gate.stop.over());
+    let stops = writer.stops(&gate.stop);
+    let mut over = std::pin::pin!(stops.over());
     let outcome = loop {
         let next = tokio::select! {
             biased;
@@ -333,7 +337,7 @@
         }
     };
     drop(active);
-    record_outcome(gate, call, outcome);
+    record_outcome(gate, call, outcome, stops.left_ms());
 }
 
 /// Waits for a place and runs one attempt.
@@ -400,7 +404,7 @@
     }
 }
 
-fn record_outcome(gate: &Gate, call: &Call, outcome: Outcome) {
+fn record_outcome(gate: &Gate, call: &Call, outcome: Outcome, left_ms: Option<u64>) {
     let total = call.arrived.elapsed();
     let first = call.first_byte.map(|f| f - call.arrived);
     let metrics = &gate.metrics;
@@ -415,7 +419,7 @@
         reason = outcome.reason, route = %call.route.name, account = %call.account_name(),
         service = %call.service, version = call.version, sends = call.sends,
         queued_ms = millis(call.queued), first_ms = first.map(millis), whole_ms = millis(total),
-        fingerprint = %call.fingerprint, left_ms = gate.stop.left_ms(),
+        fingerprint = %call.fingerprint, left_ms,
     );
 }
 
@@ -427,7 +431,7 @@
 ) -> Next {
     let before = call.sends;
     let begun = Instant::now();
-    log_place(gate, call, &place);
+    log_place(gate, call, &place, writer.stops(&gate.stop).left_ms());
     // The endpoint may be unlisted by the time the attempt ends.
     let Some(endpoint) = gate.record(&place) else {
         gate.end(&place, PlaceEnd::Unreachable);
@@ -560,8 +564,9 @@
 /// Takes one retry from this instance's share of the retry budget, unless a stop leaves no time.
 fn take_retry(gate: &Gate, call: &Call, writer: &ResponseWriter) -> bool {
     let start = Instant::now();
-    if !gate.stop.admits(start, call.finish(writer, start)) {
-        let (reason, left_ms) = (STOPPING_REASON, gate.stop.left_ms());
+    let stops = writer.stops(&gate.stop);
+    if !stops.admit(start, call.finish(writer, start)) {
+        let (reason, left_ms) = (STOPPING_REASON, stops.left_ms());
         tracing::info!(event = "repeat_denied", request = %call.id(), service = %call.service, reason, left_ms);
         return false;
     }
@@ -580,7 +585,7 @@
     is_allowed
 }
 
-fn log_place(gate: &Gate, call: &Call, place: &Place) {
+fn log_place(gate: &Gate, call: &Call, place: &Place, left_ms: Option<u64>) {
     let state = gate.state.borrow();
     let Some(endpoint) = state.endpoints.get(place.index) else {
         return;
@@ -593,7 +598,7 @@
         least = state.admission.min_attained(&call.service),
         waiting = state.admission.len(), version = call.version,
         fingerprint = %call.fingerprint, crashes = state.suspects.crashes(call.fingerprint),
-        parts = %call.parts_text(), left_ms = gate.stop.left_ms(),
+        parts = %call.parts_text(), left_ms,
     );
 }
 
@@ -616,7 +621,7 @@
     request_id: &Bytes,
     refused: &Refused,
 ) {
-    if gate.stop.has_begun() {
+    if writer.stops(&gate.stop).have_begun() {
         writer.keep_alive = false;
     }
     let mut out = BytesMut::new();
--- a/cornelstand/src/gateway/connection.rs
+++ b/cornelstand/src/gateway/connection.rs
@@ -125,6 +125,7 @@
 pub(crate) async fn serve(gate: &Rc<Gate>, stream: TcpStream, origin: &Origin) {
     set_socket_options(&stream);
     let mut writer = ResponseWriter::new(stream, origin.on_death());
+    writer.entry_stop = origin.stop();
     let mut visit = Visit::begin();
     let close = Rc::new(Notify::new());
     while writer.next_request() {
@@ -155,8 +156,8 @@
         drop(waiting);
         let refusal = match read {
             Ok((head, body)) => {
-                writer.keep_alive =
-                    head.keeps_alive() && !gate.stop.has_begun() && !is_crowded(gate);
+                let stops = writer.stops(&gate.stop);
+                writer.keep_alive = head.keeps_alive() && !stops.have_begun() && !is_crowded(gate);
                 writer.keep_alive &= !origin.has_left(gate);
                 call::serve(gate, head, body, &mut writer, arrived).await;
                 continue;
@@ -209,7 +210,7 @@
 ) {
     tracing::info!(
         event = "refused", request = %String::from_utf8_lossy(id), status = refused.status,
-        reason = refused.reason, left_ms = gate.stop.left_ms(),
+        reason = refused.reason, left_ms = writer.stops(&gate.stop).left_ms(),
     );
     writer.keep_alive = false;
     call::send_own_response(gate, writer, id, refused).await;
@@ -294,6 +295,7 @@
     }
     let mut body = BytesMut::with_capacity(length.unwrap_or_default());
     let mut times = None;
+    let stops = writer.stops(&gate.stop);
     loop {
         reader.read(&mut writer.input, &mut body)?;
         if body.len() > limits.body_bytes {
@@ -324,7 +326,7 @@
         tokio::select! {
             biased;
             read = read_more(writer, until.min(*body_deadline)) => read?,
-            () = gate.stop.refused(*body_deadline) => {
+            () = stops.refused(*body_deadline) => {
                 return Err(ReadFailure::Stopping(identity(&head), reader));
             }
         }
--- a/cornelstand/src/gateway/exchange.rs
+++ b/cornelstand/src/gateway/exchange.rs
@@ -20,6 +20,7 @@
         let mut extensions = Vec::new();
         extensions.extend(self.rollout_heartbeat_block());
         extensions.extend(handover::report_block(self));
+        extensions.extend(handover::stop_block(self));
         extensions.extend(self.pace_block());
         extensions
     }
@@ -46,6 +47,7 @@
         }
         tracing::trace!(event = "extensions", ?sender, count = extensions.len());
         handover::receive_report(self, sender, extensions);
+        handover::receive_stop(self, sender, extensions);
         self.receive_rollouts(sender, extensions);
         self.receive_paces(sender, extensions);
     }
--- a/cornelstand/src/gateway/extensions.rs
+++ b/cornelstand/src/gateway/extensions.rs
@@ -17,6 +17,8 @@
     pub(crate) const ROLLOUTS: Self = Self(2);
     /// Speed of endpoints, from their answers.
     pub(crate) const ENDPOINT_SPEED: Self = Self(3);
+    /// Times of a stop that has begun.
+    pub(crate) const STOP: Self = Self(4);
 }
 
 /// One block.
--- a/cornelstand/src/gateway/handover/link.rs
+++ b/cornelstand/src/gateway/handover/link.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::{Shutdown, SocketAddr};
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -19,6 +20,7 @@
 use crate::gateway::handover::balance::Decline;
 use crate::gateway::message::Head;
 use crate::gateway::outlet::{ResponseWriter, write_all};
+use crate::gateway::stop::Stop;
 use crate::gateway::upstream::{close_in_order, read_into, reset_on_close, set_socket_options};
 use crate::moment::Moment;
 use crate::name::InstanceName;
@@ -147,6 +149,8 @@
     pub(crate) connections: Cell<usize>,
     /// Wakes the connections when the other instance stops or was not heard for long.
     pub(crate) left: Notify,
+    /// Stop of the other instance, as far as it is known here.
+    pub(crate) stop: Rc<Stop>,
     /// Chunks read from the other instance.
     chunks: Cell<u64>,
     /// When `chunks` was seen to change, and its value then.
--- a/cornelstand/src/gateway/handover/mod.rs
+++ b/cornelstand/src/gateway/handover/mod.rs
@@ -20,7 +20,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::{Handle, RuntimeMetrics};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::gateway::call::{self, Refused};
 use crate::gateway::connection::{self, accept_next, max_connections};
@@ -38,6 +38,7 @@
 use crate::gateway::outlet::{OnDeath, ResponseWriter};
 use crate::gateway::pauses::boot_time;
 use crate::gateway::settings::peer_address;
+use crate::gateway::stop::{Stop, StopReport};
 use crate::moment::Moment;
 use crate::name::InstanceName;
 
@@ -94,6 +95,14 @@
         }
     }
 
+    /// Stop of the instance that has the caller's connection, if it is not this one.
+    pub(crate) fn stop(&self) -> Option<Rc<Stop>> {
+        match self {
+            Self::Caller => None,
+            Self::Neighbour { link, .. } => Some(link.stop.clone()),
+        }
+    }
+
     /// Whether the connection should close after its response: the neighbour has many, stops or was
     /// not heard for long, or its configuration differs.
     pub(crate) fn has_left(&self, gate: &Gate) -> bool {
@@ -119,7 +128,9 @@
         loop {
             let left = link.left.notified();
             if has_stopped(gate, name) {
-                return sleep(IDLE_TIME).await;
+                let until = Instant::now() + IDLE_TIME;
+                let end = link.stop.end().unwrap_or(until);
+                return sleep_until(until.min(end)).await;
             }
             left.await;
         }
@@ -470,6 +481,44 @@
     }
 }
 
+/// Block of a heartbeat that tells neighbours the times of this instance's stop.
+pub(crate) fn stop_block(gate: &Gate) -> Option<Extension> {
+    let report = gate.stop.report()?;
+    let is_large = gate.state.borrow().peers.is_large();
+    is_large.then(|| Extension::new(ExtensionKind::STOP, &report))?
+}
+
+/// Records the stop of an instance that has handed connections over. Builds that do not tell its
+/// times are taken to have the grace period of this one.
+pub(crate) fn receive_stop(gate: &Gate, sender: &Sender, blocks: &[Extension]) {
+    let Sender::Instance(name, _) = sender else {
+        return;
+    };
+    let Some(link) = gate.handover.taken.borrow().get(name).cloned() else {
+        return;
+    };
+    let is_stopping = {
+        let peers = &gate.state.borrow().peers;
+        let last = peers.last_heartbeat(gate.now(), name);
+        last.is_some_and(|(heartbeat, _)| heartbeat.stopping)
+    };
+    let has_begun = link.stop.has_begun();
+    if !is_stopping {
+        if has_begun {
+            // Another process has started under the same name.
+            gate.handover.taken.borrow_mut().remove(name);
+        }
+    } else if let Some(report) = extensions::find::<StopReport>(blocks, ExtensionKind::STOP) {
+        link.stop.learn(report);
+    } else if !has_begun {
+        link.stop.begin(gate.settings.borrow().grace);
+    }
+    if is_stopping && !has_begun {
+        let (left_ms, connections) = (link.stop.left_ms(), link.connections.get());
+        tracing::info!(event = "entry_stops", entry = %name, left_ms, connections);
+    }
+}
+
 /// Measures the processor's use and ends connections with instances that stop or are lost, until
 /// the process ends.
 pub(crate) async fn watch(gate: Rc<Gate>) {
--- a/cornelstand/src/gateway/outlet.rs
+++ b/cornelstand/src/gateway/outlet.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::mem::MaybeUninit;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{BufMut, BytesMut};
@@ -12,6 +13,7 @@
 
 use crate::gateway::held_bytes::SMALL_BYTES;
 use crate::gateway::message::Head;
+use crate::gateway::stop::{Stop, Stops};
 use crate::gateway::upstream::{close_in_order, reset_on_close};
 use crate::platform::headers::{CallerFraming, write_response_head};
 
@@ -102,6 +104,8 @@
     pub(crate) lacks_chunking: bool,
     /// Whether the caller asked for the head of a response only.
     pub(crate) is_head_only: bool,
+    /// Stop of the instance that handed the connection over.
+    pub(crate) entry_stop: Option<Rc<Stop>>,
     pace: Pace,
     on_death: OnDeath,
     progress: Progress,
@@ -130,6 +134,7 @@
             keep_alive: true,
             lacks_chunking: false,
             is_head_only: false,
+            entry_stop: None,
             pace: Pace::Fair,
             on_death,
             progress: Progress::Complete,
@@ -137,6 +142,11 @@
         }
     }
 
+    /// The stops that bind this connection, of which `own` is that of this instance.
+    pub(crate) fn stops<'a>(&self, own: &'a Stop) -> Stops<'a> {
+        Stops::new(own, self.entry_stop.clone())
+    }
+
     /// Prepares for the next request. Returns whether the connection can carry one; an incomplete
     /// response is visibly cut instead.
     pub(crate) fn next_request(&mut self) -> bool {
--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -239,7 +239,8 @@
     progressed: Instant,
 ) -> Instant {
     let until = progressed + call.route.silence().mul_f64(RESUME_SHARE);
-    let is_kept = !gate.stop.admits(until, call.finish(writer, until));
+    let stops = writer.stops(&gate.stop);
+    let is_kept = !stops.admit(until, call.finish(writer, until));
     if call.may_resume() && !is_kept {
         call.deadline.min(until)
     } else {
--- a/cornelstand/src/gateway/tests.rs
+++ b/cornelstand/src/gateway/tests.rs
@@ -20,6 +20,7 @@
 mod rollout_fleet;
 mod rollout_link;
 mod rollout_orders;
+mod stop;
 mod uneven_speed;
 
 use std::net::SocketAddr;
--- a/cornelstand/src/platform/tests/handover.rs
+++ b/cornelstand/src/platform/tests/handover.rs
@@ -4,6 +4,7 @@
 use std::cell::Cell;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rstest::rstest;
@@ -14,13 +15,15 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::gateway::directory::EndpointRecord;
+use crate::gateway::extensions;
 use crate::gateway::gate::Gate;
 use crate::gateway::handover::balance::Decline;
 use crate::gateway::handover::link::{answer_offer, read_offer};
-use crate::gateway::handover::{accept, check_links};
-use crate::gateway::peers::Peers;
+use crate::gateway::handover::{accept, check_links, report_block};
+use crate::gateway::peers::{Message, Peers};
 use crate::gateway::peers_link::{handle_datagram, heartbeat_packet};
 use crate::gateway::settings::peer_address;
+use crate::gateway::stop::drain;
 use crate::gateway::tests::{MODELS, ORDERS, catalog, gate, record};
 use crate::platform::tests::path::{connect, listen, request, run_local, status};
 use crate::platform::tests::scripted::{
@@ -550,6 +553,113 @@
     .await;
 }
 
+/// A kept connection that was handed over, some time after a stop of its entry began.
+struct Stopped {
+    pair: Pair,
+    endpoint: Endpoint,
+    caller: TcpStream,
+    begun: Instant,
+}
+
+impl Stopped {
+    /// The endpoint answers a first request, and then runs `scripts`.
+    async fn start(mut scripts: Vec<Vec<Step>>, after_ms: u64) -> Self {
+        pace();
+        let first = vec![Step::Read, Step::Write(answer("a1", "", "first"))];
+        scripts.insert(0, first);
+        let (pair, endpoint) = Pair::start(ORDERS, scripts).await;
+        for gate in [&pair.entry, &pair.neighbour] {
+            let mut catalog = catalog(2);
+            for route in &mut catalog.routes {
+                Arc::make_mut(route).timeout = Duration::from_secs(30);
+            }
+            gate.state.borrow_mut().directory.set_catalog(catalog);
+        }
+        sleep(STEP * 10).await;
+        let mut caller = send(pair.address, &request("/book/1", "a1")).await;
+        read_until(&mut caller, "\r\n\r\nfirst").await;
+        pair.entry.stop.begin(Duration::from_secs(8));
+        let entry = pair.entry.clone();
+        spawn_local(async move { drain(&entry).await });
+        let begun = Instant::now();
+        sleep(Duration::from_millis(after_ms)).await;
+        Self {
+            pair,
+            endpoint,
+            caller,
+            begun,
+        }
+    }
+
+    /// Sends a request with a time limit, without its last `left` bytes, and reads to the end.
+    async fn ask(&mut self, limit_ms: u64, left: usize) -> String {
+        let request = request("/book/2", "a2").replacen("5000", &limit_ms.to_string(), 1);
+        let sent = &request.as_bytes()[..request.len() - left];
+        self.caller.write_all(sent).await.expect("sent");
+        let (text, is_orderly) = read_end(&mut self.caller).await;
+        assert!(is_orderly, "{text}");
+        text
+    }
+}
+
+/// Requests on a handed-over connection get what those of the entry's own callers get: what may
+/// outlast the entry is not begun, and what is open gets a response before the entry has ended.
+#[rstest]
+#[case::late_and_long(3_500, 20_000, 0, "503", 1)]
+#[case::late_and_short(3_500, 400, 0, "200", 2)]
+#[case::body_too_slow(1_000, 20_000, 2, "503", 1)]
+#[case::open_at_the_end(100, 20_000, 0, "502", 2)]
+#[tokio::test(start_paused = true)]
+async fn the_stop_of_the_entry_binds_requests_at_the_neighbour(
+    #[case] after_ms: u64,
+    #[case] limit_ms: u64,
+    #[case] left: usize,
+    #[case] expected: &str,
+    #[case] sent: usize,
+) {
+    run_local(async {
+        let pause = if limit_ms > 1_000 { 9_000 } else { 200 };
+        let script = vec![
+            Step::Read,
+            Step::Pause(pause),
+            Step::Write(answer("a2", "", "second")),
+        ];
+        let mut stopped = Stopped::start(vec![script], after_ms).await;
+        let text = stopped.ask(limit_ms, left).await;
+        assert_eq!(status(&text), expected, "{text}");
+        assert_eq!(stopped.endpoint.count(), sent);
+        let elapsed = stopped.begun.elapsed().as_millis();
+        assert!(elapsed < 7_500, "{elapsed}");
+        until(|| stopped.pair.entry.active.get() == 0).await;
+    })
+    .await;
+}
+
+/// An entry of an older build, whose heartbeats say that it stops, but not until when.
+#[tokio::test(start_paused = true)]
+async fn a_stop_without_times_binds_requests_at_the_neighbour() {
+    run_local(async {
+        let mut stopped = Stopped::start(Vec::new(), 0).await;
+        stopped.pair.is_silent.set(true);
+        let (one, two) = (stopped.pair.entry.clone(), stopped.pair.neighbour.clone());
+        spawn_local(async move {
+            loop {
+                let blocks: Vec<_> = report_block(&one).into_iter().collect();
+                let heartbeat = Message::Heartbeat(one.heartbeat());
+                let bytes = extensions::write(&heartbeat, &blocks).expect("a heartbeat");
+                let address = peer_address(&one.settings.borrow());
+                handle_datagram(&two, address, &bytes);
+                send_heartbeat(&two, &one);
+                sleep(STEP).await;
+            }
+        });
+        sleep(Duration::from_millis(3_500)).await;
+        let text = stopped.ask(20_000, 0).await;
+        assert_eq!((status(&text), stopped.endpoint.count()), ("503", 1));
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn nothing_is_offered_to_a_stopping_neighbour() {
     run_local(async {
--- a/cornelstand/tests/gateway/handover.rs
+++ b/cornelstand/tests/gateway/handover.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use rustix::process::Signal;
+use stand_ins::EndpointFaults;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
@@ -160,6 +161,32 @@
     assert_eq!(repeated(&world), Vec::<String>::new());
 }
 
+/// Calls that outlast the entry, most of them on connections that neighbours serve.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_leaves_no_long_call_at_a_neighbour_without_an_answer() {
+    let (mut world, tally, callers) = hot_fleet().await;
+    for endpoint in world.endpoints.values() {
+        endpoint.set_faults(EndpointFaults {
+            delay: Duration::from_secs(20),
+            ..EndpointFaults::default()
+        });
+    }
+    sleep(Duration::from_millis(200)).await;
+    assert!(metric(&world, 0, "cornelstand_handed_over").await > 0);
+    assert_eq!(tally.broken.load(Ordering::Relaxed), 0);
+    world.instances[0].signal(Signal::TERM);
+    finish(&tally, callers).await;
+    assert_eq!(tally.broken.load(Ordering::Relaxed), 0);
+    let ended = Instant::now() + Duration::from_secs(10);
+    while !world.instances[0].has_ended() {
+        assert!(Instant::now() < ended, "it ends within its grace time");
+        sleep(Duration::from_millis(20)).await;
+    }
+    let log = world.instances[0].log();
+    let is_stopped = |l: &str| l.contains("\"stopped\"") && l.contains("\"cut\":0");
+    assert!(log.lines().any(is_stopped));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn neighbours_that_die_mix_and_repeat_nothing() {
     let (mut world, tally, callers) = hot_fleet().await;
