Hand-over: a copied response is not broken by one of the entry's own

A caller that sent its next request before a response had ended, and whose neighbour then died, got a 502 into the middle of that response: in the place of its missing bytes, where it looks like a part of the body.

The entry judged by whose bytes came last, and by a guess whether chunks are open. It took the caller's bytes for an unanswered request also behind a body with a length, behind one that ends with the connection, behind a head in two reads, and where a chunk's data ends like the last chunk. It missed the end of chunks in two reads, and closed the channel on a request after it.

It follows the framing of responses now, with the reader that the gateway uses for endpoints. What it cannot read is never taken for the end of a response.

Failed before: `a_response_with_a_request_behind_it_is_cut_when_the_neighbour_dies`, cases of_a_length, until_close, half_a_head and after_a_chunk_like_the_last ("HTTP/1.1 502 Bad Gateway" within the response), and `a_request_after_a_response_is_answered_when_the_neighbour_dies`, case in_chunks (no 502). The first replaces `a_stream_with_a_request_behind_it_is_cut_when_the_neighbour_dies`, which is its case in_chunks.

--- a/cornelstand/src/gateway/handover/link.rs
+++ b/cornelstand/src/gateway/handover/link.rs
@@ -18,7 +18,7 @@
 
 use crate::gateway::directory::ViewVersions;
 use crate::gateway::handover::balance::Decline;
-use crate::gateway::message::Head;
+use crate::gateway::message::{BodyReader, Head, MessageError};
 use crate::gateway::outlet::{ResponseWriter, write_all};
 use crate::gateway::stop::Stop;
 use crate::gateway::upstream::{close_in_order, read_into, reset_on_close, set_socket_options};
@@ -35,8 +35,6 @@
 const CHUNK_BYTES: usize = 16 * 1024;
 /// Time-out for a write to a side that does not read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
-/// End of a response in chunks without trailers.
-const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 /// Longest time to read and discard a caller's input after its connection was closed: closing with
 /// unread bytes would reset it, and the end of the response may be lost.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
@@ -217,55 +215,85 @@
     }
 }
 
-/// Whose bytes came last on a connection, which is almost all that a copying instance knows of
-/// requests.
+/// Whose turn it is on a connection, which is all that a copying instance knows of requests.
 #[derive(Debug, Default)]
 struct Turn {
-    /// Whether the caller has sent bytes since the neighbour last did.
+    /// Whether the caller has sent bytes since the last response ended.
     is_callers: Cell<bool>,
     /// Whether these began like a request for a head only.
     is_head_only: Cell<bool>,
-    chunks: Cell<Chunks>,
+    response: RefCell<Response>,
 }
 
-/// Chunks of the neighbour's response.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-enum Chunks {
-    /// It has none.
-    #[default]
-    None,
-    /// The last one is still to come. What the caller sends meanwhile is pipelined.
-    Open,
-    Ended,
+/// How far the neighbour's response has got.
+#[derive(Debug, Default)]
+struct Response {
+    /// Bytes of a head that is not complete.
+    pending: BytesMut,
+    /// Rest of the body.
+    body: Option<BodyReader>,
+    /// Whether its end can no longer be told.
+    is_unclear: bool,
 }
 
 impl Turn {
+    /// What the caller sends during a response is pipelined.
     fn note_caller(&self, bytes: &[u8]) {
-        let is_pipelined = self.chunks.get() == Chunks::Open;
-        if !bytes.is_empty() && !is_pipelined && !self.is_callers.replace(true) {
+        let is_between = self.response.borrow().is_whole();
+        if !bytes.is_empty() && is_between && !self.is_callers.replace(true) {
             self.is_head_only.set(bytes.starts_with(b"HEAD "));
         }
     }
 
     fn note_neighbour(&self, bytes: &[u8]) {
-        let is_chunked = if self.is_callers.replace(false) {
-            is_chunked(bytes)
-        } else {
-            self.chunks.get() != Chunks::None
-        };
-        self.chunks.set(match is_chunked {
-            false => Chunks::None,
-            true if bytes.ends_with(LAST_CHUNK) => Chunks::Ended,
-            true => Chunks::Open,
-        });
+        self.is_callers.set(false);
+        let mut response = self.response.borrow_mut();
+        if response.note(bytes, self.is_head_only.get()).is_err() {
+            *response = Response {
+                is_unclear: true,
+                ..Response::default()
+            };
+        }
     }
 }
 
-/// Whether bytes begin with the head of a response in chunks.
-fn is_chunked(bytes: &[u8]) -> bool {
-    let mut input = BytesMut::from(bytes);
-    let head = Head::parse_response(&mut input, bytes.len());
-    head.is_ok_and(|h| h.is_some_and(|h| h.has_token("transfer-encoding", "chunked")))
+impl Response {
+    fn is_whole(&self) -> bool {
+        self.body.is_none() && self.pending.is_empty() && !self.is_unclear
+    }
+
+    fn note(&mut self, bytes: &[u8], is_head_only: bool) -> Result<(), MessageError> {
+        if self.is_unclear {
+            return Ok(());
+        }
+        let mut input = std::mem::take(&mut self.pending);
+        input.extend_from_slice(bytes);
+        let mut discarded = BytesMut::new();
+        while !input.is_empty() {
+            if let Some(body) = &mut self.body {
+                body.read(&mut input, &mut discarded)?;
+                discarded.clear();
+                if !body.is_done() {
+                    break;
+                }
+                self.body = None;
+            } else {
+                let Some(head) = Head::parse_response(&mut input, CHUNK_BYTES)? else {
+                    break;
+                };
+                // An interim response precedes the final one.
+                if head.status() >= 200 {
+                    let method = if is_head_only { "HEAD" } else { "" };
+                    let body = head.answer_body(method)?;
+                    self.body = (!body.is_done()).then_some(body);
+                }
+            }
+        }
+        if !input.is_empty() {
+            self.pending = input;
+        }
+        Ok(())
+    }
 }
 
 /// Copies bytes between the caller of `writer` and a neighbour until either side ends, and ends the
--- a/cornelstand/src/platform/tests/handover.rs
+++ b/cornelstand/src/platform/tests/handover.rs
@@ -401,15 +401,28 @@
     .await;
 }
 
-/// A request that the caller pipelines behind a running stream gets no response into the middle of it.
+/// A request that the caller pipelines behind a running response gets none into the middle of it.
+#[rstest]
+#[case::in_chunks(vec![stream_head("a1") + &chunk(&event(1))], "piece 1")]
+#[case::of_a_length(vec![HALF.into()], "half")]
+#[case::until_close(vec!["HTTP/1.1 200 OK\r\n\r\nhalf".into()], "half")]
+#[case::half_a_head(vec!["HTTP/1.1 200 OK\r\nContent-".into(), "Length: 9\r\n\r\nhalf".into()], "half")]
+#[case::after_a_chunk_like_the_last(vec![stream_head("a1") + "a\r\nhalf 0\r\n\r\n"], "half")]
 #[tokio::test]
-async fn a_stream_with_a_request_behind_it_is_cut_when_the_neighbour_dies() {
+async fn a_response_with_a_request_behind_it_is_cut_when_the_neighbour_dies(
+    #[case] parts: Vec<String>,
+    #[case] end: &str,
+) {
     run_local(async {
-        let begun = stream_head("a1") + &chunk(&event(1));
-        let script = vec![Step::Read, Step::Write(begun), Step::Read, Step::Reset];
+        let mut script = vec![Step::Read];
+        for part in parts {
+            script.extend([Step::Write(part), Step::Pause(50)]);
+        }
+        script.extend([Step::Read, Step::Reset]);
         let (pair, _endpoint, _) = Pair::scripted(Some(Ok(())), script).await;
         let mut caller = send(pair.address, &request("/digest/1", "a1")).await;
-        read_until(&mut caller, "piece 1").await;
+        read_until(&mut caller, end).await;
+        sleep(STEP * 10).await;
         let next = request("/digest/1", "a2");
         caller.write_all(next.as_bytes()).await.expect("sent");
         let (text, is_orderly) = read_end(&mut caller).await;
@@ -418,6 +431,32 @@
     .await;
 }
 
+/// Between responses the framing is told apart from what follows.
+#[rstest]
+#[case::of_a_length(vec![answer("a1", "", "done")])]
+#[case::in_chunks(vec![stream_head("a1") + &chunk(&event(1)), "0\r\n".into(), "\r\n".into()])]
+#[case::interim(vec!["HTTP/1.1 100 Continue\r\n\r\n".into(), answer("a1", "", "done")])]
+#[tokio::test]
+async fn a_request_after_a_response_is_answered_when_the_neighbour_dies(
+    #[case] parts: Vec<String>,
+) {
+    run_local(async {
+        let mut script = vec![Step::Read];
+        for part in parts {
+            script.extend([Step::Write(part), Step::Pause(50)]);
+        }
+        script.extend([Step::Read, Step::Reset]);
+        let (pair, _endpoint, _) = Pair::scripted(Some(Ok(())), script).await;
+        let mut caller = send(pair.address, &request("/digest/1", "a1")).await;
+        sleep(STEP * 50).await;
+        let next = request("/digest/1", "a2");
+        caller.write_all(next.as_bytes()).await.expect("sent");
+        let (text, is_orderly) = read_end(&mut caller).await;
+        assert!(text.contains("HTTP/1.1 502") && is_orderly, "{text}");
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_response_to_the_head_only_has_no_body_when_the_neighbour_dies() {
     run_local(async {
