Hand-over: a stopping entry answers what its neighbour did not

Callers whose request was open at a neighbour that was frozen, or had not heard of the stop, saw their connection reset when the entry's grace period was over, while the entry's own callers get a final answer then.

The entry copied on until its process ended. It knows whether the caller's bytes came last, so at the end of the stop it answers those with 502 (the request may have run), also what comes in the last moments. Responses that have begun get the rest of the time, and are cut visibly.

Failed before: `a_request_that_the_neighbour_does_not_answer_gets_an_answer_at_the_end_of_the_stop`, both cases: "the connection ends: Elapsed(())" (no answer at all while the entry copies).

--- a/cornelstand/src/gateway/handover/link.rs
+++ b/cornelstand/src/gateway/handover/link.rs
@@ -14,7 +14,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::coop::consume_budget;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::gateway::directory::ViewVersions;
 use crate::gateway::handover::balance::Decline;
@@ -38,6 +38,8 @@
 /// Longest time to read and discard a caller's input after its connection was closed: closing with
 /// unread bytes would reset it, and the end of the response may be lost.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
+/// Period at which a stop that is over looks for further bytes of callers.
+const LAST_BYTES_PERIOD: Duration = Duration::from_millis(50);
 
 /// First message on a connection between instances.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -202,6 +204,9 @@
     /// The neighbour has ended without an orderly close before a response to the last bytes began.
     #[display("unanswered")]
     Unanswered,
+    /// This instance stops, and no response to the last bytes has begun.
+    #[display("stopped")]
+    Stopped,
 }
 
 /// Buffer that all handed-over connections share. A connection keeps bytes of its own only while
@@ -297,13 +302,14 @@
 }
 
 /// Copies bytes between the caller of `writer` and a neighbour until either side ends, and ends the
-/// neighbour's side likewise. If no response to the last bytes has begun by the end, a failure can
-/// be sent to the caller.
+/// neighbour's side likewise. If no response to the last bytes has begun by then, or by the end of a
+/// stop, which `over` tells, a failure can be sent to the caller.
 pub(crate) async fn carry(
     buffer: &SharedBuffer,
     writer: &mut ResponseWriter,
     neighbour: &TcpStream,
     link: &Link,
+    over: impl Future<Output = ()>,
 ) -> End {
     let lost = link.left.notified();
     let caller = &writer.stream;
@@ -337,11 +343,18 @@
             Err(Side::To) => End::CallerGone,
         }
     };
+    let stopped = async {
+        over.await;
+        while !turn.is_callers.get() {
+            sleep(LAST_BYTES_PERIOD).await;
+        }
+    };
     let end = tokio::select! {
         biased;
         end = down => end,
         end = up => end,
         () = lost => End::NeighbourLost,
+        () = stopped => End::Stopped,
     };
     if end != End::Closed {
         reset_on_close(neighbour);
--- a/cornelstand/src/gateway/handover/mod.rs
+++ b/cornelstand/src/gateway/handover/mod.rs
@@ -335,7 +335,8 @@
     let connection = link.connect();
     let started = Instant::now();
     let caller = writer.stream.peer_addr().ok();
-    let end = carry(&gate.handover.buffer, &mut writer, &neighbour, &link).await;
+    let (buffer, over) = (&gate.handover.buffer, gate.stop.over());
+    let end = carry(buffer, &mut writer, &neighbour, &link, over).await;
     drop((connection, neighbour));
     {
         let mut balance = gate.handover.balance.borrow_mut();
@@ -346,15 +347,19 @@
         End::Closed | End::CallerGone => {
             tracing::debug!(event = "handover_ended", ?caller, neighbour = %name, %end, lasted_ms);
         }
-        End::NeighbourReset | End::NeighbourLost | End::Unanswered => {
+        End::NeighbourReset | End::NeighbourLost | End::Unanswered | End::Stopped => {
             tracing::info!(event = "handover_ended", ?caller, neighbour = %name, %end, lasted_ms);
         }
     }
-    if end == End::Unanswered {
-        let failed = Refused::new(502, LOST_REASON, None);
+    let failed = match end {
+        End::Unanswered => Some(Refused::new(502, LOST_REASON, None)),
+        End::Stopped => Some(Refused::stopping(false)),
+        End::Closed | End::CallerGone | End::NeighbourReset | End::NeighbourLost => None,
+    };
+    if let Some(failed) = failed {
         call::send_own_response(&gate, &mut writer, &Bytes::new(), &failed).await;
     }
-    if matches!(end, End::Closed | End::Unanswered) {
+    if end == End::Closed || failed.is_some() {
         close(&writer.stream).await;
     }
 }
--- a/cornelstand/src/platform/tests/handover.rs
+++ b/cornelstand/src/platform/tests/handover.rs
@@ -674,6 +674,39 @@
     .await;
 }
 
+/// The neighbour answers nothing, or nothing more, until the entry has ended.
+#[rstest]
+#[case::open_at_the_end(vec![Step::Read, Step::AwaitClose], 100, 7_400..7_800)]
+#[case::sent_at_the_end(vec![Step::Read, Step::AwaitClose], 7_600, 7_600..7_800)]
+#[tokio::test(start_paused = true)]
+async fn a_request_that_the_neighbour_does_not_answer_gets_an_answer_at_the_end_of_the_stop(
+    #[case] silent: Vec<Step>,
+    #[case] after_ms: u64,
+    #[case] expected: std::ops::Range<u128>,
+) {
+    run_local(async {
+        pace();
+        let mut script = vec![Step::Read, Step::Write(answer("a1", "", "first"))];
+        script.extend(silent);
+        let (pair, endpoint, _) = Pair::scripted(Some(Ok(())), script).await;
+        let mut caller = send(pair.address, &request("/book/1", "a1")).await;
+        read_until(&mut caller, "\r\n\r\nfirst").await;
+        pair.entry.stop.begin(Duration::from_secs(8));
+        let begun = Instant::now();
+        let entry = pair.entry.clone();
+        spawn_local(async move { drain(&entry).await });
+        sleep(Duration::from_millis(after_ms)).await;
+        let request = request("/book/2", "a2");
+        caller.write_all(request.as_bytes()).await.expect("sent");
+        let (text, is_orderly) = read_end(&mut caller).await;
+        let elapsed = begun.elapsed().as_millis();
+        assert!(expected.contains(&elapsed), "{elapsed}");
+        assert!(status(&text) == "502" && is_orderly, "{text}");
+        assert_eq!(endpoint.count(), 0);
+    })
+    .await;
+}
+
 /// An entry of an older build, whose heartbeats say that it stops, but not until when.
 #[tokio::test(start_paused = true)]
 async fn a_stop_without_times_binds_requests_at_the_neighbour() {
