Gateway: a stop waits until a refused body was sent

What callers saw: the connection was reset while they sent a large body to an instance that stopped, and with it went the refusal, which says that the request has not run.

Cause: a request counts as active while its body is read and while it is served, but did not while its refusal was delivered and the rest of its body discarded. Without other requests the process exited then. Class: work that a shutdown has to wait for is counted in some of its phases only.

Evidence: a_stop_waits_until_a_refused_body_was_sent failed before: "sent: Os { code: 32, kind: BrokenPipe }".

Change: refusals of bodies and of unreadable requests count as active until the input was discarded.

Measured: the tests of stops pass.

--- a/cornelstand/src/gateway/connection.rs
+++ b/cornelstand/src/gateway/connection.rs
@@ -189,6 +189,7 @@
         writer.keep_alive = false;
         let retry_after = (status == 503).then_some(BODY_ROOM_RETRY_AFTER);
         let refused = Refused::new(status, reason, retry_after);
+        let _active = gate.activate();
         call::send_own_response(gate, &mut writer, &Bytes::new(), &refused).await;
         drain(&mut writer).await;
     }
@@ -211,6 +212,8 @@
         event = "refused", request = %String::from_utf8_lossy(id), status = refused.status,
         reason = refused.reason, left_ms = gate.stop.left_ms(),
     );
+    // The end of the process would reset a connection with unread bytes.
+    let _active = gate.activate();
     writer.keep_alive = false;
     call::send_own_response(gate, writer, id, refused).await;
     let until = Instant::now() + DISCARD_TIMEOUT;
--- a/cornelstand/src/platform/tests/stop.rs
+++ b/cornelstand/src/platform/tests/stop.rs
@@ -398,3 +398,26 @@
     })
     .await;
 }
+
+/// Guards against a reset that meets the caller while it sends, before it has read its refusal.
+#[tokio::test(start_paused = true)]
+async fn a_stop_waits_until_a_refused_body_was_sent() {
+    run_local(async {
+        let (stopping, endpoint) = orders(vec![silent()]).await;
+        stopping.reach(2_500).await;
+        let body = "Content-Length: 12\r\n\r\n";
+        let request = timed("/book/1", LONG_MS).replacen("Content-Length: 4\r\n\r\nbody", body, 1);
+        let mut caller = connect(stopping.address).await;
+        caller.write_all(request.as_bytes()).await.expect("sent");
+        for _ in 0..12 {
+            sleep(Duration::from_millis(100)).await;
+            caller.write_all(b"x").await.expect("sent");
+        }
+        let mut text = Vec::new();
+        let end = timeout(TEST_TIMEOUT, caller.read_to_end(&mut text)).await;
+        end.expect("the connection ends").expect("no reset");
+        let text = String::from_utf8_lossy(&text);
+        assert_eq!((status(&text), endpoint.count()), ("503", 0), "{text}");
+    })
+    .await;
+}
