Hand-over: a request that an orderly close leaves open is answered

A caller whose request reached the neighbour, or was on its way there, as that closed the connection in order saw its own connection closed without an answer, after it had been read and passed on.

The entry passed each orderly close on. Only a reset was checked for bytes of the caller that had got no response. It answers with 502 in both cases now, unless the last response has told the caller that the connection closes. Blank lines behind a request are not taken for one.

Failed before: `a_request_that_an_orderly_close_leaves_open_gets_an_answer`, case kept: no status instead of "502".

--- a/cornelstand/src/gateway/handover/link.rs
+++ b/cornelstand/src/gateway/handover/link.rs
@@ -201,7 +201,7 @@
     /// The neighbour was not heard for long.
     #[display("neighbour lost")]
     NeighbourLost,
-    /// The neighbour has ended without an orderly close before a response to the last bytes began.
+    /// The neighbour has ended before a response to the last bytes began.
     #[display("unanswered")]
     Unanswered,
     /// This instance stops, and no response to the last bytes has begun.
@@ -237,6 +237,8 @@
     pending: BytesMut,
     /// Rest of the body.
     body: Option<BodyReader>,
+    /// Whether its head has told the caller that the connection closes after it.
+    is_last: bool,
     /// Whether its end can no longer be told.
     is_unclear: bool,
 }
@@ -245,7 +247,9 @@
     /// What the caller sends during a response is pipelined.
     fn note_caller(&self, bytes: &[u8]) {
         let is_between = self.response.borrow().is_whole();
-        if !bytes.is_empty() && is_between && !self.is_callers.replace(true) {
+        // Blank lines may follow a request.
+        let has_begun = bytes.iter().any(|b| !b"\r\n".contains(b));
+        if has_begun && is_between && !self.is_callers.replace(true) {
             self.is_head_only.set(bytes.starts_with(b"HEAD "));
         }
     }
@@ -288,6 +292,7 @@
                 };
                 // An interim response precedes the final one.
                 if head.status() >= 200 {
+                    self.is_last = !head.keeps_alive();
                     let method = if is_head_only { "HEAD" } else { "" };
                     let body = head.answer_body(method)?;
                     self.body = (!body.is_done()).then_some(body);
@@ -363,7 +368,10 @@
     writer.keep_alive = false;
     writer.is_head_only = turn.is_head_only.get();
     match end {
-        End::NeighbourReset | End::NeighbourLost if turn.is_callers.get() => End::Unanswered,
+        End::Closed if turn.response.borrow().is_last => End::Closed,
+        End::Closed | End::NeighbourReset | End::NeighbourLost if turn.is_callers.get() => {
+            End::Unanswered
+        }
         _ => end,
     }
 }
--- a/cornelstand/src/platform/tests/handover.rs
+++ b/cornelstand/src/platform/tests/handover.rs
@@ -486,6 +486,33 @@
     .await;
 }
 
+/// The neighbour closes in order after it has read a second request, or because its response says so.
+#[rstest]
+#[case::kept("", "502")]
+#[case::not_kept("Connection: close\r\n", "none")]
+#[tokio::test]
+async fn a_request_that_an_orderly_close_leaves_open_gets_an_answer(
+    #[case] extra: &str,
+    #[case] expected: &str,
+) {
+    run_local(async {
+        let script = vec![
+            Step::Read,
+            Step::Write(answer("a1", extra, "done")),
+            Step::Read,
+        ];
+        let (pair, endpoint, _) = Pair::scripted(Some(Ok(())), script).await;
+        let mut caller = send(pair.address, &request("/book/1", "a1")).await;
+        read_until(&mut caller, "done").await;
+        let next = request("/book/2", "a2");
+        caller.write_all(next.as_bytes()).await.expect("sent");
+        let (text, is_orderly) = read_end(&mut caller).await;
+        assert!(status(&text) == expected && is_orderly, "{text}");
+        assert_eq!(endpoint.count(), 0);
+    })
+    .await;
+}
+
 /// Lets paused time run five times as fast as the clock at most: the kernel may deliver bytes late.
 fn pace() {
     spawn_local(async {
