Hand-over: an entry serves requests that cross its neighbour's close

On waking the entry found both, passed the close on, and discarded what it had not copied. If the neighbour closes between requests, nothing of a further one was copied, and bytes of the caller are unread, the entry goes on with the connection as with its own callers'. Nothing is sent twice: what was copied is answered with 502, and a connection with pipelined bytes, or with a response whose end is unclear, is closed as before.

Failed before: `a_request_that_crosses_an_orderly_close_is_served_by_the_entry`, cases whole_request and while_stopping: "closed after " (nothing). Case rest_of_a_request guards against serving the rest of a request that was copied in part.

--- a/cornelstand/src/gateway/connection.rs
+++ b/cornelstand/src/gateway/connection.rs
@@ -126,6 +126,11 @@
     set_socket_options(&stream);
     let mut writer = ResponseWriter::new(stream, origin.on_death());
     writer.entry_stop = origin.stop();
+    serve_on(gate, writer, origin).await;
+}
+
+/// Serves further requests on a connection.
+pub(crate) async fn serve_on(gate: &Rc<Gate>, mut writer: ResponseWriter, origin: &Origin) {
     let mut visit = Visit::begin();
     let close = Rc::new(Notify::new());
     while writer.next_request() {
--- a/cornelstand/src/gateway/handover/link.rs
+++ b/cornelstand/src/gateway/handover/link.rs
@@ -227,6 +227,8 @@
     is_callers: Cell<bool>,
     /// Whether these began like a request for a head only.
     is_head_only: Cell<bool>,
+    /// Whether the caller has sent bytes during a response.
+    is_pipelined: Cell<bool>,
     response: RefCell<Response>,
 }
 
@@ -252,6 +254,15 @@
         if has_begun && is_between && !self.is_callers.replace(true) {
             self.is_head_only.set(bytes.starts_with(b"HEAD "));
         }
+        self.is_pipelined
+            .set(self.is_pipelined.get() || !is_between);
+    }
+
+    /// Whether a new request may follow what was copied.
+    fn is_between(&self) -> bool {
+        let response = self.response.borrow();
+        let is_open = self.is_callers.get() || self.is_pipelined.get() || response.is_last;
+        !is_open && response.is_whole()
     }
 
     fn note_neighbour(&self, bytes: &[u8]) {
@@ -365,7 +376,7 @@
         reset_on_close(neighbour);
     }
     writer.input.clear();
-    writer.keep_alive = false;
+    writer.keep_alive = end == End::Closed && turn.is_between();
     writer.is_head_only = turn.is_head_only.get();
     match end {
         End::Closed if turn.response.borrow().is_last => End::Closed,
--- a/cornelstand/src/gateway/handover/mod.rs
+++ b/cornelstand/src/gateway/handover/mod.rs
@@ -323,8 +323,8 @@
 /// Carries a connection until it ends.
 async fn give(gate: Rc<Gate>, mut writer: ResponseWriter, choice: Choice, neighbour: TcpStream) {
     let name = &choice.name;
-    let _active = gate.activate();
-    let _descriptors = (Counted::new(&gate), Counted::new(&gate));
+    let active = gate.activate();
+    let (_descriptor, other) = (Counted::new(&gate), Counted::new(&gate));
     let link = gate
         .handover
         .given
@@ -337,7 +337,7 @@
     let caller = writer.stream.peer_addr().ok();
     let (buffer, over) = (&gate.handover.buffer, gate.stop.over());
     let end = carry(buffer, &mut writer, &neighbour, &link, over).await;
-    drop((connection, neighbour));
+    drop((connection, neighbour, other));
     {
         let mut balance = gate.handover.balance.borrow_mut();
         balance.note_given_end(gate.now(), &choice);
@@ -351,6 +351,14 @@
             tracing::info!(event = "handover_ended", ?caller, neighbour = %name, %end, lasted_ms);
         }
     }
+    // The neighbour has closed an idle connection while requests came.
+    if writer.keep_alive && writer.has_unread() {
+        tracing::info!(event = "handover_taken_back", ?caller, neighbour = %name, lasted_ms);
+        writer.take_back();
+        drop(active);
+        return connection::serve_on(&gate, writer, &Origin::Caller).await;
+    }
+    writer.keep_alive = false;
     let failed = match end {
         End::Unanswered => Some(Refused::new(502, LOST_REASON, None)),
         End::Stopped => Some(Refused::stopping(false)),
--- a/cornelstand/src/gateway/outlet.rs
+++ b/cornelstand/src/gateway/outlet.rs
@@ -147,6 +147,18 @@
         Stops::new(own, self.entry_stop.clone())
     }
 
+    /// Whether bytes of the caller can be read.
+    pub(crate) fn has_unread(&self) -> bool {
+        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+        peeked.is_ok_and(|count| count > 0)
+    }
+
+    /// Takes the connection back after another instance has sent the responses so far.
+    pub(crate) fn take_back(&mut self) {
+        self.progress = Progress::Complete;
+        close_in_order(&self.stream);
+    }
+
     /// Prepares for the next request. Returns whether the connection can carry one; an incomplete
     /// response is visibly cut instead.
     pub(crate) fn next_request(&mut self) -> bool {
--- a/cornelstand/src/platform/tests/handover.rs
+++ b/cornelstand/src/platform/tests/handover.rs
@@ -513,6 +513,59 @@
     .await;
 }
 
+/// Parts of requests that come before and after the neighbour's response has ended, while the entry
+/// stands still, and the end of what the caller gets.
+#[rstest]
+#[case::whole_request(0, false, "\r\n\r\nown")]
+#[case::while_stopping(0, true, "\r\n\r\nown")]
+#[case::rest_of_a_request(20, false, " done")]
+#[tokio::test]
+async fn a_request_that_crosses_an_orderly_close_is_served_by_the_entry(
+    #[case] before: usize,
+    #[case] is_stopping: bool,
+    #[case] expected: &str,
+) {
+    run_local(async {
+        let listener = bind().await;
+        let own = vec![Step::Read, Step::Write(answer("a1", "", "own"))];
+        let own = Endpoint::start(vec![own]).await;
+        let records = vec![record("e-1", ORDERS, own.address)];
+        let pair = Pair::with(&listener, records, Vec::new()).await;
+        let mut caller = send(pair.address, &request("/book/1", "a1")).await;
+        let (mut neighbour, _) = listener.accept().await.expect("accept");
+        read_offer(&mut neighbour).await.expect("an offer");
+        answer_offer(&mut neighbour, Ok(())).await.expect("sent");
+        read_until(&mut neighbour, "body").await;
+        let (begin, end) = HALF.split_at(HALF.len() - 4);
+        neighbour.write_all(begin.as_bytes()).await.expect("sent");
+        read_until(&mut caller, "\r\n\r\n").await;
+        let next = request("/book/2", "a1");
+        let (first, rest) = next.as_bytes().split_at(before);
+        caller.write_all(first).await.expect("sent");
+        if before > 0 {
+            read_until(&mut neighbour, "/book/2").await;
+        }
+        let end = format!("{end} done");
+        neighbour.write_all(end.as_bytes()).await.expect("sent");
+        read_until(&mut caller, " done").await;
+        if is_stopping {
+            pair.entry.stop.begin(Duration::from_secs(8));
+        }
+        drop(neighbour);
+        assert_eq!(caller.try_write(rest).expect("sent"), rest.len());
+        if before > 0 {
+            let (text, _) = read_end(&mut caller).await;
+            assert_eq!((text.as_str(), own.count()), ("", 0));
+            return;
+        }
+        let text = read_until(&mut caller, expected).await.to_lowercase();
+        assert_eq!(text.contains("connection: close\r\n"), is_stopping);
+        drop(caller);
+        until(|| pair.entry.active.get() == 0 && pair.entry.connections.get() == 0).await;
+    })
+    .await;
+}
+
 /// Lets paused time run five times as fast as the clock at most: the kernel may deliver bytes late.
 fn pace() {
     spawn_local(async {
