Gateway: a stop counts its grace period from its signal

What callers would see: at an instance that stands still as SIGTERM comes, all that is open at the end of the stop gets no answer, and requests are taken for longer than they should be.

Cause: the times of a stop were counted from when the signal was handled. From 0.5 s on, the final answers came after the kill. Class: a deadline that another party set is counted from when it was learnt of.

Evidence: a_stop_signal_that_is_handled_late_leaves_no_call_without_an_answer failed before: the final answer came 8.436 s after the signal, with a grace period of 8 s.

Change: a stop counts from when the last tick before it was due, since all that came before was handled by then. `stopping` logs the difference as `late_ms`.

--- a/cornelstand/src/gateway/daemon.rs
+++ b/cornelstand/src/gateway/daemon.rs
@@ -214,6 +214,7 @@
     loop {
         let due = Instant::now() + TICK_PERIOD;
         sleep(TICK_PERIOD).await;
+        gate.last_tick.set(Some(due));
         let lag = due.elapsed().as_secs_f64();
         gate.metrics.lag.observe(lag);
         gate.pauses.tick(boot_time());
@@ -277,10 +278,13 @@
 
 /// Shuts down; open responses may complete within the grace period.
 async fn stop(gate: &Rc<Gate>, peers: &UdpSocket) {
-    gate.stop.begin(gate.settings.borrow().grace);
+    let now = Instant::now();
+    let signalled = gate.last_tick.get().unwrap_or(now).min(now);
+    gate.stop.begin_at(signalled, gate.settings.borrow().grace);
     tracing::info!(
         event = "stopping",
         active = gate.active.get(),
+        late_ms = now.duration_since(signalled).as_millis(),
         grace_ms = gate.stop.left_ms()
     );
     peers_link::send_heartbeat(gate, peers);
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use tokio::sync::{Notify, oneshot};
+use tokio::time::Instant;
 
 use crate::gateway::admission::{Admission, WaitId, Waiting};
 use crate::gateway::budget::{RetryQuota, cold_quota};
@@ -110,6 +111,8 @@
     pub(crate) active: Cell<usize>,
     /// Whether capacity may have been freed since the queue was last served.
     pub(crate) queue_pass_due: Cell<bool>,
+    /// When the last tick was due: signals sent before were handled by its end.
+    pub(crate) last_tick: Cell<Option<Instant>>,
     /// Moving average of the process's timer lag, in milliseconds.
     pub(crate) lag: Cell<f64>,
     /// Moving average of requests per second.
@@ -179,6 +182,7 @@
             stop: Stop::default(),
             active: Cell::new(0),
             queue_pass_due: Cell::new(false),
+            last_tick: Cell::new(None),
             lag: Cell::new(0.0),
             activity: Cell::new(0.0),
             discovery_done: Cell::new(false),
--- a/cornelstand/src/gateway/stop.rs
+++ b/cornelstand/src/gateway/stop.rs
@@ -55,11 +55,17 @@
         u64::try_from(left.as_millis()).ok()
     }
 
-    /// Begins a stop that has to be over after `grace`.
+    /// Begins a stop that has to be over after `grace` from now.
+    #[cfg(test)]
     pub(crate) fn begin(&self, grace: Duration) {
-        let now = Instant::now();
-        let end = now + grace.saturating_sub(GRACE_MARGIN);
-        let refusing_from = end.min(now + REFUSAL_DELAY);
+        self.begin_at(Instant::now(), grace);
+    }
+
+    /// Begins a stop whose signal was sent at `signalled` at the earliest, and which has to be over
+    /// `grace` later.
+    pub(crate) fn begin_at(&self, signalled: Instant, grace: Duration) {
+        let end = signalled + grace.saturating_sub(GRACE_MARGIN);
+        let refusing_from = end.min(signalled + REFUSAL_DELAY);
         self.plan.set(Some(Plan { refusing_from, end }));
         self.begun.notify_waiters();
     }
--- a/cornelstand/tests/gateway/main.rs
+++ b/cornelstand/tests/gateway/main.rs
@@ -248,6 +248,24 @@
     );
 }
 
+/// The grace period runs from the signal, also if the process could not handle it at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_signal_that_is_handled_late_leaves_no_call_without_an_answer() {
+    let work = Duration::from_secs(20);
+    let world = World::start_with(&platform::CENTRES[..1], 1, 2, work);
+    world.await_ready(0, true).await;
+    let front = world.instances[0].front();
+    world.instances[0].signal(Signal::STOP);
+    let signalled = Instant::now();
+    world.instances[0].signal(Signal::TERM);
+    sleep(Duration::from_millis(800)).await;
+    world.instances[0].signal(Signal::CONT);
+    sleep(Duration::from_millis(400)).await;
+    assert_eq!(status_of(front, "open", 8_000).await, Some(502));
+    let answered = signalled.elapsed();
+    assert!(answered < Duration::from_secs(8), "{answered:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_key_revoked_during_a_pause_is_refused_after_it() {
     let world = World::start(1);
