--- a/cornelstand/src/gateway/stop.rs
+++ b/cornelstand/src/gateway/stop.rs
@@ -66,10 +66,16 @@
         self.plan.get().map(|p| p.end)
     }
 
-    /// Begins a stop that has to be over after `grace`.
+    /// Begins a stop that has to be over after `grace` from now.
     pub(crate) fn begin(&self, grace: Duration) {
-        let end = Instant::now() + grace.saturating_sub(GRACE_MARGIN);
-        self.set(Instant::now() + REFUSAL_DELAY, end);
+        self.begin_at(Instant::now(), grace);
+    }
+
+    /// Begins a stop whose signal was sent at `signalled` at the earliest, and which has to be over
+    /// `grace` later.
+    pub(crate) fn begin_at(&self, signalled: Instant, grace: Duration) {
+        let end = signalled + grace.saturating_sub(GRACE_MARGIN);
+        self.set(signalled + REFUSAL_DELAY, end);
     }
 
     fn set(&self, refusing_from: Instant, end: Instant) {
