Stand-in of the platform's store: it can come back from a copy

Revisions go back and are given out again, the era in its answers rises, waiting watches are cut off, and a watch from a revision that the store does not have gets 410.

--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -57,4 +57,4 @@
 pub use platform_endpoint::{
     EndpointFaults, EndpointSettings, FATAL, FATAL_PART, PlatformEndpoint,
 };
-pub use platform_store::{PlatformStore, StoreCounts, StoreFaults};
+pub use platform_store::{PlatformStore, StoreCopy, StoreCounts, StoreFaults};
--- a/stand-ins/src/platform_store.rs
+++ b/stand-ins/src/platform_store.rs
@@ -18,6 +18,8 @@
 
 /// Objects in one page of a listing.
 const PAGE: usize = 500;
+/// Header of the era, which rises each time the store is restored from a copy.
+const ERA: &str = "store-era";
 
 /// Faults of the store, switchable while it runs.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -44,6 +46,13 @@
     pub writes: u64,
 }
 
+/// Copy of the store's objects.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    revision: u64,
+    objects: HashMap<String, BTreeMap<String, Value>>,
+}
+
 #[derive(Clone, Debug)]
 struct Change {
     kind: String,
@@ -54,6 +63,7 @@
 #[derive(Debug, Default)]
 struct Core {
     revision: u64,
+    era: u64,
     objects: HashMap<String, BTreeMap<String, Value>>,
     history: VecDeque<Change>,
     /// Kind, name and value of each status that was written.
@@ -94,7 +104,13 @@
             .then(
                 move |method, path: warp::path::FullPath, query, body: bytes::Bytes| {
                     let inner = served.clone();
-                    async move { inner.answer(&method, path.as_str(), &query, &body).await }
+                    async move {
+                        let mut response =
+                            inner.answer(&method, path.as_str(), &query, &body).await;
+                        let era = inner.lock().era;
+                        response.headers_mut().insert(ERA, era.into());
+                        response
+                    }
                 },
             );
         host.serve(boxed(filter), std::future::pending())?;
@@ -145,6 +161,28 @@
         of.map(|(_, _, status)| status.clone()).collect()
     }
 
+    /// A copy as of now.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        let core = self.inner.lock();
+        StoreCopy {
+            revision: core.revision,
+            objects: core.objects.clone(),
+        }
+    }
+
+    /// Comes back from a copy: later changes are gone, and their revisions are given out again.
+    /// Waiting watches are cut off.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut core = self.inner.lock();
+        core.era += 1;
+        core.revision = copy.revision;
+        core.objects.clone_from(&copy.objects);
+        core.history.retain(|c| c.revision <= copy.revision);
+        drop(core);
+        self.inner.changed.notify_waiters();
+    }
+
     /// Drops the history.
     pub fn compact(&self) {
         let mut core = self.inner.lock();
@@ -259,11 +297,15 @@
     async fn watch(&self, kind: &str, from: u64, query: &HashMap<String, String>) -> Response {
         let wait = query.get("wait_ms").and_then(|w| w.parse().ok());
         let until = Instant::now() + Duration::from_millis(wait.unwrap_or(0));
+        let era = self.lock().era;
         loop {
             let changed = self.changed.notified();
             {
                 let core = self.lock();
-                if from < core.compacted {
+                if core.era != era {
+                    return status(StatusCode::SERVICE_UNAVAILABLE);
+                }
+                if from < core.compacted || from > core.revision {
                     return status(StatusCode::GONE);
                 }
                 let new = core
