Views of the store are ordered by its era first

Cause: views were compared by store revision alone, and the restored store gives revisions out again. The evacuation got revision 142, the view of the others was of revision 149.

A revision now carries the era that the store states in its answers, and is ordered by era first. When the era has risen each part of the view is marked with it, also if its contents are the same. It is sent as one number with the era in the highest bits, so heartbeats of builds that know no era are read as before; a store without the header has era 0. Orders of roll-outs follow the same rule, and a listing of a new era replaces orders that were created under a higher revision of the earlier one. `store_restored` tells of the era, and each change of a view names it.

an_evacuation_that_gets_a_lower_revision_than_the_last_one_is_followed, most_fetch_from_others, failed before:

assertion `left == right` failed left: 2 right: 13

Existing tests changed: revisions are given as StoreRevision (`5.into()`), same values.

--- a/cornelstand/src/gateway/directory.rs
+++ b/cornelstand/src/gateway/directory.rs
@@ -17,6 +17,7 @@
 
 use crate::gateway::catalog::Catalog;
 use crate::gateway::rollout::Order;
+use crate::gateway::store_revision::StoreRevision;
 use crate::moment::Moment;
 use crate::name::{CentreName, EndpointName, ServiceName, VersionName};
 
@@ -104,16 +105,29 @@
     versions: ViewVersions,
     order_version: ViewVersion,
     /// Store revision up to which the orders are complete; none if they are not known yet.
-    orders_as_of: Option<u64>,
+    orders_as_of: Option<StoreRevision>,
+    /// Era of the store, and when it was first seen; none before the first answer.
+    era: Option<(u16, Moment)>,
     /// Number of times a peer's view was adopted.
     adoptions: u64,
 }
 
+/// Meaning of the era of a store's answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum EraNews {
+    /// It is the known one, or the first.
+    Same,
+    /// The store was restored from a copy since the answer that had this era.
+    Restored(u16),
+    /// The answer is from before the store was restored.
+    Late,
+}
+
 /// Version of one part of the view.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct ViewVersion {
     /// Store revision at the last change.
-    pub(crate) revision: u64,
+    pub(crate) revision: StoreRevision,
     /// Hash of the contents, which identifies a change that was seen at two revisions.
     pub(crate) hash: u64,
 }
@@ -124,9 +138,10 @@
     }
 
     /// Advances to `hash`, seen at `revision`. Returns whether the hash differs.
-    fn advance(&mut self, revision: u64, hash: u64) -> bool {
+    fn advance(&mut self, revision: StoreRevision, hash: u64) -> bool {
         let has_changed = hash != self.hash;
-        if has_changed {
+        // In a new era the same contents are newer than others of the earlier one.
+        if has_changed || revision.era > self.revision.era {
             *self = Self { revision, hash };
         }
         has_changed
@@ -184,6 +199,7 @@
             versions: ViewVersions::default(),
             order_version: ViewVersion::default(),
             orders_as_of: None,
+            era: None,
             adoptions: 0,
         }
     }
@@ -228,6 +244,18 @@
         self.last_answer.is_some_and(|answered| answered > began)
     }
 
+    /// Records the era of the answer to a call that began at `began`.
+    pub(crate) fn note_era(&mut self, now: Moment, began: Moment, era: u16) -> EraNews {
+        let news = match self.era {
+            Some((known, _)) if known == era => return EraNews::Same,
+            Some((known, since)) if era < known && began < since => return EraNews::Late,
+            Some((known, _)) => EraNews::Restored(known),
+            None => EraNews::Same,
+        };
+        self.era = Some((era, now));
+        news
+    }
+
     /// Whether a store call of this instance has failed recently.
     pub(crate) fn is_store_lost(&self, now: Moment) -> bool {
         match self.store {
@@ -416,7 +444,7 @@
     }
 
     /// Store revision up to which the orders are complete.
-    pub(crate) fn orders_as_of(&self) -> u64 {
+    pub(crate) fn orders_as_of(&self) -> StoreRevision {
         self.orders_as_of.unwrap_or_default()
     }
 
@@ -426,7 +454,7 @@
     }
 
     /// Marks the orders as current at store `revision`. Returns whether they changed.
-    pub(crate) fn mark_orders(&mut self, revision: u64) -> bool {
+    pub(crate) fn mark_orders(&mut self, revision: StoreRevision) -> bool {
         self.orders_as_of = self.orders_as_of.max(Some(revision));
         let mut hash = Xxh3::new();
         for order in self.orders.values() {
@@ -448,7 +476,7 @@
     }
 
     /// Marks the endpoints as current at store `revision`. Returns whether they changed.
-    pub(crate) fn mark_endpoints(&mut self, revision: u64) -> bool {
+    pub(crate) fn mark_endpoints(&mut self, revision: StoreRevision) -> bool {
         let mut hash = Xxh3::new();
         for (name, known) in &self.endpoints {
             let record = &known.record;
@@ -465,7 +493,7 @@
     }
 
     /// Marks the evacuations as current at store `revision`. Returns whether they changed.
-    pub(crate) fn mark_evacuations(&mut self, revision: u64) -> bool {
+    pub(crate) fn mark_evacuations(&mut self, revision: StoreRevision) -> bool {
         let mut hash = Xxh3::new();
         for centre in &self.evacuated {
             hash.update(centre.as_str().as_bytes());
@@ -481,6 +509,15 @@
         snapshot: DirectorySnapshot,
     ) -> Vec<EndpointChange> {
         self.adoptions += 1;
+        let revisions = [
+            snapshot.versions.evacuations.revision,
+            snapshot.versions.endpoints.revision,
+        ];
+        for StoreRevision { era, .. } in revisions {
+            if self.era.is_none_or(|(known, _)| era > known) {
+                self.era = Some((era, now));
+            }
+        }
         if snapshot
             .versions
             .evacuations
--- a/cornelstand/src/gateway/follow.rs
+++ b/cornelstand/src/gateway/follow.rs
@@ -14,9 +14,10 @@
 use tokio::time::{Instant, sleep};
 
 use crate::gateway::catalog::Catalog;
-use crate::gateway::directory::{DirectorySnapshot, EndpointRecord, OrderRecord};
+use crate::gateway::directory::{DirectorySnapshot, EndpointRecord, EraNews, OrderRecord};
 use crate::gateway::gate::Gate;
 use crate::gateway::settings::{GatewaySettings, peer_address};
+use crate::gateway::store_revision::StoreRevision;
 use crate::gateway::upstream::Upstream;
 use crate::moment::Moment;
 use crate::name::{CentreName, EndpointName, InstanceName};
@@ -135,19 +136,19 @@
     gate: &Gate,
     client: &mut StoreClient,
     followed: Followed,
-    revision: Option<u64>,
-) -> Result<(u64, bool), StoreCallError> {
-    let kind = followed.kind();
-    let Some(revision) = revision else {
+    revision: Option<StoreRevision>,
+) -> Result<(StoreRevision, bool), StoreCallError> {
+    let (kind, began) = (followed.kind(), gate.now());
+    let Some(known) = revision else {
         let (objects, revision) = client.list(kind).await?;
-        note_store_answer(gate, followed);
+        note_store_answer(gate, followed, began, revision);
         apply_listing(gate, followed, &objects, revision);
         return Ok((revision, false));
     };
     let contact = gate.settings.borrow().contact;
     let wait = contact.saturating_sub(WATCH_MARGIN).max(WATCH_WAIT_MIN);
-    let (changes, revision) = client.watch(kind, revision, wait).await?;
-    note_store_answer(gate, followed);
+    let (changes, revision) = client.watch(kind, known, wait).await?;
+    note_store_answer(gate, followed, began, revision);
     for change in &changes {
         apply_change(gate, followed, change, revision);
     }
@@ -161,7 +162,7 @@
     gate: &Gate,
     followed: Followed,
     began: Moment,
-    result: &Result<(u64, bool), StoreCallError>,
+    result: &Result<(StoreRevision, bool), StoreCallError>,
 ) {
     let calls = &gate.metrics.store_calls;
     let Err(error) = result else {
@@ -179,17 +180,31 @@
     }
 }
 
-fn note_store_answer(gate: &Gate, followed: Followed) {
+/// Records an answer to a call that began at `began`.
+fn note_store_answer(gate: &Gate, followed: Followed, began: Moment, revision: StoreRevision) {
     let since = gate.store_since();
+    let now = gate.now();
     let directory = &mut gate.state.borrow_mut().directory;
-    directory.note_answer(gate.now());
+    let StoreRevision { era, number } = revision;
+    match directory.note_era(now, began, era) {
+        EraNews::Same | EraNews::Late => {}
+        EraNews::Restored(before) => {
+            tracing::warn!(event = "store_restored", %followed, era, before, revision = number);
+        }
+    }
+    directory.note_answer(now);
     if directory.mark_store_available(since) {
-        let known_ms = gate.now().since(since).as_millis();
-        tracing::info!(event = "store_regained", %followed, known_ms);
+        let known_ms = now.since(since).as_millis();
+        tracing::info!(event = "store_regained", %followed, known_ms, era);
     }
 }
 
-fn apply_listing(gate: &Gate, followed: Followed, objects: &[StoreObject], revision: u64) {
+fn apply_listing(
+    gate: &Gate,
+    followed: Followed,
+    objects: &[StoreObject],
+    revision: StoreRevision,
+) {
     match followed {
         Followed::Configuration => {
             for object in objects {
@@ -221,13 +236,14 @@
     }
 }
 
-fn apply_change(gate: &Gate, followed: Followed, change: &Change, revision: u64) {
+fn apply_change(gate: &Gate, followed: Followed, change: &Change, revision: StoreRevision) {
     let object = &change.object;
     match followed {
         Followed::Configuration if change.is_deleted => {
             tracing::warn!(
                 event = "config_deleted",
-                revision,
+                revision = revision.number,
+                era = revision.era,
                 "the last one stays in force"
             );
         }
@@ -271,7 +287,7 @@
 }
 
 /// Applies the orders at store `revision`, and notifies the peers if they have changed.
-fn apply_orders(gate: &Gate, revision: u64) {
+fn apply_orders(gate: &Gate, revision: StoreRevision) {
     let has_changed = gate.state.borrow_mut().directory.mark_orders(revision);
     // Also without a change: peers may have told of an order that is gone by now.
     gate.apply_orders();
@@ -293,11 +309,16 @@
     order.ok()
 }
 
-fn apply_evacuated(gate: &Gate, centres: BTreeSet<CentreName>, revision: u64) {
+fn apply_evacuated(gate: &Gate, centres: BTreeSet<CentreName>, revision: StoreRevision) {
     let mut state = gate.state.borrow_mut();
     if state.directory.set_evacuated(centres) {
         let centres = state.directory.evacuated();
-        tracing::info!(event = "centres_out", ?centres, revision);
+        tracing::info!(
+            event = "centres_out",
+            ?centres,
+            revision = revision.number,
+            era = revision.era
+        );
     }
     let has_changed = state.directory.mark_evacuations(revision);
     drop(state);
@@ -307,23 +328,23 @@
 }
 
 /// Notifies the peers if endpoints have changed.
-fn announce_endpoints(gate: &Gate, revision: u64) {
+fn announce_endpoints(gate: &Gate, revision: StoreRevision) {
     if gate.state.borrow_mut().directory.mark_endpoints(revision) {
         gate.heartbeat_trigger.notify_one();
     }
 }
 
-fn apply_config(gate: &Gate, object: &StoreObject, revision: u64) {
+fn apply_config(gate: &Gate, object: &StoreObject, revision: StoreRevision) {
     match read_config(&object.spec) {
         Ok(catalog) => apply_catalog(gate, catalog, "store", revision),
         Err(error) => {
             let name = &object.metadata.name;
-            tracing::error!(event = "config_unreadable", name, revision, %error);
+            tracing::error!(event = "config_unreadable", name, revision = revision.number, era = revision.era, %error);
         }
     }
 }
 
-fn apply_catalog(gate: &Gate, catalog: Catalog, source: &str, revision: u64) {
+fn apply_catalog(gate: &Gate, catalog: Catalog, source: &str, revision: StoreRevision) {
     let version = catalog.version;
     let (routes, accounts) = (catalog.routes.len(), catalog.keys.len());
     if gate.state.borrow_mut().directory.set_catalog(catalog) {
@@ -333,7 +354,8 @@
             routes,
             accounts,
             source,
-            revision
+            revision = revision.number,
+            era = revision.era,
         );
         gate.metrics
             .version
@@ -499,7 +521,7 @@
         }
     };
     let catalog = std::mem::take(&mut snapshot.catalog);
-    apply_catalog(gate, catalog, "peer", 0);
+    apply_catalog(gate, catalog, "peer", StoreRevision::default());
     let mut state = gate.state.borrow_mut();
     let are_orders_newer = snapshot
         .order_version
@@ -511,8 +533,10 @@
     }
     state = gate.state.borrow_mut();
     tracing::info!(
-        event = "beliefs_adopted", %address, revision = snapshot.versions.endpoints.revision,
-        evacuation_revision = snapshot.versions.evacuations.revision,
+        event = "beliefs_adopted", %address, revision = snapshot.versions.endpoints.revision.number,
+        evacuation_revision = snapshot.versions.evacuations.revision.number,
+        era = snapshot.versions.endpoints.revision.era,
+        evacuation_era = snapshot.versions.evacuations.revision.era,
         endpoints = snapshot.endpoints.len(), evacuated = ?snapshot.evacuated,
         orders = snapshot.orders.len(),
     );
--- a/cornelstand/src/gateway/mod.rs
+++ b/cornelstand/src/gateway/mod.rs
@@ -45,6 +45,7 @@
 pub(crate) mod rollout_writer;
 pub(crate) mod settings;
 pub(crate) mod stop;
+pub(crate) mod store_revision;
 pub(crate) mod suspicion_news;
 pub(crate) mod upstream;
 pub(crate) mod waiting_callers;
--- a/cornelstand/src/gateway/rollout/rollouts.rs
+++ b/cornelstand/src/gateway/rollout/rollouts.rs
@@ -11,6 +11,7 @@
 use crate::gateway::rollout::running::{Figures, Rollout, Scene};
 use crate::gateway::rollout::versions::Versions;
 use crate::gateway::settings::RolloutBounds;
+use crate::gateway::store_revision::StoreRevision;
 use crate::moment::Moment;
 use crate::name::{CentreName, EndpointName, InstanceName, ServiceName, VersionName};
 
@@ -172,7 +173,7 @@
     incarnation: u64,
     bounds: Option<RolloutBounds>,
     /// Store revision of the known orders.
-    as_of: u64,
+    as_of: StoreRevision,
     fleet: Fleet,
     services: HashMap<ServiceName, ServiceState>,
     alarm_due: bool,
@@ -191,7 +192,7 @@
             instance,
             incarnation,
             bounds,
-            as_of: 0,
+            as_of: StoreRevision::default(),
             fleet: Fleet::default(),
             services: HashMap::new(),
             alarm_due: false,
@@ -211,11 +212,14 @@
     }
 
     /// Replaces the orders by a complete set, as of a store revision. An older set is ignored.
-    pub(crate) fn set_orders(&mut self, now: Moment, as_of: u64, orders: &[Order]) {
+    pub(crate) fn set_orders(&mut self, now: Moment, as_of: StoreRevision, orders: &[Order]) {
         if self.bounds.is_none() || as_of < self.as_of {
             return;
         }
+        let is_restored = as_of.era > self.as_of.era;
         self.as_of = as_of;
+        // What peers told of was created in the earlier era.
+        let as_of = if is_restored { u64::MAX } else { as_of.number };
         for order in orders {
             if !self.is_later(&order.id.service, as_of) {
                 self.set_order(now, order, Duration::ZERO);
@@ -541,7 +545,7 @@
         let is_known = known.is_some_and(|phase| phase.order().id == news.id);
         // An order that the store had at `as_of` would be known.
         let is_newer = known.is_none_or(|phase| phase.order().id.created < news.id.created);
-        if is_known || is_newer && news.id.created > self.as_of {
+        if is_known || is_newer && news.id.created > self.as_of.number {
             let order = Order {
                 id: news.id.clone(),
                 duration: news.duration,
--- a/cornelstand/src/gateway/tests/directory.rs
+++ b/cornelstand/src/gateway/tests/directory.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeSet;
 
-use crate::gateway::directory::{Directory, EndpointChange, EndpointRecord};
+use crate::gateway::directory::{Directory, EndpointChange, EndpointRecord, EraNews};
+use crate::gateway::store_revision::StoreRevision;
 use crate::gateway::tests::{MODELS, catalog, record};
 use crate::moment::Moment;
 use crate::name::CentreName;
@@ -112,7 +113,7 @@
     peer.mark_store_lost(at(0));
     peer.mark_store_available(at(20_000));
     peer.remove_endpoint(at(20_100), &"a".into());
-    peer.mark_endpoints(9);
+    peer.mark_endpoints(9.into());
     let mut directory = Directory::new();
     directory.adopt(at(5_000), peer.snapshot(at(20_200)));
     assert!(directory.expire(at(5_900)).is_empty());
@@ -169,10 +170,10 @@
         directory.mark_store_available(at(0));
         directory.list_endpoints(at(0), vec![entry("a")]);
         directory.set_evacuated(BTreeSet::new());
-        directory.mark_evacuations(319);
+        directory.mark_evacuations(319.into());
         directory.set_evacuated(evacuated.iter().map(|c| CentreName::from(*c)).collect());
-        directory.mark_evacuations(324);
-        directory.mark_endpoints(324);
+        directory.mark_evacuations(324.into());
+        directory.mark_endpoints(324.into());
         directory
     };
     let (late, informed) = (watching(&[]), watching(&["south"]));
@@ -186,3 +187,49 @@
     other.adopt(at(30), late.snapshot(at(30)));
     assert!(other.is_evacuated(&"south".into()));
 }
+
+#[test]
+fn a_view_of_a_later_era_is_newer_at_a_lower_revision() {
+    let seen = |era, number, evacuated: &[&str]| {
+        let mut directory = Directory::new();
+        directory.set_evacuated(evacuated.iter().map(|c| CentreName::from(*c)).collect());
+        directory.mark_evacuations(StoreRevision { era, number });
+        directory
+    };
+    let (before, after) = (seen(1, 149, &[]), seen(2, 142, &["south"]));
+    assert!(after.versions().are_newer(before.versions()));
+    assert!(!before.versions().are_newer(after.versions()));
+    // The same contents are of the later era from its first listing on.
+    let mut same = before;
+    same.mark_evacuations(StoreRevision {
+        era: 2,
+        number: 140,
+    });
+    assert!(
+        !seen(1, 150, &["east"])
+            .versions()
+            .are_newer(same.versions())
+    );
+}
+
+#[test]
+fn an_answer_from_before_a_restore_is_late() {
+    let mut directory = Directory::new();
+    assert_eq!(directory.note_era(at(5), at(0), 1), EraNews::Same);
+    assert_eq!(directory.note_era(at(10), at(6), 2), EraNews::Restored(1));
+    assert_eq!(directory.note_era(at(11), at(7), 1), EraNews::Late);
+    assert_eq!(directory.note_era(at(12), at(11), 2), EraNews::Same);
+    // A call that began in the new era is never answered in an earlier one but by another store.
+    assert_eq!(directory.note_era(at(13), at(12), 0), EraNews::Restored(2));
+}
+
+#[test]
+fn a_revision_without_an_era_is_sent_as_older_builds_read_it() {
+    for (era, number) in [(0, 0), (0, 149), (3, 142), (u16::MAX, 1 << 40)] {
+        let revision = StoreRevision { era, number };
+        let bytes = postcard::to_stdvec(&revision).expect("written");
+        let packed: u64 = postcard::from_bytes(&bytes).expect("a number");
+        assert_eq!(StoreRevision::from(packed), revision);
+        assert!(era > 0 || packed == number);
+    }
+}
--- a/cornelstand/src/gateway/tests/rollout_fleet.rs
+++ b/cornelstand/src/gateway/tests/rollout_fleet.rs
@@ -404,7 +404,7 @@
                 };
                 let now = self.time(to);
                 let rollouts = &mut self.nodes[to].rollouts;
-                rollouts.set_orders(now, revision, &[order]);
+                rollouts.set_orders(now, revision.into(), &[order]);
             }
         }
     }
--- a/cornelstand/src/gateway/tests/rollout_link.rs
+++ b/cornelstand/src/gateway/tests/rollout_link.rs
@@ -52,7 +52,7 @@
     let revision = record.revision;
     let mut state = gate.state.borrow_mut();
     state.directory.put_order(record);
-    assert!(state.directory.mark_orders(revision));
+    assert!(state.directory.mark_orders(revision.into()));
     drop(state);
     gate.apply_orders();
 }
@@ -87,7 +87,7 @@
     hear(&gate, order("v3", 4, 9));
     let mut state = gate.state.borrow_mut();
     state.directory.put_order(order("v2", 4, 6));
-    assert!(!state.directory.mark_orders(9));
+    assert!(!state.directory.mark_orders(9.into()));
 }
 
 #[test]
@@ -147,12 +147,12 @@
     let older = order("v2", 40, 40).order;
     for known in [vec![], vec![older]] {
         let mut decisions = decisions();
-        decisions.set_orders(at(0), 50, &known);
+        decisions.set_orders(at(0), 50.into(), &known);
         decisions.merge(at(10), &sender, &news);
-        decisions.set_orders(at(20), 55, &known);
+        decisions.set_orders(at(20), 55.into(), &known);
         let target = decisions.target(&MODELS.into());
         assert_eq!(target.map(VersionName::as_str), Some("v3"));
-        decisions.set_orders(at(30), 65, &[]);
+        decisions.set_orders(at(30), 65.into(), &[]);
         assert_eq!(decisions.target(&MODELS.into()), None);
     }
 }
@@ -254,7 +254,7 @@
     let gate = rollout_gate("one");
     list(&gate, vec![record("a", MODELS, ([10, 1, 0, 1], 80).into())]);
     assert!(!gate.is_ready());
-    gate.state.borrow_mut().directory.mark_orders(4);
+    gate.state.borrow_mut().directory.mark_orders(4.into());
     assert!(gate.is_ready());
     // A store that does not list them holds it up for a while only.
     let other = rollout_gate("two");
--- a/cornelstand/src/gateway/tests/rollout_orders.rs
+++ b/cornelstand/src/gateway/tests/rollout_orders.rs
@@ -101,36 +101,36 @@
     list(&mut one, 1.0, &["v1", "v2"]);
     note(&one, 1.0, "a version appears");
     note(&one, 3.0, "no order within 2 s");
-    one.set_orders(at(3.0), 10, &[order("v2", 10, None)]);
+    one.set_orders(at(3.0), 10.into(), &[order("v2", 10, None)]);
     note(&one, 3.0, "ordered, nothing sent yet");
     for _ in 0..40 {
         assert!(send(&mut one, 4.0, "v1", GOOD));
     }
     note(&one, 4.0, "ordered, 40 requests sent");
-    one.set_orders(at(5.0), 9, &[]);
+    one.set_orders(at(5.0), 9.into(), &[]);
     note(&one, 5.0, "an older listing");
     list(&mut one, 5.0, &["v1", "v2", "v3"]);
-    one.set_orders(at(5.0), 11, &[order("v3", 11, None)]);
+    one.set_orders(at(5.0), 11.into(), &[order("v3", 11, None)]);
     note(&one, 5.0, "replaced");
     let word = Some(StatusWord::RolledBack);
-    one.set_orders(at(6.0), 12, &[order("v3", 11, word)]);
+    one.set_orders(at(6.0), 12.into(), &[order("v3", 11, word)]);
     note(&one, 6.0, "rolled back");
-    one.set_orders(at(7.0), 13, &[order("v3", 13, None)]);
+    one.set_orders(at(7.0), 13.into(), &[order("v3", 13, None)]);
     note(&one, 7.0, "repeated");
-    one.set_orders(at(8.0), 14, &[]);
+    one.set_orders(at(8.0), 14.into(), &[]);
     note(&one, 8.0, "deleted");
     let word = Some(StatusWord::Completed);
-    one.set_orders(at(9.0), 15, &[order("v3", 15, None)]);
-    one.set_orders(at(9.5), 16, &[order("v3", 15, word)]);
+    one.set_orders(at(9.0), 15.into(), &[order("v3", 15, None)]);
+    one.set_orders(at(9.5), 16.into(), &[order("v3", 15, word)]);
     note(&one, 9.5, "completed");
     let mut late = instance("late");
     list(&mut late, 0.0, &["v1", "v2"]);
-    late.set_orders(at(0.0), 17, &[order("v1", 15, word)]);
+    late.set_orders(at(0.0), 17.into(), &[order("v1", 15, word)]);
     note(&late, 0.0, "start after a completion");
     let mut bare = Rollouts::new(InstanceName::from("bare"), 1, None);
     list(&mut bare, 0.0, &["v1"]);
     list(&mut bare, 1.0, &["v1", "v2"]);
-    bare.set_orders(at(1.0), 10, &[order("v2", 10, None)]);
+    bare.set_orders(at(1.0), 10.into(), &[order("v2", 10, None)]);
     note(&bare, 1.0, "deployment without roll-outs");
     insta::assert_snapshot!("rollout_versions", table);
 }
@@ -149,7 +149,7 @@
         list(rollouts, 0.0, &["v1"]);
         list(rollouts, 1.0, &["v1", "v2"]);
     }
-    one.set_orders(at(1.0), 10, &[order("v2", 10, None)]);
+    one.set_orders(at(1.0), 10.into(), &[order("v2", 10, None)]);
     for number in 0..1_500 {
         let now = 1.0 + f64::from(number) / 1_000.0;
         send(&mut one, now, "v1", GOOD);
--- a/cornelstand/src/platform/headers.rs
+++ b/cornelstand/src/platform/headers.rs
@@ -43,6 +43,9 @@
 /// the time that work takes at this moment, in hundredths of the usual time.
 const LOAD: &str = "x-cornelstand-replica-load";
 
+/// Era of the store, which rises each time it is restored from a copy; older stores send none.
+const STORE_ERA: &str = "store-era";
+
 /// Limit of the back-off that an endpoint can request, in seconds.
 const MAX_BACKOFF_S: f64 = 3_600.0;
 
@@ -118,6 +121,12 @@
     }
 }
 
+/// Reads the era from the headers of a store's response.
+pub(crate) fn read_era(head: &Head) -> u16 {
+    let era = head.get(STORE_ERA).and_then(|e| e.trim().parse().ok());
+    era.unwrap_or_default()
+}
+
 /// Reads the headers of a request.
 ///
 /// # Errors
--- a/cornelstand/src/platform/store.rs
+++ b/cornelstand/src/platform/store.rs
@@ -10,7 +10,9 @@
 use snafu::{OptionExt, Snafu};
 use tokio::time::timeout;
 
+use crate::gateway::store_revision::StoreRevision;
 use crate::gateway::upstream::{ReadError, Upstream};
+use crate::platform::headers::read_era;
 use crate::platform::objects::{Metadata, StoreObject};
 use crate::raw_json::{elements, member, members};
 
@@ -88,10 +90,11 @@
         serde_json::from_slice(member(&self.0, key)?).ok()
     }
 
-    /// Revision of the store when the response was written.
-    fn revision(&self) -> Result<u64, StoreCallError> {
+    /// Revision of the store when the response was written, in `era`.
+    fn revision(&self, era: u16) -> Result<StoreRevision, StoreCallError> {
         let reason = "no revision";
-        self.get("as_of").context(UnreadableSnafu { reason })
+        let number = self.get("as_of").context(UnreadableSnafu { reason })?;
+        Ok(StoreRevision { era, number })
     }
 
     /// Splits a list into its elements.
@@ -132,10 +135,10 @@
     pub(crate) async fn list(
         &mut self,
         kind: &str,
-    ) -> Result<(Vec<StoreObject>, u64), StoreCallError> {
+    ) -> Result<(Vec<StoreObject>, StoreRevision), StoreCallError> {
         let mut objects: Vec<StoreObject> = Vec::new();
         // A watch from the first page's revision also covers changes between two pages.
-        let mut revision = None;
+        let mut first: Option<StoreRevision> = None;
         let mut after = String::new();
         loop {
             let path = if after.is_empty() {
@@ -145,15 +148,15 @@
                 let after = utf8_percent_encode(&after, ESCAPED);
                 format!("/-/objects/{kind}?after={after}")
             };
-            let body = self.call("GET", &path, &[], CALL_TIMEOUT).await?;
+            let (body, era) = self.call("GET", &path, &[], CALL_TIMEOUT).await?;
             let page = Document::read(&body)?;
             let items = page.list("items")?;
             let read = items.into_iter().filter_map(decode_object);
             let before = objects.len();
             objects.extend(read);
-            let revision = match revision {
+            let revision = match first {
                 Some(revision) => revision,
-                None => *revision.insert(page.revision()?),
+                None => *first.insert(page.revision(era)?),
             };
             if !page.get("has_more").unwrap_or(false) {
                 return Ok((objects, revision));
@@ -174,16 +177,16 @@
     pub(crate) async fn watch(
         &mut self,
         kind: &str,
-        revision: u64,
+        revision: StoreRevision,
         wait: Duration,
-    ) -> Result<(Vec<Change>, u64), StoreCallError> {
-        let wait_ms = wait.as_millis();
-        let path = format!("/-/objects/{kind}?watch={revision}&wait_ms={wait_ms}");
-        let body = self.call("GET", &path, &[], wait + WATCH_MARGIN).await?;
+    ) -> Result<(Vec<Change>, StoreRevision), StoreCallError> {
+        let (wait_ms, number) = (wait.as_millis(), revision.number);
+        let path = format!("/-/objects/{kind}?watch={number}&wait_ms={wait_ms}");
+        let (body, era) = self.call("GET", &path, &[], wait + WATCH_MARGIN).await?;
         let changes = Document::read(&body)?;
         let events = changes.list("events")?.into_iter();
         let events = events.filter_map(decode_change).collect();
-        Ok((events, changes.revision()?))
+        Ok((events, changes.revision(era)?))
     }
 
     /// Creates an object or replaces an existing one, regardless of its revision.
@@ -221,7 +224,7 @@
         let name = utf8_percent_encode(name, ESCAPED);
         let path = format!("/-/objects/{kind}/{name}");
         match self.call("GET", &path, &[], CALL_TIMEOUT).await {
-            Ok(body) => {
+            Ok((body, _)) => {
                 let reason = "no object";
                 let object = decode_object(&body).context(UnreadableSnafu { reason })?;
                 Ok(Some(object))
@@ -264,13 +267,14 @@
             .map(drop)
     }
 
+    /// Makes a call. Returns the body of the response, with its era.
     async fn call(
         &mut self,
         method: &str,
         path: &str,
         body: &[u8],
         time: Duration,
-    ) -> Result<Bytes, StoreCallError> {
+    ) -> Result<(Bytes, u16), StoreCallError> {
         let reused = self.connection.take().filter(Upstream::is_clean);
         let mut connection = match reused {
             Some(connection) => connection,
@@ -295,7 +299,7 @@
             self.connection = Some(connection);
         }
         match head.status() {
-            200..=299 => Ok(body),
+            200..=299 => Ok((body, read_era(&head))),
             409 => {
                 let object = decode_object(&body).map(Box::new);
                 ConflictSnafu { object }.fail()
--- a/cornelstand/src/platform/tests.rs
+++ b/cornelstand/src/platform/tests.rs
@@ -12,6 +12,7 @@
 mod loss_reasons;
 mod notices;
 mod path;
+mod restored_store;
 mod resumption;
 mod rollouts;
 mod scripted;
--- a/cornelstand/src/platform/tests/foreign_entries.rs
+++ b/cornelstand/src/platform/tests/foreign_entries.rs
@@ -183,7 +183,7 @@
             .list("servers")
             .await
             .expect("read");
-        assert_eq!((objects.len(), revision), (3, 5));
+        assert_eq!((objects.len(), revision), (3, 5.into()));
         let paths = requests.borrow();
         let paths = paths.iter().filter_map(|r| r.split(' ').nth(1));
         assert_eq!(
--- a/cornelstand/src/platform/tests/rollouts.rs
+++ b/cornelstand/src/platform/tests/rollouts.rs
@@ -264,7 +264,14 @@
         let (address, requests) = store(all).await;
         let gate = rollout_gate(address);
         tokio::task::spawn_local(follow(gate.clone(), Followed::Rollouts));
-        let version = || gate.state.borrow().directory.order_version().revision;
+        let version = || {
+            gate.state
+                .borrow()
+                .directory
+                .order_version()
+                .revision
+                .number
+        };
         let wait = async {
             while requests.borrow().len() <= replies || version() < revision {
                 sleep(Duration::from_millis(5)).await;
@@ -411,7 +418,7 @@
     record.order.id.service = ORDERS.into();
     let mut state = gate.state.borrow_mut();
     state.directory.put_order(record);
-    state.directory.mark_orders(7);
+    state.directory.mark_orders(7.into());
     drop(state);
     gate.apply_orders();
     gate
@@ -454,7 +461,7 @@
     record.order.id.service = service.into();
     let mut state = gate.state.borrow_mut();
     state.directory.put_order(record);
-    state.directory.mark_orders(7);
+    state.directory.mark_orders(7.into());
     drop(state);
     gate.apply_orders();
     gate
