A watch does not go on across a restore of the store

Once the store had given that revision out again, it got no 410 and missed what the copy differs in and what was written below.

Cause: nothing compared the era of an answer with that of the revision that it continues.

An answer of another era than the watch or the first page of a listing is not applied; the kind is listed again. The first call that meets the new era wakes the other kinds. An answer of an earlier era to a call that began before the new one was known is not applied either.

what_was_written_again_below_the_revision_of_a_watch_is_not_missed, all_watch, failed before:

assertion `left == right` failed left: 0 right: 1

--- a/cornelstand/src/gateway/follow.rs
+++ b/cornelstand/src/gateway/follow.rs
@@ -108,7 +108,16 @@
             revision = None;
         }
         let began = gate.now();
-        let result = poll_store(&gate, &mut client, followed, revision).await;
+        let restored = gate.restore_trigger.notified();
+        let result = tokio::select! {
+            biased;
+            result = poll_store(&gate, &mut client, followed, revision) => result,
+            // Another call has met the new era first.
+            () = restored => {
+                revision = None;
+                continue;
+            }
+        };
         note_call(&gate, followed, began, &result);
         match result {
             Ok((next, has_changed)) => {
@@ -118,7 +127,7 @@
                     sleep(CHANGE_BATCH_DELAY).await;
                 }
             }
-            Err(StoreCallError::HistoryGone) => revision = None,
+            Err(StoreCallError::HistoryGone | StoreCallError::OtherEra { .. }) => revision = None,
             Err(error) => {
                 // The same watch would be answered alike.
                 if matches!(error, StoreCallError::Unreadable { .. }) {
@@ -141,14 +150,18 @@
     let (kind, began) = (followed.kind(), gate.now());
     let Some(known) = revision else {
         let (objects, revision) = client.list(kind).await?;
-        note_store_answer(gate, followed, began, revision);
+        note_store_answer(gate, followed, began, revision)?;
         apply_listing(gate, followed, &objects, revision);
         return Ok((revision, false));
     };
     let contact = gate.settings.borrow().contact;
     let wait = contact.saturating_sub(WATCH_MARGIN).max(WATCH_WAIT_MIN);
     let (changes, revision) = client.watch(kind, known, wait).await?;
-    note_store_answer(gate, followed, began, revision);
+    note_store_answer(gate, followed, began, revision)?;
+    if revision.era != known.era {
+        // What the restored copy differs in may have no event after the known revision.
+        return Err(StoreCallError::OtherEra { era: revision.era });
+    }
     for change in &changes {
         apply_change(gate, followed, change, revision);
     }
@@ -170,9 +183,16 @@
         return;
     };
     calls.with_label_values(&["failed"]).inc();
-    if matches!(error, StoreCallError::HistoryGone) {
-        tracing::info!(event = "store_history_gone", %followed);
-        return;
+    match error {
+        StoreCallError::HistoryGone => {
+            tracing::info!(event = "store_history_gone", %followed);
+            return;
+        }
+        StoreCallError::OtherEra { era } => {
+            tracing::info!(event = "store_answer_skipped", %followed, era);
+            return;
+        }
+        _ => {}
     }
     let directory = &mut gate.state.borrow_mut().directory;
     if !directory.has_answered_since(began) && directory.mark_store_lost(gate.now()) {
@@ -181,15 +201,26 @@
 }
 
 /// Records an answer to a call that began at `began`.
-fn note_store_answer(gate: &Gate, followed: Followed, began: Moment, revision: StoreRevision) {
+///
+/// # Errors
+///
+/// Fails if the answer is from before the store was restored.
+fn note_store_answer(
+    gate: &Gate,
+    followed: Followed,
+    began: Moment,
+    revision: StoreRevision,
+) -> Result<(), StoreCallError> {
     let since = gate.store_since();
     let now = gate.now();
     let directory = &mut gate.state.borrow_mut().directory;
     let StoreRevision { era, number } = revision;
     match directory.note_era(now, began, era) {
-        EraNews::Same | EraNews::Late => {}
+        EraNews::Same => {}
+        EraNews::Late => return Err(StoreCallError::OtherEra { era }),
         EraNews::Restored(before) => {
             tracing::warn!(event = "store_restored", %followed, era, before, revision = number);
+            gate.restore_trigger.notify_waiters();
         }
     }
     directory.note_answer(now);
@@ -197,6 +228,7 @@
         let known_ms = now.since(since).as_millis();
         tracing::info!(event = "store_regained", %followed, known_ms, era);
     }
+    Ok(())
 }
 
 fn apply_listing(
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -117,6 +117,8 @@
     pub(crate) discovery_done: Cell<bool>,
     /// Wakes the heartbeat sender when peers should learn of a change at once.
     pub(crate) heartbeat_trigger: Notify,
+    /// Wakes all that follow the store when it was restored from an older copy.
+    pub(crate) restore_trigger: Notify,
     /// Wakes the alarm sender.
     pub(crate) alarm_trigger: Notify,
     pub(crate) connections: Cell<usize>,
@@ -182,6 +184,7 @@
             activity: Cell::new(0.0),
             discovery_done: Cell::new(false),
             heartbeat_trigger: Notify::new(),
+            restore_trigger: Notify::new(),
             alarm_trigger: Notify::new(),
             connections: Cell::new(0),
             held: HeldBytes::default(),
--- a/cornelstand/src/platform/store.rs
+++ b/cornelstand/src/platform/store.rs
@@ -46,6 +46,9 @@
     /// The history since the requested revision was compacted.
     #[snafu(display("the store has compacted the requested history"))]
     HistoryGone,
+    /// The response does not continue what is known: the store was restored from an older copy.
+    #[snafu(display("the answer is of the store's era {era}"))]
+    OtherEra { era: u16 },
     /// The object already exists, or its revision differs.
     #[snafu(display("the object already exists or its revision differs"))]
     Conflict {
@@ -149,6 +152,9 @@
                 format!("/-/objects/{kind}?after={after}")
             };
             let (body, era) = self.call("GET", &path, &[], CALL_TIMEOUT).await?;
+            if first.is_some_and(|r| r.era != era) {
+                return OtherEraSnafu { era }.fail();
+            }
             let page = Document::read(&body)?;
             let items = page.list("items")?;
             let read = items.into_iter().filter_map(decode_object);
@@ -173,7 +179,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the history was compacted or the call fails.
+    /// Fails if the history was compacted or the call fails. Changes of another era than that of
+    /// `revision` are returned; they may lack some.
     pub(crate) async fn watch(
         &mut self,
         kind: &str,
--- a/cornelstand/src/platform/tests/restored_store.rs
+++ b/cornelstand/src/platform/tests/restored_store.rs
@@ -119,3 +119,28 @@
     })
     .await;
 }
+
+/// A watch went on from a revision that the restored store had reached again.
+#[rstest]
+#[case::all_watch(1)]
+#[case::most_fetch_from_others(LARGE)]
+#[tokio::test]
+async fn what_was_written_again_below_the_revision_of_a_watch_is_not_missed(#[case] count: usize) {
+    run_local(async {
+        let fleet = Fleet::start(count).await;
+        fleet.evacuate("east");
+        assert_eq!(fleet.evacuated("east", count).await, count);
+        let copy = fleet.store.copy();
+        fleet.store.delete(EVACUATION_KIND, "east");
+        assert_eq!(fleet.evacuated("east", 0).await, 0);
+        fleet.store.restore(&copy);
+        fleet.evacuate("south");
+        fleet.store.delete(EVACUATION_KIND, "east");
+        for number in 0..5 {
+            fleet.store.put("others", "one", &json!(number));
+        }
+        assert_eq!(fleet.evacuated("south", count).await, count);
+        assert_eq!(fleet.evacuated("east", 0).await, 0);
+    })
+    .await;
+}
