An instance whose entry is gone from the store registers again

Cause: an instance wrote its entry once, at its start, and did not look for it in the listings that it reads.

The entry is written again when a listing lacks it, and after each restore, spread over 2 s: the copy may hold that of an earlier process. Instances that do not watch the store learn of the new era from the views in their peers' heartbeats. A stopping instance, which has removed its entry, does not write it again.

--- a/cornelstand/src/gateway/directory.rs
+++ b/cornelstand/src/gateway/directory.rs
@@ -157,6 +157,12 @@
 }
 
 impl ViewVersions {
+    /// Latest era of any part.
+    pub(crate) fn era(self) -> u16 {
+        let (endpoints, evacuations) = (self.endpoints.revision, self.evacuations.revision);
+        endpoints.era.max(evacuations.era)
+    }
+
     /// Whether any part of a view with these versions is newer.
     pub(crate) fn are_newer(self, other: Self) -> bool {
         self.endpoints.is_newer(other.endpoints) || self.evacuations.is_newer(other.evacuations)
@@ -256,6 +262,16 @@
         news
     }
 
+    /// Records the era that a peer knows. Returns the one until then, if that is earlier.
+    pub(crate) fn raise_era(&mut self, now: Moment, era: u16) -> Option<u16> {
+        let before = self.era.map(|(known, _)| known);
+        if before.is_some_and(|known| known >= era) {
+            return None;
+        }
+        self.era = Some((era, now));
+        before
+    }
+
     /// Whether a store call of this instance has failed recently.
     pub(crate) fn is_store_lost(&self, now: Moment) -> bool {
         match self.store {
@@ -509,15 +525,6 @@
         snapshot: DirectorySnapshot,
     ) -> Vec<EndpointChange> {
         self.adoptions += 1;
-        let revisions = [
-            snapshot.versions.evacuations.revision,
-            snapshot.versions.endpoints.revision,
-        ];
-        for StoreRevision { era, .. } in revisions {
-            if self.era.is_none_or(|(known, _)| era > known) {
-                self.era = Some((era, now));
-            }
-        }
         if snapshot
             .versions
             .evacuations
--- a/cornelstand/src/gateway/follow.rs
+++ b/cornelstand/src/gateway/follow.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use derive_more::Display;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::gateway::catalog::Catalog;
 use crate::gateway::directory::{DirectorySnapshot, EndpointRecord, EraNews, OrderRecord};
@@ -45,6 +45,8 @@
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(500);
 /// Longest delay after a failed call for the fleet's own entries, which every instance makes.
 const INSTANCE_RETRY_DELAY_MAX: Duration = Duration::from_secs(4);
+/// Time over which the instances spread their registrations after the store was restored.
+const REGISTRATION_SPREAD: Duration = Duration::from_secs(2);
 /// Interval of listing the instances at a leader. New ones also announce themselves by heartbeats.
 const LEADER_LIST_PERIOD: Duration = Duration::from_secs(10);
 /// Interval of looking whether the settings have a part that was not used so far.
@@ -412,14 +414,17 @@
     }
 }
 
-/// Registers this instance in the store and lists the others.
+/// Registers this instance in the store, again if its entry is gone, and lists the others.
 pub(crate) async fn follow_instances(gate: Rc<Gate>) {
     let mut client = StoreClient::new(gate.settings.borrow().store);
     let (mut is_registered, mut is_listed) = (false, false);
     let mut is_first = true;
     let mut delay = RETRY_DELAY_MIN;
     loop {
-        if !is_registered {
+        let restored = gate.restore_trigger.notified();
+        tokio::pin!(restored);
+        // A stopping instance has removed its entry.
+        if !is_registered && !gate.stop.has_begun() {
             let entry = instance_object(&gate.settings.borrow());
             match client.put(INSTANCE_KIND, &entry).await {
                 Ok(()) => is_registered = true,
@@ -429,7 +434,7 @@
         match client.list(INSTANCE_KIND).await {
             Ok((objects, _)) => {
                 is_listed = true;
-                list_instances(&gate, &objects);
+                is_registered &= list_instances(&gate, &objects);
             }
             Err(error) => tracing::info!(event = "instances_unread", %error),
         }
@@ -444,7 +449,10 @@
             } else {
                 FOLLOWER_LIST_PERIOD
             };
-            sleep(period).await;
+            if timeout(period, restored).await.is_ok() {
+                sleep(REGISTRATION_SPREAD.mul_f64(rand::random())).await;
+                is_registered = false;
+            }
         } else {
             sleep(delay.mul_f64(0.5 + rand::random::<f64>())).await;
             delay = (delay * 2).min(INSTANCE_RETRY_DELAY_MAX);
@@ -480,9 +488,11 @@
     }
 }
 
-fn list_instances(gate: &Gate, objects: &[StoreObject]) {
+/// Applies a listing of the instances. Returns whether this one is among them.
+fn list_instances(gate: &Gate, objects: &[StoreObject]) -> bool {
     let own = gate.settings.borrow().instance.clone();
     let mut state = gate.state.borrow_mut();
+    let mut is_known = false;
     for object in objects {
         let name = InstanceName::from(object.metadata.name.as_str());
         let spec: Result<InstanceSpec, _> = serde_json::from_value(object.spec.clone());
@@ -490,10 +500,11 @@
             Ok(spec) if name != own => {
                 state.peers.list(name, spec.peer, spec.centre, spec.cores);
             }
-            Ok(_) => {}
+            Ok(_) => is_known = true,
             Err(error) => tracing::warn!(event = "instance_unreadable", %name, %error),
         }
     }
+    is_known
 }
 
 /// Fetches newer state from peers: the configuration; endpoints, evacuations and roll-outs, unless
@@ -503,6 +514,7 @@
     let started = Instant::now();
     loop {
         sleep(PEER_CHECK_PERIOD).await;
+        note_peer_era(&gate);
         let is_starting = started.elapsed() < PEER_TIMEOUT;
         let Some(peer) = newer_peer(&gate) else {
             let is_empty = !gate.state.borrow().directory.is_complete();
@@ -515,6 +527,21 @@
     }
 }
 
+/// Records the era that peers know, unless this instance learns it from the store.
+fn note_peer_era(gate: &Gate) {
+    if !follows_peers(gate) {
+        return;
+    }
+    let now = gate.now();
+    let mut state = gate.state.borrow_mut();
+    let era = state.peers.era(now, &gate.settings.borrow().centre);
+    if let Some(before) = state.directory.raise_era(now, era) {
+        drop(state);
+        tracing::warn!(event = "store_restored", followed = "peers", era, before);
+        gate.restore_trigger.notify_waiters();
+    }
+}
+
 /// Peer with newer state.
 fn newer_peer(gate: &Gate) -> Option<SocketAddr> {
     let may_adopt = follows_peers(gate);
@@ -540,7 +567,7 @@
 }
 
 async fn sync_from(gate: &Gate, address: SocketAddr) {
-    let fetched = tokio::time::timeout(PEER_TIMEOUT, fetch_snapshot(address)).await;
+    let fetched = timeout(PEER_TIMEOUT, fetch_snapshot(address)).await;
     let mut snapshot = match fetched {
         Ok(Ok(snapshot)) => snapshot,
         Ok(Err(error)) => {
--- a/cornelstand/src/gateway/peers.rs
+++ b/cornelstand/src/gateway/peers.rs
@@ -595,6 +595,12 @@
         collect_demands(heartbeats.chain(self.fresh_digests(now, centre).flat_map(|d| &d.demands)))
     }
 
+    /// Latest era of the store in the views of the live instances of `centre`.
+    pub(crate) fn era(&self, now: Moment, centre: &CentreName) -> u16 {
+        let neighbours = self.live(now).filter(|b| b.centre == *centre);
+        neighbours.map(|b| b.versions.era()).max().unwrap_or(0)
+    }
+
     /// Instance of `centre` with newer endpoints or evacuations than `versions`.
     pub(crate) fn newer_snapshot(
         &self,
--- a/cornelstand/src/platform/tests/restored_store.rs
+++ b/cornelstand/src/platform/tests/restored_store.rs
@@ -12,11 +12,11 @@
 use tokio::time::{sleep, timeout};
 
 use crate::gateway::admin::{Role, accept};
-use crate::gateway::follow::{Followed, follow, follow_peers};
+use crate::gateway::follow::{Followed, follow, follow_instances, follow_peers};
 use crate::gateway::gate::Gate;
 use crate::gateway::tests::gate;
 use crate::name::CentreName;
-use crate::platform::objects::EVACUATION_KIND;
+use crate::platform::objects::{EVACUATION_KIND, INSTANCE_KIND};
 use crate::platform::tests::path::run_local;
 use crate::platform::tests::scripted::own_loopback;
 
@@ -144,3 +144,38 @@
     })
     .await;
 }
+
+/// Instances that had registered since the copy were unknown to those that start later.
+#[rstest]
+#[case::all_watch(1)]
+#[case::most_fetch_from_others(LARGE)]
+#[tokio::test]
+async fn instances_whose_entries_are_gone_register_again(#[case] count: usize) {
+    run_local(async {
+        let fleet = Fleet::start(count).await;
+        let copy = fleet.store.copy();
+        for gate in &fleet.gates {
+            spawn_local(follow_instances(gate.clone()));
+        }
+        let are_registered = async || {
+            let is_gone = |i| {
+                fleet
+                    .store
+                    .object(INSTANCE_KIND, &format!("i-{i:02}"))
+                    .is_none()
+            };
+            let wait = async {
+                while (0..count).any(is_gone) {
+                    sleep(Duration::from_millis(10)).await;
+                }
+            };
+            timeout(CHANGE_TIME, wait).await.is_ok()
+        };
+        assert!(are_registered().await);
+        // Each has read the listing, and waits for the next one.
+        sleep(HEARTBEAT_PERIOD * 3).await;
+        fleet.store.restore(&copy);
+        assert!(are_registered().await);
+    })
+    .await;
+}
