Endpoints that a restored store lacks are kept for the grace time

Cause: only an outage that the instance had seen itself counted for the grace time of entries that are gone. A restore counts now as well.

an_endpoint_that_the_restored_store_lacks_is_kept_for_the_grace_time failed before:

assertion `left == right` failed left: [Removed(EndpointName("a"))] right: [Lapsed(EndpointName("a"))]

--- a/cornelstand/src/gateway/directory.rs
+++ b/cornelstand/src/gateway/directory.rs
@@ -3,9 +3,9 @@
 //!
 //! A configuration is never replaced by a lower version. Entries of endpoints that disappear during
 //! a store outage, or just after it, may only have lapsed. Such endpoints are kept for
-//! [`LAPSE_GRACE`] after the store's recovery and removed unless listed again. An endpoint whose
-//! removal is seen after the recovery may be shutting down; it is kept no longer than
-//! [`REMOVAL_GRACE`].
+//! [`LAPSE_GRACE`] after the store's recovery, or after it was seen to be restored from an older
+//! copy, and removed unless listed again. An endpoint whose removal is seen after the recovery may be
+//! shutting down; it is kept no longer than [`REMOVAL_GRACE`].
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -108,6 +108,8 @@
     orders_as_of: Option<StoreRevision>,
     /// Era of the store, and when it was first seen; none before the first answer.
     era: Option<(u16, Moment)>,
+    /// When the last restore of the store was seen.
+    restored_at: Option<Moment>,
     /// Number of times a peer's view was adopted.
     adoptions: u64,
 }
@@ -206,6 +208,7 @@
             order_version: ViewVersion::default(),
             orders_as_of: None,
             era: None,
+            restored_at: None,
             adoptions: 0,
         }
     }
@@ -259,6 +262,9 @@
             None => EraNews::Same,
         };
         self.era = Some((era, now));
+        if matches!(news, EraNews::Restored(_)) {
+            self.restored_at = Some(now);
+        }
         news
     }
 
@@ -269,6 +275,7 @@
             return None;
         }
         self.era = Some((era, now));
+        self.restored_at = before.and(Some(now));
         before
     }
 
@@ -330,10 +337,14 @@
 
     /// Removal time of endpoints whose entries have disappeared by `now`.
     fn removal_time(&self, now: Moment) -> Moment {
-        match self.store {
-            StoreState::AvailableSince(moment) => moment.after(LAPSE_GRACE),
-            StoreState::Unavailable(_) => now.after(LAPSE_GRACE),
-        }
+        let since = match self.store {
+            StoreState::AvailableSince(moment) => moment,
+            StoreState::Unavailable(_) => now,
+        };
+        // Endpoints write again what a restored store lacks.
+        since
+            .max(self.restored_at.unwrap_or_default())
+            .after(LAPSE_GRACE)
     }
 
     /// Applies an added or changed entry.
--- a/cornelstand/src/gateway/tests/directory.rs
+++ b/cornelstand/src/gateway/tests/directory.rs
@@ -233,3 +233,23 @@
         assert!(era > 0 || packed == number);
     }
 }
+
+/// A directory that has met the next era at 10 s, with the endpoints that it knew then.
+fn restored(known: Vec<EndpointRecord>) -> Directory {
+    let mut directory = Directory::new();
+    directory.note_era(at(0), at(0), 1);
+    directory.mark_store_available(at(0));
+    directory.list_endpoints(at(0), known);
+    directory.note_era(at(10_000), at(9_990), 2);
+    directory
+}
+
+#[test]
+fn an_endpoint_that_the_restored_store_lacks_is_kept_for_the_grace_time() {
+    let mut directory = restored(vec![entry("a")]);
+    let changes = directory.list_endpoints(at(10_000), Vec::new());
+    assert_eq!(changes, [EndpointChange::Lapsed("a".into())]);
+    assert!(directory.expire(at(12_200)).is_empty());
+    let changes = directory.expire(at(12_300));
+    assert_eq!(changes, [EndpointChange::Removed("a".into())]);
+}
