A leaving endpoint is not ready again because the store was restored

The listing after the restore replaced what was known, and the endpoint got requests until it had written its entry again, or to the end of its time.

Cause: entries of the same lifetime were taken as listed, whatever was known.

a_leaving_endpoint_is_not_ready_again_because_the_store_was_restored failed before:

assertion failed: directory.list_endpoints(at(10_000), vec![entry("a")]).is_empty()

--- a/cornelstand/src/gateway/directory.rs
+++ b/cornelstand/src/gateway/directory.rs
@@ -319,7 +319,9 @@
         let missing = self.missing(records.iter());
         let mut changes = Vec::new();
         for record in records {
-            changes.extend(self.put_endpoint(record));
+            if !self.is_leaving_since(now, &record) {
+                changes.extend(self.put_endpoint(record));
+            }
         }
         let expires_at = self.removal_time(now);
         for name in missing {
@@ -328,6 +330,16 @@
         changes
     }
 
+    /// Whether the endpoint of a listed entry has said since that it leaves: the store was just
+    /// restored from a copy that is older than this.
+    fn is_leaving_since(&self, now: Moment, record: &EndpointRecord) -> bool {
+        let restored_at = self.restored_at;
+        let is_restored = restored_at.is_some_and(|at| now < at.after(LAPSE_GRACE));
+        let known = self.endpoints.get(&record.name).map(|k| &k.record);
+        let is_same = |k: &&Rc<EndpointRecord>| k.started_at == record.started_at;
+        is_restored && !record.leaving && known.filter(is_same).is_some_and(|k| k.leaving)
+    }
+
     /// Known endpoints that are not among `records`.
     fn missing<'a>(&self, records: impl Iterator<Item = &'a EndpointRecord>) -> Vec<EndpointName> {
         let names: BTreeSet<&EndpointName> = records.map(|r| &r.name).collect();
@@ -565,6 +577,9 @@
         });
         let mut changes: Vec<EndpointChange> = removed.collect();
         for endpoint in snapshot.endpoints {
+            if self.is_leaving_since(now, &endpoint.record) {
+                continue;
+            }
             let expires_at = endpoint.lapses.map(|l| now.after(l));
             changes.extend(self.put(endpoint.record, expires_at));
         }
--- a/cornelstand/src/gateway/tests/directory.rs
+++ b/cornelstand/src/gateway/tests/directory.rs
@@ -253,3 +253,19 @@
     let changes = directory.expire(at(12_300));
     assert_eq!(changes, [EndpointChange::Removed("a".into())]);
 }
+
+#[test]
+fn a_leaving_endpoint_is_not_ready_again_because_the_store_was_restored() {
+    let mut leaving = entry("a");
+    leaving.leaving = true;
+    let mut directory = restored(vec![leaving]);
+    assert!(
+        directory
+            .list_endpoints(at(10_000), vec![entry("a")])
+            .is_empty()
+    );
+    // Another lifetime of the endpoint does not leave.
+    let mut next = entry("a");
+    next.started_at += 1;
+    assert_eq!(directory.list_endpoints(at(10_000), vec![next]).len(), 1);
+}
