--- a/cornelstand/src/gateway/directory.rs
+++ b/cornelstand/src/gateway/directory.rs
@@ -3,9 +3,9 @@
 //!
 //! A configuration is never replaced by a lower version. Entries of endpoints that disappear during
 //! a store outage, or just after it, may only have lapsed. Such endpoints are kept for
-//! [`LAPSE_GRACE`] after the store's recovery and removed unless listed again. An endpoint whose
-//! removal is seen after the recovery may be shutting down; it is kept no longer than
-//! [`REMOVAL_GRACE`].
+//! [`LAPSE_GRACE`] after the store's recovery, or after it was seen to be restored from an older
+//! copy, and removed unless listed again. An endpoint whose removal is seen after the recovery may be
+//! shutting down; it is kept no longer than [`REMOVAL_GRACE`].
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -17,6 +17,7 @@
 
 use crate::gateway::catalog::Catalog;
 use crate::gateway::rollout::Order;
+use crate::gateway::store_revision::StoreRevision;
 use crate::moment::Moment;
 use crate::name::{CentreName, EndpointName, ServiceName, VersionName};
 
@@ -104,16 +105,31 @@
     versions: ViewVersions,
     order_version: ViewVersion,
     /// Store revision up to which the orders are complete; none if they are not known yet.
-    orders_as_of: Option<u64>,
+    orders_as_of: Option<StoreRevision>,
+    /// Era of the store, and when it was first seen; none before the first answer.
+    era: Option<(u16, Moment)>,
+    /// When the last restore of the store was seen.
+    restored_at: Option<Moment>,
     /// Number of times a peer's view was adopted.
     adoptions: u64,
 }
 
+/// Meaning of the era of a store's answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum EraNews {
+    /// It is the known one, or the first.
+    Same,
+    /// The store was restored from a copy since the answer that had this era.
+    Restored(u16),
+    /// The answer is from before the store was restored.
+    Late,
+}
+
 /// Version of one part of the view.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct ViewVersion {
     /// Store revision at the last change.
-    pub(crate) revision: u64,
+    pub(crate) revision: StoreRevision,
     /// Hash of the contents, which identifies a change that was seen at two revisions.
     pub(crate) hash: u64,
 }
@@ -124,9 +140,10 @@
     }
 
     /// Advances to `hash`, seen at `revision`. Returns whether the hash differs.
-    fn advance(&mut self, revision: u64, hash: u64) -> bool {
+    fn advance(&mut self, revision: StoreRevision, hash: u64) -> bool {
         let has_changed = hash != self.hash;
-        if has_changed {
+        // In a new era the same contents are newer than others of the earlier one.
+        if has_changed || revision.era > self.revision.era {
             *self = Self { revision, hash };
         }
         has_changed
@@ -142,6 +159,12 @@
 }
 
 impl ViewVersions {
+    /// Latest era of any part.
+    pub(crate) fn era(self) -> u16 {
+        let (endpoints, evacuations) = (self.endpoints.revision, self.evacuations.revision);
+        endpoints.era.max(evacuations.era)
+    }
+
     /// Whether any part of a view with these versions is newer.
     pub(crate) fn are_newer(self, other: Self) -> bool {
         self.endpoints.is_newer(other.endpoints) || self.evacuations.is_newer(other.evacuations)
@@ -184,6 +207,8 @@
             versions: ViewVersions::default(),
             order_version: ViewVersion::default(),
             orders_as_of: None,
+            era: None,
+            restored_at: None,
             adoptions: 0,
         }
     }
@@ -228,6 +253,32 @@
         self.last_answer.is_some_and(|answered| answered > began)
     }
 
+    /// Records the era of the answer to a call that began at `began`.
+    pub(crate) fn note_era(&mut self, now: Moment, began: Moment, era: u16) -> EraNews {
+        let news = match self.era {
+            Some((known, _)) if known == era => return EraNews::Same,
+            Some((known, since)) if era < known && began < since => return EraNews::Late,
+            Some((known, _)) => EraNews::Restored(known),
+            None => EraNews::Same,
+        };
+        self.era = Some((era, now));
+        if matches!(news, EraNews::Restored(_)) {
+            self.restored_at = Some(now);
+        }
+        news
+    }
+
+    /// Records the era that a peer knows. Returns the one until then, if that is earlier.
+    pub(crate) fn raise_era(&mut self, now: Moment, era: u16) -> Option<u16> {
+        let before = self.era.map(|(known, _)| known);
+        if before.is_some_and(|known| known >= era) {
+            return None;
+        }
+        self.era = Some((era, now));
+        self.restored_at = before.and(Some(now));
+        before
+    }
+
     /// Whether a store call of this instance has failed recently.
     pub(crate) fn is_store_lost(&self, now: Moment) -> bool {
         match self.store {
@@ -268,7 +319,9 @@
         let missing = self.missing(records.iter());
         let mut changes = Vec::new();
         for record in records {
-            changes.extend(self.put_endpoint(record));
+            if !self.is_leaving_since(now, &record) {
+                changes.extend(self.put_endpoint(record));
+            }
         }
         let expires_at = self.removal_time(now);
         for name in missing {
@@ -277,6 +330,16 @@
         changes
     }
 
+    /// Whether the endpoint of a listed entry has said since that it leaves: the store was just
+    /// restored from a copy that is older than this.
+    fn is_leaving_since(&self, now: Moment, record: &EndpointRecord) -> bool {
+        let restored_at = self.restored_at;
+        let is_restored = restored_at.is_some_and(|at| now < at.after(LAPSE_GRACE));
+        let known = self.endpoints.get(&record.name).map(|k| &k.record);
+        let is_same = |k: &&Rc<EndpointRecord>| k.started_at == record.started_at;
+        is_restored && !record.leaving && known.filter(is_same).is_some_and(|k| k.leaving)
+    }
+
     /// Known endpoints that are not among `records`.
     fn missing<'a>(&self, records: impl Iterator<Item = &'a EndpointRecord>) -> Vec<EndpointName> {
         let names: BTreeSet<&EndpointName> = records.map(|r| &r.name).collect();
@@ -286,10 +349,14 @@
 
     /// Removal time of endpoints whose entries have disappeared by `now`.
     fn removal_time(&self, now: Moment) -> Moment {
-        match self.store {
-            StoreState::AvailableSince(moment) => moment.after(LAPSE_GRACE),
-            StoreState::Unavailable(_) => now.after(LAPSE_GRACE),
-        }
+        let since = match self.store {
+            StoreState::AvailableSince(moment) => moment,
+            StoreState::Unavailable(_) => now,
+        };
+        // Endpoints write again what a restored store lacks.
+        since
+            .max(self.restored_at.unwrap_or_default())
+            .after(LAPSE_GRACE)
     }
 
     /// Applies an added or changed entry.
@@ -416,7 +483,7 @@
     }
 
     /// Store revision up to which the orders are complete.
-    pub(crate) fn orders_as_of(&self) -> u64 {
+    pub(crate) fn orders_as_of(&self) -> StoreRevision {
         self.orders_as_of.unwrap_or_default()
     }
 
@@ -426,7 +493,7 @@
     }
 
     /// Marks the orders as current at store `revision`. Returns whether they changed.
-    pub(crate) fn mark_orders(&mut self, revision: u64) -> bool {
+    pub(crate) fn mark_orders(&mut self, revision: StoreRevision) -> bool {
         self.orders_as_of = self.orders_as_of.max(Some(revision));
         let mut hash = Xxh3::new();
         for order in self.orders.values() {
@@ -448,7 +515,7 @@
     }
 
     /// Marks the endpoints as current at store `revision`. Returns whether they changed.
-    pub(crate) fn mark_endpoints(&mut self, revision: u64) -> bool {
+    pub(crate) fn mark_endpoints(&mut self, revision: StoreRevision) -> bool {
         let mut hash = Xxh3::new();
         for (name, known) in &self.endpoints {
             let record = &known.record;
@@ -465,7 +532,7 @@
     }
 
     /// Marks the evacuations as current at store `revision`. Returns whether they changed.
-    pub(crate) fn mark_evacuations(&mut self, revision: u64) -> bool {
+    pub(crate) fn mark_evacuations(&mut self, revision: StoreRevision) -> bool {
         let mut hash = Xxh3::new();
         for centre in &self.evacuated {
             hash.update(centre.as_str().as_bytes());
@@ -510,6 +577,9 @@
         });
         let mut changes: Vec<EndpointChange> = removed.collect();
         for endpoint in snapshot.endpoints {
+            if self.is_leaving_since(now, &endpoint.record) {
+                continue;
+            }
             let expires_at = endpoint.lapses.map(|l| now.after(l));
             changes.extend(self.put(endpoint.record, expires_at));
         }
--- a/cornelstand/src/gateway/follow.rs
+++ b/cornelstand/src/gateway/follow.rs
@@ -11,12 +11,13 @@
 use std::time::Duration;
 
 use derive_more::Display;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::gateway::catalog::Catalog;
-use crate::gateway::directory::{DirectorySnapshot, EndpointRecord, OrderRecord};
+use crate::gateway::directory::{DirectorySnapshot, EndpointRecord, EraNews, OrderRecord};
 use crate::gateway::gate::Gate;
 use crate::gateway::settings::{GatewaySettings, peer_address};
+use crate::gateway::store_revision::StoreRevision;
 use crate::gateway::upstream::Upstream;
 use crate::moment::Moment;
 use crate::name::{CentreName, EndpointName, InstanceName};
@@ -44,6 +45,8 @@
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(500);
 /// Longest delay after a failed call for the fleet's own entries, which every instance makes.
 const INSTANCE_RETRY_DELAY_MAX: Duration = Duration::from_secs(4);
+/// Time over which the instances spread their registrations after the store was restored.
+const REGISTRATION_SPREAD: Duration = Duration::from_secs(2);
 /// Interval of listing the instances at a leader. New ones also announce themselves by heartbeats.
 const LEADER_LIST_PERIOD: Duration = Duration::from_secs(10);
 /// Interval of looking whether the settings have a part that was not used so far.
@@ -107,7 +110,16 @@
             revision = None;
         }
         let began = gate.now();
-        let result = poll_store(&gate, &mut client, followed, revision).await;
+        let restored = gate.restore_trigger.notified();
+        let result = tokio::select! {
+            biased;
+            result = poll_store(&gate, &mut client, followed, revision) => result,
+            // Another call has met the new era first.
+            () = restored => {
+                revision = None;
+                continue;
+            }
+        };
         note_call(&gate, followed, began, &result);
         match result {
             Ok((next, has_changed)) => {
@@ -117,7 +129,7 @@
                     sleep(CHANGE_BATCH_DELAY).await;
                 }
             }
-            Err(StoreCallError::HistoryGone) => revision = None,
+            Err(StoreCallError::HistoryGone | StoreCallError::OtherEra { .. }) => revision = None,
             Err(error) => {
                 // The same watch would be answered alike.
                 if matches!(error, StoreCallError::Unreadable { .. }) {
@@ -135,19 +147,23 @@
     gate: &Gate,
     client: &mut StoreClient,
     followed: Followed,
-    revision: Option<u64>,
-) -> Result<(u64, bool), StoreCallError> {
-    let kind = followed.kind();
-    let Some(revision) = revision else {
+    revision: Option<StoreRevision>,
+) -> Result<(StoreRevision, bool), StoreCallError> {
+    let (kind, began) = (followed.kind(), gate.now());
+    let Some(known) = revision else {
         let (objects, revision) = client.list(kind).await?;
-        note_store_answer(gate, followed);
+        note_store_answer(gate, followed, began, revision)?;
         apply_listing(gate, followed, &objects, revision);
         return Ok((revision, false));
     };
     let contact = gate.settings.borrow().contact;
     let wait = contact.saturating_sub(WATCH_MARGIN).max(WATCH_WAIT_MIN);
-    let (changes, revision) = client.watch(kind, revision, wait).await?;
-    note_store_answer(gate, followed);
+    let (changes, revision) = client.watch(kind, known, wait).await?;
+    note_store_answer(gate, followed, began, revision)?;
+    if revision.era != known.era {
+        // What the restored copy differs in may have no event after the known revision.
+        return Err(StoreCallError::OtherEra { era: revision.era });
+    }
     for change in &changes {
         apply_change(gate, followed, change, revision);
     }
@@ -161,7 +177,7 @@
     gate: &Gate,
     followed: Followed,
     began: Moment,
-    result: &Result<(u64, bool), StoreCallError>,
+    result: &Result<(StoreRevision, bool), StoreCallError>,
 ) {
     let calls = &gate.metrics.store_calls;
     let Err(error) = result else {
@@ -169,9 +185,16 @@
         return;
     };
     calls.with_label_values(&["failed"]).inc();
-    if matches!(error, StoreCallError::HistoryGone) {
-        tracing::info!(event = "store_history_gone", %followed);
-        return;
+    match error {
+        StoreCallError::HistoryGone => {
+            tracing::info!(event = "store_history_gone", %followed);
+            return;
+        }
+        StoreCallError::OtherEra { era } => {
+            tracing::info!(event = "store_answer_skipped", %followed, era);
+            return;
+        }
+        _ => {}
     }
     let directory = &mut gate.state.borrow_mut().directory;
     if !directory.has_answered_since(began) && directory.mark_store_lost(gate.now()) {
@@ -179,17 +202,43 @@
     }
 }
 
-fn note_store_answer(gate: &Gate, followed: Followed) {
+/// Records an answer to a call that began at `began`.
+///
+/// # Errors
+///
+/// Fails if the answer is from before the store was restored.
+fn note_store_answer(
+    gate: &Gate,
+    followed: Followed,
+    began: Moment,
+    revision: StoreRevision,
+) -> Result<(), StoreCallError> {
     let since = gate.store_since();
+    let now = gate.now();
     let directory = &mut gate.state.borrow_mut().directory;
-    directory.note_answer(gate.now());
+    let StoreRevision { era, number } = revision;
+    match directory.note_era(now, began, era) {
+        EraNews::Same => {}
+        EraNews::Late => return Err(StoreCallError::OtherEra { era }),
+        EraNews::Restored(before) => {
+            tracing::warn!(event = "store_restored", %followed, era, before, revision = number);
+            gate.restore_trigger.notify_waiters();
+        }
+    }
+    directory.note_answer(now);
     if directory.mark_store_available(since) {
-        let known_ms = gate.now().since(since).as_millis();
-        tracing::info!(event = "store_regained", %followed, known_ms);
+        let known_ms = now.since(since).as_millis();
+        tracing::info!(event = "store_regained", %followed, known_ms, era);
     }
+    Ok(())
 }
 
-fn apply_listing(gate: &Gate, followed: Followed, objects: &[StoreObject], revision: u64) {
+fn apply_listing(
+    gate: &Gate,
+    followed: Followed,
+    objects: &[StoreObject],
+    revision: StoreRevision,
+) {
     match followed {
         Followed::Configuration => {
             for object in objects {
@@ -221,13 +270,14 @@
     }
 }
 
-fn apply_change(gate: &Gate, followed: Followed, change: &Change, revision: u64) {
+fn apply_change(gate: &Gate, followed: Followed, change: &Change, revision: StoreRevision) {
     let object = &change.object;
     match followed {
         Followed::Configuration if change.is_deleted => {
             tracing::warn!(
                 event = "config_deleted",
-                revision,
+                revision = revision.number,
+                era = revision.era,
                 "the last one stays in force"
             );
         }
@@ -271,7 +321,7 @@
 }
 
 /// Applies the orders at store `revision`, and notifies the peers if they have changed.
-fn apply_orders(gate: &Gate, revision: u64) {
+fn apply_orders(gate: &Gate, revision: StoreRevision) {
     let has_changed = gate.state.borrow_mut().directory.mark_orders(revision);
     // Also without a change: peers may have told of an order that is gone by now.
     gate.apply_orders();
@@ -293,11 +343,16 @@
     order.ok()
 }
 
-fn apply_evacuated(gate: &Gate, centres: BTreeSet<CentreName>, revision: u64) {
+fn apply_evacuated(gate: &Gate, centres: BTreeSet<CentreName>, revision: StoreRevision) {
     let mut state = gate.state.borrow_mut();
     if state.directory.set_evacuated(centres) {
         let centres = state.directory.evacuated();
-        tracing::info!(event = "centres_out", ?centres, revision);
+        tracing::info!(
+            event = "centres_out",
+            ?centres,
+            revision = revision.number,
+            era = revision.era
+        );
     }
     let has_changed = state.directory.mark_evacuations(revision);
     drop(state);
@@ -307,23 +362,23 @@
 }
 
 /// Notifies the peers if endpoints have changed.
-fn announce_endpoints(gate: &Gate, revision: u64) {
+fn announce_endpoints(gate: &Gate, revision: StoreRevision) {
     if gate.state.borrow_mut().directory.mark_endpoints(revision) {
         gate.heartbeat_trigger.notify_one();
     }
 }
 
-fn apply_config(gate: &Gate, object: &StoreObject, revision: u64) {
+fn apply_config(gate: &Gate, object: &StoreObject, revision: StoreRevision) {
     match read_config(&object.spec) {
         Ok(catalog) => apply_catalog(gate, catalog, "store", revision),
         Err(error) => {
             let name = &object.metadata.name;
-            tracing::error!(event = "config_unreadable", name, revision, %error);
+            tracing::error!(event = "config_unreadable", name, revision = revision.number, era = revision.era, %error);
         }
     }
 }
 
-fn apply_catalog(gate: &Gate, catalog: Catalog, source: &str, revision: u64) {
+fn apply_catalog(gate: &Gate, catalog: Catalog, source: &str, revision: StoreRevision) {
     let version = catalog.version;
     let (routes, accounts) = (catalog.routes.len(), catalog.keys.len());
     if gate.state.borrow_mut().directory.set_catalog(catalog) {
@@ -333,7 +388,8 @@
             routes,
             accounts,
             source,
-            revision
+            revision = revision.number,
+            era = revision.era,
         );
         gate.metrics
             .version
@@ -358,14 +414,17 @@
     }
 }
 
-/// Registers this instance in the store and lists the others.
+/// Registers this instance in the store, again if its entry is gone, and lists the others.
 pub(crate) async fn follow_instances(gate: Rc<Gate>) {
     let mut client = StoreClient::new(gate.settings.borrow().store);
     let (mut is_registered, mut is_listed) = (false, false);
     let mut is_first = true;
     let mut delay = RETRY_DELAY_MIN;
     loop {
-        if !is_registered {
+        let restored = gate.restore_trigger.notified();
+        tokio::pin!(restored);
+        // A stopping instance has removed its entry.
+        if !is_registered && !gate.stop.has_begun() {
             let entry = instance_object(&gate.settings.borrow());
             match client.put(INSTANCE_KIND, &entry).await {
                 Ok(()) => is_registered = true,
@@ -375,7 +434,7 @@
         match client.list(INSTANCE_KIND).await {
             Ok((objects, _)) => {
                 is_listed = true;
-                list_instances(&gate, &objects);
+                is_registered &= list_instances(&gate, &objects);
             }
             Err(error) => tracing::info!(event = "instances_unread", %error),
         }
@@ -390,7 +449,10 @@
             } else {
                 FOLLOWER_LIST_PERIOD
             };
-            sleep(period).await;
+            if timeout(period, restored).await.is_ok() {
+                sleep(REGISTRATION_SPREAD.mul_f64(rand::random())).await;
+                is_registered = false;
+            }
         } else {
             sleep(delay.mul_f64(0.5 + rand::random::<f64>())).await;
             delay = (delay * 2).min(INSTANCE_RETRY_DELAY_MAX);
@@ -426,9 +488,11 @@
     }
 }
 
-fn list_instances(gate: &Gate, objects: &[StoreObject]) {
+/// Applies a listing of the instances. Returns whether this one is among them.
+fn list_instances(gate: &Gate, objects: &[StoreObject]) -> bool {
     let own = gate.settings.borrow().instance.clone();
     let mut state = gate.state.borrow_mut();
+    let mut is_known = false;
     for object in objects {
         let name = InstanceName::from(object.metadata.name.as_str());
         let spec: Result<InstanceSpec, _> = serde_json::from_value(object.spec.clone());
@@ -436,10 +500,11 @@
             Ok(spec) if name != own => {
                 state.peers.list(name, spec.peer, spec.centre, spec.cores);
             }
-            Ok(_) => {}
+            Ok(_) => is_known = true,
             Err(error) => tracing::warn!(event = "instance_unreadable", %name, %error),
         }
     }
+    is_known
 }
 
 /// Fetches newer state from peers: the configuration; endpoints, evacuations and roll-outs, unless
@@ -449,6 +514,7 @@
     let started = Instant::now();
     loop {
         sleep(PEER_CHECK_PERIOD).await;
+        note_peer_era(&gate);
         let is_starting = started.elapsed() < PEER_TIMEOUT;
         let Some(peer) = newer_peer(&gate) else {
             let is_empty = !gate.state.borrow().directory.is_complete();
@@ -461,6 +527,21 @@
     }
 }
 
+/// Records the era that peers know, unless this instance learns it from the store.
+fn note_peer_era(gate: &Gate) {
+    if !follows_peers(gate) {
+        return;
+    }
+    let now = gate.now();
+    let mut state = gate.state.borrow_mut();
+    let era = state.peers.era(now, &gate.settings.borrow().centre);
+    if let Some(before) = state.directory.raise_era(now, era) {
+        drop(state);
+        tracing::warn!(event = "store_restored", followed = "peers", era, before);
+        gate.restore_trigger.notify_waiters();
+    }
+}
+
 /// Peer with newer state.
 fn newer_peer(gate: &Gate) -> Option<SocketAddr> {
     let may_adopt = follows_peers(gate);
@@ -486,7 +567,7 @@
 }
 
 async fn sync_from(gate: &Gate, address: SocketAddr) {
-    let fetched = tokio::time::timeout(PEER_TIMEOUT, fetch_snapshot(address)).await;
+    let fetched = timeout(PEER_TIMEOUT, fetch_snapshot(address)).await;
     let mut snapshot = match fetched {
         Ok(Ok(snapshot)) => snapshot,
         Ok(Err(error)) => {
@@ -499,7 +580,7 @@
         }
     };
     let catalog = std::mem::take(&mut snapshot.catalog);
-    apply_catalog(gate, catalog, "peer", 0);
+    apply_catalog(gate, catalog, "peer", StoreRevision::default());
     let mut state = gate.state.borrow_mut();
     let are_orders_newer = snapshot
         .order_version
@@ -511,8 +592,10 @@
     }
     state = gate.state.borrow_mut();
     tracing::info!(
-        event = "beliefs_adopted", %address, revision = snapshot.versions.endpoints.revision,
-        evacuation_revision = snapshot.versions.evacuations.revision,
+        event = "beliefs_adopted", %address, revision = snapshot.versions.endpoints.revision.number,
+        evacuation_revision = snapshot.versions.evacuations.revision.number,
+        era = snapshot.versions.endpoints.revision.era,
+        evacuation_era = snapshot.versions.evacuations.revision.era,
         endpoints = snapshot.endpoints.len(), evacuated = ?snapshot.evacuated,
         orders = snapshot.orders.len(),
     );
