Gateway: heads of responses take their memory from the account

Callers saw: connections that end with the process, on an instance that had sent many requests to an endpoint whose heads did not end.

Cause: the sum had no owner. One head was bounded by 64 kB, but its bytes were not in the account of held bytes, unlike those of a request's head; nor was a head that is kept while its body or its stream comes. Endpoints that stop short of the bound and trickle meet no bound, so the heads of all requests added up (640 requests in a process with 64 MB).

Why this works: a head grows only as far as its share does, the share lives as long as the head (also in a buffered failure), and a connection does not keep the head's memory. Heads within 8 kB take no share and are served as before, whatever the account holds. Without room the answer is lost: repeated elsewhere if it may be, else 502.

--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -39,7 +39,7 @@
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 /// Largest response body that is buffered until complete, in bytes.
 const MAX_WHOLE_BYTES: usize = 256 * 1024;
-/// Part of the account of held bytes that buffered responses leave to requests.
+/// Part of the account of held bytes that heads and buffered responses leave to requests.
 const REQUESTS_DIVISOR: usize = 2;
 /// Receive buffer of the connection to an endpoint whose response is passed on, in bytes.
 const RECEIVE_BYTES: usize = 64 * 1024;
@@ -89,8 +89,8 @@
 pub(crate) struct BufferedResponse {
     pub(crate) head: Head,
     pub(crate) body: Bytes,
-    /// Memory for the body.
-    pub(crate) _share: Share,
+    /// Memory for the head and the body.
+    pub(crate) _shares: [Share; 2],
 }
 
 /// Reason why an attempt was interrupted.
@@ -131,6 +131,7 @@
             Self::OtherBegun => Attempt::Lost("another response has begun"),
             Self::Read(ReadError::Closed) => Attempt::Lost("closed"),
             Self::Read(ReadError::Io(_)) => Attempt::Lost("reset"),
+            Self::Read(ReadError::NoHeadRoom) => Attempt::Lost("no memory is left for the head"),
             Self::Read(ReadError::Message(error)) => Attempt::Lost(match error {
                 MessageError::HeadTooLarge => "endless head",
                 MessageError::BadHead => "malformed head",
@@ -211,6 +212,7 @@
         written: Written::Partly,
         is_reusable: true,
         idle: None,
+        head_share: gate.held.share(),
     };
     let result = exchange.run(call, writer, place).await;
     let (is_reusable, idle) = (
@@ -294,6 +296,8 @@
     written: Written,
     is_reusable: bool,
     idle: Option<Duration>,
+    /// Memory for the head of the response.
+    head_share: Share,
 }
 
 impl Exchange<'_> {
@@ -381,7 +385,7 @@
             let response = BufferedResponse {
                 head,
                 body: bytes,
-                _share: share,
+                _shares: [self.take_head_share(), share],
             };
             if !is_good && (writer.has_begun() || call.may_retry()) {
                 return Ok(Attempt::Failed(response));
@@ -392,6 +396,10 @@
         }
     }
 
+    fn take_head_share(&mut self) -> Share {
+        std::mem::replace(&mut self.head_share, self.gate.held.share())
+    }
+
     /// Records that the answer has begun well.
     fn note_good(&self, call: &Call, place: &Place) {
         let attempt = RolloutAttempt {
@@ -439,11 +447,18 @@
     ) -> Result<Head, Interruption> {
         let (started, sent) = (Instant::now(), self.gate.now());
         let mut cut_check = Some(started + CUT_CHECK_DELAY);
+        let memory = self.gate.settings.borrow().memory / REQUESTS_DIVISOR;
         loop {
             let silent_from = event_deadline(self.gate, call, writer, started);
             let until = cut_check.map_or(silent_from, |c| c.min(silent_from));
-            let head = self.upstream.response_head(MAX_HEAD_BYTES);
+            let share = &mut self.head_share;
+            let room = |bytes| share.grow(bytes, memory);
+            let head = self.upstream.response_head(MAX_HEAD_BYTES, room);
             match with_deadline(head, writer, until).await {
+                Ok(Err(ReadError::NoHeadRoom)) => {
+                    self.gate.metrics.note_limit(Limit::HeldBytes);
+                    return Err(ReadError::NoHeadRoom.into());
+                }
                 Ok(head) => return Ok(head?),
                 Err(Interruption::DeadlinePassed) if until < silent_from => {
                     cut_check = None;
--- a/cornelstand/src/gateway/upstream.rs
+++ b/cornelstand/src/gateway/upstream.rs
@@ -44,6 +44,8 @@
     Io(io::Error),
     #[display("the connection was closed early")]
     Closed,
+    #[display("no memory is left for the head")]
+    NoHeadRoom,
     #[display("{_0}")]
     Message(MessageError),
 }
@@ -109,15 +111,30 @@
         }
     }
 
-    /// Reads the head of the final response and skips interim (1xx) ones.
+    /// Reads the head of the final response, for which it has to get `room`, and skips interim
+    /// (1xx) ones.
     ///
     /// # Errors
     ///
-    /// Fails if the connection fails or the response is malformed.
-    pub(crate) async fn response_head(&mut self, limit: usize) -> Result<Head, ReadError> {
+    /// Fails if the connection fails, the response is malformed or there is no room for it.
+    pub(crate) async fn response_head(
+        &mut self,
+        limit: usize,
+        mut room: impl FnMut(usize) -> bool,
+    ) -> Result<Head, ReadError> {
         let mut interim = 0;
         loop {
-            match Head::parse_response(&mut self.input, limit)? {
+            let before = self.input.len();
+            let head = Head::parse_response(&mut self.input, limit)?;
+            // Buffers grow to twice what they hold.
+            if !room(2 * before) {
+                return Err(ReadError::NoHeadRoom);
+            }
+            if before > SMALL_BYTES && head.is_some() {
+                // The memory of the head is not to stay with the connection.
+                self.input = BytesMut::from(&self.input[..]);
+            }
+            match head {
                 Some(head) if head.status() < 200 => {
                     interim += 1;
                     if interim > MAX_INTERIM_RESPONSES {
@@ -142,7 +159,7 @@
         (head_limit, body_limit): (usize, usize),
     ) -> Result<(Head, Bytes), ReadError> {
         write_all(&self.stream, request).await?;
-        let head = self.response_head(head_limit).await?;
+        let head = self.response_head(head_limit, |_| true).await?;
         let mut reader = head.answer_body(method)?;
         let body = self.read_body(&mut reader, body_limit).await?;
         Ok((head, body))
--- a/cornelstand/src/platform/store.rs
+++ b/cornelstand/src/platform/store.rs
@@ -59,7 +59,7 @@
     fn from(error: ReadError) -> Self {
         let reason = error.to_string();
         match error {
-            ReadError::Message(_) => Self::Unreadable { reason },
+            ReadError::Message(_) | ReadError::NoHeadRoom => Self::Unreadable { reason },
             ReadError::Io(_) | ReadError::Closed => Self::NoAnswer { reason },
         }
     }
--- a/cornelstand/src/platform/tests/endless.rs
+++ b/cornelstand/src/platform/tests/endless.rs
@@ -106,6 +106,32 @@
     .await;
 }
 
+/// Heads that had not ended were kept beside the account, so that many of them ended the process.
+#[rstest]
+#[case::repeatable("/stock/1", "200")]
+#[case::once("/book/1", "502")]
+#[tokio::test]
+async fn a_head_without_room_is_not_kept(#[case] path: &str, #[case] expected: &str) {
+    run_local(async {
+        let large = format!("X-More: {}\r\n", "y".repeat(20_000));
+        let scripts = vec![
+            vec![Step::Read, Step::Write(answer("a1", &large, "large"))],
+            vec![Step::Read, Step::Write(answer("a1", "", "small"))],
+        ];
+        let endpoint = Endpoint::start(scripts).await;
+        let records = ["o-1", "o-2"].map(|name| record(name, ORDERS, endpoint.address));
+        let gate = gate("one", records.to_vec());
+        let memory = gate.settings.borrow().memory;
+        let mut other = gate.held.share();
+        assert!(other.grow(memory, memory));
+        let text = fetch(listen(&gate).await, &request(path, "a1")).await;
+        assert_eq!(status(&text), expected, "{text}");
+        drop(other);
+        assert!(gate.held.share().grow(memory, memory));
+    })
+    .await;
+}
+
 /// A long body is passed on as it is read, until it is found to be endless.
 #[tokio::test]
 async fn an_endless_body_is_cut_and_delays_no_other_request() {
--- a/cornelstand/tests/crowds/callers.rs
+++ b/cornelstand/tests/crowds/callers.rs
@@ -33,6 +33,8 @@
     Slow(&'static str),
     /// Reads a long answer but for its last byte.
     LastByteLeft(&'static str),
+    /// Reads an answer as fast as it comes.
+    Eager(&'static str),
     /// Sends the bytes of a request one at a time.
     Drip,
     /// Sends a head that does not end.
@@ -117,6 +119,10 @@
             }
             std::future::pending().await
         }
+        Way::Eager(path) => {
+            send(&mut stream, &front.request(path, id)).await?;
+            wait_closed(&mut stream).await
+        }
         Way::Drip => {
             for byte in front.request("plain", id).bytes() {
                 stream.write_all(&[byte]).await.ok()?;
--- a/cornelstand/tests/crowds/endpoint.rs
+++ b/cornelstand/tests/crowds/endpoint.rs
@@ -1,5 +1,5 @@
-//! An endpoint that answers at length. It cuts an answer that stays unread, as those of the users
-//! do.
+//! An endpoint that answers at length, or without end. It cuts an answer that stays unread, as
+//! those of the users do.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,6 +18,14 @@
 const EVENTS: usize = 1_500;
 const EVENT_BYTES: usize = 4_000;
 const EVENT_PERIOD: Duration = Duration::from_millis(4);
+/// Bytes of a head and of an event that stop short of the bounds for one.
+const STALLED_HEAD_BYTES: usize = 60_000;
+const STALLED_EVENT_BYTES: usize = 250_000;
+/// Bytes of these that are written at once, and time between two writes.
+const PACED_BYTES: usize = 12_000;
+const PACE_PERIOD: Duration = Duration::from_millis(100);
+/// Time between two bytes of a trickle.
+const TRICKLE_PERIOD: Duration = Duration::from_millis(500);
 /// Time after which an unread answer is cut.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -64,6 +72,44 @@
                 put(&mut stream, format!("{head}{kind}").as_bytes()).await?;
                 events(&mut stream).await?;
             }
+            // A head without end that trickles.
+            "head" => {
+                let line = format!("{head}x-more: {}", "y".repeat(STALLED_HEAD_BYTES));
+                pace(&mut stream, line.as_bytes()).await?;
+                return trickle(&mut stream, "y").await;
+            }
+            // A large head, and a body that never comes.
+            "body" => {
+                let line = format!("{head}x-more: {}\r\n", "y".repeat(STALLED_HEAD_BYTES));
+                pace(&mut stream, line.as_bytes()).await?;
+                put(&mut stream, b"content-length: 10000\r\n\r\n").await?;
+                return trickle(&mut stream, "y").await;
+            }
+            // An event without end that trickles.
+            "event" => {
+                let data = "y".repeat(STALLED_EVENT_BYTES);
+                let event = format!("{head}content-type: text/event-stream\r\n\r\ndata: {data}");
+                pace(&mut stream, event.as_bytes()).await?;
+                return trickle(&mut stream, "y").await;
+            }
+            // An answer, and other bytes behind it that do not end.
+            "tail" => {
+                let length = PLAIN.len();
+                let answer = format!("{head}content-length: {length}\r\n\r\n{PLAIN}");
+                put(&mut stream, answer.as_bytes()).await?;
+                return flood(&mut stream, "and more ").await;
+            }
+            "interim" => return flood(&mut stream, "HTTP/1.1 103 Early Hints\r\n\r\n").await,
+            "error" => {
+                let head = head.replacen("200 OK", "500 Oops", 1);
+                put(&mut stream, format!("{head}\r\n").as_bytes()).await?;
+                return flood(&mut stream, "and more ").await;
+            }
+            "comments" => {
+                let head = format!("{head}content-type: text/event-stream\r\n\r\n");
+                put(&mut stream, head.as_bytes()).await?;
+                return flood(&mut stream, ": nothing\n\n").await;
+            }
             _ => {
                 let length = PLAIN.len();
                 let answer = format!("{head}content-length: {length}\r\n\r\n{PLAIN}");
@@ -132,3 +178,28 @@
     }
     put(stream, b"0\r\n\r\n").await
 }
+
+/// Writes `bytes` slowly enough that they are not left in the sockets.
+async fn pace(stream: &mut BufStream<TcpStream>, bytes: &[u8]) -> Option<()> {
+    for piece in bytes.chunks(PACED_BYTES) {
+        put(stream, piece).await?;
+        sleep(PACE_PERIOD).await;
+    }
+    Some(())
+}
+
+/// Writes `text` slowly, until the peer closes the connection.
+async fn trickle(stream: &mut BufStream<TcpStream>, text: &str) -> Option<()> {
+    loop {
+        put(stream, text.as_bytes()).await?;
+        sleep(TRICKLE_PERIOD).await;
+    }
+}
+
+/// Writes `text` as fast as it is read, until the peer closes the connection.
+async fn flood(stream: &mut BufStream<TcpStream>, text: &str) -> Option<()> {
+    let piece = text.repeat(PIECE_BYTES / text.len());
+    loop {
+        put(stream, piece.as_bytes()).await?;
+    }
+}
--- a/cornelstand/tests/crowds/gateway.rs
+++ b/cornelstand/tests/crowds/gateway.rs
@@ -18,9 +18,14 @@
 const READERS: usize = 24;
 /// Callers that hold connections.
 const SENDERS: usize = 240;
+/// Callers whose requests meet a faulty endpoint.
+const ASKING: usize = 640;
+/// Callers whose answers come without end, at full speed.
+const FLOODED: usize = 8;
 
 fn head(path: &str, id: &str, length: usize) -> String {
-    let route = if path == "events" { "talk" } else { "stock" };
+    let is_stream = ["event", "events", "comments"].contains(&path);
+    let route = if is_stream { "talk" } else { "stock" };
     format!(
         "POST /{route}/{path} HTTP/1.1\r\nhost: shop.example\r\nx-cornelstand-attempt-id: {id}\r\n\
          x-cornelstand-deadline-ms: 8000\r\nx-cornelstand-credential: {KEY}\r\n\
@@ -129,3 +134,37 @@
     };
     meet(&mut process, &front, &crowds, bounds).await;
 }
+
+fn asking(path: &'static str) -> Vec<Crowd> {
+    let count = ASKING;
+    let way = Way::Eager(path);
+    vec![Crowd { count, way }]
+}
+
+fn flooded(path: &'static str) -> Vec<Crowd> {
+    let count = FLOODED;
+    let way = Way::Eager(path);
+    vec![Crowd { count, way }]
+}
+
+/// An endpoint sends bytes without end to many requests at once.
+#[rstest]
+#[case::head(21, asking("head"))]
+#[case::body(22, asking("body"))]
+#[case::event(23, asking("event"))]
+#[case::tail(24, asking("tail"))]
+#[case::interim(25, flooded("interim"))]
+#[case::error(26, flooded("error"))]
+#[case::comments(27, flooded("comments"))]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_outlives_an_endpoint_without_end(#[case] last: u8, #[case] crowds: Vec<Crowd>) {
+    let _alone = alone().await;
+    let store = PlatformStore::start().expect("the store starts");
+    fill(&store, endpoint::start().await);
+    let (mut process, front) = start(&store, last);
+    let bounds = Bounds {
+        memory: MEMORY_MB * 1024 * 1024,
+        descriptors: DESCRIPTORS,
+    };
+    meet(&mut process, &front, &crowds, bounds).await;
+}
