Gateway: a listing of the store that does not end is given up

Cause: each page of a list is bounded by 8 MB, the list is not. It was read and kept for as long as its pages told of another one, also if each ended with the name with which the one before ended.

The test that failed before (a store with 200 pages, of which at most 2 or 40 are to be read):

endless_store::a_listing_without_end_is_given_up::case_1_same_page 200 pages were kept endless_store::a_listing_without_end_is_given_up::case_2_in_turns 200 pages were kept endless_store::a_listing_without_end_is_given_up::case_3_large_pages 200 pages were kept

Why this works: the bytes of all pages and a fixed size for each entry are counted together, to 16 MB like the view of a peer; a page that ends where it began is an error at once. A failed listing leaves the view as it is, and is asked again with the delays of any failed call.

--- a/cornelstand/src/platform/store.rs
+++ b/cornelstand/src/platform/store.rs
@@ -7,7 +7,7 @@
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
-use snafu::{OptionExt, Snafu};
+use snafu::{OptionExt, Snafu, ensure};
 use tokio::time::timeout;
 
 use crate::gateway::upstream::{ReadError, Upstream};
@@ -24,6 +24,10 @@
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Largest response body, in bytes; a page of a list has about one megabyte.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Largest list, in bytes of its pages and its objects beside their contents.
+const MAX_LIST_BYTES: usize = 16 * 1024 * 1024;
+/// Bytes of a decoded object beside its contents.
+const OBJECT_BYTES: usize = 256;
 
 /// Characters that are escaped in a query: all but the unreserved ones.
 const ESCAPED: &AsciiSet = &NON_ALPHANUMERIC
@@ -128,7 +132,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if a page cannot be read.
+    /// Fails if a page cannot be read, or if the list is too large or does not end.
     pub(crate) async fn list(
         &mut self,
         kind: &str,
@@ -137,6 +141,7 @@
         // A watch from the first page's revision also covers changes between two pages.
         let mut revision = None;
         let mut after = String::new();
+        let mut total = 0;
         loop {
             let path = if after.is_empty() {
                 format!("/-/objects/{kind}")
@@ -148,6 +153,9 @@
             let body = self.call("GET", &path, &[], CALL_TIMEOUT).await?;
             let page = Document::read(&body)?;
             let items = page.list("items")?;
+            total += body.len() + OBJECT_BYTES * items.len();
+            let reason = "a list larger than allowed";
+            ensure!(total <= MAX_LIST_BYTES, UnreadableSnafu { reason });
             let read = items.into_iter().filter_map(decode_object);
             let before = objects.len();
             objects.extend(read);
@@ -162,6 +170,8 @@
             let last = objects[before..].last();
             let reason = "a page without a name to continue from";
             let last = last.context(UnreadableSnafu { reason })?;
+            let reason = "a page that ends where it began";
+            ensure!(last.metadata.name != after, UnreadableSnafu { reason });
             last.metadata.name.clone_into(&mut after);
         }
     }
--- a/cornelstand/src/platform/tests.rs
+++ b/cornelstand/src/platform/tests.rs
@@ -3,6 +3,7 @@
 mod abandoned;
 mod crashes;
 mod endless;
+mod endless_store;
 mod foreign_entries;
 mod handover;
 mod large_bodies;
