Serve: responses that are kept whole have a bound

Callers saw: connections that end with the process, on the instance that owns the cell of a faulty endpoint.

Cause: what is read whole with the HTTP client had a time limit and no size. Every second the owner of a cell polls its endpoints' load, 16 at a time; one that answers with a body without end had its bytes kept for a second, at the speed of the network. The instance list and the object API were read in the same way, a watch for up to its wait.

Why this works: all of them read through one function that stops at the bound of what is read; the rest is not read and the connection is closed. Load reports have some 100 bytes, of 64 KiB now; objects 1 MiB as before; the lists have bounds far above those of the fleet we design for. Beyond them, the call fails like one without an answer, or as malformed where the store has to tell them apart.

--- a/cornelstand/src/dispatcher.rs
+++ b/cornelstand/src/dispatcher.rs
@@ -26,6 +26,7 @@
 use crate::lease::Tenure;
 use crate::moment::{Clock, Moment};
 use crate::name::{AttemptId, EndpointName, InstanceName};
+use crate::response_body::read_whole;
 use crate::timeline::{Timeline, Topic};
 
 /// Capacity of the actor's mailbox, in messages.
@@ -34,6 +35,9 @@
 /// Interval of load polls, and the timeout of each.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Largest load report, in bytes.
+const MAX_LOAD_BYTES: usize = 64 * 1024;
+
 /// Most concurrent load polls.
 const MAX_POLLS: usize = 16;
 
@@ -356,8 +360,9 @@
     }
 }
 
-async fn fetch_load(http: &reqwest::Client, address: SocketAddr) -> Option<LoadReport> {
+pub(crate) async fn fetch_load(http: &reqwest::Client, address: SocketAddr) -> Option<LoadReport> {
     let request = http.get(format!("http://{address}/load"));
     let answer = request.send().await.ok()?.error_for_status().ok()?;
-    answer.json().await.ok()
+    let body = read_whole(answer, MAX_LOAD_BYTES).await.ok()?;
+    serde_json::from_slice(&body).ok()
 }
--- a/cornelstand/src/instance_list.rs
+++ b/cornelstand/src/instance_list.rs
@@ -14,9 +14,12 @@
 use crate::holdings::OwnedCells;
 use crate::name::{EndpointName, InstanceName};
 use crate::raw_json::{elements, member, members};
+use crate::response_body::read_whole;
 
 /// Poll period of an instance that owns a cell, and the timeout of one poll.
 const POLL_PERIOD: Duration = Duration::from_secs(1);
+/// Largest list, in bytes.
+const MAX_LIST_BYTES: usize = 8 * 1024 * 1024;
 /// Periods between two polls by an instance that owns no cell and grants nothing.
 const IDLE_PERIODS: u32 = 3;
 
@@ -111,10 +114,10 @@
     }
 }
 
-async fn read(http: &reqwest::Client, platform: SocketAddr) -> Option<InstanceList> {
+pub(crate) async fn read(http: &reqwest::Client, platform: SocketAddr) -> Option<InstanceList> {
     let request = http.get(format!("http://{platform}/instances"));
     let answer = request.send().await.ok()?.error_for_status().ok()?;
-    InstanceList::parse(&answer.bytes().await.ok()?)
+    InstanceList::parse(&read_whole(answer, MAX_LIST_BYTES).await.ok()?)
 }
 
 #[cfg(test)]
--- a/cornelstand/src/lib.rs
+++ b/cornelstand/src/lib.rs
@@ -104,6 +104,7 @@
 mod raw_json;
 mod refusal;
 mod relay;
+mod response_body;
 mod retry;
 mod revisions;
 mod route;
--- a/cornelstand/src/store.rs
+++ b/cornelstand/src/store.rs
@@ -9,18 +9,23 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
 use derive_more::{Display, IsVariant};
 use http::StatusCode;
 use http::header::{ETAG, IF_MATCH, IF_NONE_MATCH};
 use reqwest::{RequestBuilder, Response};
 use serde::{Deserialize, Serialize};
-use snafu::{OptionExt, ResultExt, Snafu};
+use snafu::{OptionExt, Snafu};
 
 use crate::raw_json::{elements, member, members};
+use crate::response_body::{ResponseBodyError, read_whole};
 
 /// Maximum size of a value in bytes.
 pub const VALUE_BYTES: usize = 1 << 20;
 
+/// Maximum size of a listing in bytes.
+const LISTING_BYTES: usize = 64 * VALUE_BYTES;
+
 /// Version of an object.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Display, Eq, Ord, PartialEq, PartialOrd, Serialize,
@@ -199,7 +204,8 @@
         }
         let answer = check_status(answer)?;
         let version = version_of(&answer)?;
-        let value = answer.text().await.context(UnknownSnafu)?;
+        let value = read(answer, VALUE_BYTES).await?;
+        let value = String::from_utf8_lossy(&value).into_owned();
         Ok(Some(Object {
             name: name.to_owned(),
             version,
@@ -215,7 +221,7 @@
     pub async fn list(&self, kind: ObjectKind) -> Result<Listing, StoreError> {
         let request = self.http.get(format!("{}/{kind}", self.base));
         let answer = check_status(self.call(request, self.timeout).await?)?;
-        Listing::parse(&answer.bytes().await.context(UnknownSnafu)?)
+        Listing::parse(&read(answer, LISTING_BYTES).await?)
     }
 
     /// Waits up to `wait` for writes to `kind` after version `after`.
@@ -236,7 +242,7 @@
         );
         let request = self.http.get(url);
         let answer = check_status(self.call(request, wait + self.timeout).await?)?;
-        Listing::parse(&answer.bytes().await.context(UnknownSnafu)?)
+        Listing::parse(&read(answer, LISTING_BYTES).await?)
     }
 
     /// Writes one object if `condition` holds and returns its new version.
@@ -311,6 +317,15 @@
     Ok(answer)
 }
 
+async fn read(answer: Response, most: usize) -> Result<Bytes, StoreError> {
+    read_whole(answer, most).await.map_err(|error| match error {
+        ResponseBodyError::Broken { source } => StoreError::Unknown { source },
+        ResponseBodyError::TooLarge { .. } => StoreError::Malformed {
+            what: error.to_string(),
+        },
+    })
+}
+
 fn version_of(answer: &Response) -> Result<Version, StoreError> {
     answer
         .headers()
