Gateway: messages of peers without end leave time to other work

Callers saw: nothing yet; found while looking for reads that starve the thread.

Cause: the datagrams of a socket were handled in one turn until there was none left. That loop does not take part in the runtime's cooperative scheduling, so a sender that is faster than the handling keeps the only thread: no request, deadline or heartbeat gets a turn.

Why this works: a turn handles 64 datagrams and then waits for the next tick, as it did after the last one.

--- a/cornelstand/src/gateway/peers_link.rs
+++ b/cornelstand/src/gateway/peers_link.rs
@@ -22,6 +22,9 @@
 /// Digest interval of a data centre.
 pub(crate) const DIGEST_PERIOD: Duration = Duration::from_millis(80);
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
+/// Most datagrams that are handled at once, so that a peer that sends without pause leaves time to
+/// everything else.
+const MAX_BATCH: usize = 64;
 
 /// Sends heartbeats until the process ends.
 pub(crate) async fn send_heartbeats(gate: Rc<Gate>, socket: Rc<UdpSocket>) {
@@ -219,7 +222,10 @@
             continue;
         }
         let mut has_received = false;
-        while let Ok((length, address)) = socket.try_recv_from(&mut buffer) {
+        for _ in 0..MAX_BATCH {
+            let Ok((length, address)) = socket.try_recv_from(&mut buffer) else {
+                break;
+            };
             let bytes = &buffer[..length];
             send(&socket, bytes, &handle_datagram(&gate, address, bytes));
             has_received = true;
--- a/cornelstand/src/platform/tests/endless_store.rs
+++ b/cornelstand/src/platform/tests/endless_store.rs
@@ -1,12 +1,15 @@
-//! Answers of the store, and of peers, without end.
+//! Answers of the store, and messages of peers, without end.
 
 use std::cell::Cell;
 use std::rc::Rc;
 
 use rstest::rstest;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::task::yield_now;
 
+use crate::gateway::peers_link::receive_messages;
+use crate::gateway::tests::gate;
 use crate::platform::objects::ENDPOINT_KIND;
 use crate::platform::store::StoreClient;
 use crate::platform::tests::path::run_local;
@@ -15,6 +18,27 @@
 /// Pages of a listing after which the test lets it end.
 const MAX_PAGES: usize = 200;
 
+/// Messages at once; more than an instance handles in one turn, and fewer than a socket holds.
+const MESSAGES: usize = 200;
+
+/// An instance did nothing else while messages were there.
+#[tokio::test]
+async fn messages_without_end_leave_turns_to_others() {
+    run_local(async {
+        let socket = Rc::new(UdpSocket::bind((own_loopback(), 0)).await.expect("bound"));
+        let address = socket.local_addr().expect("bound");
+        let peer = std::net::UdpSocket::bind((own_loopback(), 0)).expect("bound");
+        for _ in 0..MESSAGES {
+            peer.send_to(b"no message", address).expect("sent");
+        }
+        tokio::task::spawn_local(receive_messages(gate("one", Vec::new()), socket.clone()));
+        socket.readable().await.expect("messages");
+        yield_now().await;
+        assert!(socket.try_recv_from(&mut [0; 16]).is_ok(), "none is left");
+    })
+    .await;
+}
+
 /// A list was read and kept for as long as its pages told of another one.
 #[rstest]
 #[case::same_page(|_| "a".to_owned(), 10, 2)]
