--- a/cornelstand/tests/crowds/endpoint.rs
+++ b/cornelstand/tests/crowds/endpoint.rs
@@ -20,9 +20,10 @@
 const EVENT_PERIOD: Duration = Duration::from_millis(4);
 /// Bytes of a head and of an event that stop short of the bounds for one.
 const STALLED_HEAD_BYTES: usize = 60_000;
+const STALLED_LONG_HEAD_BYTES: usize = 380_000;
 const STALLED_EVENT_BYTES: usize = 250_000;
 /// Bytes of these that are written at once, and time between two writes.
-const PACED_BYTES: usize = 12_000;
+const PACED_BYTES: usize = 16_000;
 const PACE_PERIOD: Duration = Duration::from_millis(100);
 /// Time between two bytes of a trickle.
 const TRICKLE_PERIOD: Duration = Duration::from_millis(500);
@@ -78,6 +79,12 @@
                 pace(&mut stream, line.as_bytes()).await?;
                 return trickle(&mut stream, "y").await;
             }
+            // The same, for clients that bear larger heads.
+            "long-head" => {
+                let line = format!("{head}x-more: {}", "y".repeat(STALLED_LONG_HEAD_BYTES));
+                pace(&mut stream, line.as_bytes()).await?;
+                return trickle(&mut stream, "y").await;
+            }
             // A large head, and a body that never comes.
             "body" => {
                 let line = format!("{head}x-more: {}\r\n", "y".repeat(STALLED_HEAD_BYTES));
--- a/cornelstand/tests/crowds/serve.rs
+++ b/cornelstand/tests/crowds/serve.rs
@@ -30,11 +30,14 @@
 const READERS: usize = 120;
 /// Callers that hold connections.
 const SENDERS: usize = 200;
+/// Callers whose answers come without end, at full speed.
+const FLOODED: usize = 8;
 /// Callers of each kind if all come at once.
 const EACH: usize = 24;
 
 fn head(path: &str, _id: &str, length: usize) -> String {
-    let service = if path == "events" { "model" } else { "app" };
+    let is_stream = ["event", "events", "comments"].contains(&path);
+    let service = if is_stream { "model" } else { "app" };
     format!(
         "POST /{service}/{path} HTTP/1.1\r\nhost: shop.example\r\nauthorization: Bearer {KEY}\r\n\
          content-length: {length}\r\n"
@@ -141,3 +144,29 @@
     };
     meet(&mut process, &front, &crowds, bounds).await;
 }
+
+/// An endpoint sends bytes without end to many requests at once.
+#[rstest]
+#[case::head(21, crowd(SENDERS, Way::Eager("head")))]
+#[case::long_head(22, crowd(SENDERS, Way::Eager("long-head")))]
+#[case::body(23, crowd(SENDERS, Way::Eager("body")))]
+#[case::event(24, crowd(SENDERS, Way::Eager("event")))]
+#[case::tail(25, crowd(SENDERS, Way::Eager("tail")))]
+#[case::interim(26, crowd(FLOODED, Way::Eager("interim")))]
+#[case::error(27, crowd(FLOODED, Way::Eager("error")))]
+#[case::comments(28, crowd(FLOODED, Way::Eager("comments")))]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_outlives_an_endpoint_without_end(
+    #[case] number: u8,
+    #[case] crowds: Vec<Crowd>,
+) {
+    let _alone = alone().await;
+    let objects = ObjectApi::start(ObjectSettings::default()).expect("the store starts");
+    let list = InstanceList::start(InstanceSettings::default()).expect("the list starts");
+    let (mut process, front) = start(&objects, &list, number).await;
+    let bounds = Bounds {
+        memory: BODY_BYTES + CONNECTIONS * CONNECTION_BYTES + PROGRAM_BYTES,
+        descriptors: DESCRIPTORS,
+    };
+    meet(&mut process, &front, &crowds, bounds).await;
+}
