The first era that an instance hears of is no restore, and one listing checks its entry

Peers that had no answer of the store yet told of era 0. Such peers tell of none now.

The listing alone tells whether the entry is there with this address.

an_instance_that_starts_does_not_take_the_first_era_for_a_restore is new; a test for orders of roll-outs after a restore, too, which passes before. In the fleet test the store has an object from the start, as revisions begin above zero.

--- a/cornelstand/src/gateway/directory.rs
+++ b/cornelstand/src/gateway/directory.rs
@@ -159,10 +159,11 @@
 }
 
 impl ViewVersions {
-    /// Latest era of any part.
-    pub(crate) fn era(self) -> u16 {
-        let (endpoints, evacuations) = (self.endpoints.revision, self.evacuations.revision);
-        endpoints.era.max(evacuations.era)
+    /// Latest era of any part; none before the first answer of the store.
+    pub(crate) fn era(self) -> Option<u16> {
+        let revisions = [self.endpoints.revision, self.evacuations.revision];
+        let known = revisions.iter().filter(|r| r.number > 0);
+        known.map(|r| r.era).max()
     }
 
     /// Whether any part of a view with these versions is newer.
--- a/cornelstand/src/gateway/follow.rs
+++ b/cornelstand/src/gateway/follow.rs
@@ -45,7 +45,7 @@
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(500);
 /// Longest delay after a failed call for the fleet's own entries, which every instance makes.
 const INSTANCE_RETRY_DELAY_MAX: Duration = Duration::from_secs(4);
-/// Time over which the instances spread their registrations after the store was restored.
+/// Time over which the instances spread their listings after the store was restored.
 const REGISTRATION_SPREAD: Duration = Duration::from_secs(2);
 /// Interval of listing the instances at a leader. New ones also announce themselves by heartbeats.
 const LEADER_LIST_PERIOD: Duration = Duration::from_secs(10);
@@ -451,7 +451,6 @@
             };
             if timeout(period, restored).await.is_ok() {
                 sleep(REGISTRATION_SPREAD.mul_f64(rand::random())).await;
-                is_registered = false;
             }
         } else {
             sleep(delay.mul_f64(0.5 + rand::random::<f64>())).await;
@@ -490,7 +489,10 @@
 
 /// Applies a listing of the instances. Returns whether this one is among them.
 fn list_instances(gate: &Gate, objects: &[StoreObject]) -> bool {
-    let own = gate.settings.borrow().instance.clone();
+    let (own, peer) = {
+        let settings = gate.settings.borrow();
+        (settings.instance.clone(), peer_address(&settings))
+    };
     let mut state = gate.state.borrow_mut();
     let mut is_known = false;
     for object in objects {
@@ -500,7 +502,8 @@
             Ok(spec) if name != own => {
                 state.peers.list(name, spec.peer, spec.centre, spec.cores);
             }
-            Ok(_) => is_known = true,
+            // A restored store may have that of an earlier process.
+            Ok(spec) => is_known = spec.peer == peer,
             Err(error) => tracing::warn!(event = "instance_unreadable", %name, %error),
         }
     }
@@ -534,7 +537,9 @@
     }
     let now = gate.now();
     let mut state = gate.state.borrow_mut();
-    let era = state.peers.era(now, &gate.settings.borrow().centre);
+    let Some(era) = state.peers.era(now, &gate.settings.borrow().centre) else {
+        return;
+    };
     if let Some(before) = state.directory.raise_era(now, era) {
         drop(state);
         tracing::warn!(event = "store_restored", followed = "peers", era, before);
--- a/cornelstand/src/gateway/peers.rs
+++ b/cornelstand/src/gateway/peers.rs
@@ -596,9 +596,9 @@
     }
 
     /// Latest era of the store in the views of the live instances of `centre`.
-    pub(crate) fn era(&self, now: Moment, centre: &CentreName) -> u16 {
+    pub(crate) fn era(&self, now: Moment, centre: &CentreName) -> Option<u16> {
         let neighbours = self.live(now).filter(|b| b.centre == *centre);
-        neighbours.map(|b| b.versions.era()).max().unwrap_or(0)
+        neighbours.filter_map(|b| b.versions.era()).max()
     }
 
     /// Instance of `centre` with newer endpoints or evacuations than `versions`.
--- a/cornelstand/src/gateway/tests/directory.rs
+++ b/cornelstand/src/gateway/tests/directory.rs
@@ -223,6 +223,17 @@
     assert_eq!(directory.note_era(at(13), at(12), 0), EraNews::Restored(2));
 }
 
+#[test]
+fn an_instance_that_starts_does_not_take_the_first_era_for_a_restore() {
+    let mut directory = Directory::new();
+    assert_eq!(directory.versions().era(), None);
+    assert_eq!(directory.raise_era(at(0), 1), None);
+    assert_eq!(directory.note_era(at(2), at(1), 1), EraNews::Same);
+    directory.mark_endpoints(StoreRevision { era: 1, number: 7 });
+    assert_eq!(directory.versions().era(), Some(1));
+    assert_eq!(directory.raise_era(at(4), 2), Some(1));
+}
+
 #[test]
 fn a_revision_without_an_era_is_sent_as_older_builds_read_it() {
     for (era, number) in [(0, 0), (0, 149), (3, 142), (u16::MAX, 1 << 40)] {
--- a/cornelstand/src/gateway/tests/rollout_orders.rs
+++ b/cornelstand/src/gateway/tests/rollout_orders.rs
@@ -7,6 +7,7 @@
 use crate::gateway::rollout::{
     Answer, Fleet, Order, OrderId, Rollouts, Sent, Side, Status, StatusWord,
 };
+use crate::gateway::store_revision::StoreRevision;
 use crate::gateway::tests::rollout_fleet::BOUNDS;
 use crate::moment::Moment;
 use crate::name::{CentreName, EndpointName, InstanceName, ServiceName, VersionName};
@@ -172,3 +173,20 @@
     two.tick(at(2.6));
     assert!(two.status_to_write(at(2.6), 0).is_some());
 }
+
+#[test]
+fn orders_of_a_restored_store_replace_those_of_a_higher_revision() {
+    let mut one = instance("one");
+    list(&mut one, 0.0, &["v1"]);
+    list(&mut one, 1.0, &["v1", "v2", "v3"]);
+    let mut target = |now, era, number, orders: &[Order]| {
+        one.set_orders(at(now), StoreRevision { era, number }, orders);
+        one.target(&shop()).map(|v| v.as_str().to_owned())
+    };
+    let before = target(2.0, 1, 149, &[order("v2", 149, None)]);
+    assert_eq!(before.as_deref(), Some("v2"));
+    let after = target(3.0, 2, 142, &[order("v3", 142, None)]);
+    assert_eq!(after.as_deref(), Some("v3"));
+    let late = target(4.0, 1, 150, &[order("v2", 149, None)]);
+    assert_eq!(late.as_deref(), Some("v3"));
+}
--- a/cornelstand/src/platform/tests/restored_store.rs
+++ b/cornelstand/src/platform/tests/restored_store.rs
@@ -35,6 +35,7 @@
 impl Fleet {
     async fn start(count: usize) -> Self {
         let store = PlatformStore::start().expect("the store starts");
+        store.put("others", "one", &json!({}));
         let mut gates = Vec::new();
         for index in 0..count {
             let listener = TcpListener::bind((own_loopback(), 0)).await;
