--- a/cornelstand/src/platform/tests/handover.rs
+++ b/cornelstand/src/platform/tests/handover.rs
@@ -20,11 +20,12 @@
 use crate::gateway::handover::balance::Decline;
 use crate::gateway::handover::link::{answer_offer, read_offer};
 use crate::gateway::handover::{accept, check_links, report_block};
+use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::peers::{Message, Peers};
 use crate::gateway::peers_link::{handle_datagram, heartbeat_packet};
 use crate::gateway::settings::peer_address;
 use crate::gateway::stop::drain;
-use crate::gateway::tests::{MODELS, ORDERS, catalog, gate, record};
+use crate::gateway::tests::{MODELS, ORDERS, catalog, gate, list, record};
 use crate::platform::tests::path::{connect, listen, request, run_local, status};
 use crate::platform::tests::scripted::{
     Endpoint, Step, TEST_TIMEOUT, answer, chunk, event, own_loopback, run_script, stream_head,
@@ -812,6 +813,40 @@
     .await;
 }
 
+/// A connection that is taken from a new process is not bound by the stop of the one before.
+#[tokio::test]
+async fn a_new_process_of_a_stopped_entry_is_not_bound_by_its_stop() {
+    run_local(async {
+        let first = vec![Step::Read, Step::Write(answer("a1", "", "first"))];
+        let second = vec![Step::Read, Step::Write(answer("a2", "", "second"))];
+        let (pair, _endpoint) = Pair::start(ORDERS, vec![first, second]).await;
+        let mut old = send(pair.address, &request("/book/1", "a1")).await;
+        read_until(&mut old, "\r\n\r\nfirst").await;
+        pair.entry.stop.begin(Duration::from_secs(8));
+        sleep(STEP * 20).await;
+        pair.is_silent.set(true);
+        let metrics = GatewayMetrics::new().expect("metrics are defined once");
+        let entry = Rc::new(Gate::new(pair.entry.settings.borrow().clone(), metrics, 2));
+        entry.state.borrow_mut().directory.set_catalog(catalog(1));
+        list(&entry, Vec::new());
+        for number in 0..12 {
+            let name = format!("other-{number}");
+            let address = SocketAddr::new(own_loopback().into(), 9);
+            let peers = &mut entry.state.borrow_mut().peers;
+            peers.list(name.as_str().into(), address, "south".into(), 0.25);
+        }
+        send_heartbeat(&pair.neighbour, &entry);
+        send_heartbeat(&entry, &pair.neighbour);
+        press(&entry);
+        let address = listen(&entry).await;
+        let mut caller = send(address, &request("/book/2", "a2")).await;
+        let text = read_until(&mut caller, "\r\n\r\n").await;
+        assert!(!text.to_lowercase().contains("connection: close"), "{text}");
+        assert_eq!(count(&pair.neighbour, "taken"), 2);
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn nothing_is_offered_to_a_stopping_neighbour() {
     run_local(async {
