Hand-over: an interim response leaves the turn to the caller

A caller that asked for 100 (Continue) and whose neighbour then died, or was cut by the end of the entry's stop, saw its connection reset without an answer.

Cause: any bytes of the neighbour ended the caller's turn, and without it the entry sends no 502. Only the head of a final response ends it now; while a head is incomplete nothing is sent.

a_request_after_an_interim_response_is_answered_when_the_neighbour_dies failed before: "HTTP/1.1 100 Continue" and a reset.

--- a/cornelstand/src/gateway/handover/link.rs
+++ b/cornelstand/src/gateway/handover/link.rs
@@ -223,7 +223,7 @@
 /// Whose turn it is on a connection, which is all that a copying instance knows of requests.
 #[derive(Debug, Default)]
 struct Turn {
-    /// Whether the caller has sent bytes since the last response ended.
+    /// Whether the caller has sent bytes since the last final response began.
     is_callers: Cell<bool>,
     /// Whether these began like a request for a head only.
     is_head_only: Cell<bool>,
@@ -258,6 +258,11 @@
             .set(self.is_pipelined.get() || !is_between);
     }
 
+    /// Whether the caller waits for a response of which nothing was copied.
+    fn is_unanswered(&self) -> bool {
+        self.is_callers.get() && self.response.borrow().is_whole()
+    }
+
     /// Whether a new request may follow what was copied.
     fn is_between(&self) -> bool {
         let response = self.response.borrow();
@@ -265,15 +270,19 @@
         !is_open && response.is_whole()
     }
 
+    /// An interim response leaves the turn to the caller, who may send the body after it.
     fn note_neighbour(&self, bytes: &[u8]) {
-        self.is_callers.set(false);
         let mut response = self.response.borrow_mut();
-        if response.note(bytes, self.is_head_only.get()).is_err() {
+        let is_final = response.note(bytes, self.is_head_only.get());
+        if is_final.is_err() {
             *response = Response {
                 is_unclear: true,
                 ..Response::default()
             };
         }
+        if is_final.unwrap_or(true) {
+            self.is_callers.set(false);
+        }
     }
 }
 
@@ -282,9 +291,11 @@
         self.body.is_none() && self.pending.is_empty() && !self.is_unclear
     }
 
-    fn note(&mut self, bytes: &[u8], is_head_only: bool) -> Result<(), MessageError> {
+    /// Follows further bytes. Returns whether the head of a final response was among them.
+    fn note(&mut self, bytes: &[u8], is_head_only: bool) -> Result<bool, MessageError> {
+        let mut is_final = false;
         if self.is_unclear {
-            return Ok(());
+            return Ok(is_final);
         }
         let mut input = std::mem::take(&mut self.pending);
         input.extend_from_slice(bytes);
@@ -303,6 +314,7 @@
                 };
                 // An interim response precedes the final one.
                 if head.status() >= 200 {
+                    is_final = true;
                     self.is_last = !head.keeps_alive();
                     let method = if is_head_only { "HEAD" } else { "" };
                     let body = head.answer_body(method)?;
@@ -313,7 +325,7 @@
         if !input.is_empty() {
             self.pending = input;
         }
-        Ok(())
+        Ok(is_final)
     }
 }
 
@@ -361,7 +373,7 @@
     };
     let stopped = async {
         over.await;
-        while !turn.is_callers.get() {
+        while !turn.is_unanswered() {
             sleep(LAST_BYTES_PERIOD).await;
         }
     };
@@ -380,7 +392,7 @@
     writer.is_head_only = turn.is_head_only.get();
     match end {
         End::Closed if turn.response.borrow().is_last => End::Closed,
-        End::Closed | End::NeighbourReset | End::NeighbourLost if turn.is_callers.get() => {
+        End::Closed | End::NeighbourReset | End::NeighbourLost if turn.is_unanswered() => {
             End::Unanswered
         }
         _ => end,
--- a/cornelstand/src/platform/tests/handover.rs
+++ b/cornelstand/src/platform/tests/handover.rs
@@ -458,6 +458,19 @@
     .await;
 }
 
+#[tokio::test]
+async fn a_request_after_an_interim_response_is_answered_when_the_neighbour_dies() {
+    run_local(async {
+        let interim = Step::Write("HTTP/1.1 100 Continue\r\n\r\n".into());
+        let script = vec![Step::Read, interim, Step::Pause(50), Step::Reset];
+        let (pair, _endpoint, _) = Pair::scripted(Some(Ok(())), script).await;
+        let mut caller = send(pair.address, &request("/book/1", "a1")).await;
+        let (text, is_orderly) = read_end(&mut caller).await;
+        assert!(text.contains("HTTP/1.1 502") && is_orderly, "{text}");
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_response_to_the_head_only_has_no_body_when_the_neighbour_dies() {
     run_local(async {
