Hand-over: no response follows one that closes the connection

A caller whose body was refused by the neighbour while it was still sent (503, Connection: close) got a 502 behind that response when the neighbour then reset the connection: bytes that answer no request.

Cause: whether the last response closes the connection was asked for an orderly close only, not for a reset, a lost neighbour or the end of a stop. It belongs to the question whether the caller waits for a response, and is asked there.

a_last_response_is_followed_by_no_other failed before, both cases: "HTTP/1.1 502 Bad Gateway" behind the 503. The 64 hand-over tests pass now.

--- a/cornelstand/src/gateway/handover/link.rs
+++ b/cornelstand/src/gateway/handover/link.rs
@@ -258,9 +258,11 @@
             .set(self.is_pipelined.get() || !is_between);
     }
 
-    /// Whether the caller waits for a response of which nothing was copied.
+    /// Whether the caller waits for a response of which nothing was copied. After the last one it
+    /// waits for none.
     fn is_unanswered(&self) -> bool {
-        self.is_callers.get() && self.response.borrow().is_whole()
+        let response = self.response.borrow();
+        self.is_callers.get() && response.is_whole() && !response.is_last
     }
 
     /// Whether a new request may follow what was copied.
@@ -391,7 +393,6 @@
     writer.keep_alive = end == End::Closed && turn.is_between();
     writer.is_head_only = turn.is_head_only.get();
     match end {
-        End::Closed if turn.response.borrow().is_last => End::Closed,
         End::Closed | End::NeighbourReset | End::NeighbourLost if turn.is_unanswered() => {
             End::Unanswered
         }
--- a/cornelstand/src/platform/tests/handover.rs
+++ b/cornelstand/src/platform/tests/handover.rs
@@ -471,6 +471,29 @@
     .await;
 }
 
+/// The rest of a refused body is no further request.
+#[rstest]
+#[case::reset(vec![Step::Reset])]
+#[case::close(vec![])]
+#[tokio::test]
+async fn a_last_response_is_followed_by_no_other(#[case] end: Vec<Step>) {
+    run_local(async {
+        let refusal =
+            "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+        let mut script = vec![Step::Read, Step::Write(refusal.into()), Step::Pause(100)];
+        script.extend(end);
+        let (pair, _endpoint, _) = Pair::scripted(Some(Ok(())), script).await;
+        let mut caller = send(pair.address, &request("/book/1", "a1")).await;
+        read_until(&mut caller, "\r\n\r\n").await;
+        caller.write_all(b"more of the body").await.expect("sent");
+        let mut text = Vec::new();
+        // The connection may be reset.
+        let _ = timeout(TEST_TIMEOUT, caller.read_to_end(&mut text)).await;
+        assert_eq!(String::from_utf8_lossy(&text), "");
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_response_to_the_head_only_has_no_body_when_the_neighbour_dies() {
     run_local(async {
