Logs: what was handed over is told at both ends

`ended` at the neighbour names the entry, and `stopped` says how many of `cut` are connections to neighbours.

--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -344,7 +344,7 @@
         gate.refund(&call.account_name(), &place);
     }
     drop(active);
-    record_outcome(gate, call, outcome, stops.left_ms());
+    record_outcome(gate, call, writer, outcome);
 }
 
 /// Waits for a place and runs one attempt.
@@ -414,7 +414,7 @@
     }
 }
 
-fn record_outcome(gate: &Gate, call: &Call, outcome: Outcome, left_ms: Option<u64>) {
+fn record_outcome(gate: &Gate, call: &Call, writer: &ResponseWriter, outcome: Outcome) {
     let total = call.arrived.elapsed();
     let first = call.first_byte.map(|f| f - call.arrived);
     let metrics = &gate.metrics;
@@ -429,7 +429,8 @@
         reason = outcome.reason, route = %call.route.name, account = %call.account_name(),
         service = %call.service, version = call.version, sends = call.sends,
         queued_ms = millis(call.queued), first_ms = first.map(millis), whole_ms = millis(total),
-        fingerprint = %call.fingerprint, left_ms,
+        fingerprint = %call.fingerprint, left_ms = writer.stops(&gate.stop).left_ms(),
+        entry = writer.entry.as_ref().map(display),
     );
 }
 
--- a/cornelstand/src/gateway/connection.rs
+++ b/cornelstand/src/gateway/connection.rs
@@ -125,6 +125,7 @@
 pub(crate) async fn serve(gate: &Rc<Gate>, stream: TcpStream, origin: &Origin) {
     set_socket_options(&stream);
     let mut writer = ResponseWriter::new(stream, origin.on_death());
+    writer.entry = origin.entry().cloned();
     writer.entry_stop = origin.stop();
     serve_on(gate, writer, origin).await;
 }
--- a/cornelstand/src/gateway/handover/mod.rs
+++ b/cornelstand/src/gateway/handover/mod.rs
@@ -95,6 +95,14 @@
         }
     }
 
+    /// Instance that has the caller's connection, if it is not this one.
+    pub(crate) fn entry(&self) -> Option<&InstanceName> {
+        match self {
+            Self::Caller => None,
+            Self::Neighbour { name, .. } => Some(name),
+        }
+    }
+
     /// Stop of the instance that has the caller's connection, if it is not this one.
     pub(crate) fn stop(&self) -> Option<Rc<Stop>> {
         match self {
@@ -213,6 +221,11 @@
     links.borrow().values().map(|l| l.connections.get()).sum()
 }
 
+/// Connections that are handed over.
+pub(crate) fn given(gate: &Gate) -> usize {
+    count(&gate.handover.given)
+}
+
 /// Whether this instance may hand a connection over, which takes one more descriptor.
 fn may_give(gate: &Gate) -> bool {
     gate.state.borrow().peers.is_large()
--- a/cornelstand/src/gateway/outlet.rs
+++ b/cornelstand/src/gateway/outlet.rs
@@ -15,6 +15,7 @@
 use crate::gateway::message::Head;
 use crate::gateway::stop::{Stop, Stops};
 use crate::gateway::upstream::{close_in_order, reset_on_close};
+use crate::name::InstanceName;
 use crate::platform::headers::{CallerFraming, write_response_head};
 
 /// Largest piece of a response that is written at once, in bytes.
@@ -104,7 +105,9 @@
     pub(crate) lacks_chunking: bool,
     /// Whether the caller asked for the head of a response only.
     pub(crate) is_head_only: bool,
-    /// Stop of the instance that handed the connection over.
+    /// Instance that handed the connection over.
+    pub(crate) entry: Option<InstanceName>,
+    /// Stop of that instance.
     pub(crate) entry_stop: Option<Rc<Stop>>,
     pace: Pace,
     on_death: OnDeath,
@@ -134,6 +137,7 @@
             keep_alive: true,
             lacks_chunking: false,
             is_head_only: false,
+            entry: None,
             entry_stop: None,
             pace: Pace::Fair,
             on_death,
--- a/cornelstand/src/gateway/stop.rs
+++ b/cornelstand/src/gateway/stop.rs
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::gateway::gate::Gate;
+use crate::gateway::handover;
 
 /// Shortest time from a stop signal to the exit: the load balancer checks readiness once a second
 /// and removes an instance after two failures, so new connections still arrive.
@@ -222,5 +223,6 @@
         sleep(STOP_CHECK_PERIOD).await;
     }
     let (left_ms, cut) = (gate.stop.left_ms(), gate.active.get());
-    tracing::info!(event = "stopped", left_ms, open, cut);
+    let handed_over = handover::given(gate);
+    tracing::info!(event = "stopped", left_ms, open, cut, handed_over);
 }
--- a/cornelstand/tests/gateway/handover.rs
+++ b/cornelstand/tests/gateway/handover.rs
@@ -185,6 +185,9 @@
     let log = world.instances[0].log();
     let is_stopped = |l: &str| l.contains("\"stopped\"") && l.contains("\"cut\":0");
     assert!(log.lines().any(is_stopped));
+    let is_named = |l: &str| l.contains("\"ended\"") && l.contains("\"entry\":");
+    let mut neighbours = world.instances.iter().skip(1);
+    assert!(neighbours.any(|i| i.log().lines().any(is_named)));
 }
 
 #[tokio::test(flavor = "multi_thread")]
