Gateway: a silent stream moves only with a retry in hand

What callers saw: of streams that fell silent together at one slow endpoint, with one retry left, all but one ended without their last chunk, although the endpoint was at work. A stop that came to refuse work while a stream waited for a place elsewhere had the same effect.

Cause: the retry budget, the stops and the crash refusal were asked before a wait of up to 0.9 s for a place; the retry was taken only after the silent attempt had been ended, reset and probed. Class: check and use apart, with an irrevocable step between.

Change: once the place is granted, all three are asked again and the retry is taken, without an await between. If that is denied, the place is given back and the endpoint is listened to as before. The retry travels with the place; one that is not used goes back to the budget.

--- a/cornelstand/src/gateway/budget.rs
+++ b/cornelstand/src/gateway/budget.rs
@@ -62,6 +62,16 @@
         has_room
     }
 
+    /// Returns a retry that was taken at `taken` and not used.
+    pub(crate) fn give_back(&mut self, service: &ServiceName, taken: Moment) {
+        let Some(entry) = self.services.get_mut(service) else {
+            return;
+        };
+        if let Some(index) = entry.retries.iter().rposition(|at| *at == taken) {
+            entry.retries.remove(index);
+        }
+    }
+
     /// Whether this instance's quota, one of `instances`, allows one more retry.
     pub(crate) fn allows(
         &mut self,
--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -11,6 +11,7 @@
 
 use crate::gateway::acquire::{Acquired, acquire};
 use crate::gateway::catalog::{Catalog, GatewayRoute};
+use crate::gateway::elsewhere::Onward;
 use crate::gateway::endpoint_state::Prompt;
 use crate::gateway::gate::Gate;
 use crate::gateway::message::Head;
@@ -64,8 +65,8 @@
     /// Number of times the request was sent to an endpoint.
     pub(crate) sends: u32,
     pub(crate) tried: Vec<EndpointIndex>,
-    /// Place of the next attempt, if it was found during the last one.
-    pub(crate) next_place: Option<Place>,
+    /// What the next attempt needs, if it was found during the last one.
+    pub(crate) onward: Option<Onward>,
     /// Tokens of the response sent to the caller so far.
     pub(crate) generated: u32,
     pub(crate) first_byte: Option<Instant>,
@@ -280,7 +281,7 @@
         route,
         sends: 0,
         tried: Vec::new(),
-        next_place: None,
+        onward: None,
         generated: 0,
         first_byte: None,
         resume_point: ResumePoint::after(fields.last_event.as_deref()),
@@ -339,9 +340,8 @@
             Next::Respond(refused) => break give_up(gate, call, writer, refused).await,
         }
     };
-    if let Some(place) = call.next_place.take() {
-        gate.end(&place, PlaceEnd::Neutral);
-        gate.refund(&call.account_name(), &place);
+    if let Some(Onward { place, retry }) = call.onward.take() {
+        gate.give_back(call, &place, Some(retry));
     }
     drop(active);
     record_outcome(gate, call, outcome, stops.left_ms());
@@ -349,8 +349,9 @@
 
 /// Waits for a place and runs one attempt.
 async fn advance(gate: &Rc<Gate>, call: &mut Call, writer: &mut ResponseWriter) -> Next {
-    if let Some(place) = call.next_place.take() {
-        return run_attempt(gate, call, writer, place).await;
+    if let Some(onward) = call.onward.take() {
+        gate.metrics.retries.inc();
+        return run_attempt(gate, call, writer, onward.place).await;
     }
     match acquire(gate, call, writer).await {
         Acquired::Place(place) => run_attempt(gate, call, writer, place).await,
@@ -560,7 +561,8 @@
     let is_refused = gate
         .crash_refusal(call.fingerprint, call.prompt.as_ref())
         .is_some();
-    if writer.may_continue() && call.may_retry() && !is_refused && take_retry(gate, call, writer) {
+    let has_retry = || call.onward.is_some() || take_retry(gate, call, writer);
+    if writer.may_continue() && call.may_retry() && !is_refused && has_retry() {
         return Next::Retry;
     }
     if writer.has_begun() {
@@ -580,12 +582,7 @@
         tracing::info!(event = "repeat_denied", request = %call.id(), service = %call.service, reason, left_ms);
         return false;
     }
-    let rule = gate.settings.borrow().retry;
-    let now = gate.now();
-    let mut state = gate.state.borrow_mut();
-    let instances = state.peers.count();
-    let is_allowed = state.retries.take(now, &call.service, &rule, instances);
-    drop(state);
+    let is_allowed = gate.take_retry(call).is_some();
     if is_allowed {
         gate.metrics.retries.inc();
     } else {
--- a/cornelstand/src/gateway/elsewhere.rs
+++ b/cornelstand/src/gateway/elsewhere.rs
@@ -1,7 +1,8 @@
 //! Another endpoint for a stream whose own is silent.
 //!
 //! Silence is no proof that an endpoint has stopped. It is given up only once another one can go on:
-//! for a stream that the caller has got in part, one that has a place for it.
+//! for a stream that the caller has got in part, one that has a place for it, with the retry already
+//! taken.
 
 use std::time::Duration;
 
@@ -10,17 +11,25 @@
 use crate::gateway::acquire::waiting;
 use crate::gateway::call::Call;
 use crate::gateway::gate::{Gate, Ticket};
-use crate::gateway::placement::{EndpointIndex, Place, PlaceEnd};
+use crate::gateway::placement::{EndpointIndex, Place};
 use crate::gateway::stop::Stops;
-use crate::name::AccountName;
+use crate::moment::Moment;
 
 /// Period at which a stream that could not go on elsewhere checks again.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
 
+/// A place elsewhere and the retry for it.
+#[derive(Debug)]
+pub(crate) struct Onward {
+    pub(crate) place: Place,
+    /// When the retry was taken.
+    pub(crate) retry: Moment,
+}
+
 /// A wait for a place that is withdrawn when it is dropped.
 struct Wait<'a> {
     gate: &'a Gate,
-    account: AccountName,
+    call: &'a Call,
     ticket: Ticket,
 }
 
@@ -28,27 +37,27 @@
     fn drop(&mut self) {
         self.gate.forget(self.ticket.id);
         if let Ok(place) = self.ticket.grant.try_recv() {
-            self.gate.end(&place, PlaceEnd::Neutral);
-            self.gate.refund(&self.account, &place);
+            self.gate.give_back(self.call, &place, None);
         }
     }
 }
 
-/// Waits until another endpoint than that of `index` can go on with a stream. Returns its place if
-/// the caller has got part of the response; otherwise the stream has to wait for one.
+/// Waits until another endpoint than that of `index` can go on with a stream. Returns its place
+/// and the retry if the caller has got part of the response; otherwise the stream has to wait for
+/// them.
 pub(crate) async fn other_endpoint(
     gate: &Gate,
     stops: &Stops<'_>,
     call: &Call,
     has_begun: bool,
     index: EndpointIndex,
-) -> Option<Place> {
+) -> Option<Onward> {
+    let is_allowed = |now| stops.admit(now, call.finish(has_begun, now)) && gate.may_repeat(call);
     let mut tried = call.tried.clone();
     tried.push(index);
     loop {
         let now = Instant::now();
-        let is_possible = stops.admit(now, call.finish(has_begun, now))
-            && gate.may_repeat(call)
+        let is_possible = is_allowed(now)
             && gate
                 .available_from(gate.now(), &call.service, &tried)
                 .is_some_and(|available_at| available_at <= gate.now());
@@ -56,7 +65,13 @@
             return None;
         }
         if is_possible && let Some(place) = place(gate, call, now, &tried).await {
-            return Some(place);
+            // Others may have taken the retries meanwhile, or a stop may have begun.
+            if is_allowed(Instant::now())
+                && let Some(retry) = gate.take_retry(call)
+            {
+                return Some(Onward { place, retry });
+            }
+            gate.give_back(call, &place, None);
         }
         sleep(CHECK_PERIOD).await;
     }
@@ -67,12 +82,7 @@
     let waiting = waiting(gate, call, true, now);
     let until = gate.clock.instant(waiting.queue_deadline);
     let ticket = gate.enqueue(waiting, tried).ok()?;
-    let account = call.account_name();
-    let mut wait = Wait {
-        gate,
-        account,
-        ticket,
-    };
+    let mut wait = Wait { gate, call, ticket };
     let granted = timeout_at(until, &mut wait.ticket.grant).await;
     granted.ok()?.ok()
 }
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -273,6 +273,25 @@
         !is_refused && state.retries.allows(now, &call.service, &rule, instances)
     }
 
+    /// Takes a retry from this instance's share of the budget. Returns when it was taken.
+    pub(crate) fn take_retry(&self, call: &Call) -> Option<Moment> {
+        let rule = self.settings.borrow().retry;
+        let (now, mut state) = (self.now(), self.state.borrow_mut());
+        let instances = state.peers.count();
+        let is_taken = state.retries.take(now, &call.service, &rule, instances);
+        is_taken.then_some(now)
+    }
+
+    /// Returns a place and, if one was taken for it, a retry that are not used.
+    pub(crate) fn give_back(&self, call: &Call, place: &Place, retry: Option<Moment>) {
+        self.end(place, PlaceEnd::Neutral);
+        self.refund(&call.account_name(), place);
+        if let Some(taken) = retry {
+            let retries = &mut self.state.borrow_mut().retries;
+            retries.give_back(&call.service, taken);
+        }
+    }
+
     /// Removes a request from the queue. Returns the delay after which its caller should retry.
     pub(crate) fn withdraw(&self, id: WaitId) -> Duration {
         self.state.borrow_mut().refuse(self.now(), id)
--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -13,7 +13,7 @@
 
 use crate::gateway::call::Call;
 use crate::gateway::directory::EndpointRecord;
-use crate::gateway::elsewhere::other_endpoint;
+use crate::gateway::elsewhere::{Onward, other_endpoint};
 use crate::gateway::gate::Gate;
 use crate::gateway::held_bytes::{SMALL_BYTES, Share};
 use crate::gateway::message::{BodyReader, Head, MessageError};
@@ -214,7 +214,7 @@
         written: Written::Partly,
         is_reusable: true,
         idle: None,
-        next_place: None,
+        onward: None,
         head_share: gate.held.share(),
     };
     let result = exchange.run(call, writer, place).await;
@@ -222,7 +222,7 @@
         exchange.is_reusable && exchange.written.is_wholly(),
         exchange.idle,
     );
-    call.next_place = exchange.next_place;
+    call.onward = exchange.onward;
     let attempt = result.unwrap_or_else(Interruption::into_attempt);
     let is_whole = attempt.is_delivered() || attempt.is_failed() || attempt.is_not_run();
     if !is_whole {
@@ -314,8 +314,8 @@
     written: Written,
     is_reusable: bool,
     idle: Option<Duration>,
-    /// Place elsewhere that was found while the endpoint was silent.
-    next_place: Option<Place>,
+    /// What was found elsewhere while the endpoint was silent.
+    onward: Option<Onward>,
     /// Memory for the head of the response.
     head_share: Share,
 }
@@ -486,8 +486,8 @@
                     return Err(ReadError::NoHeadRoom.into());
                 }
                 Ok(Ok(head)) => return Ok(head?),
-                Ok(Err(place)) => {
-                    self.next_place = place;
+                Ok(Err(onward)) => {
+                    self.onward = onward;
                     return Err(Interruption::Silent);
                 }
                 Err(Interruption::DeadlinePassed) if until < silent_from => {
@@ -508,7 +508,7 @@
         is_silent: bool,
         call: &'b Call,
         writer: &ResponseWriter,
-    ) -> impl Future<Output = Option<Place>> + use<'a, 'b> {
+    ) -> impl Future<Output = Option<Onward>> + use<'a, 'b> {
         let (gate, index, has_begun) = (self.gate, self.index, writer.has_begun());
         let stops = writer.stops(&gate.stop);
         async move {
@@ -714,8 +714,8 @@
                 Ok(Ok(Ok(()))) => return Ok(false),
                 Ok(Ok(Err(ReadError::Closed))) if body.is_until_close() => return Ok(true),
                 Ok(Ok(Err(error))) => return Err(error.into()),
-                Ok(Err(place)) => {
-                    self.next_place = place;
+                Ok(Err(onward)) => {
+                    self.onward = onward;
                     return Err(Interruption::Silent);
                 }
                 Err(Interruption::DeadlinePassed) if until < call.deadline => is_silent = true,
--- a/cornelstand/src/gateway/tests/budget.rs
+++ b/cornelstand/src/gateway/tests/budget.rs
@@ -62,3 +62,15 @@
     assert!(!quota.take(at(9_999), &service, &RULE, 1));
     assert!(quota.take(at(10_000), &service, &RULE, 1));
 }
+
+#[test]
+fn a_retry_that_was_not_used_is_left_to_another_request() {
+    let service = ServiceName::from("s");
+    let mut quota = RetryQuota::default();
+    while quota.take(at(0), &service, &RULE, 1) {}
+    quota.give_back(&service, at(0));
+    assert!(quota.take(at(1), &service, &RULE, 1));
+    assert!(!quota.take(at(1), &service, &RULE, 1));
+    quota.give_back(&service, at(2));
+    assert!(!quota.take(at(2), &service, &RULE, 1));
+}
