Gateway: an answer without room here is no failure of its endpoint

Cause: an answer that was dropped for want of this instance's own memory was taken for one that its endpoint had lost. It counted against the endpoint, and where the probe after it failed, as a crash that the request had caused. It is an end of its own now that says nothing of the endpoint; the request is repeated or answered with 502 as before.

an_answer_without_room_is_no_crash_of_its_endpoint failed before: left 1, right 0.

--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -502,6 +502,11 @@
             }
             Next::Respond(Refused::new(502, "the endpoint failed", None))
         }
+        Attempt::NoRoom(reason) => {
+            gate.metrics.lost_responses.inc();
+            call.tried.push(place.index);
+            after_loss(gate, call, writer, reason)
+        }
         Attempt::Lost(reason) => {
             gate.metrics.lost_responses.inc();
             call.tried.push(place.index);
@@ -518,9 +523,10 @@
         Attempt::Delivered(_) | Attempt::Failed(_) | Attempt::Lost(_) => PlaceEnd::Failed,
         Attempt::NotRun(NotRun::Unreachable | NotRun::Moved) => PlaceEnd::Unreachable,
         Attempt::NotRun(NotRun::Busy) => PlaceEnd::Busy,
-        Attempt::Gone | Attempt::Late | Attempt::NotRun(NotRun::Barred | NotRun::Withheld) => {
-            PlaceEnd::Neutral
-        }
+        Attempt::Gone
+        | Attempt::Late
+        | Attempt::NoRoom(_)
+        | Attempt::NotRun(NotRun::Barred | NotRun::Withheld) => PlaceEnd::Neutral,
     }
 }
 
--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -62,6 +62,8 @@
     NotRun(NotRun),
     /// The request may have run, but its response is lost or incomplete.
     Lost(&'static str),
+    /// The same, because this instance has no memory left for the response.
+    NoRoom(&'static str),
     /// A complete error response, not yet sent to the caller.
     Failed(BufferedResponse),
     /// The caller disconnected.
@@ -132,7 +134,7 @@
             Self::OtherBegun => Attempt::Lost("another response has begun"),
             Self::Read(ReadError::Closed) => Attempt::Lost("closed"),
             Self::Read(ReadError::Io(_)) => Attempt::Lost("reset"),
-            Self::Read(ReadError::NoHeadRoom) => Attempt::Lost("no memory is left for the head"),
+            Self::Read(ReadError::NoHeadRoom) => Attempt::NoRoom("no memory is left for the head"),
             Self::Read(ReadError::Message(error)) => Attempt::Lost(match error {
                 MessageError::HeadTooLarge => "endless head",
                 MessageError::BadHead => "malformed head",
@@ -686,7 +688,7 @@
             if pending > SMALL_BYTES && !share.grow(2 * pending, self.gate.settings.borrow().memory)
             {
                 self.gate.metrics.note_limit(Limit::HeldBytes);
-                return Ok(Attempt::Lost("no memory is left for the event"));
+                return Ok(Attempt::NoRoom("no memory is left for the event"));
             }
             is_closed = self.read_more(&body, call, writer, progressed).await?;
         }
--- a/cornelstand/src/gateway/rollout_link.rs
+++ b/cornelstand/src/gateway/rollout_link.rs
@@ -379,7 +379,8 @@
             Attempt::Failed(response) => response.head.status() >= 500,
             Attempt::Lost(_) => !has_crashed,
             Attempt::Gone | Attempt::Late => is_late && !has_begun,
-            Attempt::NotRun(
+            Attempt::NoRoom(_)
+            | Attempt::NotRun(
                 NotRun::Unreachable
                 | NotRun::Busy
                 | NotRun::Moved
--- a/cornelstand/src/platform/tests/crashes.rs
+++ b/cornelstand/src/platform/tests/crashes.rs
@@ -1,12 +1,14 @@
 //! Containment of requests that crash endpoints, over loopback connections.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use rstest::rstest;
 use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
 use crate::gateway::call::{PART_CRASH_REASON, fingerprint};
@@ -17,7 +19,7 @@
 use crate::name::{AccountName, Fingerprint, PartId};
 use crate::platform::tests::path::{fetch, listen, request, run_local, status, with_engines};
 use crate::platform::tests::scripted::{
-    Endpoint, Step, accept, answer, own_loopback, read_request,
+    Endpoint, Step, accept, answer, own_loopback, read_request, run_script,
 };
 
 /// Fingerprint of [`request`] for `path`.
@@ -264,3 +266,29 @@
     })
     .await;
 }
+
+/// Guards against requests that are refused as crashing because this instance lacks memory.
+#[tokio::test]
+async fn an_answer_without_room_is_no_crash_of_its_endpoint() {
+    run_local(async {
+        let bound = TcpListener::bind((own_loopback(), 0)).await;
+        let listener = bound.expect("loopback");
+        let endpoint = listener.local_addr().expect("bound");
+        let large = format!("X-More: {}\r\n", "y".repeat(20_000));
+        let script = vec![Step::Read, Step::Write(answer("a1", &large, "large"))];
+        spawn_local(async move {
+            let (stream, _) = listener.accept().await.expect("accept");
+            drop(listener);
+            run_script(stream, script, Rc::default(), Rc::default()).await;
+        });
+        let gate = gate("one", vec![record("o-1", ORDERS, endpoint)]);
+        let memory = gate.settings.borrow().memory;
+        let mut other = gate.held.share();
+        assert!(other.grow(memory, memory));
+        let text = fetch(listen(&gate).await, &request("/book/1", "a1")).await;
+        assert_eq!(status(&text), "502", "{text}");
+        let state = gate.state.borrow();
+        assert_eq!(state.suspects.crashes(path_fingerprint("/book/1")), 0);
+    })
+    .await;
+}
