Gateway: a silent stream without an event moves only to a place

What callers saw: 502 "no endpoint had room in time" for a stream whose endpoint had sent no event for half of the silence that callers bear, although it was at work and answered later.

Cause: such a stream was given up as soon as a retry was left and another endpoint could be used, and only then waited for a place. Class: an irrevocable step before its condition is known.

Evidence: a_stream_without_an_event_is_left_to_its_endpoint_if_no_other_has_room. Both cases (before the head, before the first event) failed before: "HTTP/1.1 502 Bad Gateway", "no endpoint had room in time".

Change: it waits for a place as a new request does, while its endpoint is listened to. A wait that would be too long is given up without counting a refusal, since each check would count it again. A stream whose endpoint never answers, while no other has room, now gets 504 at its deadline.

--- a/cornelstand/src/gateway/elsewhere.rs
+++ b/cornelstand/src/gateway/elsewhere.rs
@@ -1,8 +1,7 @@
 //! Another endpoint for a stream whose own is silent.
 //!
-//! Silence is no proof that an endpoint has stopped. It is given up only once another one can go on:
-//! for a stream that the caller has got in part, one that has a place for it, with the retry already
-//! taken.
+//! Silence is no proof that an endpoint has stopped. It is given up only once another one has a place
+//! for the stream, with the retry already taken.
 
 use std::time::Duration;
 
@@ -42,16 +41,14 @@
     }
 }
 
-/// Waits until another endpoint than that of `index` can go on with a stream. Returns its place
-/// and the retry if the caller has got part of the response; otherwise the stream has to wait for
-/// them.
+/// Waits until another endpoint than that of `index` can go on with a stream.
 pub(crate) async fn other_endpoint(
     gate: &Gate,
     stops: &Stops<'_>,
     call: &Call,
     has_begun: bool,
     index: EndpointIndex,
-) -> Option<Onward> {
+) -> Onward {
     let is_allowed = |now| stops.admit(now, call.finish(has_begun, now)) && gate.may_repeat(call);
     let mut tried = call.tried.clone();
     tried.push(index);
@@ -61,15 +58,12 @@
             && gate
                 .available_from(gate.now(), &call.service, &tried)
                 .is_some_and(|available_at| available_at <= gate.now());
-        if is_possible && !has_begun {
-            return None;
-        }
-        if is_possible && let Some(place) = place(gate, call, now, &tried).await {
+        if is_possible && let Some(place) = place(gate, call, has_begun, now, &tried).await {
             // Others may have taken the retries meanwhile, or a stop may have begun.
             if is_allowed(Instant::now())
                 && let Some(retry) = gate.take_retry(call)
             {
-                return Some(Onward { place, retry });
+                return Onward { place, retry };
             }
             gate.give_back(call, &place, None);
         }
@@ -77,12 +71,23 @@
     }
 }
 
-/// Waits for a place for the rest of a stream, for as long as an interrupted one would.
-async fn place(gate: &Gate, call: &Call, now: Instant, tried: &[EndpointIndex]) -> Option<Place> {
-    let waiting = waiting(gate, call, true, now);
+/// Waits for a place for a stream, or the rest of one, for as long as a request or an interrupted
+/// stream would.
+async fn place(
+    gate: &Gate,
+    call: &Call,
+    has_begun: bool,
+    now: Instant,
+    tried: &[EndpointIndex],
+) -> Option<Place> {
+    let waiting = waiting(gate, call, has_begun, now);
     let until = gate.clock.instant(waiting.queue_deadline);
-    let ticket = gate.enqueue(waiting, tried).ok()?;
+    let ticket = gate.join_queue(waiting, tried);
     let mut wait = Wait { gate, call, ticket };
+    // No refusal is counted, which would come once more with each check.
+    if gate.exceeds_wait(wait.ticket.id) {
+        return None;
+    }
     let granted = timeout_at(until, &mut wait.ticket.grant).await;
     granted.ok()?.ok()
 }
--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -237,6 +237,15 @@
         waiting: Waiting,
         tried: &[EndpointIndex],
     ) -> Result<Ticket, Duration> {
+        let ticket = self.join_queue(waiting, tried);
+        if self.exceeds_wait(ticket.id) {
+            return Err(self.withdraw(ticket.id));
+        }
+        Ok(ticket)
+    }
+
+    /// Queues a request and grants it a place if there is one.
+    pub(crate) fn join_queue(&self, waiting: Waiting, tried: &[EndpointIndex]) -> Ticket {
         let now = self.now();
         let service = waiting.service.clone();
         let (grant, granted) = oneshot::channel();
@@ -248,11 +257,14 @@
         if let Some(rules) = self.rules(&state, &service) {
             self.grant_place(&mut state, now, id, &rules);
         }
-        if state.waiters.contains_key(&id) && state.admission.exceeds_wait(now, id) {
-            return Err(state.refuse(now, id));
-        }
         self.metrics.waiting.set(gauge(state.admission.len()));
-        Ok(Ticket { id, grant: granted })
+        Ticket { id, grant: granted }
+    }
+
+    /// Whether a queued request would wait too long.
+    pub(crate) fn exceeds_wait(&self, id: WaitId) -> bool {
+        let state = self.state.borrow();
+        state.waiters.contains_key(&id) && state.admission.exceeds_wait(self.now(), id)
     }
 
     /// Removes from the queue what waits no longer, without a refusal.
--- a/cornelstand/src/gateway/relay.rs
+++ b/cornelstand/src/gateway/relay.rs
@@ -487,7 +487,7 @@
                 }
                 Ok(Ok(head)) => return Ok(head?),
                 Ok(Err(onward)) => {
-                    self.onward = onward;
+                    self.onward = Some(onward);
                     return Err(Interruption::Silent);
                 }
                 Err(Interruption::DeadlinePassed) if until < silent_from => {
@@ -508,7 +508,7 @@
         is_silent: bool,
         call: &'b Call,
         writer: &ResponseWriter,
-    ) -> impl Future<Output = Option<Onward>> + use<'a, 'b> {
+    ) -> impl Future<Output = Onward> + use<'a, 'b> {
         let (gate, index, has_begun) = (self.gate, self.index, writer.has_begun());
         let stops = writer.stops(&gate.stop);
         async move {
@@ -715,7 +715,7 @@
                 Ok(Ok(Err(ReadError::Closed))) if body.is_until_close() => return Ok(true),
                 Ok(Ok(Err(error))) => return Err(error.into()),
                 Ok(Err(onward)) => {
-                    self.onward = onward;
+                    self.onward = Some(onward);
                     return Err(Interruption::Silent);
                 }
                 Err(Interruption::DeadlinePassed) if until < call.deadline => is_silent = true,
--- a/cornelstand/src/platform/tests/silent_streams.rs
+++ b/cornelstand/src/platform/tests/silent_streams.rs
@@ -146,3 +146,38 @@
     })
     .await;
 }
+
+/// Guards against a stream that is given up before its first event although no other endpoint has
+/// room.
+#[rstest]
+#[case::before_the_head(String::new(), stream_head("a1"))]
+#[case::before_the_first_event(stream_head("a1"), String::new())]
+#[tokio::test(start_paused = true)]
+async fn a_stream_without_an_event_is_left_to_its_endpoint_if_no_other_has_room(
+    #[case] early: String,
+    #[case] late: String,
+) {
+    run_local(async {
+        let events = late + &chunk(&event(1)) + &chunk(&event(2)) + "0\r\n\r\n";
+        let pause = Step::Pause(3_500);
+        let script = vec![Step::Read, Step::Write(early), pause, Step::Write(events)];
+        let near = Endpoint::start(vec![script]).await;
+        let far = Endpoint::start(vec![rest("a1")]).await;
+        let mut other = record("m-2", MODELS, far.address);
+        other.centre = "south".into();
+        let gate = gate("one", vec![record("m-1", MODELS, near.address), other]);
+        let address = listen(&gate).await;
+        let asked = async move { fetch(address, &request("/quote/1", "a1")).await };
+        let caller = spawn_local(asked);
+        while near.count() == 0 {
+            sleep(Duration::from_millis(1)).await;
+        }
+        fill(&gate);
+        let text = caller.await.expect("a caller");
+        let is_whole = text.contains("piece 1") && text.ends_with("0\r\n\r\n");
+        assert!(is_whole && text.contains("piece 2"), "{text}");
+        assert_eq!(far.count(), 0);
+        assert_eq!(gate.state.borrow().admission.len(), 0);
+    })
+    .await;
+}
