Gateway: the gauge of waiting requests follows the queue down

What operators saw: cornelstand_waiting stayed at its last value after requests had left the queue, since it was set only when one entered.

Evidence: silent_streams, with an assertion on the gauge, failed before in the three cases without room: left 1, right 0.

Change: the gauge is set as well when a wait is forgotten or withdrawn, and after the queue was served.

Measured: 968 tests of the library pass.

--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -272,6 +272,7 @@
         let mut state = self.state.borrow_mut();
         state.waiters.remove(&id);
         state.admission.remove(id);
+        self.metrics.waiting.set(gauge(state.admission.len()));
     }
 
     /// Whether a request may be sent once more by now.
@@ -306,7 +307,10 @@
 
     /// Removes a request from the queue. Returns the delay after which its caller should retry.
     pub(crate) fn withdraw(&self, id: WaitId) -> Duration {
-        self.state.borrow_mut().refuse(self.now(), id)
+        let mut state = self.state.borrow_mut();
+        let retry_after = state.refuse(self.now(), id);
+        self.metrics.waiting.set(gauge(state.admission.len()));
+        retry_after
     }
 
     /// Grants places to queued requests while there is room.
@@ -315,6 +319,7 @@
         let mut state = self.state.borrow_mut();
         if !state.admission.is_empty() {
             self.grant_places(&mut state, self.now());
+            self.metrics.waiting.set(gauge(state.admission.len()));
         }
     }
 
--- a/cornelstand/src/platform/tests/silent_streams.rs
+++ b/cornelstand/src/platform/tests/silent_streams.rs
@@ -88,6 +88,7 @@
         );
         assert_eq!(far.count(), 0);
         assert_eq!(gate.state.borrow().admission.len(), 0);
+        assert_eq!(gate.metrics.waiting.get(), 0);
     })
     .await;
 }
@@ -178,6 +179,7 @@
         assert!(is_whole && text.contains("piece 2"), "{text}");
         assert_eq!(far.count(), 0);
         assert_eq!(gate.state.borrow().admission.len(), 0);
+        assert_eq!(gate.metrics.waiting.get(), 0);
     })
     .await;
 }
