Gateway: an attempt that the entry's stop ends releases its place

A neighbour that answered a handed-over request at the end of its entry's stop counted the place at the endpoint as taken for good, so that the endpoint looked fuller with each such request and got less.

Cause: the end of a stop drops the attempt, and only a completed attempt gave its place back. With the own stop the process ends with it; since the stop of another instance ends attempts as well. The place has an owner that releases it. Class: a resource whose release depends on how its user ends.

the_stop_of_the_entry_binds_requests_at_the_neighbour, case open_at_the_end, now looks at the place, and failed before: left Some(1), right Some(0).

--- a/cornelstand/src/gateway/call.rs
+++ b/cornelstand/src/gateway/call.rs
@@ -435,31 +435,63 @@
     );
 }
 
+/// A place while an attempt has it; an attempt that is abandoned by the end of a stop releases it.
+struct TakenPlace<'a> {
+    gate: &'a Gate,
+    place: Place,
+    has_ended: bool,
+}
+
+impl<'a> TakenPlace<'a> {
+    fn new(gate: &'a Gate, place: Place) -> Self {
+        Self {
+            gate,
+            place,
+            has_ended: false,
+        }
+    }
+
+    fn end(&mut self, end: PlaceEnd) {
+        self.has_ended = true;
+        self.gate.end(&self.place, end);
+    }
+}
+
+impl Drop for TakenPlace<'_> {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.end(PlaceEnd::Neutral);
+        }
+    }
+}
+
 async fn run_attempt(
     gate: &Rc<Gate>,
     call: &mut Call,
     writer: &mut ResponseWriter,
-    mut place: Place,
+    place: Place,
 ) -> Next {
     let before = call.sends;
     let begun = Instant::now();
-    log_place(gate, call, &place, writer.stops(&gate.stop).left_ms());
+    let mut taken = TakenPlace::new(gate, place);
+    log_place(gate, call, &taken.place, writer.stops(&gate.stop).left_ms());
     // The endpoint may be unlisted by the time the attempt ends.
-    let Some(endpoint) = gate.record(&place) else {
-        gate.end(&place, PlaceEnd::Unreachable);
-        gate.refund(&call.account_name(), &place);
-        call.tried.push(place.index);
+    let Some(endpoint) = gate.record(&taken.place) else {
+        taken.end(PlaceEnd::Unreachable);
+        gate.refund(&call.account_name(), &taken.place);
+        call.tried.push(taken.place.index);
         return Next::Retry;
     };
-    let attempt = relay::attempt(gate, call, writer, &mut place, &endpoint).await;
+    let attempt = relay::attempt(gate, call, writer, &mut taken.place, &endpoint).await;
     let is_sent = call.sends > before;
-    gate.end(&place, place_end(&attempt));
+    taken.end(place_end(&attempt));
+    let place = &taken.place;
     let waited = begun.elapsed();
     let note_end = |call: &Call, attempt: &Attempt, has_crashed: bool| {
         let sent = RolloutAttempt {
             call,
             record: &endpoint,
-            place: &place,
+            place,
         };
         if is_sent {
             gate.note_rollout_end(sent, sent.is_failed(attempt, waited, has_crashed));
@@ -491,7 +523,7 @@
         Attempt::Late => Next::Respond(Refused::new(504, "no answer in time", None)),
         Attempt::NotRun(reason) => {
             call.tried.push(place.index);
-            gate.refund(&call.account_name(), &place);
+            gate.refund(&call.account_name(), place);
             after_not_run(gate, call, writer, reason, is_sent)
         }
         Attempt::Failed(response) => {
@@ -510,7 +542,7 @@
         Attempt::Lost(reason) => {
             gate.metrics.lost_responses.inc();
             call.tried.push(place.index);
-            let has_crashed = gate.confirm_crash(call, &endpoint, &place).await;
+            let has_crashed = gate.confirm_crash(call, &endpoint, place).await;
             note_end(call, &attempt, has_crashed);
             after_loss(gate, call, writer, reason)
         }
--- a/cornelstand/src/platform/tests/handover.rs
+++ b/cornelstand/src/platform/tests/handover.rs
@@ -787,6 +787,8 @@
         let elapsed = stopped.begun.elapsed().as_millis();
         assert!(elapsed < 7_500, "{elapsed}");
         until(|| stopped.pair.entry.active.get() == 0).await;
+        let state = stopped.pair.neighbour.state.borrow();
+        assert_eq!(state.endpoints.get(0).map(|e| e.own.running), Some(0));
     })
     .await;
 }
