--- a/cornelstand/src/gateway/gate.rs
+++ b/cornelstand/src/gateway/gate.rs
@@ -237,6 +237,15 @@
         waiting: Waiting,
         tried: &[EndpointIndex],
     ) -> Result<Ticket, Duration> {
+        let ticket = self.join_queue(waiting, tried);
+        if self.exceeds_wait(ticket.id) {
+            return Err(self.withdraw(ticket.id));
+        }
+        Ok(ticket)
+    }
+
+    /// Queues a request and grants it a place if there is one.
+    pub(crate) fn join_queue(&self, waiting: Waiting, tried: &[EndpointIndex]) -> Ticket {
         let now = self.now();
         let service = waiting.service.clone();
         let (grant, granted) = oneshot::channel();
@@ -248,11 +257,14 @@
         if let Some(rules) = self.rules(&state, &service) {
             self.grant_place(&mut state, now, id, &rules);
         }
-        if state.waiters.contains_key(&id) && state.admission.exceeds_wait(now, id) {
-            return Err(state.refuse(now, id));
-        }
         self.metrics.waiting.set(gauge(state.admission.len()));
-        Ok(Ticket { id, grant: granted })
+        Ticket { id, grant: granted }
+    }
+
+    /// Whether a queued request would wait too long.
+    pub(crate) fn exceeds_wait(&self, id: WaitId) -> bool {
+        let state = self.state.borrow();
+        state.waiters.contains_key(&id) && state.admission.exceeds_wait(self.now(), id)
     }
 
     /// Removes from the queue what waits no longer, without a refusal.
@@ -273,6 +285,25 @@
         !is_refused && state.retries.allows(now, &call.service, &rule, instances)
     }
 
+    /// Takes a retry from this instance's share of the budget. Returns when it was taken.
+    pub(crate) fn take_retry(&self, call: &Call) -> Option<Moment> {
+        let rule = self.settings.borrow().retry;
+        let (now, mut state) = (self.now(), self.state.borrow_mut());
+        let instances = state.peers.count();
+        let is_taken = state.retries.take(now, &call.service, &rule, instances);
+        is_taken.then_some(now)
+    }
+
+    /// Returns a place and, if one was taken for it, a retry that are not used.
+    pub(crate) fn give_back(&self, call: &Call, place: &Place, retry: Option<Moment>) {
+        self.end(place, PlaceEnd::Neutral);
+        self.refund(&call.account_name(), place);
+        if let Some(taken) = retry {
+            let retries = &mut self.state.borrow_mut().retries;
+            retries.give_back(&call.service, taken);
+        }
+    }
+
     /// Removes a request from the queue. Returns the delay after which its caller should retry.
     pub(crate) fn withdraw(&self, id: WaitId) -> Duration {
         self.state.borrow_mut().refuse(self.now(), id)
