--- a/cornelstand/src/platform/tests/endless_store.rs
+++ b/cornelstand/src/platform/tests/endless_store.rs
@@ -21,7 +21,7 @@
 /// Messages at once; more than an instance handles in one turn, and fewer than a socket holds.
 const MESSAGES: usize = 200;
 
-/// An instance did nothing else while messages were there.
+/// Guards against messages that keep the only thread.
 #[tokio::test]
 async fn messages_without_end_leave_turns_to_others() {
     run_local(async {
@@ -39,7 +39,7 @@
     .await;
 }
 
-/// A list was read and kept for as long as its pages told of another one.
+/// Guards against a list whose pages always tell of another one.
 #[rstest]
 #[case::same_page(|_| "a".to_owned(), 10, 2)]
 #[case::in_turns(|page: usize| (page % 2).to_string(), 500_000, 40)]
--- a/cornelstand/src/platform/tests/restored_store.rs
+++ b/cornelstand/src/platform/tests/restored_store.rs
@@ -93,7 +93,7 @@
     }
 }
 
-/// Instances that fetch from others kept their view, which had a higher revision.
+/// Guards against views of an earlier era that look newer by their revision.
 #[rstest]
 #[case::all_watch(2)]
 #[case::most_fetch_from_others(LARGE)]
@@ -121,7 +121,7 @@
     .await;
 }
 
-/// A watch went on from a revision that the restored store had reached again.
+/// Guards against a watch from a revision that the restored store has given out again.
 #[rstest]
 #[case::all_watch(1)]
 #[case::most_fetch_from_others(LARGE)]
@@ -146,7 +146,7 @@
     .await;
 }
 
-/// Instances that had registered since the copy were unknown to those that start later.
+/// Guards against entries that are written only once.
 #[rstest]
 #[case::all_watch(1)]
 #[case::most_fetch_from_others(LARGE)]
